Lay out the modules of decisions: configuration, membership, once, policy, pipeline

Cause: the repository is empty; every later part needs the shared types and the decision state machines first. Ruled out: writing the servers first and pulling decisions out later, since the decisions must run on an injected clock in tests and benchmarks. Before: nothing. Conclusion: the headers are settled enough for the process to be built on them.

--- /dev/null
+++ b/goldcrestcroft/Core.h
@@ -0,0 +1,10 @@
+#pragma once
+
+/** \brief Identifiers, clocks, errors with remedies, hashing and randomness. */
+
+#include "src/Core/Clock.h"
+#include "src/Core/Error.h"
+#include "src/Core/Hash.h"
+#include "src/Core/Ids.h"
+#include "src/Core/Outcome.h"
+#include "src/Core/Random.h"
--- /dev/null
+++ b/goldcrestcroft/Policy.h
@@ -0,0 +1,13 @@
+#pragma once
+
+/** \brief Decisions under load: admission, order, fairness, routing, retries,
+ * quarantine and placement. */
+
+#include "src/Policy/CorrectedLoadRouting.h"
+#include "src/Policy/Dispatcher.h"
+#include "src/Policy/LeastReportedRouting.h"
+#include "src/Policy/Placement.h"
+#include "src/Policy/Quarantine.h"
+#include "src/Policy/RetryBudget.h"
+#include "src/Policy/RoundRobinRouting.h"
+#include "src/Policy/TwoChoicesRouting.h"
--- /dev/null
+++ b/goldcrestcroft/src/Config/ConfigVersion.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "ConfigPatch.h"
+#include "Configuration.h"
+
+#include <memory>
+#include <string>
+
+namespace goldcrestcroft {
+
+/** \brief An immutable configuration with its number and its document. */
+class ConfigVersion
+{
+public:
+  /** \brief Version 0: the empty configuration. */
+  static auto Initial() -> std::shared_ptr<const ConfigVersion>;
+
+  /** \brief A version from the text of a whole document. */
+  static auto FromDocument(VersionNumber aNumber, const std::string& aDocument)
+    -> Result<std::shared_ptr<const ConfigVersion>>;
+
+  /** \brief The next version.
+   *
+   * Fails with Conflict when the patch is not for this version or one of its
+   * operations does not apply, and with InvalidConfiguration when the resulting
+   * document is not valid. */
+  [[nodiscard]] auto Apply(const ConfigPatch& aPatch) const
+    -> Result<std::shared_ptr<const ConfigVersion>>;
+
+  [[nodiscard]] auto Number() const -> VersionNumber { return number_; }
+  [[nodiscard]] auto Document() const -> const std::string&
+  {
+    return document_;
+  }
+  [[nodiscard]] auto Content() const -> const Configuration&
+  {
+    return content_;
+  }
+
+private:
+  VersionNumber number_ = 0;
+  std::string document_ = "{}";
+  Configuration content_;
+};
+
+using ConfigVersionPtr = std::shared_ptr<const ConfigVersion>;
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Config/Workspace.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "../../Core.h"
+
+namespace goldcrestcroft {
+
+/** \brief A customer's share of the system. */
+struct Workspace
+{
+  WorkspaceId id_;
+  double weight_ = 1.0;
+
+  auto operator<=>(const Workspace&) const = default;
+};
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Once/OnceExecution.cpp
@@ -0,0 +1,177 @@
+#include "OnceExecution.h"
+
+namespace goldcrestcroft {
+
+auto OnceExecution::Row() const -> OnceRow
+{
+  OnceRow row{ .attempt_ = options_.attempt_,
+               .runner_ = options_.host_,
+               .incarnation_ = options_.incarnation_ };
+  if (owesRecord_) {
+    row.answer_ = answer_;
+  }
+  return row;
+}
+
+auto OnceExecution::Finish(Outcome aOutcome) -> void
+{
+  answer_ = { .outcome_ = aOutcome };
+  mayLeaveRow_ = insertMayLand_ || owned_;
+  step_ = Step::Done;
+}
+
+auto OnceExecution::FinishUnrun() -> void
+{
+  // Without a look at the row only the caller can know that no earlier
+  // submission of the key has run.
+  const auto certain = options_.firstSubmission_ && !insertMayLand_;
+  Finish(certain ? Outcome::NotRun : Outcome::Unknown);
+}
+
+auto OnceExecution::Own(RowVersion aVersion, TimePoint aNow) -> void
+{
+  owned_ = true;
+  insertMayLand_ = false;
+  version_ = aVersion;
+  step_ = aNow < options_.deadline_ ? Step::Run : Step::GiveUp;
+}
+
+auto OnceExecution::OnInserted(RowVersion aVersion, TimePoint aNow) -> void
+{
+  if (step_ == Step::Insert) {
+    Own(aVersion, aNow);
+  }
+}
+
+auto OnceExecution::OnRow(const OnceRow& aRow, RowVersion aVersion,
+                          bool aRunnerGone, TimePoint aNow) -> void
+{
+  if (step_ != Step::Insert && step_ != Step::Read && step_ != Step::GiveUp) {
+    return;
+  }
+  if (aRow.attempt_ == options_.attempt_) {
+    if (step_ == Step::GiveUp) {
+      version_ = aVersion;
+    } else {
+      Own(aVersion, aNow);
+    }
+    return;
+  }
+  // The row is another attempt's, so this attempt's insert can never land.
+  insertMayLand_ = false;
+  owned_ = false;
+  if (aRow.answer_) {
+    answer_ = *aRow.answer_;
+    step_ = Step::Done;
+  } else if (aRunnerGone) {
+    Finish(Outcome::Unknown);
+  } else {
+    step_ = Step::Wait;
+    OnTick(aNow);
+  }
+}
+
+auto OnceExecution::OnAbsent(TimePoint aNow) -> void
+{
+  if (step_ == Step::GiveUp) {
+    OnGivenUp();
+  } else if (step_ == Step::Read) {
+    step_ = Step::Insert;
+    OnTick(aNow);
+  }
+}
+
+auto OnceExecution::OnUnavailable(TimePoint aNow) -> void
+{
+  if (step_ == Step::GiveUp) {
+    // The row still carries this attempt, which has sent nothing and never
+    // will: nobody else can have run the request either.
+    Finish(Outcome::NotRun);
+  } else if (step_ == Step::Insert && !insertMayLand_) {
+    FinishUnrun();
+  } else if (step_ == Step::Insert || step_ == Step::Read) {
+    step_ = Step::Read;
+    OnTick(aNow);
+  }
+}
+
+auto OnceExecution::OnLost(TimePoint aNow) -> void
+{
+  if (step_ == Step::Insert) {
+    insertMayLand_ = true;
+    step_ = Step::Read;
+  }
+  if (step_ == Step::GiveUp && aNow >= options_.deadline_) {
+    // If the erasure landed, another submission may have run meanwhile.
+    Finish(Outcome::Unknown);
+    return;
+  }
+  OnTick(aNow);
+}
+
+auto OnceExecution::OnGivenUp() -> void
+{
+  if (step_ == Step::GiveUp) {
+    owned_ = false;
+    Finish(Outcome::NotRun);
+  }
+}
+
+auto OnceExecution::TryDispatch(TimePoint aNow) -> bool
+{
+  if (step_ == Step::Running) {
+    return true;
+  }
+  if (step_ != Step::Run) {
+    return false;
+  }
+  if (aNow >= options_.deadline_) {
+    step_ = Step::GiveUp;
+    return false;
+  }
+  step_ = Step::Running;
+  return true;
+}
+
+auto OnceExecution::OnRefused() -> void
+{
+  if (step_ == Step::Run) {
+    step_ = Step::GiveUp;
+  }
+}
+
+auto OnceExecution::OnFinished(RecordedAnswer aAnswer) -> void
+{
+  if (step_ == Step::Running) {
+    answer_ = std::move(aAnswer);
+    owesRecord_ = true;
+    step_ = Step::Done;
+  }
+}
+
+auto OnceExecution::OnTick(TimePoint aNow) -> void
+{
+  if (aNow < options_.deadline_) {
+    return;
+  }
+  switch (step_) {
+    case Step::Insert:
+      // An insert may be under way, and may land after this answer.
+      insertMayLand_ = true;
+      Finish(Outcome::Unknown);
+      break;
+    case Step::Read:
+    case Step::Wait:
+      Finish(Outcome::Unknown);
+      break;
+    case Step::Run:
+      step_ = Step::GiveUp;
+      break;
+    case Step::Running:
+    case Step::GiveUp:
+    case Step::Done:
+      break;
+  }
+}
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Once/OnceRow.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "../../Platform.h"
+
+#include <optional>
+
+namespace goldcrestcroft {
+
+/** \brief The recorded end of a non-idempotent request. */
+struct RecordedAnswer
+{
+  Outcome outcome_ = Outcome::Unknown;
+  /** The answer as the first caller received it. */
+  std::string body_;
+
+  auto operator<=>(const RecordedAnswer&) const = default;
+};
+
+/** \brief The table row that decides which attempt of a key may run. */
+struct OnceRow
+{
+  AttemptId attempt_;
+  HostId runner_;
+  Incarnation incarnation_ = 0;
+  /** None until the attempt has ended. */
+  std::optional<RecordedAnswer> answer_;
+
+  auto operator<=>(const OnceRow&) const = default;
+};
+
+/** \brief The table that holds the rows. */
+inline constexpr auto kOnceTable = "once";
+
+auto EncodeOnceRow(const OnceRow& aRow) -> std::string;
+
+/** \brief Fails with Protocol when the text is not such a row. */
+auto DecodeOnceRow(const std::string& aText) -> Result<OnceRow>;
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Pipeline/PipelineRun.cpp
@@ -0,0 +1,328 @@
+#include "PipelineRun.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+
+namespace goldcrestcroft {
+
+namespace {
+
+constexpr Duration kRetryAfterFailure = std::chrono::milliseconds{ 500 };
+
+} // namespace
+
+PipelineRun::PipelineRun(Options aOptions)
+  : options_(std::move(aOptions))
+  , pipeline_(options_.config_->Content().FindPipeline(options_.pipeline_))
+  , data_{ .input_ = options_.input_ }
+{
+}
+
+auto PipelineRun::StagePool() const -> const Pool&
+{
+  const auto stage = std::min(stage_, pipeline_->stages_.size() - 1);
+  return *options_.config_->Content().FindPool(pipeline_->stages_[stage].pool_);
+}
+
+auto PipelineRun::ActiveAttempt() const -> const AttemptId&
+{
+  static const AttemptId kNone;
+  return active_.empty() ? kNone : active_.front().id_;
+}
+
+auto PipelineRun::Find(const AttemptId& aAttempt) -> Active*
+{
+  const auto found =
+    std::find_if(active_.begin(), active_.end(),
+                 [&](const Active& aEach) { return aEach.id_ == aAttempt; });
+  return found == active_.end() ? nullptr : &*found;
+}
+
+auto PipelineRun::MakeAttemptId() -> AttemptId
+{
+  return { fmt::format("{}.{}.{}", options_.id_.value_, stage_,
+                       ++attemptsMade_) };
+}
+
+auto PipelineRun::Forecast() const -> std::vector<StageForecast>
+{
+  std::vector<StageForecast> forecast;
+  for (auto i = stage_; i < pipeline_->stages_.size(); ++i) {
+    const auto& pool = pipeline_->stages_[i].pool_;
+    const auto kind = options_.config_->Content().FindPool(pool)->kind_;
+    // How many documents there will be to rerank is known only later.
+    const auto known = i == stage_ || kind != StageKind::Rerank;
+    forecast.push_back(
+      { .pool_ = pool,
+        .size_ = known ? std::optional(StageSize(kind, data_)) : std::nullopt });
+  }
+  return forecast;
+}
+
+auto PipelineRun::Requeue(TimePoint aNow, const ServerId& aAvoid) -> SubmitWork
+{
+  const auto& pool = StagePool();
+  const auto id = MakeAttemptId();
+  ++attemptsOfStage_;
+  hops_.push_back({ .stage_ = pipeline_->stages_[stage_].name_,
+                    .attempt_ = id,
+                    .queuedAt_ = aNow });
+  active_.push_back({ .id_ = id, .hop_ = hops_.size() - 1 });
+  const auto prefix = options_.workspace_.value_ + "/" +
+                      options_.pipeline_.value_ + "/" +
+                      options_.input_.session_;
+  return { .work_ = { .id_ = id,
+                      .pool_ = pool.id_,
+                      .workspace_ = options_.workspace_,
+                      .priority_ = pipeline_->priority_,
+                      .deadline_ = options_.deadline_,
+                      .size_ = StageSize(pool.kind_, data_),
+                      .affinity_ = pool.kind_ == StageKind::Generate
+                                     ? Fingerprint(prefix)
+                                     : 0,
+                      .avoid_ = aAvoid } };
+}
+
+auto PipelineRun::StartStage(TimePoint aNow) -> Commands
+{
+  attemptsOfStage_ = 0;
+  return { Requeue(aNow, {}) };
+}
+
+auto PipelineRun::OnAssigned(const AttemptId& aAttempt, const ServerId& aServer,
+                             TimePoint aNow) -> void
+{
+  auto* active = Find(aAttempt);
+  if (active == nullptr) {
+    return;
+  }
+  active->sent_ = true;
+  ++handedOver_;
+  inDoubt_ = inDoubt_ || !StagePool().idempotent_;
+  auto& hop = hops_[active->hop_];
+  hop.server_ = aServer;
+  hop.sentAt_ = aNow;
+}
+
+auto PipelineRun::OnHedged(const AttemptId& aCopy, const ServerId& aServer,
+                           TimePoint aNow) -> void
+{
+  hops_.push_back({ .stage_ = pipeline_->stages_[stage_].name_,
+                    .attempt_ = aCopy,
+                    .queuedAt_ = aNow });
+  active_.push_back({ .id_ = aCopy, .hop_ = hops_.size() - 1 });
+  OnAssigned(aCopy, aServer, aNow);
+}
+
+auto PipelineRun::WantsHedge(Duration aExpected, TimePoint aNow) const -> bool
+{
+  constexpr Duration kLeastDelay = std::chrono::milliseconds{ 10 };
+  constexpr int kSlowFactor = 3;
+  if (done_ || !options_.mayRetry_ || active_.size() != 1 ||
+      !StagePool().idempotent_) {
+    return false;
+  }
+  const auto& only = active_.front();
+  const auto delay = std::max(kLeastDelay, kSlowFactor * aExpected);
+  return only.sent_ && !only.progressed_ &&
+         aNow - hops_[only.hop_].sentAt_ >= delay;
+}
+
+auto PipelineRun::Retire(const AttemptId& aAttempt, std::string aResult,
+                         TimePoint aNow) -> void
+{
+  const auto* active = Find(aAttempt);
+  auto& hop = hops_[active->hop_];
+  hop.endedAt_ = aNow;
+  hop.result_ = std::move(aResult);
+  std::erase_if(active_, [&](const Active& aEach) {
+    return aEach.id_ == aAttempt;
+  });
+}
+
+auto PipelineRun::CancelOthers(const AttemptId& aWinner, TimePoint aNow)
+  -> Commands
+{
+  Commands commands;
+  const auto all = active_;
+  for (const auto& other : all) {
+    if (other.id_ != aWinner) {
+      Retire(other.id_, "cancelled", aNow);
+      commands.emplace_back(CancelAttempt{ other.id_ });
+    }
+  }
+  return commands;
+}
+
+auto PipelineRun::Advance(const AttemptId& aAttempt, RetryBudget& aBudget,
+                          TimePoint aNow) -> Commands
+{
+  aBudget.OnSuccess();
+  auto commands = CancelOthers(aAttempt, aNow);
+  Retire(aAttempt, "ok", aNow);
+  inDoubt_ = false;
+  ++stage_;
+  const auto more = stage_ < pipeline_->stages_.size()
+                      ? StartStage(aNow)
+                      : End({ .outcome_ = Outcome::Completed,
+                              .text_ = data_.text_ },
+                            aNow);
+  commands.insert(commands.end(), more.begin(), more.end());
+  return commands;
+}
+
+auto PipelineRun::OnAnswer(const AttemptId& aAttempt, const std::string& aBody,
+                           RetryBudget& aBudget, TimePoint aNow) -> Commands
+{
+  if (Find(aAttempt) == nullptr) {
+    ++dropped_;
+    return {};
+  }
+  const auto whole = Handle(
+    [&]() -> Result<bool> {
+      BOOST_LEAF_CHECK(ReadStageAnswer(StagePool().kind_, aBody, data_));
+      return true;
+    },
+    [](const Error&) { return false; });
+  if (!whole) {
+    return OnFailure(aAttempt, AttemptFailure::NotWhole, aBudget, aNow);
+  }
+  return Advance(aAttempt, aBudget, aNow);
+}
+
+auto PipelineRun::OnStreamBytes(const AttemptId& aAttempt,
+                                std::string_view aBytes, RetryBudget& aBudget,
+                                TimePoint aNow) -> Commands
+{
+  auto* active = Find(aAttempt);
+  if (active == nullptr) {
+    ++dropped_;
+    return {};
+  }
+  std::string text;
+  const auto wellFormed = Handle(
+    [&]() -> Result<bool> {
+      BOOST_LEAF_ASSIGN(text, active->reader_.Feed(aBytes));
+      return true;
+    },
+    [](const Error&) { return false; });
+  if (!wellFormed) {
+    return OnFailure(aAttempt, AttemptFailure::NotWhole, aBudget, aNow);
+  }
+  if (text.empty()) {
+    return {};
+  }
+  // Whoever produces text first has won; two streams must never mix.
+  active->progressed_ = true;
+  auto commands = CancelOthers(aAttempt, aNow);
+  data_.text_ += text;
+  commands.emplace_back(EmitText{ std::move(text) });
+  return commands;
+}
+
+auto PipelineRun::OnStreamEnd(const AttemptId& aAttempt, RetryBudget& aBudget,
+                              TimePoint aNow) -> Commands
+{
+  const auto* active = Find(aAttempt);
+  if (active == nullptr) {
+    ++dropped_;
+    return {};
+  }
+  if (!active->reader_.IsWhole()) {
+    return OnFailure(aAttempt, AttemptFailure::NotWhole, aBudget, aNow);
+  }
+  return Advance(aAttempt, aBudget, aNow);
+}
+
+auto PipelineRun::UnfinishedOutcome() const -> Outcome
+{
+  if (inDoubt_) {
+    return Outcome::Unknown;
+  }
+  return handedOver_ > 0 ? Outcome::Failed : Outcome::NotRun;
+}
+
+auto PipelineRun::OnFailure(const AttemptId& aAttempt, AttemptFailure aFailure,
+                            RetryBudget& aBudget, TimePoint aNow) -> Commands
+{
+  auto* active = Find(aAttempt);
+  if (active == nullptr) {
+    ++dropped_;
+    return {};
+  }
+  dropped_ += aFailure == AttemptFailure::NotWhole ? 1 : 0;
+  const auto server = hops_[active->hop_].server_;
+  Retire(aAttempt, std::string(ToString(aFailure)), aNow);
+  const auto notBegun = SurelyNotBegun(aFailure);
+  if (notBegun) {
+    --handedOver_;
+    inDoubt_ = false;
+  }
+  if (!active_.empty()) {
+    return {}; // a hedge is still out
+  }
+  const auto repeatable = StagePool().idempotent_ || notBegun;
+  const auto attemptsLeft = attemptsOfStage_ < options_.maxAttempts_;
+  if (repeatable && options_.mayRetry_ && attemptsLeft && aBudget.TryTake()) {
+    return { Requeue(aNow, server) };
+  }
+  return End(
+    { .outcome_ = UnfinishedOutcome(),
+      .error_ = { .kind_ = ErrorKind::Unavailable,
+                  .message_ =
+                    fmt::format("stage '{}' failed: {}",
+                                pipeline_->stages_[stage_].name_,
+                                ToString(aFailure)),
+                  .remedy_ = "send the request again after the time given" },
+      .retryAfter_ = kRetryAfterFailure },
+    aNow);
+}
+
+auto PipelineRun::OnInfeasible(Duration aRetryAfter, TimePoint aNow) -> Commands
+{
+  return End({ .outcome_ = UnfinishedOutcome(),
+               .error_ = { .kind_ = ErrorKind::Unavailable,
+                           .message_ = fmt::format(
+                             "stage '{}' cannot be done before the deadline",
+                             pipeline_->stages_[stage_].name_),
+                           .remedy_ = "come back after the time given" },
+               .retryAfter_ = aRetryAfter },
+             aNow);
+}
+
+auto PipelineRun::OnTick(TimePoint aNow) -> Commands
+{
+  if (done_ || aNow < options_.deadline_) {
+    return {};
+  }
+  return End({ .outcome_ = UnfinishedOutcome(),
+               .error_ = { .kind_ = ErrorKind::Timeout,
+                           .message_ = "the deadline passed",
+                           .remedy_ = "allow more time or send less work" },
+               .retryAfter_ = kRetryAfterFailure },
+             aNow);
+}
+
+auto PipelineRun::OnCallerGone(TimePoint aNow) -> Commands
+{
+  // What may not be repeated is finished, so that its end can be recorded.
+  if (done_ || !options_.config_->Content().IsIdempotent(*pipeline_)) {
+    return {};
+  }
+  return End({ .outcome_ = Outcome::Failed,
+               .error_ = { .kind_ = ErrorKind::Unavailable,
+                           .message_ = "the caller hung up",
+                           .remedy_ = "keep the connection until the answer" } },
+             aNow);
+}
+
+auto PipelineRun::End(CallerAnswer aAnswer, TimePoint aNow) -> Commands
+{
+  auto commands = CancelOthers({}, aNow);
+  done_ = true;
+  commands.emplace_back(FinishRequest{ std::move(aAnswer) });
+  return commands;
+}
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Platform/RowKey.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <compare>
+#include <string>
+
+namespace goldcrestcroft {
+
+/** \brief Where a row stands in the table service. */
+struct RowKey
+{
+  std::string table_;
+  std::string key_;
+
+  auto operator<=>(const RowKey&) const = default;
+};
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Platform/TableCodec.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "../../Core.h"
+#include "RowWrite.h"
+#include "TableReply.h"
+
+#include <string>
+#include <vector>
+
+namespace goldcrestcroft {
+
+/** \brief The JSON bodies of the table service's protocol; see docs/API.md.
+ *
+ * The decoders fail with Protocol on any other text. */
+auto EncodeWrites(const std::vector<RowWrite>& aWrites) -> std::string;
+auto DecodeWrites(const std::string& aBody) -> Result<std::vector<RowWrite>>;
+auto EncodeKeys(const std::vector<RowKey>& aKeys) -> std::string;
+auto DecodeKeys(const std::string& aBody) -> Result<std::vector<RowKey>>;
+auto EncodeReply(const TransactReply& aReply) -> std::string;
+auto DecodeTransactReply(const std::string& aBody) -> Result<TransactReply>;
+auto EncodeReply(const ReadReply& aReply) -> std::string;
+auto DecodeReadReply(const std::string& aBody) -> Result<ReadReply>;
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Policy/CorrectedLoadRouting.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "RoutingPolicy.h"
+
+#include <limits>
+
+namespace goldcrestcroft {
+
+/** \brief Least estimated load per slot, with a preference for the own zone and
+ * for affinity as long as those servers have room.
+ * \sa RoundRobinRouting, LeastReportedRouting, TwoChoicesRouting */
+class CorrectedLoadRouting
+{
+public:
+  static constexpr bool kHoldsBack = true;
+
+  struct Options
+  {
+    /** Cost of another zone, in units of load per slot. */
+    double zonePenalty_ = 0.05;
+    /** Worth of a warm prefix, in units of load per slot. */
+    double affinityBonus_ = 0.3;
+    /** Width of the random spread that keeps hosts from herding. */
+    double spread_ = 0.1;
+  };
+
+  CorrectedLoadRouting() = default;
+  explicit CorrectedLoadRouting(Options aOptions)
+    : options_(aOptions)
+  {
+  }
+
+  auto Choose(std::span<const Candidate> aCandidates, RandomEngine& aRandom)
+    -> std::size_t
+  {
+    auto best = std::numeric_limits<double>::infinity();
+    std::size_t choice = 0;
+    for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+      const auto score =
+        Score(aCandidates[i]) + options_.spread_ * UniformUnit(aRandom);
+      if (score < best) {
+        best = score;
+        choice = i;
+      }
+    }
+    return choice;
+  }
+
+private:
+  [[nodiscard]] auto Score(const Candidate& aCandidate) const -> double
+  {
+    const auto load = aCandidate.estimated_ / aCandidate.slots_;
+    auto score = load * aCandidate.slowness_;
+    score += aCandidate.sameZone_ ? 0.0 : options_.zonePenalty_;
+    score -=
+      aCandidate.affine_ && aCandidate.HasRoom() ? options_.affinityBonus_ : 0.0;
+    return score;
+  }
+
+  Options options_;
+};
+
+static_assert(RoutingPolicy<CorrectedLoadRouting>);
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Policy/DispatcherRouting.h
@@ -0,0 +1,219 @@
+#pragma once
+
+#include "Dispatcher.h"
+
+namespace goldcrestcroft {
+
+template<RoutingPolicy Routing>
+auto Dispatcher<Routing>::RefreshShares(PoolState& aPool, TimePoint aNow)
+  -> void
+{
+  if (aNow - aPool.sharesAt_ >= options_.sharePeriod_) {
+    aPool.load_.UpdateShares();
+    aPool.sharesAt_ = aNow;
+  }
+}
+
+template<RoutingPolicy Routing>
+auto Dispatcher<Routing>::HasRoom(const PoolState& aPool) const -> bool
+{
+  return std::any_of(
+    aPool.servers_.begin(), aPool.servers_.end(), [this](const auto& aId) {
+      const auto& server = servers_.at(aId);
+      return !server.closed_ && !stragglers_.IsEjected(aId) &&
+             server.EstimatedForOwner() < server.Slots();
+    });
+}
+
+template<RoutingPolicy Routing>
+auto Dispatcher<Routing>::Next(TimePoint aNow) -> std::optional<Assignment>
+{
+  for (auto& [id, pool] : pools_) {
+    if (!pool.load_.HasWaiting()) {
+      continue;
+    }
+    if (auto assignment = NextOf(pool, aNow)) {
+      return assignment;
+    }
+  }
+  return std::nullopt;
+}
+
+template<RoutingPolicy Routing>
+auto Dispatcher<Routing>::NextOf(PoolState& aPool, TimePoint aNow)
+  -> std::optional<Assignment>
+{
+  RefreshShares(aPool, aNow);
+  const auto room = !Routing::kHoldsBack || HasRoom(aPool);
+  // Borrowed room counts too: Route settles whether a lender has any.
+  const auto* workspace =
+    aPool.load_.Pick(room || (options_.lending_ && !aPool.lenders_.empty()));
+  if (workspace == nullptr) {
+    return std::nullopt;
+  }
+  const auto entitled = aPool.load_.IsEntitled(*workspace);
+  const auto& head = aPool.load_.HeadOf(*workspace);
+  auto assignment = Route(aPool, head, entitled, aNow);
+  if (!assignment) {
+    return std::nullopt;
+  }
+  assignment->work_ = aPool.load_.Start(WorkspaceId(*workspace));
+  return Start(std::move(*assignment), aNow);
+}
+
+template<RoutingPolicy Routing>
+auto Dispatcher<Routing>::Accepts(const ServerLoad& aServer, const Work& aWork,
+                                  Reach aReach) const -> bool
+{
+  if (aServer.closed_ || aServer.server_.id_ == aWork.avoid_) {
+    return false;
+  }
+  if (options_.ejection_ && stragglers_.IsEjected(aServer.server_.id_)) {
+    return false;
+  }
+  switch (aReach) {
+    case Reach::Room:
+      return aServer.EstimatedForOwner() < aServer.Slots();
+    case Reach::Overcommit:
+      return aServer.EstimatedForOwner() <
+             aServer.Slots() + options_.overcommit_;
+    case Reach::Borrow:
+      return aServer.Estimated() + 1 <= aServer.Slots() * options_.lendable_;
+    case Reach::Any:
+      break;
+  }
+  return true;
+}
+
+template<RoutingPolicy Routing>
+auto Dispatcher<Routing>::Collect(const PoolState& aPool, const Work& aWork,
+                                  Reach aReach) -> void
+{
+  candidates_.clear();
+  for (const auto& id : aPool.servers_) {
+    const auto& server = servers_.at(id);
+    if (!Accepts(server, aWork, aReach)) {
+      continue;
+    }
+    candidates_.push_back(
+      { .server_ = &server.server_.id_,
+        .slots_ = server.Slots(),
+        .estimated_ = server.EstimatedForOwner(),
+        .reported_ = server.reported_,
+        .own_ = static_cast<double>(server.mine_.own_ + server.mine_.borrowed_),
+        .slowness_ = stragglers_.Slowness(id),
+        .sameZone_ =
+          options_.zone_.Empty() || server.server_.zone_ == options_.zone_ });
+  }
+}
+
+template<RoutingPolicy Routing>
+auto Dispatcher<Routing>::MarkAffine(std::uint64_t aAffinity) -> void
+{
+  // Rendezvous hashing gives every host the same homes for a value, and moves
+  // few values when servers come and go.
+  std::vector<std::pair<std::uint64_t, std::size_t>> weights;
+  weights.reserve(candidates_.size());
+  for (std::size_t i = 0; i < candidates_.size(); ++i) {
+    weights.emplace_back(Fingerprint(candidates_[i].server_->value_, aAffinity),
+                         i);
+  }
+  const auto homes = std::min(options_.affineServers_, weights.size());
+  std::partial_sort(weights.begin(),
+                    weights.begin() + static_cast<long>(homes), weights.end(),
+                    std::greater<>());
+  for (std::size_t i = 0; i < homes; ++i) {
+    candidates_[weights[i].second].affine_ = true;
+  }
+}
+
+template<RoutingPolicy Routing>
+auto Dispatcher<Routing>::Probe(const PoolState& aPool, TimePoint aNow)
+  -> const ServerId*
+{
+  for (const auto& id : aPool.servers_) {
+    const auto& server = servers_.at(id);
+    if (!server.closed_ && stragglers_.IsEjected(id) &&
+        server.EstimatedForOwner() < server.Slots() &&
+        stragglers_.TryProbe(id, aNow)) {
+      return &server.server_.id_;
+    }
+  }
+  return nullptr;
+}
+
+template<RoutingPolicy Routing>
+auto Dispatcher<Routing>::Route(PoolState& aPool, const Work& aWork,
+                                bool aEntitled, TimePoint aNow)
+  -> std::optional<Assignment>
+{
+  if (options_.ejection_) {
+    if (const auto* probed = Probe(aPool, aNow)) {
+      return Assignment{ .server_ = *probed };
+    }
+  }
+  Collect(aPool, aWork, Routing::kHoldsBack ? Reach::Room : Reach::Any);
+  if (candidates_.empty() && Routing::kHoldsBack && aEntitled) {
+    Collect(aPool, aWork, Reach::Overcommit);
+  }
+  auto borrowed = false;
+  if (candidates_.empty() && Routing::kHoldsBack && options_.lending_) {
+    for (const auto& lender : aPool.lenders_) {
+      const auto& pool = pools_.at(lender);
+      if (!pool.load_.HasWaiting()) {
+        Collect(pool, aWork, Reach::Borrow);
+        borrowed = !candidates_.empty();
+      }
+      if (borrowed) {
+        break;
+      }
+    }
+  }
+  if (candidates_.empty()) {
+    return std::nullopt;
+  }
+  if (aWork.affinity_ != 0 && Routing::kHoldsBack) {
+    MarkAffine(aWork.affinity_);
+  }
+  const auto choice = routing_.Choose(candidates_, random_);
+  return Assignment{ .server_ = *candidates_[choice].server_,
+                     .borrowed_ = borrowed };
+}
+
+template<RoutingPolicy Routing>
+auto Dispatcher<Routing>::Start(Assignment aAssignment, TimePoint aNow)
+  -> Assignment
+{
+  auto& server = servers_.at(aAssignment.server_);
+  ++(aAssignment.borrowed_ ? server.mine_.borrowed_ : server.mine_.own_);
+  inFlight_.emplace(aAssignment.work_.id_,
+                    Started{ .work_ = aAssignment.work_,
+                             .server_ = aAssignment.server_,
+                             .borrowed_ = aAssignment.borrowed_,
+                             .since_ = aNow });
+  return aAssignment;
+}
+
+template<RoutingPolicy Routing>
+auto Dispatcher<Routing>::Hedge(const AttemptId& aOriginal, AttemptId aCopy,
+                                TimePoint aNow) -> std::optional<Assignment>
+{
+  const auto found = inFlight_.find(aOriginal);
+  if (found == inFlight_.end()) {
+    return std::nullopt;
+  }
+  auto work = found->second.work_;
+  work.id_ = std::move(aCopy);
+  work.avoid_ = found->second.server_;
+  auto& pool = pools_.at(work.pool_);
+  Collect(pool, work, Reach::Room);
+  if (candidates_.empty()) {
+    return std::nullopt;
+  }
+  const auto choice = routing_.Choose(candidates_, random_);
+  const auto server = *candidates_[choice].server_;
+  pool.load_.StartExtra(work.workspace_);
+  return Start({ .work_ = std::move(work), .server_ = server }, aNow);
+}
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Policy/Quarantine.cpp
@@ -0,0 +1,99 @@
+#include "Quarantine.h"
+
+#include <algorithm>
+
+namespace goldcrestcroft {
+
+auto Quarantine::Judge(std::uint64_t aFingerprint, TimePoint aNow) const
+  -> Verdict
+{
+  const auto found = entries_.find(aFingerprint);
+  return found == entries_.end() || found->second.until_ <= aNow
+           ? Verdict::Free
+           : found->second.verdict_;
+}
+
+auto Quarantine::Raise(std::uint64_t aFingerprint, Verdict aVerdict,
+                       TimePoint aNow) -> bool
+{
+  if (Judge(aFingerprint, aNow) >= aVerdict) {
+    return false;
+  }
+  MakeRoom(aNow);
+  const auto span = aVerdict == Verdict::Quarantined ? options_.quarantineFor_
+                                                     : options_.suspectFor_;
+  entries_[aFingerprint] = { .verdict_ = aVerdict, .until_ = aNow + span };
+  return true;
+}
+
+auto Quarantine::MakeRoom(TimePoint aNow) -> void
+{
+  if (entries_.size() < options_.capacity_) {
+    return;
+  }
+  std::erase_if(entries_,
+                [aNow](const auto& aItem) { return aItem.second.until_ <= aNow; });
+  while (entries_.size() >= options_.capacity_) {
+    entries_.erase(std::min_element(
+      entries_.begin(), entries_.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.second.until_ < aRight.second.until_;
+      }));
+  }
+}
+
+auto Quarantine::OnCrash(const std::vector<std::uint64_t>& aInFlight,
+                         bool aAlone, TimePoint aNow) -> std::vector<PoisonNews>
+{
+  std::vector<PoisonNews> news;
+  for (const auto fingerprint : aInFlight) {
+    // Only a crash of a server that ran nothing else proves anything. A suspect
+    // that shared the server with others merely stays a suspect.
+    const auto proven =
+      aAlone && Judge(fingerprint, aNow) == Verdict::Suspect;
+    const auto verdict = proven ? Verdict::Quarantined : Verdict::Suspect;
+    if (Raise(fingerprint, verdict, aNow)) {
+      news.push_back({ .fingerprint_ = fingerprint, .verdict_ = verdict });
+    }
+  }
+  return news;
+}
+
+auto Quarantine::OnCleared(std::uint64_t aFingerprint)
+  -> std::vector<PoisonNews>
+{
+  const auto found = entries_.find(aFingerprint);
+  if (found == entries_.end() ||
+      found->second.verdict_ == Verdict::Quarantined) {
+    return {};
+  }
+  entries_.erase(found);
+  return { { .fingerprint_ = aFingerprint, .verdict_ = Verdict::Free } };
+}
+
+auto Quarantine::OnNews(const PoisonNews& aNews, TimePoint aNow) -> bool
+{
+  if (aNews.verdict_ == Verdict::Free) {
+    return !OnCleared(aNews.fingerprint_).empty();
+  }
+  return Raise(aNews.fingerprint_, aNews.verdict_, aNow);
+}
+
+auto Quarantine::Export(std::size_t aMost, TimePoint aNow) const
+  -> std::vector<PoisonNews>
+{
+  std::vector<PoisonNews> news;
+  for (const auto& [fingerprint, entry] : entries_) {
+    if (entry.until_ > aNow) {
+      news.push_back({ .fingerprint_ = fingerprint,
+                       .verdict_ = entry.verdict_ });
+    }
+  }
+  std::sort(news.begin(), news.end(),
+            [](const PoisonNews& aLeft, const PoisonNews& aRight) {
+              return aLeft.verdict_ > aRight.verdict_;
+            });
+  news.resize(std::min(news.size(), aMost));
+  return news;
+}
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Policy/RoundRobinRouting.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "RoutingPolicy.h"
+
+namespace goldcrestcroft {
+
+/** \brief Baseline: each server in turn, whatever its load. */
+class RoundRobinRouting
+{
+public:
+  static constexpr bool kHoldsBack = false;
+
+  auto Choose(std::span<const Candidate> aCandidates, RandomEngine&)
+    -> std::size_t
+  {
+    return next_++ % aCandidates.size();
+  }
+
+private:
+  std::size_t next_ = 0;
+};
+
+static_assert(RoutingPolicy<RoundRobinRouting>);
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Wire/BoundedArchive.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <cereal/archives/portable_binary.hpp>
+
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace goldcrestcroft::internal {
+
+/** \brief Longest string and sequence of a message.
+ *
+ * cereal allocates what a length field says before it looks for the bytes, so
+ * no length from the network may reach its own containers. */
+inline constexpr std::uint16_t kMaxStringBytes = 32'768;
+inline constexpr std::uint16_t kMaxItems = 512;
+
+/** \brief Thrown by load for a length above its bound. */
+struct LengthExceeded : std::runtime_error
+{
+  LengthExceeded()
+    : std::runtime_error("a length field exceeds its bound")
+  {
+  }
+};
+
+/** \brief Serializes a string with a checked length. */
+template<typename String>
+struct BoundedString
+{
+  String& text_;
+
+  template<typename Archive>
+  auto save(Archive& aArchive) const -> void
+  {
+    const auto size = static_cast<std::uint16_t>(text_.size());
+    aArchive(size);
+    aArchive(cereal::binary_data(text_.data(), text_.size()));
+  }
+
+  template<typename Archive>
+  auto load(Archive& aArchive) -> void
+  {
+    std::uint16_t size = 0;
+    aArchive(size);
+    if (size > kMaxStringBytes) {
+      throw LengthExceeded();
+    }
+    text_.resize(size);
+    aArchive(cereal::binary_data(text_.data(), text_.size()));
+  }
+};
+
+/** \brief Serializes a sequence with a checked length; EachItem gives the
+ * serializable form of one item. */
+template<typename Sequence, typename EachItem>
+struct BoundedSequence
+{
+  Sequence& items_;
+  EachItem each_;
+
+  template<typename Archive>
+  auto save(Archive& aArchive) const -> void
+  {
+    aArchive(static_cast<std::uint16_t>(items_.size()));
+    for (auto& item : items_) {
+      each_(aArchive, item);
+    }
+  }
+
+  template<typename Archive>
+  auto load(Archive& aArchive) -> void
+  {
+    std::uint16_t size = 0;
+    aArchive(size);
+    if (size > kMaxItems) {
+      throw LengthExceeded();
+    }
+    items_.clear();
+    for (std::uint16_t i = 0; i < size; ++i) {
+      items_.emplace_back();
+      each_(aArchive, items_.back());
+    }
+  }
+};
+
+template<typename String>
+auto Bounded(String& aText) -> BoundedString<String>
+{
+  return { aText };
+}
+
+template<typename Sequence, typename EachItem>
+auto Bounded(Sequence& aItems, EachItem aEach)
+  -> BoundedSequence<Sequence, EachItem>
+{
+  return { aItems, std::move(aEach) };
+}
+
+} // namespace goldcrestcroft::internal
--- /dev/null
+++ b/goldcrestcroft/src/Wire/Message.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "../../Membership.h"
+#include "CompactLoad.h"
+
+#include <variant>
+#include <vector>
+
+namespace goldcrestcroft {
+
+/** \brief A host's regular word to its peers. */
+struct Heartbeat
+{
+  PeerRecord sender_;
+  VersionNumber newestVersion_ = 0;
+  CompactLoad load_;
+  std::vector<PeerRecord> passedOn_;
+  std::vector<ServerId> leavingServers_;
+  /** Servers kept free for a suspect; nobody sends them new work. */
+  std::vector<ServerId> reservedServers_;
+  std::vector<PoisonNews> poison_;
+
+  auto operator==(const Heartbeat&) const -> bool = default;
+};
+
+/** \brief Asks a peer for the patches after a version. */
+struct PatchRequest
+{
+  VersionNumber after_ = 0;
+
+  auto operator<=>(const PatchRequest&) const = default;
+};
+
+/** \brief Patches in ascending order, without gaps. */
+struct PatchReply
+{
+  std::vector<ConfigPatch> patches_;
+
+  auto operator<=>(const PatchReply&) const = default;
+};
+
+/** \brief Anything that one entry host sends another by datagram. */
+using Message = std::variant<Heartbeat, PatchRequest, PatchReply>;
+
+} // namespace goldcrestcroft
