--- a/goldcrestcroft/Policy.h
+++ b/goldcrestcroft/Policy.h
@@ -10,4 +10,5 @@
 #include "src/Policy/Quarantine.h"
 #include "src/Policy/RetryBudget.h"
 #include "src/Policy/RoundRobinRouting.h"
+#include "src/Policy/SoloQueue.h"
 #include "src/Policy/TwoChoicesRouting.h"
--- /dev/null
+++ b/goldcrestcroft/Server.h
@@ -0,0 +1,7 @@
+#pragma once
+
+/** \brief The entry host as a process: threads, sockets, metrics, traces. */
+
+#include "src/Server/EntryHost.h"
+#include "src/Server/Log.h"
+#include "src/Server/Settings.h"
--- /dev/null
+++ b/goldcrestcroft/src/Cli/ServeCommand.cpp
@@ -0,0 +1,112 @@
+#include "../Server/EntryHost.h"
+#include "../Server/Log.h"
+#include "Command.h"
+#include "SimpleHttp.h"
+
+#include <absl/flags/flag.h>
+
+#include <csignal>
+#include <cstdio>
+
+ABSL_FLAG(std::string, settings, "", "settings file, for serve");
+ABSL_FLAG(bool, embedded, false,
+          "keep the platform's part in memory; for one host and a first try");
+ABSL_FLAG(std::string, config, "",
+          "configuration document that an embedded host starts with");
+
+namespace goldcrestcroft {
+
+namespace {
+
+// Used by an embedded host that was given no settings file.
+constexpr auto kEmbeddedSettings = R"({
+  "host": "embedded", "availability_zone": "local",
+  "callers": { "listen": "127.0.0.1:8080" },
+  "peers": { "listen": "127.0.0.1:9080",
+             "shared_key": "embedded-host-without-peers" },
+  "log_format": "text"
+})";
+
+auto Fails(const Error& aError) -> int
+{
+  std::fprintf(stderr, "goldcrestcroft: %s: %s; %s\n",
+               ToString(aError.kind_).c_str(), aError.message_.c_str(),
+               aError.remedy_.c_str());
+  return 1;
+}
+
+auto ReadOptions() -> Result<EntryHost::Options>
+{
+  EntryHost::Options options{ .embedded_ = absl::GetFlag(FLAGS_embedded) };
+  const auto file = absl::GetFlag(FLAGS_settings);
+  if (file.empty() && options.embedded_) {
+    BOOST_LEAF_ASSIGN(options.settings_, ParseSettings(kEmbeddedSettings));
+  } else {
+    BOOST_LEAF_ASSIGN(options.settings_, LoadSettings(file));
+  }
+  if (!options.embedded_ && options.settings_.platform_.table_.empty()) {
+    return Fail({ .kind_ = ErrorKind::InvalidSettings,
+                  .message_ = file + ": 'platform.table' is missing",
+                  .remedy_ = "add the table service's address, or use "
+                             "--embedded for a first try" });
+  }
+  const auto config = absl::GetFlag(FLAGS_config);
+  if (!config.empty()) {
+    BOOST_LEAF_ASSIGN(options.embeddedConfig_, ReadFile(config));
+  }
+  return options;
+}
+
+auto WaitForStopSignal(const sigset_t& aSignals) -> void
+{
+  auto received = 0;
+  sigwait(&aSignals, &received);
+}
+
+} // namespace
+
+auto RunServe(const std::vector<std::string>&) -> int
+{
+  // Blocked before any thread starts, so that only this one takes them.
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  sigprocmask(SIG_BLOCK, &signals, nullptr);
+  return Handle(
+    [&]() -> Result<int> {
+      BOOST_LEAF_AUTO(options, ReadOptions());
+      Log::Configure(options.settings_.jsonLogs_, options.settings_.logLevel_,
+                     options.settings_.host_);
+      BOOST_LEAF_AUTO(host, EntryHost::Start(std::move(options)));
+      WaitForStopSignal(signals);
+      host->StopGracefully();
+      return 0;
+    },
+    Fails);
+}
+
+auto RunCheck(const std::vector<std::string>& aWords) -> int
+{
+  if (aWords.size() != 1) {
+    return WrongUse("check FILE");
+  }
+  return Handle(
+    [&]() -> Result<int> {
+      BOOST_LEAF_AUTO(text, ReadFile(aWords[0]));
+      // A configuration document names pools or pipelines; settings never do.
+      const auto isConfig = text.find("\"pipelines\"") != std::string::npos ||
+                            text.find("\"pools\"") != std::string::npos;
+      if (isConfig) {
+        BOOST_LEAF_CHECK(ConfigVersion::FromDocument(1, text));
+      } else {
+        BOOST_LEAF_CHECK(LoadSettings(aWords[0]));
+      }
+      std::printf("%s: valid %s\n", aWords[0].c_str(),
+                  isConfig ? "configuration" : "settings");
+      return 0;
+    },
+    Fails);
+}
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Cli/SimpleHttp.cpp
@@ -0,0 +1,37 @@
+#include "SimpleHttp.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace goldcrestcroft {
+
+auto CallAndWait(HttpRequest aRequest) -> HttpReply
+{
+  constexpr Duration kPoll = std::chrono::milliseconds{ 50 };
+  HttpClient http({});
+  HttpReply result;
+  auto ended = false;
+  http.Send(std::move(aRequest), { .onEnd_ = [&](const HttpReply& aReply) {
+              result = aReply;
+              ended = true;
+            } });
+  while (!ended) {
+    http.Poll(kPoll, {});
+  }
+  return result;
+}
+
+auto ReadFile(const std::string& aName) -> Result<std::string>
+{
+  const std::ifstream file(aName);
+  if (!file) {
+    return Fail({ .kind_ = ErrorKind::NotFound,
+                  .message_ = aName + ": cannot be read",
+                  .remedy_ = "check the name and the permissions" });
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Cli/main.cpp
@@ -0,0 +1,58 @@
+#include "Command.h"
+
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <cstdio>
+
+namespace goldcrestcroft {
+
+namespace {
+
+constexpr auto kUsage =
+  "An entry host for multi-stage model pipelines, and its tools.\n"
+  "  goldcrestcroft serve --settings=FILE [--embedded [--config=FILE]]\n"
+  "  goldcrestcroft check FILE\n"
+  "  goldcrestcroft config show|history|patch FILE  [--host=IP:PORT]\n"
+  "  goldcrestcroft hosts|status  [--host=IP:PORT]\n"
+  "  goldcrestcroft load  [--host=IP:PORT] [--requests=FOLDER]";
+
+struct Command
+{
+  const char* name_;
+  int (*run_)(const std::vector<std::string>&);
+};
+
+constexpr Command kCommands[] = {
+  { "serve", RunServe }, { "check", RunCheck },   { "config", RunConfig },
+  { "hosts", RunHosts }, { "status", RunStatus }, { "load", RunLoad },
+};
+
+} // namespace
+
+auto WrongUse(const std::string& aHelp) -> int
+{
+  std::fprintf(stderr, "usage: goldcrestcroft %s\n", aHelp.c_str());
+  return 2;
+}
+
+} // namespace goldcrestcroft
+
+auto main(int aCount, char** aWords) -> int
+{
+  using namespace goldcrestcroft;
+  absl::SetProgramUsageMessage(kUsage);
+  const auto words = absl::ParseCommandLine(aCount, aWords);
+  if (words.size() < 2) {
+    std::fprintf(stderr, "%s\n", kUsage);
+    return 2;
+  }
+  const std::vector<std::string> rest(words.begin() + 2, words.end());
+  for (const auto& command : kCommands) {
+    if (std::string(words[1]) == command.name_) {
+      return command.run_(rest);
+    }
+  }
+  std::fprintf(stderr, "%s\n", kUsage);
+  return 2;
+}
--- a/goldcrestcroft/src/Config/ConfigPatch.cpp
+++ b/goldcrestcroft/src/Config/ConfigPatch.cpp
@@ -6,10 +6,11 @@
 
 auto EncodePatch(const ConfigPatch& aPatch) -> std::string
 {
-  return nlohmann::json{ { "number", aPatch.number_ },
-                         { "author", aPatch.author_ },
-                         { "operations", aPatch.operations_ } }
-    .dump();
+  return nlohmann::json{
+    { "number", aPatch.number_ },
+    { "author", aPatch.author_ },
+    { "operations", aPatch.operations_ }
+  }.dump();
 }
 
 auto DecodePatch(const std::string& aText) -> Result<ConfigPatch>
--- a/goldcrestcroft/src/Config/ConfigVersion.cpp
+++ b/goldcrestcroft/src/Config/ConfigVersion.cpp
@@ -27,10 +27,10 @@
   try {
     return aDocument.patch(aOperations);
   } catch (const json::exception& failure) {
-    return Fail({ .kind_ = ErrorKind::Conflict,
-                  .message_ = fmt::format("the patch does not apply: {}",
-                                          failure.what()),
-                  .remedy_ = "read the newest version and patch that" });
+    return Fail(
+      { .kind_ = ErrorKind::Conflict,
+        .message_ = fmt::format("the patch does not apply: {}", failure.what()),
+        .remedy_ = "read the newest version and patch that" });
   }
 }
 
@@ -65,7 +65,8 @@
                   .remedy_ = "read the newest version and patch that" });
   }
   BOOST_LEAF_AUTO(operations, ParseText(aPatch.operations_, "the patch"));
-  BOOST_LEAF_AUTO(document, ApplyOperations(json::parse(document_), operations));
+  BOOST_LEAF_AUTO(document,
+                  ApplyOperations(json::parse(document_), operations));
   return FromDocument(aPatch.number_, document.dump());
 }
 
--- a/goldcrestcroft/src/Config/Configuration.cpp
+++ b/goldcrestcroft/src/Config/Configuration.cpp
@@ -11,8 +11,9 @@
 template<typename T>
 auto SortById(std::vector<T>& aItems) -> void
 {
-  std::sort(aItems.begin(), aItems.end(),
-            [](const T& aLeft, const T& aRight) { return aLeft.id_ < aRight.id_; });
+  std::sort(aItems.begin(), aItems.end(), [](const T& aLeft, const T& aRight) {
+    return aLeft.id_ < aRight.id_;
+  });
 }
 
 template<typename T, typename Id>
@@ -34,6 +35,9 @@
   SortById(workspaces_);
   SortById(pools_);
   SortById(pipelines_);
+  for (auto& pool : pools_) {
+    SortById(pool.servers_);
+  }
 }
 
 auto Configuration::FindWorkspace(const WorkspaceId& aId) const
@@ -47,6 +51,17 @@
   return FindById(pools_, aId);
 }
 
+auto Configuration::FindServer(const ServerId& aId) const
+  -> const BackendServer*
+{
+  for (const auto& pool : pools_) {
+    if (const auto* server = FindById(pool.servers_, aId)) {
+      return server;
+    }
+  }
+  return nullptr;
+}
+
 auto Configuration::FindPipeline(const PipelineId& aId) const -> const Pipeline*
 {
   return FindById(pipelines_, aId);
--- a/goldcrestcroft/src/Config/Configuration.h
+++ b/goldcrestcroft/src/Config/Configuration.h
@@ -42,6 +42,8 @@
   [[nodiscard]] auto FindWorkspace(const WorkspaceId& aId) const
     -> const Workspace*;
   [[nodiscard]] auto FindPool(const PoolId& aId) const -> const Pool*;
+  [[nodiscard]] auto FindServer(const ServerId& aId) const
+    -> const BackendServer*;
   [[nodiscard]] auto FindPipeline(const PipelineId& aId) const
     -> const Pipeline*;
 
--- a/goldcrestcroft/src/Config/ParseConfiguration.cpp
+++ b/goldcrestcroft/src/Config/ParseConfiguration.cpp
@@ -81,8 +81,7 @@
 auto ReadPool(const std::string& aName, const json& aObject) -> Pool
 {
   auto reader = Reader(aObject, "pools." + aName);
-  const auto kind =
-    StageKindFromString(reader.Required<std::string>("kind"));
+  const auto kind = StageKindFromString(reader.Required<std::string>("kind"));
   if (!kind) {
     reader.Reject("kind", "is not a stage kind",
                   "use encode, retrieve, rerank, generate or call");
@@ -95,12 +94,10 @@
     .idempotent_ = reader.Optional<bool>("idempotent", true),
     .licensedCopies_ =
       reader.InRange<unsigned>("licensed_copies", 0, 0, kMaxLicensedCopies),
-    .expected_ = Milliseconds(
-      reader.InRange<unsigned>("expected_ms", kDefaultExpectedMilliseconds, 1,
-                               kMaxCallMilliseconds)),
-    .silence_ = Milliseconds(
-      reader.InRange<unsigned>("silence_ms", kDefaultSilenceMilliseconds, 10,
-                               kMaxCallMilliseconds)),
+    .expected_ = Milliseconds(reader.InRange<unsigned>(
+      "expected_ms", kDefaultExpectedMilliseconds, 1, kMaxCallMilliseconds)),
+    .silence_ = Milliseconds(reader.InRange<unsigned>(
+      "silence_ms", kDefaultSilenceMilliseconds, 10, kMaxCallMilliseconds)),
     .lendsTo_ = IdsFrom<PoolId>(
       reader.Optional<std::vector<std::string>>("lends_to", {})),
   };
@@ -203,8 +200,8 @@
       if (!seen.insert(server.id_.value_).second) {
         throw internal::ReadFailure{
           { .kind_ = ErrorKind::InvalidConfiguration,
-            .message_ = fmt::format("server '{}' stands in two pools",
-                                    server.id_.value_),
+            .message_ =
+              fmt::format("server '{}' stands in two pools", server.id_.value_),
             .remedy_ = "give each backend server one pool; use lends_to to "
                        "share it" }
         };
--- a/goldcrestcroft/src/Config/Priority.h
+++ b/goldcrestcroft/src/Config/Priority.h
@@ -24,7 +24,8 @@
 inline auto PriorityFromString(std::string_view aName)
   -> std::optional<Priority>
 {
-  for (auto priority : { Priority::Urgent, Priority::Normal, Priority::Draft }) {
+  for (auto priority :
+       { Priority::Urgent, Priority::Normal, Priority::Draft }) {
     if (ToString(priority) == aName) {
       return priority;
     }
--- a/goldcrestcroft/src/Core/Clock.h
+++ b/goldcrestcroft/src/Core/Clock.h
@@ -21,7 +21,8 @@
 
 /** \brief What decisions ask the time of. \sa SteadyClock, VirtualClock */
 template<typename T>
-concept Clock = requires(const T& aClock) {
+concept Clock = requires(const T& aClock)
+{
   {
     aClock.Now()
     } -> std::same_as<TimePoint>;
--- a/goldcrestcroft/src/Core/ObjectReader.h
+++ b/goldcrestcroft/src/Core/ObjectReader.h
@@ -75,9 +75,9 @@
   {
     for (const auto& [key, value] : object_.items()) {
       if (!seen_.contains(key)) {
-        Reject(key, "is not a known key",
-               fmt::format("remove it, or use one of: {}",
-                           fmt::join(seen_, ", ")));
+        Reject(
+          key, "is not a known key",
+          fmt::format("remove it, or use one of: {}", fmt::join(seen_, ", ")));
       }
     }
   }
--- a/goldcrestcroft/src/Membership/Lease.cpp
+++ b/goldcrestcroft/src/Membership/Lease.cpp
@@ -6,10 +6,11 @@
 
 auto EncodeLeaseRow(const LeaseRow& aRow) -> std::string
 {
-  return nlohmann::json{ { "holder", aRow.holder_.value_ },
-                         { "token", aRow.token_ },
-                         { "renewals", aRow.renewals_ } }
-    .dump();
+  return nlohmann::json{
+    { "holder", aRow.holder_.value_ },
+    { "token", aRow.token_ },
+    { "renewals", aRow.renewals_ }
+  }.dump();
 }
 
 auto DecodeLeaseRow(const std::string& aText) -> Result<LeaseRow>
@@ -20,10 +21,10 @@
                      .token_ = row.at("token"),
                      .renewals_ = row.at("renewals") };
   } catch (const nlohmann::json::exception& failure) {
-    return Fail({ .kind_ = ErrorKind::Protocol,
-                  .message_ = std::string("lease row unreadable: ") +
-                              failure.what(),
-                  .remedy_ = "erase the row; it will be taken anew" });
+    return Fail(
+      { .kind_ = ErrorKind::Protocol,
+        .message_ = std::string("lease row unreadable: ") + failure.what(),
+        .remedy_ = "erase the row; it will be taken anew" });
   }
 }
 
@@ -72,15 +73,15 @@
   } else {
     const auto known = Handle([&] { return DecodeLeaseRow(row.value_); },
                               [](const Error&) { return LeaseRow{}; });
-    const auto mine = known.holder_ == options_.self_ &&
-                      known.token_ == token_ && Holds(aNow);
+    const auto mine =
+      known.holder_ == options_.self_ && known.token_ == token_ && Holds(aNow);
     if (mine) {
       auto renewed = known;
       ++renewed.renewals_;
       PrepareWrite(row.version_, renewed);
     } else if (aNow - *seenSince_ >= options_.term_) {
-      PrepareWrite(row.version_, { .holder_ = options_.self_,
-                                   .token_ = known.token_ + 1 });
+      PrepareWrite(row.version_,
+                   { .holder_ = options_.self_, .token_ = known.token_ + 1 });
     } else {
       return;
     }
--- a/goldcrestcroft/src/Membership/PeerTable.cpp
+++ b/goldcrestcroft/src/Membership/PeerTable.cpp
@@ -116,6 +116,15 @@
   return peers;
 }
 
+auto PeerTable::All() const -> std::vector<PeerRecord>
+{
+  std::vector<PeerRecord> records;
+  for (const auto& [host, entry] : entries_) {
+    records.push_back(entry.record_);
+  }
+  return records;
+}
+
 auto PeerTable::TakeDigest(std::size_t aMost, TimePoint aNow)
   -> std::vector<PeerRecord>
 {
@@ -127,9 +136,10 @@
       fresh.push_back(&entry);
     }
   }
-  std::sort(fresh.begin(), fresh.end(), [](const Entry* aLeft, const Entry* aRight) {
-    return aLeft->mentionedAt_ < aRight->mentionedAt_;
-  });
+  std::sort(fresh.begin(), fresh.end(),
+            [](const Entry* aLeft, const Entry* aRight) {
+              return aLeft->mentionedAt_ < aRight->mentionedAt_;
+            });
   fresh.resize(std::min(fresh.size(), aMost));
   ++digests_;
   std::vector<PeerRecord> records;
--- a/goldcrestcroft/src/Membership/PeerTable.h
+++ b/goldcrestcroft/src/Membership/PeerTable.h
@@ -49,6 +49,8 @@
 
   /** \brief Peers worth sending to; without the own record. */
   [[nodiscard]] auto Peers(TimePoint aNow) const -> std::vector<PeerRecord>;
+  /** \brief All hosts that are remembered, also those that are gone. */
+  [[nodiscard]] auto All() const -> std::vector<PeerRecord>;
   /** \brief Up to aMost records to pass on, the longest unmentioned first. */
   auto TakeDigest(std::size_t aMost, TimePoint aNow) -> std::vector<PeerRecord>;
 
--- a/goldcrestcroft/src/Membership/ServerDirectory.h
+++ b/goldcrestcroft/src/Membership/ServerDirectory.h
@@ -42,7 +42,8 @@
     -> void;
   /** \brief The platform's list; servers that it calls live are not leaving by
    * this source any more. */
-  auto OnList(const std::vector<ListedMember>& aMembers, TimePoint aNow) -> void;
+  auto OnList(const std::vector<ListedMember>& aMembers, TimePoint aNow)
+    -> void;
   /** \brief A connection to the server was refused or broke. */
   auto OnDown(const ServerId& aServer, TimePoint aNow) -> void;
   /** \brief The server answered. */
--- a/goldcrestcroft/src/Once/OnceExecution.h
+++ b/goldcrestcroft/src/Once/OnceExecution.h
@@ -86,10 +86,7 @@
   /** \brief The run ended. */
   auto OnFinished(RecordedAnswer aAnswer) -> void;
   /** \brief The pause of Wait is over: read the row again. */
-  auto OnPollDue() -> void
-  {
-    step_ = step_ == Step::Wait ? Step::Read : step_;
-  }
+  auto OnPollDue() -> void { step_ = step_ == Step::Wait ? Step::Read : step_; }
   /** \brief Time passes: deadlines end waiting. */
   auto OnTick(TimePoint aNow) -> void;
 
--- a/goldcrestcroft/src/Once/OnceRow.cpp
+++ b/goldcrestcroft/src/Once/OnceRow.cpp
@@ -41,9 +41,9 @@
                  .runner_ = { document.at("runner") },
                  .incarnation_ = document.at("incarnation") };
     if (document.contains("outcome")) {
-      row.answer_ = RecordedAnswer{ .outcome_ =
-                                      OutcomeFrom(document.at("outcome")),
-                                    .body_ = document.at("body") };
+      row.answer_ =
+        RecordedAnswer{ .outcome_ = OutcomeFrom(document.at("outcome")),
+                        .body_ = document.at("body") };
     }
     return row;
   } catch (const json::exception& failure) {
--- a/goldcrestcroft/src/Once/TableBatcher.cpp
+++ b/goldcrestcroft/src/Once/TableBatcher.cpp
@@ -82,12 +82,11 @@
     results = OnConflict(aReply);
   } else {
     for (std::size_t i = 0; i < underWay_.size(); ++i) {
-      results.push_back({ .ticket_ = underWay_[i].ticket_,
-                          .status_ = aReply.status_,
-                          .version_ = i < aReply.versions_.size()
-                                        ? aReply.versions_[i]
-                                        : 0,
-                          .row_ = { .key_ = underWay_[i].write_.key_ } });
+      results.push_back(
+        { .ticket_ = underWay_[i].ticket_,
+          .status_ = aReply.status_,
+          .version_ = i < aReply.versions_.size() ? aReply.versions_[i] : 0,
+          .row_ = { .key_ = underWay_[i].write_.key_ } });
     }
   }
   underWay_.clear();
--- a/goldcrestcroft/src/Pipeline/AttemptFailure.h
+++ b/goldcrestcroft/src/Pipeline/AttemptFailure.h
@@ -11,6 +11,8 @@
   NotConnected,
   /** The connection broke before the answer was whole. */
   Broken,
+  /** The server crashed while it had the work. */
+  Crashed,
   /** Nothing moved for longer than the pool's silence bound. */
   Silent,
   /** The answer was short, malformed or another attempt's. */
@@ -28,6 +30,8 @@
       return "not_connected";
     case AttemptFailure::Broken:
       return "broken";
+    case AttemptFailure::Crashed:
+      return "crashed";
     case AttemptFailure::Silent:
       return "silent";
     case AttemptFailure::NotWhole:
--- a/goldcrestcroft/src/Pipeline/PipelineRun.cpp
+++ b/goldcrestcroft/src/Pipeline/PipelineRun.cpp
@@ -12,6 +12,13 @@
 
 } // namespace
 
+auto QuarantineError() -> Error
+{
+  return { .kind_ = ErrorKind::Forbidden,
+           .message_ = "this request has crashed every server that ran it",
+           .remedy_ = "do not send it again; report it to the operators" };
+}
+
 PipelineRun::PipelineRun(Options aOptions)
   : options_(std::move(aOptions))
   , pipeline_(options_.config_->Content().FindPipeline(options_.pipeline_))
@@ -25,6 +32,16 @@
   return *options_.config_->Content().FindPool(pipeline_->stages_[stage].pool_);
 }
 
+auto PipelineRun::PoolOfStage(const std::string& aName) const -> PoolId
+{
+  for (const auto& stage : pipeline_->stages_) {
+    if (stage.name_ == aName) {
+      return stage.pool_;
+    }
+  }
+  return {};
+}
+
 auto PipelineRun::ActiveAttempt() const -> const AttemptId&
 {
   static const AttemptId kNone;
@@ -53,9 +70,9 @@
     const auto kind = options_.config_->Content().FindPool(pool)->kind_;
     // How many documents there will be to rerank is known only later.
     const auto known = i == stage_ || kind != StageKind::Rerank;
-    forecast.push_back(
-      { .pool_ = pool,
-        .size_ = known ? std::optional(StageSize(kind, data_)) : std::nullopt });
+    forecast.push_back({ .pool_ = pool,
+                         .size_ = known ? std::optional(StageSize(kind, data_))
+                                        : std::nullopt });
   }
   return forecast;
 }
@@ -136,9 +153,8 @@
   auto& hop = hops_[active->hop_];
   hop.endedAt_ = aNow;
   hop.result_ = std::move(aResult);
-  std::erase_if(active_, [&](const Active& aEach) {
-    return aEach.id_ == aAttempt;
-  });
+  std::erase_if(active_,
+                [&](const Active& aEach) { return aEach.id_ == aAttempt; });
 }
 
 auto PipelineRun::CancelOthers(const AttemptId& aWinner, TimePoint aNow)
@@ -163,11 +179,10 @@
   Retire(aAttempt, "ok", aNow);
   inDoubt_ = false;
   ++stage_;
-  const auto more = stage_ < pipeline_->stages_.size()
-                      ? StartStage(aNow)
-                      : End({ .outcome_ = Outcome::Completed,
-                              .text_ = data_.text_ },
-                            aNow);
+  const auto more =
+    stage_ < pipeline_->stages_.size()
+      ? StartStage(aNow)
+      : End({ .outcome_ = Outcome::Completed, .text_ = data_.text_ }, aNow);
   commands.insert(commands.end(), more.begin(), more.end());
   return commands;
 }
@@ -264,16 +279,19 @@
   }
   const auto repeatable = StagePool().idempotent_ || notBegun;
   const auto attemptsLeft = attemptsOfStage_ < options_.maxAttempts_;
-  if (repeatable && options_.mayRetry_ && attemptsLeft && aBudget.TryTake()) {
+  // What was never begun is no extra work, and crashes are too rare to add up;
+  // all else draws on the budget.
+  const auto free = notBegun || aFailure == AttemptFailure::Crashed;
+  if (repeatable && options_.mayRetry_ && attemptsLeft &&
+      (free || aBudget.TryTake())) {
     return { Requeue(aNow, server) };
   }
   return End(
     { .outcome_ = UnfinishedOutcome(),
       .error_ = { .kind_ = ErrorKind::Unavailable,
-                  .message_ =
-                    fmt::format("stage '{}' failed: {}",
-                                pipeline_->stages_[stage_].name_,
-                                ToString(aFailure)),
+                  .message_ = fmt::format("stage '{}' failed: {}",
+                                          pipeline_->stages_[stage_].name_,
+                                          ToString(aFailure)),
                   .remedy_ = "send the request again after the time given" },
       .retryAfter_ = kRetryAfterFailure },
     aNow);
@@ -291,6 +309,23 @@
              aNow);
 }
 
+auto PipelineRun::OnQuarantined(TimePoint aNow) -> Commands
+{
+  return End({ .outcome_ = UnfinishedOutcome(), .error_ = QuarantineError() },
+             aNow);
+}
+
+auto PipelineRun::OnLapsed(TimePoint aNow) -> Commands
+{
+  return End(
+    { .outcome_ = UnfinishedOutcome(),
+      .error_ = { .kind_ = ErrorKind::Forbidden,
+                  .message_ = "the configuration changed and no longer "
+                              "allows this request",
+                  .remedy_ = "ask an operator" } },
+    aNow);
+}
+
 auto PipelineRun::OnTick(TimePoint aNow) -> Commands
 {
   if (done_ || aNow < options_.deadline_) {
@@ -310,11 +345,12 @@
   if (done_ || !options_.config_->Content().IsIdempotent(*pipeline_)) {
     return {};
   }
-  return End({ .outcome_ = Outcome::Failed,
-               .error_ = { .kind_ = ErrorKind::Unavailable,
-                           .message_ = "the caller hung up",
-                           .remedy_ = "keep the connection until the answer" } },
-             aNow);
+  return End(
+    { .outcome_ = Outcome::Failed,
+      .error_ = { .kind_ = ErrorKind::Unavailable,
+                  .message_ = "the caller hung up",
+                  .remedy_ = "keep the connection until the answer" } },
+    aNow);
 }
 
 auto PipelineRun::End(CallerAnswer aAnswer, TimePoint aNow) -> Commands
--- a/goldcrestcroft/src/Pipeline/PipelineRun.h
+++ b/goldcrestcroft/src/Pipeline/PipelineRun.h
@@ -10,6 +10,9 @@
 
 namespace goldcrestcroft {
 
+/** \brief The final error of a request that crashes servers. */
+auto QuarantineError() -> Error;
+
 /** \brief One request on its way through the stages of its pipeline.
  *
  * Every attempt has an id of its own; whatever comes for an attempt that is not
@@ -59,6 +62,10 @@
                  RetryBudget& aBudget, TimePoint aNow) -> Commands;
   /** \brief Waiting work can no longer be done in time. */
   auto OnInfeasible(Duration aRetryAfter, TimePoint aNow) -> Commands;
+  /** \brief The request crashes servers; it is never sent again. */
+  auto OnQuarantined(TimePoint aNow) -> Commands;
+  /** \brief A newer configuration no longer allows what was not yet sent. */
+  auto OnLapsed(TimePoint aNow) -> Commands;
   /** \brief The deadline ends a run. */
   auto OnTick(TimePoint aNow) -> Commands;
   /** \brief The caller hung up; idempotent work is not worth finishing. */
@@ -81,6 +88,8 @@
   [[nodiscard]] auto ActiveAttempt() const -> const AttemptId&;
   [[nodiscard]] auto IsDone() const -> bool { return done_; }
   [[nodiscard]] auto StagePool() const -> const Pool&;
+  /** \brief The pool of a stage of this pipeline, by the stage's name. */
+  [[nodiscard]] auto PoolOfStage(const std::string& aName) const -> PoolId;
   [[nodiscard]] auto CurrentStage() const -> std::size_t { return stage_; }
   [[nodiscard]] auto Data() const -> const StageData& { return data_; }
   [[nodiscard]] auto Hops() const -> const std::vector<HopRecord>&
--- a/goldcrestcroft/src/Pipeline/StageCall.cpp
+++ b/goldcrestcroft/src/Pipeline/StageCall.cpp
@@ -49,8 +49,8 @@
   for (const auto& result : aAnswer.at("results")) {
     best.push_back(aData.documents_.at(result.at("index").get<std::size_t>()));
   }
-  if (best.size() != std::min<std::size_t>(aData.documents_.size(),
-                                           kRerankedDocuments)) {
+  if (best.size() !=
+      std::min<std::size_t>(aData.documents_.size(), kRerankedDocuments)) {
     Reject("the ranking is short");
   }
   aData.documents_ = std::move(best);
@@ -68,10 +68,11 @@
              R"(,"vector":)" +
              (aData.embedding_.empty() ? "[]" : aData.embedding_) + "}";
     case StageKind::Rerank:
-      return json{ { "query", aData.input_.text_ },
-                   { "documents", aData.documents_ },
-                   { "top_n", kRerankedDocuments } }
-        .dump();
+      return json{
+        { "query", aData.input_.text_ },
+        { "documents", aData.documents_ },
+        { "top_n", kRerankedDocuments }
+      }.dump();
     case StageKind::Generate: {
       json body{ { "prompt", PromptFor(aData) },
                  { "max_tokens", aData.input_.maxTokens_ },
--- a/goldcrestcroft/src/Platform/MemoryTable.cpp
+++ b/goldcrestcroft/src/Platform/MemoryTable.cpp
@@ -13,9 +13,7 @@
   if (stored.expiresAt_ != 0 && stored.expiresAt_ <= aNowSeconds) {
     return { .key_ = aKey };
   }
-  return { .key_ = aKey,
-           .value_ = stored.value_,
-           .version_ = stored.version_ };
+  return { .key_ = aKey, .value_ = stored.value_, .version_ = stored.version_ };
 }
 
 auto MemoryTable::Transact(const std::vector<RowWrite>& aWrites,
--- a/goldcrestcroft/src/Platform/TableCodec.cpp
+++ b/goldcrestcroft/src/Platform/TableCodec.cpp
@@ -117,10 +117,11 @@
 
 auto EncodeReply(const TransactReply& aReply) -> std::string
 {
-  return json{ { "applied", aReply.status_ == TableStatus::Done },
-               { "versions", aReply.versions_ },
-               { "conflicts", ToJson(aReply.conflicts_) } }
-    .dump();
+  return json{
+    { "applied", aReply.status_ == TableStatus::Done },
+    { "versions", aReply.versions_ },
+    { "conflicts", ToJson(aReply.conflicts_) }
+  }.dump();
 }
 
 auto DecodeTransactReply(const std::string& aBody) -> Result<TransactReply>
--- a/goldcrestcroft/src/Platform/TableService.h
+++ b/goldcrestcroft/src/Platform/TableService.h
@@ -15,11 +15,10 @@
  *
  * Handlers run later on the thread that polls the service, exactly once. */
 template<typename T>
-concept TableService = requires(T& aTable,
-                                std::vector<RowWrite> aWrites,
+concept TableService = requires(T& aTable, std::vector<RowWrite> aWrites,
                                 std::vector<RowKey> aKeys,
-                                TransactHandler aOnWritten,
-                                ReadHandler aOnRead) {
+                                TransactHandler aOnWritten, ReadHandler aOnRead)
+{
   aTable.Transact(std::move(aWrites), std::move(aOnWritten));
   aTable.Read(std::move(aKeys), std::move(aOnRead));
 };
--- a/goldcrestcroft/src/Policy/Dispatcher.h
+++ b/goldcrestcroft/src/Policy/Dispatcher.h
@@ -39,8 +39,7 @@
 class Dispatcher
 {
 public:
-  Dispatcher(DispatcherOptions aOptions, Routing aRouting,
-             std::uint64_t aSeed)
+  Dispatcher(DispatcherOptions aOptions, Routing aRouting, std::uint64_t aSeed)
     : options_(std::move(aOptions))
     , routing_(std::move(aRouting))
     , random_(aSeed)
@@ -57,8 +56,8 @@
                            TimePoint aDeadline, TimePoint aNow) -> Admission;
 
   /** \brief Time that these stages need once they are served at once. */
-  [[nodiscard]] auto ServiceTime(const std::vector<StageForecast>& aStages) const
-    -> Duration;
+  [[nodiscard]] auto ServiceTime(
+    const std::vector<StageForecast>& aStages) const -> Duration;
 
   /** \brief Work waits for a server; its pool must be configured. */
   auto Submit(Work aWork) -> bool;
@@ -68,6 +67,9 @@
    * counts as started. */
   auto Hedge(const AttemptId& aOriginal, AttemptId aCopy, TimePoint aNow)
     -> std::optional<Assignment>;
+  /** \brief Starts a work at this server, past the queue. */
+  auto StartAt(Work aWork, const ServerId& aServer, TimePoint aNow)
+    -> Assignment;
   /** \brief Waiting work that can no longer be done in time. */
   auto TakeInfeasible(TimePoint aNow) -> std::vector<Work>;
   /** \brief Forgets a work, whether waiting or in flight. */
@@ -86,9 +88,22 @@
   auto Tick(TimePoint aNow) -> void;
 
   [[nodiscard]] auto Waiting() const -> std::size_t;
-  [[nodiscard]] auto InFlight() const -> std::size_t { return inFlight_.size(); }
+  [[nodiscard]] auto InFlight() const -> std::size_t
+  {
+    return inFlight_.size();
+  }
   [[nodiscard]] auto ExpectedService(const PoolId& aPool, double aSize) const
     -> Duration;
+  /** \brief Servers of the pool that take new work, the least loaded first. */
+  [[nodiscard]] auto OpenServers(const PoolId& aPool) const
+    -> std::vector<ServerId>;
+  /** \brief A server of any configuration adopted so far, or nullptr. */
+  [[nodiscard]] auto FindServer(const ServerId& aServer) const
+    -> const BackendServer*
+  {
+    const auto found = servers_.find(aServer);
+    return found == servers_.end() ? nullptr : &found->second.server_;
+  }
   [[nodiscard]] auto RequestsAt(const ServerId& aServer) const -> double;
   [[nodiscard]] auto IsEjected(const ServerId& aServer) const -> bool
   {
--- a/goldcrestcroft/src/Policy/DispatcherEvents.h
+++ b/goldcrestcroft/src/Policy/DispatcherEvents.h
@@ -13,10 +13,10 @@
     pool.load_.SetSlots(0.0);
   }
   for (const auto& pool : aConfiguration.Pools()) {
-    auto& state =
-      pools_
-        .try_emplace(pool.id_, PoolState{ .pool_ = pool, .load_ = PoolLoad(pool) })
-        .first->second;
+    auto& state = pools_
+                    .try_emplace(pool.id_, PoolState{ .pool_ = pool,
+                                                      .load_ = PoolLoad(pool) })
+                    .first->second;
     state.pool_ = pool;
     auto slots = 0.0;
     for (const auto& server : pool.servers_) {
@@ -64,14 +64,13 @@
     RefreshShares(pool, aNow);
     needed += pool.load_.Wait(aWorkspace, aPriority, HasRoom(pool));
   }
-  const auto stretched =
-    Duration(std::llround(static_cast<double>(needed.count()) * options_.margin_));
+  const auto stretched = Duration(
+    std::llround(static_cast<double>(needed.count()) * options_.margin_));
   if (aNow + stretched <= aDeadline) {
     return {};
   }
   return { .admitted_ = false,
-           .retryAfter_ =
-             std::max(kLeastRetry, aNow + stretched - aDeadline) };
+           .retryAfter_ = std::max(kLeastRetry, aNow + stretched - aDeadline) };
 }
 
 template<RoutingPolicy Routing>
@@ -165,9 +164,8 @@
     return;
   }
   for (auto& [id, started] : inFlight_) {
-    const auto expected =
-      std::max(ExpectedService(started.work_.pool_, started.work_.size_),
-               Duration{ 1 });
+    const auto expected = std::max(
+      ExpectedService(started.work_.pool_, started.work_.size_), Duration{ 1 });
     const auto slowness = static_cast<double>((aNow - started.since_).count()) /
                           static_cast<double>(expected.count());
     if (!started.overdue_ && slowness > options_.stragglers_.ejectFactor_) {
@@ -266,6 +264,23 @@
   return pools_.at(aPool).load_.Service().Estimate(aSize);
 }
 
+template<RoutingPolicy Routing>
+auto Dispatcher<Routing>::OpenServers(const PoolId& aPool) const
+  -> std::vector<ServerId>
+{
+  std::vector<ServerId> open;
+  for (const auto& id : pools_.at(aPool).servers_) {
+    if (!servers_.at(id).closed_) {
+      open.push_back(id);
+    }
+  }
+  std::sort(open.begin(), open.end(),
+            [this](const auto& aLeft, const auto& aRight) {
+              return RequestsAt(aLeft) < RequestsAt(aRight);
+            });
+  return open;
+}
+
 template<RoutingPolicy Routing>
 auto Dispatcher<Routing>::RequestsAt(const ServerId& aServer) const -> double
 {
--- a/goldcrestcroft/src/Policy/DispatcherRouting.h
+++ b/goldcrestcroft/src/Policy/DispatcherRouting.h
@@ -17,12 +17,12 @@
 template<RoutingPolicy Routing>
 auto Dispatcher<Routing>::HasRoom(const PoolState& aPool) const -> bool
 {
-  return std::any_of(
-    aPool.servers_.begin(), aPool.servers_.end(), [this](const auto& aId) {
-      const auto& server = servers_.at(aId);
-      return !server.closed_ && !stragglers_.IsEjected(aId) &&
-             server.EstimatedForOwner() < server.Slots();
-    });
+  return std::any_of(aPool.servers_.begin(), aPool.servers_.end(),
+                     [this](const auto& aId) {
+                       const auto& server = servers_.at(aId);
+                       return !server.closed_ && !stragglers_.IsEjected(aId) &&
+                              server.EstimatedForOwner() < server.Slots();
+                     });
 }
 
 template<RoutingPolicy Routing>
@@ -119,9 +119,8 @@
                          i);
   }
   const auto homes = std::min(options_.affineServers_, weights.size());
-  std::partial_sort(weights.begin(),
-                    weights.begin() + static_cast<long>(homes), weights.end(),
-                    std::greater<>());
+  std::partial_sort(weights.begin(), weights.begin() + static_cast<long>(homes),
+                    weights.end(), std::greater<>());
   for (std::size_t i = 0; i < homes; ++i) {
     candidates_[weights[i].second].affine_ = true;
   }
@@ -212,8 +211,15 @@
   }
   const auto choice = routing_.Choose(candidates_, random_);
   const auto server = *candidates_[choice].server_;
-  pool.load_.StartExtra(work.workspace_);
-  return Start({ .work_ = std::move(work), .server_ = server }, aNow);
+  return StartAt(std::move(work), server, aNow);
+}
+
+template<RoutingPolicy Routing>
+auto Dispatcher<Routing>::StartAt(Work aWork, const ServerId& aServer,
+                                  TimePoint aNow) -> Assignment
+{
+  pools_.at(aWork.pool_).load_.StartExtra(aWork.workspace_);
+  return Start({ .work_ = std::move(aWork), .server_ = aServer }, aNow);
 }
 
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Policy/PoolLoad.h
+++ b/goldcrestcroft/src/Policy/PoolLoad.h
@@ -31,8 +31,8 @@
   auto Finish(const WorkspaceId& aWorkspace) -> void;
 
   /** \brief Replaces what one peer asks of this pool. */
-  auto SetPeer(const HostId& aHost, const std::vector<WorkspaceDemand>& aDemands)
-    -> void;
+  auto SetPeer(const HostId& aHost,
+               const std::vector<WorkspaceDemand>& aDemands) -> void;
   auto ForgetPeer(const HostId& aHost) -> void { peers_.erase(aHost); }
 
   /** \brief Works out this host's shares anew. */
@@ -41,7 +41,8 @@
   /** \brief The workspace to serve next, or none.
    *
    * Those below their share go first; others only if aPoolHasRoom. Within
-   * that: priority, then the smaller part of the share in use, then deadline. */
+   * that: priority, then the smaller part of the share in use, then deadline.
+   */
   [[nodiscard]] auto Pick(bool aPoolHasRoom) const -> const WorkspaceId*;
   [[nodiscard]] auto HeadOf(const WorkspaceId& aWorkspace) const -> const Work&
   {
--- a/goldcrestcroft/src/Policy/Quarantine.cpp
+++ b/goldcrestcroft/src/Policy/Quarantine.cpp
@@ -31,13 +31,15 @@
   if (entries_.size() < options_.capacity_) {
     return;
   }
-  std::erase_if(entries_,
-                [aNow](const auto& aItem) { return aItem.second.until_ <= aNow; });
+  std::erase_if(entries_, [aNow](const auto& aItem) {
+    return aItem.second.until_ <= aNow;
+  });
   while (entries_.size() >= options_.capacity_) {
-    entries_.erase(std::min_element(
-      entries_.begin(), entries_.end(), [](const auto& aLeft, const auto& aRight) {
-        return aLeft.second.until_ < aRight.second.until_;
-      }));
+    entries_.erase(std::min_element(entries_.begin(), entries_.end(),
+                                    [](const auto& aLeft, const auto& aRight) {
+                                      return aLeft.second.until_ <
+                                             aRight.second.until_;
+                                    }));
   }
 }
 
@@ -48,8 +50,7 @@
   for (const auto fingerprint : aInFlight) {
     // Only a crash of a server that ran nothing else proves anything. A suspect
     // that shared the server with others merely stays a suspect.
-    const auto proven =
-      aAlone && Judge(fingerprint, aNow) == Verdict::Suspect;
+    const auto proven = aAlone && Judge(fingerprint, aNow) == Verdict::Suspect;
     const auto verdict = proven ? Verdict::Quarantined : Verdict::Suspect;
     if (Raise(fingerprint, verdict, aNow)) {
       news.push_back({ .fingerprint_ = fingerprint, .verdict_ = verdict });
@@ -84,8 +85,8 @@
   std::vector<PoisonNews> news;
   for (const auto& [fingerprint, entry] : entries_) {
     if (entry.until_ > aNow) {
-      news.push_back({ .fingerprint_ = fingerprint,
-                       .verdict_ = entry.verdict_ });
+      news.push_back(
+        { .fingerprint_ = fingerprint, .verdict_ = entry.verdict_ });
     }
   }
   std::sort(news.begin(), news.end(),
--- a/goldcrestcroft/src/Policy/RoutingPolicy.h
+++ b/goldcrestcroft/src/Policy/RoutingPolicy.h
@@ -14,7 +14,8 @@
 template<typename T>
 concept RoutingPolicy = requires(T& aPolicy,
                                  std::span<const Candidate> aCandidates,
-                                 RandomEngine& aRandom) {
+                                 RandomEngine& aRandom)
+{
   {
     aPolicy.Choose(aCandidates, aRandom)
     } -> std::same_as<std::size_t>;
--- /dev/null
+++ b/goldcrestcroft/src/Policy/SoloQueue.cpp
@@ -0,0 +1,116 @@
+#include "SoloQueue.h"
+
+#include <algorithm>
+
+namespace goldcrestcroft {
+
+auto SoloQueue::Add(Work aWork) -> bool
+{
+  if (queue_.size() >= options_.capacity_) {
+    return false;
+  }
+  queue_.push_back(std::move(aWork));
+  return true;
+}
+
+auto SoloQueue::Remove(const AttemptId& aAttempt) -> bool
+{
+  return std::erase_if(queue_, [&](const Work& aWork) {
+           return aWork.id_ == aAttempt;
+         }) > 0;
+}
+
+auto SoloQueue::TakeInfeasible(TimePoint aNow) -> std::vector<Work>
+{
+  std::vector<Work> late;
+  std::erase_if(queue_, [&](const Work& aWork) {
+    if (aNow + aWork.reserve_ < aWork.deadline_) {
+      return false;
+    }
+    late.push_back(aWork);
+    return true;
+  });
+  return late;
+}
+
+auto SoloQueue::Next(TimePoint aNow) -> Step
+{
+  const auto expired = aNow - heldSince_ >= options_.hold_;
+  const auto done = queue_.empty() || expired;
+  switch (step_) {
+    case Step::Idle:
+      return queue_.empty() || aNow < nextTry_ ? Step::Idle : Step::TakeTurn;
+    case Step::Reserve:
+    case Step::Drain:
+    case Step::Start:
+      if (done) {
+        step_ = Step::Release;
+      } else if (step_ != Step::Reserve && queue_.front().pool_ != pool_) {
+        // Another pool needs another server; the turn stays.
+        step_ = Step::Reserve;
+      }
+      return step_;
+    default:
+      return step_;
+  }
+}
+
+auto SoloQueue::OnTurn(bool aTaken, TimePoint aNow) -> void
+{
+  nextTry_ = aNow + options_.retry_;
+  if (aTaken) {
+    step_ = Step::Reserve;
+    heldSince_ = aNow;
+  }
+}
+
+auto SoloQueue::OnReserved(const std::optional<ServerId>& aServer,
+                           TimePoint aNow) -> void
+{
+  if (!aServer) {
+    step_ = Step::Release;
+    return;
+  }
+  server_ = *aServer;
+  pool_ = queue_.front().pool_;
+  reservedAt_ = aNow;
+  step_ = Step::Drain;
+}
+
+auto SoloQueue::OnEmpty(TimePoint aNow) -> void
+{
+  // What peers had sent before they heard of the reservation shows up in their
+  // load only after the settling time.
+  if (step_ == Step::Drain && aNow - reservedAt_ >= options_.settle_) {
+    step_ = Step::Start;
+  }
+}
+
+auto SoloQueue::OnStarted() -> void
+{
+  running_ = queue_.front().id_;
+  queue_.pop_front();
+  step_ = Step::Running;
+}
+
+auto SoloQueue::OnEnded(const AttemptId& aAttempt, bool aServerLost,
+                        TimePoint aNow) -> void
+{
+  if (!IsRunning(aAttempt)) {
+    return;
+  }
+  running_ = {};
+  step_ = aServerLost ? Step::Reserve : Step::Start;
+  if (queue_.empty() || aNow - heldSince_ >= options_.hold_) {
+    step_ = Step::Release;
+  }
+}
+
+auto SoloQueue::OnReleased() -> void
+{
+  server_ = {};
+  pool_ = {};
+  step_ = Step::Idle;
+}
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Policy/SoloQueue.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "Work.h"
+
+#include <deque>
+#include <optional>
+#include <vector>
+
+namespace goldcrestcroft {
+
+/** \brief Runs suspects one at a time, each alone on a server.
+ *
+ * The host first takes the fleet's turn, then reserves a server, waits until it
+ * is empty, and runs its suspects there one after another. A pure state
+ * machine: act on Next() after each event. */
+class SoloQueue
+{
+public:
+  enum class Step
+  {
+    Idle,
+    /** Take the fleet's turn; report OnTurn. */
+    TakeTurn,
+    /** Reserve a server of Pool() and report OnReserved. */
+    Reserve,
+    /** Report OnEmpty once Server() has no requests of anybody. */
+    Drain,
+    /** Start Head() at Server() and report OnStarted. */
+    Start,
+    /** A suspect runs; report OnEnded. */
+    Running,
+    /** Free Server() and give the turn back; report OnReleased. */
+    Release
+  };
+
+  struct Options
+  {
+    /** Reservation and peers' answers to it spread within this time. */
+    Duration settle_ = std::chrono::milliseconds{ 600 };
+    /** Longest hold of the fleet's turn before others get a chance. */
+    Duration hold_ = std::chrono::seconds{ 8 };
+    /** Between tries to take the turn. */
+    Duration retry_ = std::chrono::milliseconds{ 100 };
+    std::size_t capacity_ = 256;
+  };
+
+  explicit SoloQueue(Options aOptions)
+    : options_(aOptions)
+  {
+  }
+
+  /** \brief False when too many wait. */
+  auto Add(Work aWork) -> bool;
+  auto Remove(const AttemptId& aAttempt) -> bool;
+  /** \brief Waiting suspects that can no longer be done in time. */
+  auto TakeInfeasible(TimePoint aNow) -> std::vector<Work>;
+
+  [[nodiscard]] auto Next(TimePoint aNow) -> Step;
+  [[nodiscard]] auto Head() const -> const Work& { return queue_.front(); }
+  [[nodiscard]] auto PoolOfHead() const -> const PoolId&
+  {
+    return queue_.front().pool_;
+  }
+  [[nodiscard]] auto Server() const -> const ServerId& { return server_; }
+  [[nodiscard]] auto IsRunning(const AttemptId& aAttempt) const -> bool
+  {
+    return step_ == Step::Running && running_ == aAttempt;
+  }
+
+  auto OnTurn(bool aTaken, TimePoint aNow) -> void;
+  /** \brief None: the pool has no server to spare. */
+  auto OnReserved(const std::optional<ServerId>& aServer, TimePoint aNow)
+    -> void;
+  auto OnEmpty(TimePoint aNow) -> void;
+  auto OnStarted() -> void;
+  auto OnEnded(const AttemptId& aAttempt, bool aServerLost, TimePoint aNow)
+    -> void;
+  auto OnReleased() -> void;
+
+private:
+  Options options_;
+  Step step_ = Step::Idle;
+  std::deque<Work> queue_;
+  PoolId pool_;
+  ServerId server_;
+  AttemptId running_;
+  TimePoint heldSince_{};
+  TimePoint reservedAt_{};
+  TimePoint nextTry_{};
+};
+
+} // namespace goldcrestcroft
--- a/goldcrestcroft/src/Policy/StragglerDetector.cpp
+++ b/goldcrestcroft/src/Policy/StragglerDetector.cpp
@@ -22,7 +22,8 @@
   std::size_t ejected = 0;
   for (const auto& server : aPool) {
     const auto found = states_.find(server);
-    if (found == states_.end() || found->second.samples_ < options_.minSamples_) {
+    if (found == states_.end() ||
+        found->second.samples_ < options_.minSamples_) {
       slowness.push_back(1.0);
       continue;
     }
@@ -35,12 +36,12 @@
   const auto middle = slowness.begin() + static_cast<long>(slowness.size() / 2);
   std::nth_element(slowness.begin(), middle, slowness.end());
   const auto median = std::max(*middle, 0.1);
-  const auto most =
-    static_cast<std::size_t>(options_.maxEjected_ *
-                             static_cast<double>(aPool.size()));
+  const auto most = static_cast<std::size_t>(options_.maxEjected_ *
+                                             static_cast<double>(aPool.size()));
   for (const auto& server : aPool) {
     const auto found = states_.find(server);
-    if (found == states_.end() || found->second.samples_ < options_.minSamples_) {
+    if (found == states_.end() ||
+        found->second.samples_ < options_.minSamples_) {
       continue;
     }
     auto& state = found->second;
--- /dev/null
+++ b/goldcrestcroft/src/Server/CallerHandler.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "CallerServer.h"
+
+#include <pistache/http.h>
+#include <pistache/peer.h>
+
+#include <atomic>
+
+namespace goldcrestcroft {
+
+/** \brief What all threads of the caller server share. */
+struct CallerContext
+{
+  CallerContext(CallerServer::Options aOptions, Metrics& aMetrics)
+    : options_(std::move(aOptions))
+    , metrics_(aMetrics)
+  {
+  }
+
+  CallerServer::Options options_;
+  Metrics& metrics_;
+  std::atomic<std::uint64_t> requests_ = 0;
+};
+
+/** \brief Takes requests off Pistache's threads and hands them on. Every reply
+ * goes through a CallerSocket. */
+class CallerHandler : public Pistache::Http::Handler
+{
+public:
+  HTTP_PROTOTYPE(CallerHandler)
+
+  explicit CallerHandler(std::shared_ptr<CallerContext> aContext)
+    : context_(std::move(aContext))
+  {
+  }
+
+  auto onRequest(const Pistache::Http::Request& aRequest,
+                 Pistache::Http::ResponseWriter aResponse) -> void override;
+  auto onDisconnection(const std::shared_ptr<Pistache::Tcp::Peer>& aPeer)
+    -> void override;
+
+private:
+  auto Route(const Pistache::Http::Request& aRequest, CallerReply aReply)
+    -> void;
+  auto RouteGet(const std::string& aPath,
+                const Pistache::Http::Request& aRequest, CallerReply aReply)
+    -> void;
+  auto OnPipeline(const Pistache::Http::Request& aRequest,
+                  const std::string& aPipeline, CallerReply aReply) -> void;
+  auto OnPatch(const Pistache::Http::Request& aRequest, CallerReply aReply)
+    -> void;
+  auto SendHosts(const ControlView& aView, CallerReply& aReply) const -> void;
+  auto SendError(CallerReply& aReply, Error aError) -> void;
+  auto MakeRequestId() -> RequestId;
+
+  std::shared_ptr<CallerContext> context_;
+};
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Server/CallerServer.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "ControlMail.h"
+#include "ControlView.h"
+#include "Metrics.h"
+#include "Settings.h"
+#include "TrafficMail.h"
+
+#include <memory>
+
+namespace goldcrestcroft {
+
+/** \brief The HTTP server for callers and operators, over Pistache. */
+class CallerServer
+{
+public:
+  struct Options
+  {
+    Settings settings_;
+    Incarnation incarnation_ = 0;
+    std::function<ControlViewPtr()> view_;
+    std::function<void(TrafficMail)> toTraffic_;
+    std::function<void(ControlMail)> toControl_;
+  };
+
+  CallerServer(Options aOptions, Metrics& aMetrics);
+  ~CallerServer();
+  CallerServer(const CallerServer&) = delete;
+  auto operator=(const CallerServer&) -> CallerServer& = delete;
+
+  /** \brief Starts the threads; fails with Unavailable when the address cannot
+   * be bound. */
+  auto Start() -> Result<void>;
+  auto Stop() -> void;
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Server/ConfigKeeper.cpp
@@ -0,0 +1,395 @@
+#include "ConfigKeeper.h"
+
+#include "AnswerCodec.h"
+#include "Log.h"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/fmt/fmt.h>
+
+namespace goldcrestcroft {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr auto kConfigTable = "config";
+constexpr VersionNumber kSnapshotEvery = 32;
+constexpr VersionNumber kPatchesPerRead = 32;
+constexpr std::size_t kRecentPatches = 256;
+constexpr long kOk = 200;
+
+auto HeadKey() -> RowKey
+{
+  return { .table_ = kConfigTable, .key_ = "head" };
+}
+
+auto SnapshotKey() -> RowKey
+{
+  return { .table_ = kConfigTable, .key_ = "snapshot" };
+}
+
+auto PatchKey(VersionNumber aNumber) -> RowKey
+{
+  return { .table_ = kConfigTable, .key_ = fmt::format("{:012}", aNumber) };
+}
+
+auto ToNumber(const std::string& aText) -> VersionNumber
+{
+  return std::strtoull(aText.c_str(), nullptr, 10);
+}
+
+auto DecodePatches(const std::vector<Row>& aRows) -> std::vector<ConfigPatch>
+{
+  std::vector<ConfigPatch> patches;
+  for (const auto& row : aRows) {
+    Handle(
+      [&]() -> Result<void> {
+        BOOST_LEAF_AUTO(patch, DecodePatch(row.value_));
+        patches.push_back(std::move(patch));
+        return {};
+      },
+      [](const Error& aError) {
+        Log::Write(LogLevel::Error, "configuration row unreadable",
+                   { { "reason", aError.message_ } });
+      });
+  }
+  return patches;
+}
+
+} // namespace
+
+ConfigKeeper::ConfigKeeper(const PlatformSettings& aSettings, HostId aHost,
+                           Incarnation aIncarnation, HttpClient& aHttp,
+                           PlatformTable& aTable, Handlers aHandlers,
+                           TimePoint aNow)
+  : settings_(aSettings)
+  , host_(std::move(aHost))
+  , incarnation_(aIncarnation)
+  , http_(aHttp)
+  , table_(aTable)
+  , handlers_(std::move(aHandlers))
+  , follower_({ .headPeriod_ = aSettings.headPeriod_ }, aNow)
+{
+}
+
+auto ConfigKeeper::Tick(TimePoint aNow) -> void
+{
+  const auto actions = follower_.Tick(aNow);
+  if (actions.readHead_) {
+    ReadHead();
+  }
+  if (actions.fetchPatches_) {
+    Fetch(aNow);
+  }
+}
+
+auto ConfigKeeper::ReadHead() -> void
+{
+  table_.Read({ HeadKey(), SnapshotKey() }, [this](const ReadReply& aReply) {
+    if (aReply.status_ != TableStatus::Done) {
+      return;
+    }
+    VersionNumber newest = 0;
+    for (const auto& row : aReply.rows_) {
+      if (row.key_ == HeadKey()) {
+        newest = ToNumber(row.value_);
+      } else {
+        snapshot_ = std::max(snapshot_, ToNumber(row.value_));
+      }
+    }
+    follower_.OnNumberHeard(newest, clock_.Now());
+  });
+}
+
+auto ConfigKeeper::OnNumberHeard(VersionNumber aNumber, TimePoint aNow) -> void
+{
+  follower_.OnNumberHeard(aNumber, aNow);
+}
+
+auto ConfigKeeper::Take(const ConfigPatch& aPatch, TimePoint aNow) -> void
+{
+  const auto before = follower_.InForce()->Number();
+  follower_.OnPatch(aPatch, aNow);
+  const auto after = follower_.InForce()->Number();
+  if (after == before) {
+    return;
+  }
+  if (aPatch.number_ == before + 1) {
+    recent_.push_back(aPatch);
+  }
+  if (recent_.size() > kRecentPatches) {
+    recent_.pop_front();
+  }
+  Log::Write(
+    LogLevel::Info, "configuration in force",
+    { { "version", std::to_string(after) }, { "author", aPatch.author_ } });
+}
+
+auto ConfigKeeper::OnPatches(const std::vector<ConfigPatch>& aPatches,
+                             TimePoint aNow) -> void
+{
+  for (const auto& patch : aPatches) {
+    Take(patch, aNow);
+  }
+}
+
+auto ConfigKeeper::PatchesAfter(VersionNumber aVersion) const
+  -> std::vector<ConfigPatch>
+{
+  std::vector<ConfigPatch> patches;
+  auto wanted = aVersion + 1;
+  for (const auto& patch : recent_) {
+    if (patch.number_ == wanted && patches.size() < kPatchesPerRead) {
+      patches.push_back(patch);
+      ++wanted;
+    }
+  }
+  return patches;
+}
+
+auto ConfigKeeper::Fetch(TimePoint) -> void
+{
+  const auto have = follower_.InForce()->Number();
+  const auto goal = follower_.Goal();
+  const auto usePeer = ++fetches_ % 2 == 1;
+  // Peers first, the table second: peers answer in an outage of the platform,
+  // and cost it nothing at other times.
+  if (have == 0 || goal - have > kSnapshotEvery) {
+    const auto peer = usePeer ? handlers_.pickPeer_(goal) : std::string();
+    if (!peer.empty()) {
+      FetchWhole("http://" + peer + "/v1/config");
+      return;
+    }
+    if (snapshot_ > have && !settings_.objects_.empty()) {
+      FetchWhole(fmt::format("http://{}/v1/objects/config-{}",
+                             settings_.objects_, snapshot_));
+    }
+  } else if (usePeer) {
+    handlers_.askPeer_(have);
+    return;
+  }
+  FetchFromTable();
+}
+
+auto ConfigKeeper::FetchFromTable() -> void
+{
+  const auto have = follower_.InForce()->Number();
+  const auto last = std::min(follower_.Goal(), have + kPatchesPerRead);
+  std::vector<RowKey> keys;
+  for (auto number = have + 1; number <= last; ++number) {
+    keys.push_back(PatchKey(number));
+  }
+  table_.Read(std::move(keys), [this](const ReadReply& aReply) {
+    OnPatches(DecodePatches(aReply.rows_), clock_.Now());
+  });
+}
+
+auto ConfigKeeper::FetchWhole(const std::string& aUrl) -> void
+{
+  http_.Send(
+    { .method_ = "GET", .url_ = aUrl, .timeout_ = settings_.timeout_ },
+    { .onEnd_ = [this](const HttpReply& aReply) {
+      const auto body = json::parse(aReply.body_, nullptr, false);
+      if (aReply.status_ != kOk || !body.is_object() ||
+          !body.contains("version") || !body.contains("document")) {
+        return;
+      }
+      Handle(
+        [&]() -> Result<void> {
+          BOOST_LEAF_AUTO(version, ConfigVersion::FromDocument(
+                                     body["version"], body["document"].dump()));
+          if (follower_.OnSnapshot(version, clock_.Now())) {
+            recent_.clear();
+            Log::Write(LogLevel::Info, "configuration in force",
+                       { { "version", std::to_string(version->Number()) },
+                         { "author", "snapshot" } });
+          }
+          return {};
+        },
+        [](const Error& aError) {
+          Log::Write(LogLevel::Warning, "configuration snapshot unreadable",
+                     { { "reason", aError.message_ } });
+        });
+    } });
+}
+
+auto ConfigKeeper::OnSubmitted(PatchSubmitted aPatch) -> void
+{
+  const auto& inForce = follower_.InForce();
+  // The number makes two patches of one author distinct rows.
+  const ConfigPatch patch{ .number_ = aPatch.base_ + 1,
+                           .author_ = fmt::format("{}@{}-{:x}-{}",
+                                                  aPatch.author_, host_.value_,
+                                                  incarnation_, ++submissions_),
+                           .operations_ = aPatch.operations_ };
+  const auto valid = Handle(
+    [&]() -> Result<bool> {
+      BOOST_LEAF_CHECK(inForce->Apply(patch));
+      return true;
+    },
+    [&](const Error& aError) {
+      aPatch.reply_.Send(
+        BuildReply(Refusal(aError), { .request_ = aPatch.request_,
+                                      .version_ = inForce->Number() }));
+      return false;
+    });
+  if (valid) {
+    Drive(std::make_shared<Submission>(Submission{
+      .state_ = PatchSubmission(patch, {}), .mail_ = std::move(aPatch) }));
+  }
+}
+
+auto ConfigKeeper::Drive(const std::shared_ptr<Submission>& aSubmission) -> void
+{
+  switch (aSubmission->state_.Next()) {
+    case PatchSubmission::Step::Insert:
+      Insert(aSubmission);
+      break;
+    case PatchSubmission::Step::ReadBack:
+      ReadBack(aSubmission);
+      break;
+    default:
+      Finish(*aSubmission);
+      break;
+  }
+}
+
+auto ConfigKeeper::Insert(const std::shared_ptr<Submission>& aSubmission)
+  -> void
+{
+  const auto& patch = aSubmission->state_.Patch();
+  // Both rows in one transaction: the head never runs ahead or falls back,
+  // since the row of a number is inserted once only.
+  table_.Transact(
+    { { .key_ = PatchKey(patch.number_),
+        .value_ = EncodePatch(patch),
+        .expected_ = 0 },
+      { .key_ = HeadKey(), .value_ = std::to_string(patch.number_) } },
+    [this, aSubmission](const TransactReply& aReply) {
+      auto& state = aSubmission->state_;
+      if (aReply.status_ == TableStatus::Done) {
+        state.OnInserted();
+      } else if (aReply.status_ == TableStatus::Conflict) {
+        const auto rows = DecodePatches(aReply.conflicts_);
+        rows.empty() ? state.OnLost() : state.OnRow(rows.front());
+      } else {
+        state.OnLost();
+      }
+      Drive(aSubmission);
+    });
+}
+
+auto ConfigKeeper::ReadBack(const std::shared_ptr<Submission>& aSubmission)
+  -> void
+{
+  table_.Read({ PatchKey(aSubmission->state_.Patch().number_) },
+              [this, aSubmission](const ReadReply& aReply) {
+                auto& state = aSubmission->state_;
+                const auto rows = DecodePatches(aReply.rows_);
+                if (aReply.status_ != TableStatus::Done) {
+                  state.OnLost();
+                } else if (rows.empty()) {
+                  state.OnAbsent();
+                } else {
+                  state.OnRow(rows.front());
+                }
+                Drive(aSubmission);
+              });
+}
+
+auto ConfigKeeper::Finish(Submission& aSubmission) -> void
+{
+  const auto& state = aSubmission.state_;
+  const auto& patch = state.Patch();
+  AnswerContext context{ .request_ = aSubmission.mail_.request_,
+                         .version_ = patch.number_ };
+  auto& reply = aSubmission.mail_.reply_;
+  if (state.Next() == PatchSubmission::Step::Accepted) {
+    Take(patch, clock_.Now());
+    handlers_.onAccepted_(patch);
+    if (patch.number_ % kSnapshotEvery == 0) {
+      SaveSnapshot(follower_.InForce());
+    }
+    reply.Send(BuildReply({ .outcome_ = Outcome::Completed,
+                            .text_ = fmt::format("version {}", patch.number_) },
+                          context));
+    return;
+  }
+  if (state.Next() == PatchSubmission::Step::Refused) {
+    const auto& winner = *state.Winner();
+    OnNumberHeard(winner.number_, clock_.Now());
+    Take(winner, clock_.Now());
+    reply.Send(BuildReply(
+      Refusal({ .kind_ = ErrorKind::Conflict,
+                .message_ = fmt::format("version {} was taken by {}",
+                                        winner.number_, winner.author_),
+                .remedy_ = "read the newest version and patch that" }),
+      context));
+    return;
+  }
+  reply.Send(BuildReply(
+    { .outcome_ = Outcome::Unknown,
+      .error_ = { .kind_ = ErrorKind::Timeout,
+                  .message_ = fmt::format(
+                    "the table service does not say whether {} made version {}",
+                    patch.author_, patch.number_),
+                  .remedy_ = "look for that author in the history before "
+                             "sending the patch again" },
+      .retryAfter_ = std::chrono::seconds{ 2 } },
+    context));
+}
+
+auto ConfigKeeper::SaveSnapshot(const ConfigVersionPtr& aVersion) -> void
+{
+  if (settings_.objects_.empty()) {
+    return;
+  }
+  const auto number = aVersion->Number();
+  const auto body = json{ { "version", number },
+                          { "document", json::parse(aVersion->Document()) } };
+  http_.Send({ .method_ = "PUT",
+               .url_ = fmt::format("http://{}/v1/objects/config-{}",
+                                   settings_.objects_, number),
+               .body_ = body.dump(),
+               .timeout_ = settings_.timeout_ },
+             { .onEnd_ = [this, number](const HttpReply& aReply) {
+               if (aReply.end_ == HttpEnd::Answered && aReply.status_ == kOk) {
+                 // Two hosts may write this row in either order; the lower
+                 // number only means a few more patches to read.
+                 table_.Transact({ { .key_ = SnapshotKey(),
+                                     .value_ = std::to_string(number) } },
+                                 [](const TransactReply&) {});
+               }
+             } });
+}
+
+auto ConfigKeeper::OnHistoryAsked(HistoryAsked aAsked) -> void
+{
+  std::vector<RowKey> keys;
+  const auto last = std::min(follower_.Goal(), aAsked.after_ + kPatchesPerRead);
+  for (auto number = aAsked.after_ + 1; number <= last; ++number) {
+    keys.push_back(PatchKey(number));
+  }
+  const auto asked = std::make_shared<HistoryAsked>(std::move(aAsked));
+  table_.Read(std::move(keys), [asked](const ReadReply& aReply) {
+    if (aReply.status_ != TableStatus::Done) {
+      asked->reply_.Send(
+        BuildReply(Refusal({ .kind_ = ErrorKind::Unavailable,
+                             .message_ = "the table service does not answer",
+                             .remedy_ = "come back after the time given" },
+                           std::chrono::seconds{ 2 }),
+                   { .request_ = asked->request_ }));
+      return;
+    }
+    auto list = json::array();
+    for (const auto& patch : DecodePatches(aReply.rows_)) {
+      list.push_back(
+        { { "version", patch.number_ },
+          { "author", patch.author_ },
+          { "operations", json::parse(patch.operations_, nullptr, false) } });
+    }
+    asked->reply_.Send({ .body_ = json{ { "patches", list } }.dump() });
+  });
+}
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Server/ControlLoop.cpp
@@ -0,0 +1,472 @@
+#include "ControlLoop.h"
+
+#include "Log.h"
+
+#include <algorithm>
+
+namespace goldcrestcroft {
+
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds{ 20 };
+constexpr Duration kPublishPeriod = std::chrono::milliseconds{ 100 };
+constexpr Duration kExportPeriod = std::chrono::milliseconds{ 500 };
+constexpr Duration kProbeTimeout = std::chrono::milliseconds{ 300 };
+constexpr std::size_t kFanOut = 12;
+constexpr std::size_t kDigestRecords = 8;
+constexpr std::size_t kPoisonPerHeartbeat = 16;
+constexpr std::size_t kLoadItems = 64;
+constexpr std::size_t kLeavingItems = 64;
+constexpr std::size_t kMaxPoison = 4096;
+constexpr std::size_t kMaxSpans = 8192;
+constexpr int kReservationHeartbeats = 4;
+constexpr int kDatagramsPerTick = 512;
+
+} // namespace
+
+ControlLoop::ControlLoop(Options aOptions, PeerSocket aSocket,
+                         Metrics& aMetrics,
+                         std::function<void(TrafficMail)> aToTraffic)
+  : options_(std::move(aOptions))
+  , random_(options_.seed_)
+  , metrics_(aMetrics)
+  , toTraffic_(std::move(aToTraffic))
+  , http_({})
+  , table_({ .address_ = options_.settings_.platform_.table_,
+             .timeout_ = options_.settings_.platform_.timeout_,
+             .memory_ = options_.memory_ },
+           http_, metrics_)
+  , socket_(std::move(aSocket))
+  , codec_(options_.settings_.peers_.sharedKey_)
+  , peers_({ .self_ = { .host_ = options_.settings_.host_,
+                        .incarnation_ = options_.incarnation_,
+                        .zone_ = options_.settings_.zone_,
+                        .callerAddress_ =
+                          options_.settings_.callers_.listen_.ToString(),
+                        .peerAddress_ =
+                          options_.settings_.peers_.listen_.ToString() },
+             .suspectAfter_ = options_.settings_.peers_.suspectAfter_,
+             .goneAfter_ = options_.settings_.peers_.goneAfter_ },
+           clock_.Now())
+  , servers_({})
+  , config_(options_.settings_.platform_, options_.settings_.host_,
+            options_.incarnation_, http_, table_,
+            { .pickPeer_ =
+                [this](VersionNumber aNumber) { return PickPeer(aNumber); },
+              .askPeer_ = [this](VersionNumber aAfter) { AskPeer(aAfter); },
+              .onAccepted_ =
+                [this](const ConfigPatch& aPatch) {
+                  for (const auto& peer : peers_.Peers(clock_.Now())) {
+                    SendToPeer(peer, PatchReply{ { aPatch } });
+                  }
+                } },
+            clock_.Now())
+  , mail_([this] { http_.Wake(); })
+{
+}
+
+auto ControlLoop::Run() -> void
+{
+  while (!stopped_) {
+    Iterate();
+  }
+}
+
+auto ControlLoop::Stop() -> void
+{
+  stopped_ = true;
+  http_.Wake();
+}
+
+auto ControlLoop::Leave() -> void
+{
+  leaving_ = true;
+  http_.Wake();
+}
+
+auto ControlLoop::Iterate() -> void
+{
+  http_.Poll(kTick,
+             { { .descriptor_ = socket_.Descriptor(), .forReading_ = true } });
+  const auto now = clock_.Now();
+  // The pause check comes before anything that was heard during the pause.
+  config_.Tick(now);
+  for (const auto& host : peers_.Tick(now)) {
+    Log::Write(LogLevel::Warning, "entry host gone",
+               { { "peer", host.value_ } });
+    toTraffic_(PeerLost{ host });
+  }
+  ReceiveDatagrams(now);
+  for (auto& mail : mail_.TakeAll()) {
+    OnMail(std::move(mail));
+  }
+  if (leaving_ && leavingSince_ == TimePoint{}) {
+    leavingSince_ = now;
+    peers_.SetLeaving();
+    heartbeatDue_ = true;
+    nextPublish_ = now;
+  }
+  if (heartbeatDue_ || now >= nextHeartbeat_) {
+    SendHeartbeats(now);
+  }
+  PollMembers(now);
+  ProbeServers(now);
+  ExportSpans(now);
+  Publish(now);
+}
+
+auto ControlLoop::OnMail(ControlMail aMail) -> void
+{
+  const auto now = clock_.Now();
+  if (auto* load = std::get_if<LoadExported>(&aMail)) {
+    load_ = std::move(load->load_);
+  } else if (const auto* seen = std::get_if<ServerSeen>(&aMail)) {
+    OnServerSeen(*seen, now);
+  } else if (const auto* poison = std::get_if<PoisonFound>(&aMail)) {
+    for (const auto& news : poison->news_) {
+      if (poison_.size() < kMaxPoison) {
+        poison_[news.fingerprint_] = news;
+      }
+    }
+    heartbeatDue_ = true;
+  } else if (auto* reserved = std::get_if<ServersReserved>(&aMail)) {
+    reserved_ = std::move(reserved->servers_);
+    heartbeatDue_ = true;
+  } else if (auto* patch = std::get_if<PatchSubmitted>(&aMail)) {
+    config_.OnSubmitted(std::move(*patch));
+  } else if (auto* asked = std::get_if<HistoryAsked>(&aMail)) {
+    config_.OnHistoryAsked(std::move(*asked));
+  } else if (auto* ended = std::get_if<SpansEnded>(&aMail)) {
+    const auto room = kMaxSpans - std::min(kMaxSpans, spans_.size());
+    const auto taken = std::min(room, ended->spans_.size());
+    std::move(ended->spans_.begin(),
+              ended->spans_.begin() + static_cast<long>(taken),
+              std::back_inserter(spans_));
+    metrics_.CountDroppedSpans(ended->spans_.size() - taken);
+  }
+}
+
+auto ControlLoop::OnServerSeen(const ServerSeen& aSeen, TimePoint aNow) -> void
+{
+  switch (aSeen.what_) {
+    case ServerSeen::What::Leaving:
+      heartbeatDue_ = heartbeatDue_ || !servers_.IsLeaving(aSeen.server_, aNow);
+      servers_.OnLeaving(aSeen.server_, ServerDirectory::Source::Server, aNow);
+      break;
+    case ServerSeen::What::Down:
+      servers_.OnDown(aSeen.server_, aNow);
+      break;
+    case ServerSeen::What::Up:
+      servers_.OnUp(aSeen.server_);
+      break;
+  }
+  nextPublish_ = aNow;
+}
+
+auto ControlLoop::ReceiveDatagrams(TimePoint aNow) -> void
+{
+  for (auto i = 0; i < kDatagramsPerTick; ++i) {
+    const auto received = socket_.Receive();
+    if (!received) {
+      return;
+    }
+    metrics_.CountDatagram("in", received->datagram_.size());
+    Handle(
+      [&]() -> Result<void> {
+        BOOST_LEAF_AUTO(message, codec_.Open(received->datagram_));
+        OnMessage(message, received->from_, aNow);
+        return {};
+      },
+      [&](const Error& aError) {
+        metrics_.CountDatagram("rejected", received->datagram_.size());
+        Log::Write(LogLevel::Debug, "datagram rejected",
+                   { { "from", received->from_.ToString() },
+                     { "reason", aError.message_ } });
+      });
+  }
+}
+
+auto ControlLoop::OnMessage(const Message& aMessage, const Endpoint& aFrom,
+                            TimePoint aNow) -> void
+{
+  if (const auto* heartbeat = std::get_if<Heartbeat>(&aMessage)) {
+    OnHeartbeat(*heartbeat, aNow);
+  } else if (const auto* request = std::get_if<PatchRequest>(&aMessage)) {
+    auto patches = config_.PatchesAfter(request->after_);
+    if (!patches.empty()) {
+      SendTo(aFrom, PatchReply{ std::move(patches) });
+    }
+  } else if (const auto* reply = std::get_if<PatchReply>(&aMessage)) {
+    config_.OnPatches(reply->patches_, aNow);
+    nextPublish_ = aNow;
+  }
+}
+
+auto ControlLoop::OnHeartbeat(const Heartbeat& aHeartbeat, TimePoint aNow)
+  -> void
+{
+  for (const auto& record : aHeartbeat.passedOn_) {
+    peers_.OnRecord(record, aNow);
+  }
+  const auto& sender = aHeartbeat.sender_.host_;
+  if (!peers_.OnRecord(aHeartbeat.sender_, aNow)) {
+    return; // late or doubled; a newer one has been heard
+  }
+  peerVersions_[sender] = aHeartbeat.newestVersion_;
+  config_.OnNumberHeard(aHeartbeat.newestVersion_, aNow);
+  toTraffic_(
+    PeerLoadHeard{ Expand(aHeartbeat.load_, sender, *config_.InForce()) });
+  for (const auto& server : aHeartbeat.leavingServers_) {
+    servers_.OnLeaving(server, ServerDirectory::Source::Peer, aNow);
+  }
+  auto& reserved = peersReserved_[sender];
+  if (reserved.servers_ != aHeartbeat.reservedServers_) {
+    nextPublish_ = aNow;
+  }
+  reserved = { .servers_ = aHeartbeat.reservedServers_,
+               .until_ = aNow + kReservationHeartbeats *
+                                  options_.settings_.peers_.heartbeat_ };
+  if (!aHeartbeat.poison_.empty()) {
+    toTraffic_(PoisonHeard{ aHeartbeat.poison_ });
+  }
+}
+
+auto ControlLoop::BuildHeartbeat(TimePoint aNow) -> Heartbeat
+{
+  Heartbeat heartbeat{ .sender_ = peers_.Beat(),
+                       .newestVersion_ = config_.InForce()->Number(),
+                       .load_ = Compact(load_, *config_.InForce(), kLoadItems),
+                       .leavingServers_ = servers_.LeavingFirstHand(aNow),
+                       .reservedServers_ = reserved_ };
+  if (peers_.Peers(aNow).size() > kFanOut) {
+    heartbeat.passedOn_ = peers_.TakeDigest(kDigestRecords, aNow);
+  }
+  if (heartbeat.leavingServers_.size() > kLeavingItems) {
+    heartbeat.leavingServers_.resize(kLeavingItems);
+  }
+  for (auto next = poison_.begin();
+       next != poison_.end() && heartbeat.poison_.size() < kPoisonPerHeartbeat;
+       next = poison_.erase(next)) {
+    heartbeat.poison_.push_back(next->second);
+  }
+  return heartbeat;
+}
+
+auto ControlLoop::ChoosePeers(TimePoint aNow) -> std::vector<PeerRecord>
+{
+  auto peers = peers_.Peers(aNow);
+  if (peers.size() > kFanOut) {
+    std::shuffle(peers.begin(), peers.end(), random_);
+    peers.resize(kFanOut);
+  }
+  return peers;
+}
+
+auto ControlLoop::SendHeartbeats(TimePoint aNow) -> void
+{
+  // Poison travels with one heartbeat, so that one goes to everybody.
+  const auto urgent = !poison_.empty();
+  const Message message = BuildHeartbeat(aNow);
+  const auto peers = urgent ? peers_.Peers(aNow) : ChoosePeers(aNow);
+  std::vector<std::string> addresses;
+  for (const auto& peer : peers) {
+    SendToPeer(peer, message);
+    addresses.push_back(peer.peerAddress_);
+  }
+  for (const auto& seed : options_.settings_.peers_.seeds_) {
+    const auto known = std::find(addresses.begin(), addresses.end(),
+                                 seed.ToString()) != addresses.end();
+    if (!known && seed != options_.settings_.peers_.listen_) {
+      SendTo(seed, message);
+    }
+  }
+  heartbeatDue_ = !poison_.empty();
+  // The jitter keeps hosts that started together from beating together.
+  const auto period = options_.settings_.peers_.heartbeat_;
+  const auto jitter = static_cast<Duration::rep>(
+    0.2 * UniformUnit(random_) * static_cast<double>(period.count()));
+  nextHeartbeat_ = aNow + period - Duration(jitter);
+}
+
+auto ControlLoop::SendToPeer(const PeerRecord& aPeer, const Message& aMessage)
+  -> void
+{
+  Handle(
+    [&]() -> Result<void> {
+      BOOST_LEAF_AUTO(endpoint, ParseEndpoint(aPeer.peerAddress_));
+      SendTo(endpoint, aMessage);
+      return {};
+    },
+    [](const Error&) {});
+}
+
+auto ControlLoop::SendTo(const Endpoint& aTo, const Message& aMessage) -> void
+{
+  Handle(
+    [&]() -> Result<void> {
+      BOOST_LEAF_AUTO(datagram, codec_.Seal(aMessage));
+      metrics_.CountDatagram("out", datagram.size());
+      socket_.Send(aTo, datagram);
+      return {};
+    },
+    [](const Error& aError) {
+      Log::Write(LogLevel::Warning, "message not sent",
+                 { { "reason", aError.message_ } });
+    });
+}
+
+auto ControlLoop::AskPeer(VersionNumber aAfter) -> void
+{
+  std::vector<PeerRecord> able;
+  for (const auto& peer : peers_.Peers(clock_.Now())) {
+    if (peerVersions_[peer.host_] > aAfter) {
+      able.push_back(peer);
+    }
+  }
+  if (!able.empty()) {
+    SendToPeer(able[UniformBelow(random_, able.size())],
+               PatchRequest{ aAfter });
+  }
+}
+
+auto ControlLoop::PickPeer(VersionNumber aNumber) -> std::string
+{
+  std::vector<std::string> able;
+  for (const auto& peer : peers_.Peers(clock_.Now())) {
+    if (peerVersions_[peer.host_] >= aNumber) {
+      able.push_back(peer.callerAddress_);
+    }
+  }
+  return able.empty() ? "" : able[UniformBelow(random_, able.size())];
+}
+
+auto ControlLoop::PollMembers(TimePoint aNow) -> void
+{
+  const auto& platform = options_.settings_.platform_;
+  if (platform.members_.empty() || membersAsked_ || aNow < nextMembers_) {
+    return;
+  }
+  membersAsked_ = true;
+  nextMembers_ = aNow + platform.membersPeriod_;
+  http_.Send({ .method_ = "GET",
+               .url_ = "http://" + platform.members_ + "/v1/members",
+               .timeout_ = platform.timeout_ },
+             { .onEnd_ = [this](const HttpReply& aReply) {
+               constexpr long kOk = 200;
+               membersAsked_ = false;
+               if (aReply.end_ != HttpEnd::Answered || aReply.status_ != kOk) {
+                 return;
+               }
+               Handle(
+                 [&]() -> Result<void> {
+                   BOOST_LEAF_AUTO(members, DecodeMemberList(aReply.body_));
+                   servers_.OnList(members, clock_.Now());
+                   return {};
+                 },
+                 [](const Error& aError) {
+                   Log::Write(LogLevel::Warning, "membership list unreadable",
+                              { { "reason", aError.message_ } });
+                 });
+             } });
+}
+
+auto ControlLoop::ProbeServers(TimePoint aNow) -> void
+{
+  for (const auto& id : servers_.TakeProbes(aNow)) {
+    const auto* server = config_.InForce()->Content().FindServer(id);
+    if (server == nullptr) {
+      servers_.OnUp(id);
+      continue;
+    }
+    http_.Send({ .method_ = "GET",
+                 .url_ = "http://" + server->address_ + "/healthz",
+                 .timeout_ = kProbeTimeout,
+                 .connectTimeout_ = kProbeTimeout,
+                 .fresh_ = true },
+               { .onEnd_ = [this, id](const HttpReply& aReply) {
+                 if (aReply.end_ == HttpEnd::Answered) {
+                   servers_.OnUp(id);
+                   nextPublish_ = clock_.Now();
+                 }
+               } });
+  }
+}
+
+auto ControlLoop::ExportSpans(TimePoint aNow) -> void
+{
+  if (spans_.empty() || aNow < nextExport_) {
+    return;
+  }
+  nextExport_ = aNow + kExportPeriod;
+  const auto spans = std::exchange(spans_, {});
+  const auto count = spans.size();
+  http_.Send({ .url_ = "http://" + options_.settings_.collector_ + "/v1/traces",
+               .body_ = EncodeSpans(spans, options_.settings_.host_),
+               .timeout_ = std::chrono::seconds{ 2 } },
+             { .onEnd_ = [this, count](const HttpReply& aReply) {
+               if (aReply.end_ != HttpEnd::Answered) {
+                 metrics_.CountDroppedSpans(count);
+               }
+             } });
+}
+
+auto ControlLoop::BuildView(TimePoint aNow) const -> ControlView
+{
+  const auto& settings = options_.settings_;
+  ControlView view{ .config_ = config_.InForce(),
+                    .confirmed_ = config_.Confirmed(),
+                    .leaving_ = leavingSince_ != TimePoint{} };
+  view.forgotten_ =
+    view.leaving_ && aNow - leavingSince_ >= settings.callers_.keepHosts_ +
+                                               2 * settings.peers_.heartbeat_;
+  for (const auto& pool : view.config_->Content().Pools()) {
+    for (const auto& server : pool.servers_) {
+      if (!servers_.MayServe(server.id_, aNow)) {
+        view.closed_.insert(server.id_);
+      }
+    }
+  }
+  for (const auto& [host, reservation] : peersReserved_) {
+    if (aNow < reservation.until_) {
+      view.closed_.insert(reservation.servers_.begin(),
+                          reservation.servers_.end());
+    }
+  }
+  if (!view.leaving_) {
+    const auto& self = peers_.Self();
+    view.hosts_.push_back({ .host_ = self.host_,
+                            .address_ = self.callerAddress_,
+                            .zone_ = self.zone_ });
+  }
+  for (const auto& peer : peers_.All()) {
+    const auto state = peers_.StateOf(peer.host_, aNow);
+    view.peers_.push_back({ .host_ = peer.host_,
+                            .incarnation_ = peer.incarnation_,
+                            .gone_ = state == PeerState::Gone });
+    if (state == PeerState::Live) {
+      view.hosts_.push_back({ .host_ = peer.host_,
+                              .address_ = peer.callerAddress_,
+                              .zone_ = peer.zone_ });
+    }
+  }
+  return view;
+}
+
+auto ControlLoop::Publish(TimePoint aNow) -> void
+{
+  const auto current = view_.load();
+  const auto configChanged = config_.InForce() != current->config_ ||
+                             config_.Confirmed() != current->confirmed_;
+  if (aNow < nextPublish_ && !configChanged) {
+    return;
+  }
+  nextPublish_ = aNow + kPublishPeriod;
+  auto view = BuildView(aNow);
+  metrics_.SetConfigVersion(view.config_->Number());
+  metrics_.SetPeers(view.hosts_.size());
+  if (view != *current) {
+    view_.store(std::make_shared<const ControlView>(std::move(view)));
+  }
+}
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Server/ControlLoop.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "../../Wire.h"
+#include "ConfigKeeper.h"
+#include "ControlView.h"
+#include "Mailbox.h"
+#include "PeerSocket.h"
+#include "TrafficMail.h"
+
+#include <atomic>
+
+namespace goldcrestcroft {
+
+/** \brief The one thread of control state: membership, configuration, news
+ * between hosts, probes and trace export.
+ *
+ * It publishes immutable views; other threads reach it by mail only. */
+class ControlLoop
+{
+public:
+  struct Options
+  {
+    Settings settings_;
+    Incarnation incarnation_ = 0;
+    std::uint64_t seed_ = 0;
+    /** For an embedded host. */
+    std::shared_ptr<SharedMemoryTable> memory_;
+  };
+
+  ControlLoop(Options aOptions, PeerSocket aSocket, Metrics& aMetrics,
+              std::function<void(TrafficMail)> aToTraffic);
+
+  /** \brief Runs until Stop; call on its own thread. */
+  auto Run() -> void;
+  /** \brief Ends Run; from any thread. */
+  auto Stop() -> void;
+  /** \brief Starts a planned stop: callers are sent elsewhere. Any thread. */
+  auto Leave() -> void;
+  auto Post(ControlMail aMail) -> void { mail_.Post(std::move(aMail)); }
+  [[nodiscard]] auto View() const -> ControlViewPtr { return view_.load(); }
+
+private:
+  struct Reservation
+  {
+    std::vector<ServerId> servers_;
+    TimePoint until_;
+  };
+
+  auto Iterate() -> void;
+  auto OnMail(ControlMail aMail) -> void;
+  auto OnServerSeen(const ServerSeen& aSeen, TimePoint aNow) -> void;
+  auto ReceiveDatagrams(TimePoint aNow) -> void;
+  auto OnHeartbeat(const Heartbeat& aHeartbeat, TimePoint aNow) -> void;
+  auto OnMessage(const Message& aMessage, const Endpoint& aFrom, TimePoint aNow)
+    -> void;
+  auto SendHeartbeats(TimePoint aNow) -> void;
+  auto BuildHeartbeat(TimePoint aNow) -> Heartbeat;
+  auto SendTo(const Endpoint& aTo, const Message& aMessage) -> void;
+  auto SendToPeer(const PeerRecord& aPeer, const Message& aMessage) -> void;
+  auto ChoosePeers(TimePoint aNow) -> std::vector<PeerRecord>;
+  auto AskPeer(VersionNumber aAfter) -> void;
+  auto PickPeer(VersionNumber aNumber) -> std::string;
+  auto PollMembers(TimePoint aNow) -> void;
+  auto ProbeServers(TimePoint aNow) -> void;
+  auto ExportSpans(TimePoint aNow) -> void;
+  auto Publish(TimePoint aNow) -> void;
+  [[nodiscard]] auto BuildView(TimePoint aNow) const -> ControlView;
+
+  Options options_;
+  SteadyClock clock_;
+  RandomEngine random_;
+  Metrics& metrics_;
+  std::function<void(TrafficMail)> toTraffic_;
+  HttpClient http_;
+  PlatformTable table_;
+  PeerSocket socket_;
+  MessageCodec codec_;
+  PeerTable peers_;
+  std::map<HostId, VersionNumber> peerVersions_;
+  ServerDirectory servers_;
+  ConfigKeeper config_;
+  Mailbox<ControlMail> mail_;
+  HostLoad load_;
+  std::vector<ServerId> reserved_;
+  std::map<HostId, Reservation> peersReserved_;
+  std::map<std::uint64_t, PoisonNews> poison_;
+  std::vector<Span> spans_;
+  bool membersAsked_ = false;
+  bool heartbeatDue_ = false;
+  TimePoint nextHeartbeat_{};
+  TimePoint nextMembers_{};
+  TimePoint nextExport_{};
+  TimePoint nextPublish_{};
+  TimePoint leavingSince_{};
+  std::atomic<bool> leaving_ = false;
+  std::atomic<bool> stopped_ = false;
+  std::atomic<ControlViewPtr> view_{ std::make_shared<const ControlView>() };
+};
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Server/HttpClient.cpp
@@ -0,0 +1,373 @@
+#include "HttpClient.h"
+
+#include <curl/curl.h>
+
+#include <cstring>
+#include <strings.h>
+#include <unordered_map>
+
+namespace goldcrestcroft {
+
+namespace {
+
+constexpr Duration kSilenceCheckPeriod = std::chrono::milliseconds{ 5 };
+
+/** One exchange with its easy handle. */
+struct Exchange
+{
+  ExchangeId id_ = 0;
+  CURL* easy_ = nullptr;
+  curl_slist* headers_ = nullptr;
+  HttpRequest request_;
+  HttpHandlers handlers_;
+  HttpReply reply_;
+  std::string arrived_;
+  std::size_t bodySent_ = 0;
+  bool bodyTaken_ = false;
+  TimePoint lastMove_;
+  /** Where to note that bytes for onBytes_ have arrived. */
+  std::vector<ExchangeId>* touched_ = nullptr;
+};
+
+auto HasPrefix(std::string_view aLine, std::string_view aName) -> bool
+{
+  return aLine.size() > aName.size() &&
+         strncasecmp(aLine.data(), aName.data(), aName.size()) == 0;
+}
+
+auto HeaderValue(std::string_view aLine, std::string_view aName) -> std::string
+{
+  aLine.remove_prefix(aName.size());
+  const auto first = aLine.find_first_not_of(' ');
+  const auto last = aLine.find_last_not_of("\r\n ");
+  return first == std::string_view::npos || last == std::string_view::npos
+           ? std::string()
+           : std::string(aLine.substr(first, last - first + 1));
+}
+
+auto OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aUser)
+  -> std::size_t
+{
+  constexpr std::string_view kAttempt = "x-attempt-id:";
+  constexpr std::string_view kLeaving = "x-leaving:";
+  constexpr std::string_view kInFlight = "x-in-flight:";
+  auto& exchange = *static_cast<Exchange*>(aUser);
+  const std::string_view line(aData, aSize * aCount);
+  exchange.lastMove_ = SteadyClock{}.Now();
+  if (HasPrefix(line, "HTTP/")) {
+    curl_easy_getinfo(exchange.easy_, CURLINFO_RESPONSE_CODE,
+                      &exchange.reply_.status_);
+  } else if (HasPrefix(line, kAttempt)) {
+    exchange.reply_.attempt_ = HeaderValue(line, kAttempt);
+  } else if (HasPrefix(line, kLeaving)) {
+    exchange.reply_.leaving_ = HeaderValue(line, kLeaving) == "1";
+  } else if (HasPrefix(line, kInFlight)) {
+    exchange.reply_.inFlight_ =
+      std::strtod(HeaderValue(line, kInFlight).c_str(), nullptr);
+  }
+  return line.size();
+}
+
+auto OnWrite(char* aData, std::size_t aSize, std::size_t aCount, void* aUser)
+  -> std::size_t
+{
+  auto& exchange = *static_cast<Exchange*>(aUser);
+  exchange.lastMove_ = SteadyClock{}.Now();
+  if (exchange.handlers_.onBytes_ && exchange.arrived_.empty()) {
+    exchange.touched_->push_back(exchange.id_);
+  }
+  exchange.arrived_.append(aData, aSize * aCount);
+  return aSize * aCount;
+}
+
+// libcurl sends a request again, unasked, when a pooled connection turns out
+// dead, also after the server has read and perhaps run it. It must rewind the
+// body for that, and cannot: this callback has no seeking counterpart.
+auto OnRead(char* aBuffer, std::size_t aSize, std::size_t aCount, void* aUser)
+  -> std::size_t
+{
+  auto& exchange = *static_cast<Exchange*>(aUser);
+  const auto& body = exchange.request_.body_;
+  const auto bytes = std::min(aSize * aCount, body.size() - exchange.bodySent_);
+  std::memcpy(aBuffer, body.data() + exchange.bodySent_, bytes);
+  exchange.bodySent_ += bytes;
+  exchange.bodyTaken_ = true;
+  return bytes;
+}
+
+} // namespace
+
+class HttpClient::Impl
+{
+public:
+  explicit Impl(Options aOptions)
+    : options_(aOptions)
+    , multi_(curl_multi_init())
+  {
+    curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, options_.maxPooled_);
+  }
+
+  ~Impl()
+  {
+    while (!exchanges_.empty()) {
+      Cancel(exchanges_.begin()->first);
+    }
+    for (auto* easy : spare_) {
+      curl_easy_cleanup(easy);
+    }
+    curl_multi_cleanup(multi_);
+  }
+
+  Impl(const Impl&) = delete;
+  auto operator=(const Impl&) -> Impl& = delete;
+
+  auto Send(HttpRequest aRequest, HttpHandlers aHandlers) -> ExchangeId
+  {
+    auto exchange = std::make_unique<Exchange>();
+    exchange->id_ = ++lastId_;
+    exchange->easy_ = TakeEasy();
+    exchange->request_ = std::move(aRequest);
+    exchange->handlers_ = std::move(aHandlers);
+    exchange->lastMove_ = SteadyClock{}.Now();
+    exchange->touched_ = &touched_;
+    Configure(*exchange);
+    curl_multi_add_handle(multi_, exchange->easy_);
+    const auto id = exchange->id_;
+    exchanges_.emplace(id, std::move(exchange));
+    return id;
+  }
+
+  auto Cancel(ExchangeId aExchange) -> void { Retire(aExchange); }
+
+  auto Poll(Duration aTimeout, const std::vector<WatchedDescriptor>& aWatched)
+    -> void
+  {
+    auto running = 0;
+    curl_multi_perform(multi_, &running);
+    if (Deliver()) {
+      return;
+    }
+    std::vector<curl_waitfd> extra;
+    extra.reserve(aWatched.size());
+    for (const auto& watched : aWatched) {
+      const auto events = (watched.forReading_ ? CURL_WAIT_POLLIN : 0) |
+                          (watched.forWriting_ ? CURL_WAIT_POLLOUT : 0);
+      extra.push_back({ .fd = watched.descriptor_,
+                        .events = static_cast<short>(events),
+                        .revents = 0 });
+    }
+    const auto wait =
+      std::chrono::ceil<std::chrono::milliseconds>(aTimeout).count();
+    curl_multi_poll(multi_, extra.data(), static_cast<unsigned>(extra.size()),
+                    static_cast<int>(wait), nullptr);
+    curl_multi_perform(multi_, &running);
+    Deliver();
+    EndSilent();
+  }
+
+  auto Wake() -> void { curl_multi_wakeup(multi_); }
+
+  [[nodiscard]] auto UnderWay() const -> std::size_t
+  {
+    return exchanges_.size();
+  }
+
+private:
+  auto TakeEasy() -> CURL*
+  {
+    if (spare_.empty()) {
+      return curl_easy_init();
+    }
+    auto* easy = spare_.back();
+    spare_.pop_back();
+    return easy;
+  }
+
+  auto Configure(Exchange& aExchange) -> void
+  {
+    auto* easy = aExchange.easy_;
+    const auto& request = aExchange.request_;
+    const auto milliseconds = [](Duration aDuration) {
+      return static_cast<long>(
+        std::chrono::ceil<std::chrono::milliseconds>(aDuration).count());
+    };
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, &aExchange);
+    curl_easy_setopt(easy, CURLOPT_URL, request.url_.c_str());
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, milliseconds(request.timeout_));
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     milliseconds(request.connectTimeout_));
+    curl_easy_setopt(
+      easy, CURLOPT_MAXAGE_CONN,
+      static_cast<long>(
+        std::chrono::ceil<std::chrono::seconds>(options_.maxIdle_).count()));
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request.fresh_ ? 1L : 0L);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, OnHeader);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &aExchange);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, OnWrite);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &aExchange);
+    if (request.method_ == "GET") {
+      curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
+    } else {
+      curl_easy_setopt(easy, CURLOPT_POST, 1L);
+      curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method_.c_str());
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                       static_cast<curl_off_t>(request.body_.size()));
+      curl_easy_setopt(easy, CURLOPT_READFUNCTION, OnRead);
+      curl_easy_setopt(easy, CURLOPT_READDATA, &aExchange);
+    }
+    auto* headers = curl_slist_append(nullptr, "Expect:");
+    headers = curl_slist_append(headers, "Content-Type: application/json");
+    for (const auto& line : request.headers_) {
+      headers = curl_slist_append(headers, line.c_str());
+    }
+    aExchange.headers_ = headers;
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
+  }
+
+  auto Retire(ExchangeId aExchange) -> std::unique_ptr<Exchange>
+  {
+    const auto found = exchanges_.find(aExchange);
+    if (found == exchanges_.end()) {
+      return nullptr;
+    }
+    auto exchange = std::move(found->second);
+    exchanges_.erase(found);
+    curl_multi_remove_handle(multi_, exchange->easy_);
+    curl_easy_reset(exchange->easy_);
+    spare_.push_back(exchange->easy_);
+    curl_slist_free_all(exchange->headers_);
+    return exchange;
+  }
+
+  auto End(ExchangeId aExchange, HttpEnd aEnd, std::string aError) -> void
+  {
+    const auto exchange = Retire(aExchange);
+    if (!exchange) {
+      return;
+    }
+    exchange->reply_.end_ = aEnd;
+    exchange->reply_.error_ = std::move(aError);
+    if (!exchange->handlers_.onBytes_) {
+      exchange->reply_.body_ = std::move(exchange->arrived_);
+    }
+    if (exchange->handlers_.onEnd_) {
+      exchange->handlers_.onEnd_(exchange->reply_);
+    }
+  }
+
+  /** Hands out pieces of streams, then ends. Handlers may send and cancel. */
+  auto Deliver() -> bool
+  {
+    const auto withBytes = std::exchange(touched_, {});
+    for (const auto id : withBytes) {
+      const auto found = exchanges_.find(id);
+      if (found == exchanges_.end()) {
+        continue;
+      }
+      const auto bytes = std::exchange(found->second->arrived_, {});
+      const auto reply = found->second->reply_;
+      const auto handler = found->second->handlers_.onBytes_;
+      handler(reply, bytes);
+    }
+    std::vector<std::pair<ExchangeId, CURLcode>> ended;
+    auto left = 0;
+    while (const auto* message = curl_multi_info_read(multi_, &left)) {
+      if (message->msg == CURLMSG_DONE) {
+        Exchange* exchange = nullptr;
+        curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &exchange);
+        ended.emplace_back(exchange->id_, message->data.result);
+      }
+    }
+    for (const auto& [id, code] : ended) {
+      EndWith(id, code);
+    }
+    return !withBytes.empty() || !ended.empty();
+  }
+
+  auto EndWith(ExchangeId aExchange, CURLcode aCode) -> void
+  {
+    const auto found = exchanges_.find(aExchange);
+    if (found == exchanges_.end()) {
+      return;
+    }
+    const auto taken = found->second->bodyTaken_;
+    const std::string error =
+      aCode == CURLE_OK ? "" : curl_easy_strerror(aCode);
+    if (aCode == CURLE_OK) {
+      End(aExchange, HttpEnd::Answered, error);
+    } else if (!taken) {
+      End(aExchange, HttpEnd::NotSent, error);
+    } else if (aCode == CURLE_OPERATION_TIMEDOUT) {
+      End(aExchange, HttpEnd::Silent, error);
+    } else {
+      End(aExchange, HttpEnd::Broken, error);
+    }
+  }
+
+  auto EndSilent() -> void
+  {
+    const auto now = SteadyClock{}.Now();
+    if (now < nextSilenceCheck_) {
+      return;
+    }
+    nextSilenceCheck_ = now + kSilenceCheckPeriod;
+    std::vector<ExchangeId> silent;
+    for (const auto& [id, exchange] : exchanges_) {
+      const auto bound = exchange->request_.silence_;
+      if (bound.count() > 0 && now - exchange->lastMove_ >= bound) {
+        silent.push_back(id);
+      }
+    }
+    for (const auto id : silent) {
+      const auto taken = exchanges_.at(id)->bodyTaken_;
+      End(id, taken ? HttpEnd::Silent : HttpEnd::NotSent, "silent");
+    }
+  }
+
+  Options options_;
+  CURLM* multi_;
+  std::unordered_map<ExchangeId, std::unique_ptr<Exchange>> exchanges_;
+  std::vector<CURL*> spare_;
+  std::vector<ExchangeId> touched_;
+  TimePoint nextSilenceCheck_{};
+  ExchangeId lastId_ = 0;
+};
+
+HttpClient::HttpClient(Options aOptions)
+  : impl_(std::make_unique<Impl>(aOptions))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+auto HttpClient::Send(HttpRequest aRequest, HttpHandlers aHandlers)
+  -> ExchangeId
+{
+  return impl_->Send(std::move(aRequest), std::move(aHandlers));
+}
+
+auto HttpClient::Cancel(ExchangeId aExchange) -> void
+{
+  impl_->Cancel(aExchange);
+}
+
+auto HttpClient::Poll(Duration aTimeout,
+                      const std::vector<WatchedDescriptor>& aWatched) -> void
+{
+  impl_->Poll(aTimeout, aWatched);
+}
+
+auto HttpClient::Wake() -> void
+{
+  impl_->Wake();
+}
+
+auto HttpClient::UnderWay() const -> std::size_t
+{
+  return impl_->UnderWay();
+}
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Server/IncomingRequest.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "../../Pipeline.h"
+#include "CallerReply.h"
+#include "TraceContext.h"
+
+#include <optional>
+
+namespace goldcrestcroft {
+
+/** \brief A caller's request as it reached this host, before any check. */
+struct RawRequest
+{
+  std::string pipeline_;
+  std::string workspace_;
+  std::string deadlineMilliseconds_;
+  std::string idempotencyKey_;
+  std::string firstSubmission_;
+  std::string traceparent_;
+  std::string body_;
+};
+
+/** \brief A request that is well-formed and allowed. */
+struct CheckedRequest
+{
+  ConfigVersionPtr config_;
+  PipelineId pipeline_;
+  WorkspaceId workspace_;
+  PipelineInput input_;
+  Duration deadline_{ 0 };
+  bool streamed_ = false;
+  bool idempotent_ = true;
+  IdempotencyKey key_;
+  bool firstSubmission_ = false;
+  std::optional<TraceContext> parent_;
+  /** Of workspace and input, to recognise a request that crashes servers. */
+  std::uint64_t fingerprint_ = 0;
+};
+
+/** \brief A checked request and where its reply goes. */
+struct IncomingRequest
+{
+  RequestId id_;
+  CheckedRequest request_;
+  CallerReply reply_;
+  TimePoint arrivedAt_;
+};
+
+/** \brief Checks a request against a configuration.
+ *
+ * Fails with InvalidArgument, NotFound or Forbidden, naming the remedy. */
+auto CheckRequest(const RawRequest& aRaw, const ConfigVersionPtr& aConfig)
+  -> Result<CheckedRequest>;
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Server/Metrics.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "../../Core.h"
+
+#include <memory>
+#include <string>
+
+namespace goldcrestcroft {
+
+/** \brief What an entry host counts, for /metrics. Safe for all threads. */
+class Metrics
+{
+public:
+  Metrics();
+  ~Metrics();
+  Metrics(const Metrics&) = delete;
+  auto operator=(const Metrics&) -> Metrics& = delete;
+
+  auto CountRequest(const PipelineId& aPipeline, Outcome aOutcome,
+                    Duration aTook) -> void;
+  auto CountAttempt(const PoolId& aPool, const std::string& aResult,
+                    Duration aTook) -> void;
+  /** \brief Answers that were late, short, doubled or another attempt's. */
+  auto CountDropped(unsigned aCount) -> void;
+  auto CountRefused(const std::string& aReason) -> void;
+  auto CountHedge(const PoolId& aPool) -> void;
+  auto CountTableCall(const std::string& aResult) -> void;
+  auto CountDatagram(const std::string& aDirection, std::size_t aBytes) -> void;
+  auto CountDroppedSpans(std::size_t aCount) -> void;
+  auto CountPoison(const std::string& aVerdict) -> void;
+  auto SetConfigVersion(VersionNumber aNumber) -> void;
+  auto SetWaiting(std::size_t aWaiting, std::size_t aInFlight) -> void;
+  auto SetPeers(std::size_t aLive) -> void;
+
+  /** \brief All of it in the text format of Prometheus. */
+  [[nodiscard]] auto Expose() const -> std::string;
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Server/OnceKeeper.cpp
@@ -0,0 +1,340 @@
+#include "OnceKeeper.h"
+
+#include "Log.h"
+
+namespace goldcrestcroft {
+
+namespace {
+
+// An insert that is still on its way somewhere lands within this time.
+constexpr Duration kLateInsert = std::chrono::seconds{ 20 };
+constexpr Duration kCleanPeriod = std::chrono::seconds{ 1 };
+constexpr std::size_t kMaxLeftovers = 4096;
+constexpr std::size_t kMaxUnrecorded = 4096;
+constexpr unsigned kMaxRecordTries = 600;
+
+auto ReadRow(const Row& aRow) -> OnceRow
+{
+  // An unreadable row proves that somebody holds the key, and nothing else.
+  return Handle([&] { return DecodeOnceRow(aRow.value_); },
+                [](const Error&) { return OnceRow{}; });
+}
+
+} // namespace
+
+auto OnceKeeper::Begin(OnceExecution::Options aOptions, Handlers aHandlers,
+                       TimePoint aNow) -> void
+{
+  const auto attempt = aOptions.attempt_;
+  entries_.emplace(attempt,
+                   Entry{ .execution_ = OnceExecution(std::move(aOptions)),
+                          .handlers_ = std::move(aHandlers) });
+  Drive(attempt, aNow);
+  Pump(aNow);
+}
+
+auto OnceKeeper::IsRunning(const AttemptId& aAttempt) const -> bool
+{
+  const auto found = entries_.find(aAttempt);
+  return found != entries_.end() &&
+         found->second.execution_.Next() == OnceExecution::Step::Running;
+}
+
+auto OnceKeeper::IsIdle() const -> bool
+{
+  return entries_.empty() && unrecorded_.empty() && leftovers_.empty();
+}
+
+auto OnceKeeper::TryDispatch(const AttemptId& aAttempt, TimePoint aNow) -> bool
+{
+  const auto found = entries_.find(aAttempt);
+  if (found == entries_.end()) {
+    return false;
+  }
+  if (found->second.execution_.TryDispatch(aNow)) {
+    return true;
+  }
+  Drive(aAttempt, aNow);
+  return false;
+}
+
+auto OnceKeeper::Refuse(const AttemptId& aAttempt, TimePoint aNow) -> void
+{
+  const auto found = entries_.find(aAttempt);
+  if (found != entries_.end()) {
+    found->second.execution_.OnRefused();
+    Drive(aAttempt, aNow);
+  }
+}
+
+auto OnceKeeper::Finish(const AttemptId& aAttempt, RecordedAnswer aAnswer,
+                        TimePoint aNow) -> void
+{
+  const auto found = entries_.find(aAttempt);
+  if (found != entries_.end()) {
+    found->second.execution_.OnFinished(std::move(aAnswer));
+    Drive(aAttempt, aNow);
+  }
+}
+
+auto OnceKeeper::QueueWrite(const AttemptId& aAttempt, Purpose aPurpose,
+                            RowWrite aWrite) -> bool
+{
+  const auto ticket = batcher_.Add(std::move(aWrite));
+  if (!ticket) {
+    return false;
+  }
+  tickets_.emplace(*ticket,
+                   Ticket{ .purpose_ = aPurpose, .attempt_ = aAttempt });
+  return true;
+}
+
+auto OnceKeeper::Drive(const AttemptId& aAttempt, TimePoint aNow) -> void
+{
+  const auto found = entries_.find(aAttempt);
+  if (found == entries_.end()) {
+    return;
+  }
+  auto& entry = found->second;
+  auto& execution = entry.execution_;
+  const auto step = execution.Next();
+  if (step == OnceExecution::Step::Done) {
+    End(aAttempt, aNow);
+    return;
+  }
+  if (step == OnceExecution::Step::Run && !entry.started_) {
+    entry.started_ = true;
+    const auto onRun = entry.handlers_.onRun_;
+    onRun();
+    return;
+  }
+  if (entry.tableBusy_) {
+    return;
+  }
+  if (step == OnceExecution::Step::Wait) {
+    entry.nextPoll_ = aNow + settings_.poll_;
+  } else if (step == OnceExecution::Step::Read) {
+    entry.tableBusy_ = true;
+    QueueRead(aAttempt, aNow);
+  } else if (step == OnceExecution::Step::Insert ||
+             step == OnceExecution::Step::GiveUp) {
+    const auto insert = step == OnceExecution::Step::Insert;
+    RowWrite write{ .key_ = KeyOf(execution),
+                    .expected_ = insert ? 0 : execution.OwnVersion() };
+    if (insert) {
+      write.value_ = EncodeOnceRow(execution.Row());
+      write.expiresAfterSeconds_ =
+        static_cast<std::uint64_t>(settings_.keep_.count());
+    }
+    entry.tableBusy_ = QueueWrite(
+      aAttempt, insert ? Purpose::Insert : Purpose::GiveUp, std::move(write));
+    if (!entry.tableBusy_) {
+      execution.OnUnavailable(aNow);
+      Drive(aAttempt, aNow);
+    }
+  }
+}
+
+auto OnceKeeper::End(const AttemptId& aAttempt, TimePoint) -> void
+{
+  auto node = entries_.extract(aAttempt);
+  auto& execution = node.mapped().execution_;
+  const auto now = SteadyClock{}.Now();
+  if (execution.OwesRecord() && unrecorded_.size() < kMaxUnrecorded) {
+    unrecorded_.emplace(
+      aAttempt,
+      Unrecorded{
+        .write_ = { .key_ = KeyOf(execution),
+                    .value_ = EncodeOnceRow(execution.Row()),
+                    .expected_ = execution.OwnVersion(),
+                    .expiresAfterSeconds_ =
+                      static_cast<std::uint64_t>(settings_.keep_.count()) } });
+    RetryRecords();
+  }
+  if (execution.MayLeaveRow() && leftovers_.size() < kMaxLeftovers) {
+    leftovers_.push_back({ .key_ = KeyOf(execution),
+                           .attempt_ = aAttempt,
+                           .nextTry_ = now + kCleanPeriod,
+                           .until_ = now + kLateInsert });
+  }
+  node.mapped().handlers_.onAnswer_(execution.Answer(), execution.OwesRecord());
+}
+
+auto OnceKeeper::OnRow(Entry& aEntry, const Row& aRow, TimePoint aNow) -> void
+{
+  if (aRow.version_ == 0) {
+    aEntry.execution_.OnAbsent(aNow);
+    return;
+  }
+  const auto row = ReadRow(aRow);
+  aEntry.execution_.OnRow(row, aRow.version_,
+                          view_->HasEnded(row.runner_, row.incarnation_), aNow);
+}
+
+auto OnceKeeper::QueueRead(const AttemptId& aAttempt, TimePoint) -> void
+{
+  const auto key = KeyOf(entries_.at(aAttempt).execution_);
+  table_.Read({ key }, [this, aAttempt, key](const ReadReply& aReply) {
+    const auto now = SteadyClock{}.Now();
+    const auto found = entries_.find(aAttempt);
+    if (found == entries_.end()) {
+      return;
+    }
+    auto& entry = found->second;
+    entry.tableBusy_ = false;
+    if (aReply.status_ == TableStatus::Done) {
+      OnRow(entry, aReply.rows_.empty() ? Row{ .key_ = key } : aReply.rows_[0],
+            now);
+      Drive(aAttempt, now);
+      return;
+    }
+    entry.execution_.OnLost(now);
+    if (entry.execution_.Next() == OnceExecution::Step::Read) {
+      // Asking a service that does not answer again at once only loads it.
+      entry.nextPoll_ = now + settings_.poll_;
+      return;
+    }
+    Drive(aAttempt, now);
+  });
+}
+
+auto OnceKeeper::OnExecutionWrite(const Ticket& aTicket,
+                                  const WriteResult& aResult, TimePoint aNow)
+  -> void
+{
+  const auto found = entries_.find(aTicket.attempt_);
+  if (found == entries_.end()) {
+    return;
+  }
+  auto& entry = found->second;
+  auto& execution = entry.execution_;
+  entry.tableBusy_ = false;
+  switch (aResult.status_) {
+    case TableStatus::Done:
+      if (aTicket.purpose_ == Purpose::Insert) {
+        execution.OnInserted(aResult.version_, aNow);
+      } else {
+        execution.OnGivenUp();
+      }
+      break;
+    case TableStatus::Conflict:
+      OnRow(entry, aResult.row_, aNow);
+      break;
+    case TableStatus::Unavailable:
+      execution.OnUnavailable(aNow);
+      break;
+    case TableStatus::Lost:
+      execution.OnLost(aNow);
+      break;
+  }
+  Drive(aTicket.attempt_, aNow);
+}
+
+auto OnceKeeper::OnRecordWrite(const AttemptId& aAttempt,
+                               const WriteResult& aResult) -> void
+{
+  const auto found = unrecorded_.find(aAttempt);
+  if (found == unrecorded_.end()) {
+    return;
+  }
+  auto& unrecorded = found->second;
+  unrecorded.queued_ = false;
+  // A conflict means that an earlier try landed and its answer was lost.
+  const auto settled = aResult.status_ == TableStatus::Done ||
+                       aResult.status_ == TableStatus::Conflict;
+  if (settled || ++unrecorded.tries_ >= kMaxRecordTries) {
+    if (!settled) {
+      Log::Write(LogLevel::Warning, "the end of a run could not be recorded",
+                 { { "attempt", aAttempt.value_ } });
+    }
+    unrecorded_.erase(found);
+  }
+}
+
+auto OnceKeeper::OnWritten(const WriteResult& aResult, TimePoint aNow) -> void
+{
+  const auto node = tickets_.extract(aResult.ticket_);
+  if (node.empty()) {
+    return;
+  }
+  const auto ticket = node.mapped();
+  if (ticket.purpose_ == Purpose::Record) {
+    OnRecordWrite(ticket.attempt_, aResult);
+  } else if (ticket.purpose_ != Purpose::Clean) {
+    OnExecutionWrite(ticket, aResult, aNow);
+  }
+}
+
+auto OnceKeeper::Pump(TimePoint aNow) -> void
+{
+  while (auto batch = batcher_.NextBatch(aNow)) {
+    table_.Transact(std::move(*batch), [this](const TransactReply& aReply) {
+      const auto now = SteadyClock{}.Now();
+      for (const auto& result : batcher_.OnReply(aReply)) {
+        OnWritten(result, now);
+      }
+    });
+  }
+}
+
+auto OnceKeeper::RetryRecords() -> void
+{
+  for (auto& [attempt, unrecorded] : unrecorded_) {
+    if (!unrecorded.queued_) {
+      unrecorded.queued_ =
+        QueueWrite(attempt, Purpose::Record, unrecorded.write_);
+    }
+  }
+}
+
+auto OnceKeeper::Clean(TimePoint aNow) -> void
+{
+  std::erase_if(leftovers_, [aNow](const Leftover& aLeftover) {
+    return aNow >= aLeftover.until_;
+  });
+  for (auto& leftover : leftovers_) {
+    if (aNow < leftover.nextTry_) {
+      continue;
+    }
+    leftover.nextTry_ = aNow + kCleanPeriod;
+    const auto attempt = leftover.attempt_;
+    table_.Read({ leftover.key_ }, [this, attempt](const ReadReply& aReply) {
+      if (aReply.rows_.empty()) {
+        return;
+      }
+      const auto& found = aReply.rows_.front();
+      const auto row = ReadRow(found);
+      if (row.attempt_ == attempt && !row.answer_) {
+        QueueWrite(attempt, Purpose::Clean,
+                   { .key_ = found.key_, .expected_ = found.version_ });
+      }
+    });
+  }
+}
+
+auto OnceKeeper::Tick(TimePoint aNow) -> void
+{
+  std::vector<AttemptId> due;
+  for (auto& [attempt, entry] : entries_) {
+    entry.execution_.OnTick(aNow);
+    const auto step = entry.execution_.Next();
+    const auto waits = step == OnceExecution::Step::Wait ||
+                       (step == OnceExecution::Step::Read && !entry.tableBusy_);
+    if (waits && aNow >= entry.nextPoll_) {
+      entry.execution_.OnPollDue();
+      due.push_back(attempt);
+    } else if (!waits && step != OnceExecution::Step::Running) {
+      due.push_back(attempt);
+    }
+  }
+  for (const auto& attempt : due) {
+    Drive(attempt, aNow);
+  }
+  if (batcher_.Queued() == 0) {
+    RetryRecords();
+  }
+  Clean(aNow);
+  Pump(aNow);
+}
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Server/OnceKeeper.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "../../Once.h"
+#include "ControlView.h"
+#include "PlatformTable.h"
+#include "Settings.h"
+
+#include <deque>
+#include <map>
+
+namespace goldcrestcroft {
+
+/** \brief Drives the OnceExecutions of one host over the table service. Lives
+ * on the traffic thread. */
+class OnceKeeper
+{
+public:
+  /** \brief Who hears of one execution. */
+  struct Handlers
+  {
+    /** The row is this attempt's: start the run. */
+    std::function<void()> onRun_;
+    /** The final answer, own or recorded earlier. */
+    std::function<void(const RecordedAnswer&, bool aOwn)> onAnswer_;
+  };
+
+  OnceKeeper(OnceSettings aSettings, PlatformTable& aTable)
+    : settings_(aSettings)
+    , table_(aTable)
+    , batcher_({ .period_ = aSettings.batch_ })
+  {
+  }
+
+  auto Begin(OnceExecution::Options aOptions, Handlers aHandlers,
+             TimePoint aNow) -> void;
+  /** \brief The first byte goes out now. False if it must not; the answer then
+   * follows by itself. */
+  auto TryDispatch(const AttemptId& aAttempt, TimePoint aNow) -> bool;
+  /** \brief Refuses a run that sent nothing. */
+  auto Refuse(const AttemptId& aAttempt, TimePoint aNow) -> void;
+  auto Finish(const AttemptId& aAttempt, RecordedAnswer aAnswer, TimePoint aNow)
+    -> void;
+  /** \brief Whether the execution has sent its first byte. */
+  [[nodiscard]] auto IsRunning(const AttemptId& aAttempt) const -> bool;
+
+  auto Tick(TimePoint aNow) -> void;
+  auto SetView(ControlViewPtr aView) -> void { view_ = std::move(aView); }
+  /** \brief Nothing is under way and nothing is owed to the table. */
+  [[nodiscard]] auto IsIdle() const -> bool;
+
+private:
+  enum class Purpose
+  {
+    Insert,
+    GiveUp,
+    Record,
+    Clean
+  };
+  struct Entry
+  {
+    OnceExecution execution_;
+    Handlers handlers_;
+    bool tableBusy_ = false;
+    bool started_ = false;
+    TimePoint nextPoll_{};
+  };
+  struct Ticket
+  {
+    Purpose purpose_ = Purpose::Insert;
+    AttemptId attempt_;
+  };
+  /** A finished run whose end is not in the table yet. */
+  struct Unrecorded
+  {
+    RowWrite write_;
+    bool queued_ = false;
+    unsigned tries_ = 0;
+  };
+  /** A row that this host may have left behind without running anything. */
+  struct Leftover
+  {
+    RowKey key_;
+    AttemptId attempt_;
+    TimePoint nextTry_;
+    TimePoint until_;
+  };
+
+  auto Drive(const AttemptId& aAttempt, TimePoint aNow) -> void;
+  auto End(const AttemptId& aAttempt, TimePoint aNow) -> void;
+  auto QueueWrite(const AttemptId& aAttempt, Purpose aPurpose, RowWrite aWrite)
+    -> bool;
+  auto QueueRead(const AttemptId& aAttempt, TimePoint aNow) -> void;
+  auto Pump(TimePoint aNow) -> void;
+  auto OnWritten(const WriteResult& aResult, TimePoint aNow) -> void;
+  auto OnExecutionWrite(const Ticket& aTicket, const WriteResult& aResult,
+                        TimePoint aNow) -> void;
+  auto OnRecordWrite(const AttemptId& aAttempt, const WriteResult& aResult)
+    -> void;
+  auto OnRow(Entry& aEntry, const Row& aRow, TimePoint aNow) -> void;
+  auto Clean(TimePoint aNow) -> void;
+  auto RetryRecords() -> void;
+  [[nodiscard]] auto KeyOf(const OnceExecution& aExecution) const -> RowKey
+  {
+    return { .table_ = kOnceTable, .key_ = aExecution.Key().value_ };
+  }
+
+  OnceSettings settings_;
+  PlatformTable& table_;
+  TableBatcher batcher_;
+  ControlViewPtr view_ = std::make_shared<ControlView>();
+  std::map<AttemptId, Entry> entries_;
+  std::map<WriteTicket, Ticket> tickets_;
+  std::map<AttemptId, Unrecorded> unrecorded_;
+  std::deque<Leftover> leftovers_;
+};
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Server/SoloTurn.cpp
@@ -0,0 +1,106 @@
+#include "SoloTurn.h"
+
+namespace goldcrestcroft {
+
+namespace {
+
+// A host that dies with the turn keeps it from the fleet for this long.
+constexpr std::uint64_t kTurnSeconds = 20;
+
+auto TurnRow() -> RowKey
+{
+  return { .table_ = "poison", .key_ = "turn" };
+}
+
+} // namespace
+
+auto SoloTurn::Add(Work aWork) -> void
+{
+  if (!queue_.Add(aWork)) {
+    handlers_.refuse_(aWork);
+  }
+}
+
+auto SoloTurn::Cancel(const AttemptId& aAttempt, TimePoint aNow) -> void
+{
+  if (!queue_.Remove(aAttempt)) {
+    queue_.OnEnded(aAttempt, false, aNow);
+  }
+}
+
+auto SoloTurn::OnEnded(const AttemptId& aAttempt, bool aServerLost,
+                       TimePoint aNow) -> void
+{
+  queue_.OnEnded(aAttempt, aServerLost, aNow);
+}
+
+auto SoloTurn::TakeTurn(TimePoint aNow) -> void
+{
+  tableBusy_ = true;
+  queue_.OnTurn(false, aNow);
+  table_.Transact({ { .key_ = TurnRow(),
+                      .value_ = self_,
+                      .expected_ = 0,
+                      .expiresAfterSeconds_ = kTurnSeconds } },
+                  [this](const TransactReply& aReply) {
+                    const auto now = SteadyClock{}.Now();
+                    tableBusy_ = false;
+                    if (aReply.status_ == TableStatus::Done) {
+                      turnVersion_ = aReply.versions_.front();
+                      queue_.OnTurn(true, now);
+                    } else if (aReply.status_ == TableStatus::Conflict &&
+                               aReply.conflicts_.front().value_ == self_) {
+                      turnVersion_ = aReply.conflicts_.front().version_;
+                      queue_.OnTurn(true, now);
+                    }
+                  });
+}
+
+auto SoloTurn::GiveTurnBack() -> void
+{
+  tableBusy_ = true;
+  handlers_.onReserved_({});
+  queue_.OnReleased();
+  table_.Transact({ { .key_ = TurnRow(), .expected_ = turnVersion_ } },
+                  [this](const TransactReply&) { tableBusy_ = false; });
+}
+
+auto SoloTurn::Tick(TimePoint aNow) -> void
+{
+  for (const auto& late : queue_.TakeInfeasible(aNow)) {
+    handlers_.refuse_(late);
+  }
+  if (tableBusy_) {
+    return;
+  }
+  switch (queue_.Next(aNow)) {
+    case SoloQueue::Step::TakeTurn:
+      TakeTurn(aNow);
+      break;
+    case SoloQueue::Step::Reserve: {
+      const auto server = handlers_.pickServer_(queue_.PoolOfHead());
+      queue_.OnReserved(server, aNow);
+      handlers_.onReserved_(queue_.Server());
+      break;
+    }
+    case SoloQueue::Step::Drain:
+      if (handlers_.isEmpty_(queue_.Server())) {
+        queue_.OnEmpty(aNow);
+      }
+      break;
+    case SoloQueue::Step::Start: {
+      const auto work = queue_.Head();
+      queue_.OnStarted();
+      handlers_.start_(work, queue_.Server());
+      break;
+    }
+    case SoloQueue::Step::Release:
+      GiveTurnBack();
+      break;
+    case SoloQueue::Step::Idle:
+    case SoloQueue::Step::Running:
+      break;
+  }
+}
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Server/Span.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "TraceContext.h"
+
+#include <chrono>
+#include <vector>
+
+namespace goldcrestcroft {
+
+/** \brief One named value of a span. */
+struct SpanAttribute
+{
+  std::string name_;
+  std::string value_;
+};
+
+/** \brief One hop of a request, for the collector. */
+struct Span
+{
+  TraceContext context_;
+  std::string parentSpanId_;
+  std::string name_;
+  std::chrono::system_clock::time_point start_;
+  std::chrono::system_clock::time_point end_;
+  bool failed_ = false;
+  std::vector<SpanAttribute> attributes_;
+};
+
+/** \brief The body of an OTLP/JSON export of these spans. */
+auto EncodeSpans(const std::vector<Span>& aSpans, const HostId& aHost)
+  -> std::string;
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Server/StageCaller.cpp
@@ -0,0 +1,110 @@
+#include "StageCaller.h"
+
+#include <spdlog/fmt/fmt.h>
+
+namespace goldcrestcroft {
+
+namespace {
+
+constexpr Duration kDistrust = std::chrono::seconds{ 15 };
+
+auto FailureOf(const HttpReply& aReply) -> AttemptFailure
+{
+  constexpr long kTooMany = 429;
+  constexpr long kUnavailable = 503;
+  switch (aReply.end_) {
+    case HttpEnd::NotSent:
+      return AttemptFailure::NotConnected;
+    case HttpEnd::Broken:
+      return AttemptFailure::Broken;
+    case HttpEnd::Silent:
+      return AttemptFailure::Silent;
+    case HttpEnd::Answered:
+      break;
+  }
+  // By the contract in docs/API.md these two mean that nothing was begun.
+  if (aReply.status_ == kTooMany || aReply.status_ == kUnavailable) {
+    return AttemptFailure::Declined;
+  }
+  return AttemptFailure::ServerError;
+}
+
+} // namespace
+
+auto StageCaller::Send(const StageRequest& aRequest, TimePoint aNow) -> void
+{
+  const auto streamed = aRequest.pool_->kind_ == StageKind::Generate;
+  const auto attempt = aRequest.attempt_;
+  const auto server = aRequest.server_.id_;
+  const auto milliseconds = std::max<std::int64_t>(
+    1,
+    std::chrono::floor<std::chrono::milliseconds>(aRequest.timeLeft_).count());
+  const auto distrusted = freshUntil_.find(server);
+  HttpRequest request{
+    .url_ = "http://" + aRequest.server_.address_ + aRequest.pool_->path_,
+    .body_ = aRequest.body_,
+    .headers_ = { "x-attempt-id: " + attempt.value_,
+                  "x-request-id: " + aRequest.request_.value_,
+                  "traceparent: " + aRequest.traceparent_,
+                  fmt::format("x-deadline-ms: {}", milliseconds),
+                  fmt::format("x-priority: {}",
+                              aRequest.borrowed_
+                                ? "borrowed"
+                                : ToString(aRequest.priority_)) },
+    .timeout_ = aRequest.timeLeft_,
+    .connectTimeout_ = std::min(connectTimeout_, aRequest.timeLeft_),
+    .silence_ = aRequest.pool_->silence_,
+    .fresh_ = !aRequest.pool_->idempotent_ ||
+              (distrusted != freshUntil_.end() && aNow < distrusted->second),
+  };
+  HttpHandlers handlers{
+    .onEnd_ =
+      [this, attempt, server, streamed](const HttpReply& aReply) {
+        OnEnd(attempt, server, streamed, aReply);
+      },
+  };
+  if (streamed) {
+    handlers.onBytes_ = [this, attempt](const HttpReply& aReply,
+                                        const std::string& aBytes) {
+      constexpr long kOk = 200;
+      if (IsOwn(attempt, aReply) && aReply.status_ == kOk) {
+        events_.onStreamBytes_(attempt, aBytes);
+      }
+    };
+  }
+  exchanges_[attempt] = http_.Send(std::move(request), std::move(handlers));
+}
+
+auto StageCaller::Cancel(const AttemptId& aAttempt) -> void
+{
+  const auto found = exchanges_.find(aAttempt);
+  if (found != exchanges_.end()) {
+    http_.Cancel(found->second);
+    exchanges_.erase(found);
+  }
+}
+
+auto StageCaller::OnEnd(const AttemptId& aAttempt, const ServerId& aServer,
+                        bool aStreamed, const HttpReply& aReply) -> void
+{
+  constexpr long kOk = 200;
+  exchanges_.erase(aAttempt);
+  if (aReply.end_ == HttpEnd::Silent) {
+    freshUntil_[aServer] = SteadyClock{}.Now() + kDistrust;
+  }
+  if (aReply.end_ == HttpEnd::Answered) {
+    events_.onReply_(aServer, aReply.inFlight_, aReply.leaving_);
+  }
+  if (aReply.end_ != HttpEnd::Answered || aReply.status_ != kOk) {
+    events_.onFailure_(aAttempt, aServer, FailureOf(aReply));
+  } else if (!IsOwn(aAttempt, aReply)) {
+    events_.onForeign_();
+    events_.onFailure_(aAttempt, aServer, AttemptFailure::NotWhole);
+  } else if (aStreamed) {
+    events_.onStreamEnd_(aAttempt);
+  } else {
+    events_.onAnswer_(aAttempt, aReply.body_);
+  }
+}
+
+} // namespace goldcrestcroft
--- a/goldcrestcroft/src/Wire/CompactLoad.cpp
+++ b/goldcrestcroft/src/Wire/CompactLoad.cpp
@@ -10,8 +10,8 @@
 
 auto Clamp(unsigned aNumber) -> std::uint16_t
 {
-  return static_cast<std::uint16_t>(std::min<unsigned>(
-    aNumber, std::numeric_limits<std::uint16_t>::max()));
+  return static_cast<std::uint16_t>(
+    std::min<unsigned>(aNumber, std::numeric_limits<std::uint16_t>::max()));
 }
 
 auto AllServers(const ConfigVersion& aConfig) -> std::vector<ServerId>
@@ -28,11 +28,9 @@
 template<typename Item>
 auto PlaceOf(const std::vector<Item>& aItems, const auto& aId) -> std::size_t
 {
-  const auto found =
-    std::lower_bound(aItems.begin(), aItems.end(), aId,
-                     [](const Item& aItem, const auto& aWanted) {
-                       return aItem.id_ < aWanted;
-                     });
+  const auto found = std::lower_bound(
+    aItems.begin(), aItems.end(), aId,
+    [](const Item& aItem, const auto& aWanted) { return aItem.id_ < aWanted; });
   return found != aItems.end() && found->id_ == aId
            ? static_cast<std::size_t>(found - aItems.begin())
            : aItems.size();
@@ -110,8 +108,7 @@
   const auto& pools = aConfig.Content().Pools();
   const auto& workspaces = aConfig.Content().Workspaces();
   for (const auto& demand : aLoad.demands_) {
-    if (demand.pool_ < pools.size() &&
-        demand.workspace_ < workspaces.size()) {
+    if (demand.pool_ < pools.size() && demand.workspace_ < workspaces.size()) {
       load.demands_.push_back({ .pool_ = pools[demand.pool_].id_,
                                 .workspace_ = workspaces[demand.workspace_].id_,
                                 .inFlight_ = demand.inFlight_,
--- a/goldcrestcroft/src/Wire/MessageArchive.h
+++ b/goldcrestcroft/src/Wire/MessageArchive.h
@@ -32,9 +32,8 @@
 template<typename Ar, typename Item>
 auto ArchiveItems(Ar& aArchive, std::vector<Item>& aItems) -> void
 {
-  auto items = Bounded(aItems, [](auto& aEach, auto& aItem) {
-    Archive(aEach, aItem);
-  });
+  auto items =
+    Bounded(aItems, [](auto& aEach, auto& aItem) { Archive(aEach, aItem); });
   aArchive(items);
 }
 
--- a/goldcrestcroft/src/Wire/MessageCodec.cpp
+++ b/goldcrestcroft/src/Wire/MessageCodec.cpp
@@ -64,9 +64,10 @@
   const auto contents = aDatagram.substr(kTagBytes);
   const auto tag = Tag(contents);
   if (CRYPTO_memcmp(tag.data(), aDatagram.data(), kTagBytes) != 0) {
-    return Fail({ .kind_ = ErrorKind::Forbidden,
-                  .message_ = "a datagram with a wrong tag",
-                  .remedy_ = "give all entry hosts the same peers.shared_key" });
+    return Fail(
+      { .kind_ = ErrorKind::Forbidden,
+        .message_ = "a datagram with a wrong tag",
+        .remedy_ = "give all entry hosts the same peers.shared_key" });
   }
   try {
     std::istringstream in{ std::string(contents) };
--- /dev/null
+++ b/test/standins/StandinRequest.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <goldcrestcroft/src/Server/CallerReply.h>
+
+#include <string>
+
+namespace standins {
+
+/** \brief A request to a stand-in. */
+struct StandinRequest
+{
+  std::string method_;
+  std::string path_;
+  std::string body_;
+  std::string attempt_;
+  std::string priority_;
+  /** The connection was told to go silent: never answer on it. */
+  bool silenced_ = false;
+};
+
+using goldcrestcroft::CallerReply;
+using goldcrestcroft::ReplyOptions;
+
+} // namespace standins
--- /dev/null
+++ b/test/standins/TableService.cpp
@@ -0,0 +1,77 @@
+#include "Service.h"
+
+#include <goldcrestcroft/Platform.h>
+
+#include <nlohmann/json.hpp>
+
+#include <ctime>
+
+namespace standins {
+
+namespace {
+
+using namespace goldcrestcroft;
+
+class TableStandin : public Service
+{
+public:
+  auto OnRequest(const StandinRequest& aRequest, CallerReply aReply,
+                 const Faults& aFaults) -> void override
+  {
+    if (aRequest.path_ == "/stats") {
+      const std::lock_guard lock(mutex_);
+      aReply.Send({ .body_ = nlohmann::json{ { "transactions", transactions_ },
+                                             { "writes", writes_ },
+                                             { "reads", reads_ },
+                                             { "rows", table_.size() } }
+                               .dump() });
+      return;
+    }
+    const auto reply = Apply(aRequest);
+    if (aFaults.loseAnswers_) {
+      aReply.Socket()->Release(true);
+      return;
+    }
+    aReply.Send(reply);
+  }
+
+private:
+  auto Apply(const StandinRequest& aRequest) -> ReplyOptions
+  {
+    const std::lock_guard lock(mutex_);
+    const auto now = static_cast<std::uint64_t>(std::time(nullptr));
+    return Handle(
+      [&]() -> Result<ReplyOptions> {
+        if (aRequest.path_ == "/v1/transact") {
+          BOOST_LEAF_AUTO(writes, DecodeWrites(aRequest.body_));
+          ++transactions_;
+          writes_ += writes.size();
+          const auto reply = table_.Transact(writes, now);
+          return ReplyOptions{ .status_ =
+                                 reply.status_ == TableStatus::Done ? 200 : 409,
+                               .body_ = EncodeReply(reply) };
+        }
+        BOOST_LEAF_AUTO(keys, DecodeKeys(aRequest.body_));
+        ++reads_;
+        return ReplyOptions{ .body_ = EncodeReply(table_.Read(keys, now)) };
+      },
+      [](const Error& aError) {
+        return ReplyOptions{ .status_ = 400, .body_ = aError.message_ };
+      });
+  }
+
+  std::mutex mutex_;
+  MemoryTable table_;
+  std::size_t transactions_ = 0;
+  std::size_t writes_ = 0;
+  std::size_t reads_ = 0;
+};
+
+} // namespace
+
+auto MakeTableService() -> std::unique_ptr<Service>
+{
+  return std::make_unique<TableStandin>();
+}
+
+} // namespace standins
