Prove at-most-once under generated schedules, and mend a false not_run

With read-back, insert condition, runner proof or give-up condition taken away the schedules go red. Conclusion: the four parts are needed and, with this mend, hold.

--- a/goldcrestcroft/src/Once/OnceExecution.cpp
+++ b/goldcrestcroft/src/Once/OnceExecution.cpp
@@ -83,7 +83,9 @@
 
 auto OnceExecution::OnUnavailable(TimePoint aNow) -> void
 {
-  if (step_ == Step::GiveUp) {
+  if (step_ == Step::GiveUp && eraseMayLand_) {
+    OnLost(aNow);
+  } else if (step_ == Step::GiveUp) {
     // The row still carries this attempt, which has sent nothing and never
     // will: nobody else can have run the request either.
     Finish(Outcome::NotRun);
@@ -101,6 +103,7 @@
     insertMayLand_ = true;
     step_ = Step::Read;
   }
+  eraseMayLand_ = eraseMayLand_ || step_ == Step::GiveUp;
   if (step_ == Step::GiveUp && aNow >= options_.deadline_) {
     // If the erasure landed, another submission may have run meanwhile.
     Finish(Outcome::Unknown);
--- a/goldcrestcroft/src/Once/OnceExecution.h
+++ b/goldcrestcroft/src/Once/OnceExecution.h
@@ -101,6 +101,8 @@
   RecordedAnswer answer_;
   bool insertMayLand_ = false;
   bool owned_ = false;
+  /** An erasure whose answer was lost may have freed the key for others. */
+  bool eraseMayLand_ = false;
   bool owesRecord_ = false;
   bool mayLeaveRow_ = false;
 };
--- /dev/null
+++ b/test/property/OnceTest.cpp
@@ -0,0 +1,77 @@
+#include "OnceWorld.h"
+#include "Property.h"
+
+#include <random>
+
+namespace testing {
+
+namespace {
+
+constexpr std::size_t kScheduleLength = 400;
+
+auto ViolationOf(const std::vector<std::uint16_t>& aSchedule, Removed aRemoved)
+  -> std::string
+{
+  OnceWorld world(aRemoved);
+  for (const auto choice : aSchedule) {
+    world.Step(choice);
+    if (!world.Violation().empty()) {
+      return world.Violation();
+    }
+  }
+  return {};
+}
+
+/** Whether any of many fixed schedules goes wrong without that part. */
+auto GoesWrongWithout(Removed aRemoved) -> bool
+{
+  constexpr auto kSchedules = 20'000;
+  std::mt19937 random(7);
+  for (auto i = 0; i < kSchedules; ++i) {
+    std::vector<std::uint16_t> schedule(kScheduleLength);
+    for (auto& choice : schedule) {
+      choice = static_cast<std::uint16_t>(random());
+    }
+    if (!ViolationOf(schedule, aRemoved).empty()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace
+
+TEST_CASE("once: a key runs at most once and not_run is true, whatever fails")
+{
+  CheckProperty([] {
+    const auto schedule = *Schedule(kScheduleLength);
+    RC_ASSERT(ViolationOf(schedule, Removed::Nothing) == "");
+  });
+}
+
+TEST_CASE("once: the schedules reach runs and recorded answers")
+{
+  std::mt19937 random(3);
+  auto runs = 0;
+  auto repeated = 0;
+  for (auto i = 0; i < 300; ++i) {
+    OnceWorld world(Removed::Nothing);
+    for (std::size_t step = 0; step < kScheduleLength; ++step) {
+      world.Step(static_cast<std::uint16_t>(random()));
+    }
+    runs += world.Runs();
+    repeated += world.CompletedAnswers() > 1 ? 1 : 0;
+  }
+  CHECK(runs > 100);
+  CHECK(repeated > 10);
+}
+
+TEST_CASE("once: each part of the mechanism is needed")
+{
+  CHECK(GoesWrongWithout(Removed::ReadBack));
+  CHECK(GoesWrongWithout(Removed::InsertCondition));
+  CHECK(GoesWrongWithout(Removed::RunnerProof));
+  CHECK(GoesWrongWithout(Removed::GiveUpCondition));
+}
+
+} // namespace testing
