--- a/goldcrestcroft/src/Core/Clock.h
+++ b/goldcrestcroft/src/Core/Clock.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <concepts>
 
@@ -7,17 +8,11 @@
 
 using Duration = std::chrono::microseconds;
 
-/** \brief A clock without an epoch of its own: only differences count. */
+/** \brief A timeline without an epoch of its own: only differences count. */
 struct MonotonicTimeline
-{
-  using rep = Duration::rep;
-  using period = Duration::period;
-  using duration = Duration;
-  using time_point = std::chrono::time_point<MonotonicTimeline>;
-  static constexpr bool is_steady = true;
-};
+{};
 
-using TimePoint = MonotonicTimeline::time_point;
+using TimePoint = std::chrono::time_point<MonotonicTimeline, Duration>;
 
 /** \brief What decisions ask the time of. \sa SteadyClock, VirtualClock */
 template<typename T>
--- a/goldcrestcroft/src/Membership/PeerTable.cpp
+++ b/goldcrestcroft/src/Membership/PeerTable.cpp
@@ -11,7 +11,7 @@
 {
 }
 
-auto PeerTable::StateOf(const Entry& aEntry, TimePoint aNow) const -> PeerState
+auto PeerTable::Classify(const Entry& aEntry, TimePoint aNow) const -> PeerState
 {
   const auto silence = aNow - aEntry.heardAt_;
   if (silence >= options_.goneAfter_) {
@@ -27,7 +27,7 @@
 {
   const auto found = entries_.find(aHost);
   return found == entries_.end() ? PeerState::Gone
-                                 : StateOf(found->second, aNow);
+                                 : Classify(found->second, aNow);
 }
 
 auto PeerTable::Tick(TimePoint aNow) -> std::vector<HostId>
@@ -40,7 +40,7 @@
       // This host stood still and heard nobody; that is no news of the peers.
       entry.heardAt_ += pause;
     }
-    const auto state = StateOf(entry, aNow);
+    const auto state = Classify(entry, aNow);
     if (state == PeerState::Gone && !entry.reportedGone_) {
       entry.reportedGone_ = true;
       gone.push_back(host);
@@ -102,14 +102,14 @@
     return false;
   }
   return aIncarnation < found->second.record_.incarnation_ ||
-         StateOf(found->second, aNow) == PeerState::Gone;
+         Classify(found->second, aNow) == PeerState::Gone;
 }
 
 auto PeerTable::Peers(TimePoint aNow) const -> std::vector<PeerRecord>
 {
   std::vector<PeerRecord> peers;
   for (const auto& [host, entry] : entries_) {
-    if (StateOf(entry, aNow) != PeerState::Gone) {
+    if (Classify(entry, aNow) != PeerState::Gone) {
       peers.push_back(entry.record_);
     }
   }
--- a/goldcrestcroft/src/Membership/PeerTable.h
+++ b/goldcrestcroft/src/Membership/PeerTable.h
@@ -63,7 +63,7 @@
     bool reportedGone_ = false;
   };
 
-  [[nodiscard]] auto StateOf(const Entry& aEntry, TimePoint aNow) const
+  [[nodiscard]] auto Classify(const Entry& aEntry, TimePoint aNow) const
     -> PeerState;
 
   Options options_;
--- a/goldcrestcroft/src/Server/RequestEngine.cpp
+++ b/goldcrestcroft/src/Server/RequestEngine.cpp
@@ -16,6 +16,9 @@
   using Cases::operator()...;
 };
 
+template<typename... Cases>
+Overloaded(Cases...) -> Overloaded<Cases...>;
+
 auto RequestOf(const AttemptId& aAttempt) -> RequestId
 {
   return { aAttempt.value_.substr(0, aAttempt.value_.find('.')) };
@@ -168,12 +171,13 @@
     return;
   }
   auto span = MakeSpan(checked.parent_, dispatcher_.Random());
+  const auto startedAt =
+    std::chrono::system_clock::now() - (now - aRequest.arrivedAt_);
   auto active = std::make_unique<ActiveRequest>(
     ActiveRequest{ .incoming_ = std::move(aRequest),
                    .run_ = std::move(run),
                    .span_ = std::move(span),
-                   .startedAt_ = std::chrono::system_clock::now() -
-                                 (now - aRequest.arrivedAt_) });
+                   .startedAt_ = startedAt });
   auto& request = *active;
   requests_.emplace(id, std::move(active));
   if (request.incoming_.request_.idempotent_) {
--- a/goldcrestcroft/src/Wire/MessageCodec.h
+++ b/goldcrestcroft/src/Wire/MessageCodec.h
@@ -28,9 +28,10 @@
    * that are no message. */
   [[nodiscard]] auto Open(std::string_view aDatagram) const -> Result<Message>;
 
-private:
+  /** \brief The tag that goes before these contents. */
   [[nodiscard]] auto Tag(std::string_view aContents) const -> std::string;
 
+private:
   std::string sharedKey_;
 };
 
--- /dev/null
+++ b/test/property/ConfigTest.cpp
@@ -0,0 +1,94 @@
+#include "ConfigWorld.h"
+#include "Property.h"
+
+#include <random>
+
+namespace testing {
+
+namespace {
+
+constexpr std::size_t kScheduleLength = 250;
+
+auto ViolationOf(const std::vector<std::uint16_t>& aSchedule,
+                 ConfigRemoved aRemoved) -> std::string
+{
+  ConfigWorld world(aRemoved);
+  for (const auto choice : aSchedule) {
+    world.Step(choice);
+    if (!world.Violation().empty()) {
+      return world.Violation();
+    }
+  }
+  world.Heal();
+  return world.Violation();
+}
+
+auto GoesWrongWithout(ConfigRemoved aRemoved) -> bool
+{
+  constexpr auto kSchedules = 2'000;
+  std::mt19937 random(11);
+  for (auto i = 0; i < kSchedules; ++i) {
+    std::vector<std::uint16_t> schedule(kScheduleLength);
+    for (auto& choice : schedule) {
+      choice = static_cast<std::uint16_t>(random());
+    }
+    if (!ViolationOf(schedule, aRemoved).empty()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace
+
+TEST_CASE("config: one patch wins a number, operators learn the truth, hosts "
+          "never go back and all arrive")
+{
+  CheckProperty([] {
+    const auto schedule = *Schedule(kScheduleLength);
+    RC_ASSERT(ViolationOf(schedule, ConfigRemoved::Nothing) == "");
+  });
+}
+
+TEST_CASE("config: the schedules reach versions and refusals")
+{
+  std::mt19937 random(3);
+  VersionNumber versions = 0;
+  auto refused = 0;
+  for (auto i = 0; i < 100; ++i) {
+    ConfigWorld world(ConfigRemoved::Nothing);
+    for (std::size_t step = 0; step < kScheduleLength; ++step) {
+      world.Step(static_cast<std::uint16_t>(random()));
+    }
+    versions += world.Newest();
+    refused += world.Refused();
+  }
+  CHECK(versions > 200);
+  CHECK(refused > 100);
+}
+
+TEST_CASE("config: each part of the mechanism is needed")
+{
+  CHECK(GoesWrongWithout(ConfigRemoved::InsertCondition));
+  CHECK(GoesWrongWithout(ConfigRemoved::ReadBack));
+  CHECK(GoesWrongWithout(ConfigRemoved::Monotony));
+}
+
+TEST_CASE(
+  "config: after a pause nothing is confirmed until somebody newer says")
+{
+  VirtualClock clock;
+  ConfigFollower follower({}, clock.Now());
+  follower.Tick(clock.Now());
+  follower.OnNumberHeard(0, clock.Now());
+  CHECK(follower.Confirmed());
+  clock.Advance(std::chrono::seconds{ 5 });
+  // A message that was waiting in the socket is older than the pause.
+  follower.OnNumberHeard(0, clock.Now());
+  follower.Tick(clock.Now());
+  CHECK_FALSE(follower.Confirmed());
+  follower.OnNumberHeard(0, clock.Now());
+  CHECK(follower.Confirmed());
+}
+
+} // namespace testing
--- /dev/null
+++ b/test/property/QuarantineTest.cpp
@@ -0,0 +1,204 @@
+#include "Property.h"
+
+#include <goldcrestcroft/Policy.h>
+
+#include <algorithm>
+#include <set>
+
+namespace testing {
+
+namespace {
+
+using namespace goldcrestcroft;
+
+constexpr std::uint64_t kPoison = 1;
+constexpr std::size_t kHosts = 4;
+
+/** Hosts that share servers and news. One request crashes every server that
+ * runs it, and its caller sends it again and again, anywhere. */
+class PoisonFleet
+{
+public:
+  PoisonFleet()
+    : hosts_(kHosts, Quarantine({}))
+  {
+  }
+
+  /** A busy server with neighbours runs the poison, if it may. */
+  auto RunCrowd(std::size_t aHost,
+                const std::vector<std::uint64_t>& aNeighbours) -> void
+  {
+    if (hosts_[aHost].Judge(kPoison, clock_.Now()) != Verdict::Free) {
+      return;
+    }
+    ++crashes_;
+    // Each host blames what it had there itself.
+    std::vector<PoisonNews> news;
+    for (std::size_t host = 0; host < kHosts; ++host) {
+      std::vector<std::uint64_t> mine;
+      for (const auto neighbour : aNeighbours) {
+        if (neighbour % kHosts == host) {
+          mine.push_back(neighbour);
+        }
+      }
+      if (host == aHost) {
+        mine.push_back(kPoison);
+      }
+      const auto found = hosts_[host].OnCrash(mine, false, clock_.Now());
+      news.insert(news.end(), found.begin(), found.end());
+    }
+    Spread(news);
+  }
+
+  /** The fleet's turn: one suspect runs alone. */
+  auto RunAlone(std::size_t aHost, std::uint64_t aFingerprint) -> void
+  {
+    if (hosts_[aHost].Judge(aFingerprint, clock_.Now()) != Verdict::Suspect) {
+      return;
+    }
+    if (aFingerprint == kPoison) {
+      ++crashes_;
+      Spread(hosts_[aHost].OnCrash({ kPoison }, true, clock_.Now()));
+    } else {
+      Spread(hosts_[aHost].OnCleared(aFingerprint));
+      ++cleared_;
+    }
+  }
+
+  auto VerdictAt(std::size_t aHost, std::uint64_t aFingerprint) const -> Verdict
+  {
+    return hosts_[aHost].Judge(aFingerprint, clock_.Now());
+  }
+
+  int crashes_ = 0;
+  int cleared_ = 0;
+
+private:
+  auto Spread(const std::vector<PoisonNews>& aNews) -> void
+  {
+    for (const auto& news : aNews) {
+      for (auto& host : hosts_) {
+        host.OnNews(news, clock_.Now());
+      }
+    }
+  }
+
+  VirtualClock clock_;
+  std::vector<Quarantine> hosts_;
+};
+
+} // namespace
+
+TEST_CASE("quarantine: at most two crashes, no innocent is ever quarantined")
+{
+  CheckProperty([] {
+    PoisonFleet fleet;
+    std::set<std::uint64_t> innocents;
+    for (const auto choice : *Schedule(120)) {
+      const auto host = choice / 8 % kHosts;
+      const std::uint64_t first = 2 + choice / 32 % 40;
+      if (choice % 8 < 2) {
+        fleet.RunCrowd(host, { first, first + 1, first + 7 });
+        innocents.insert({ first, first + 1, first + 7 });
+      } else if (choice % 8 < 4) {
+        fleet.RunAlone(host, kPoison);
+      } else {
+        fleet.RunAlone(host, first);
+      }
+    }
+    RC_ASSERT(fleet.crashes_ <= 2);
+    for (const auto innocent : innocents) {
+      for (std::size_t host = 0; host < kHosts; ++host) {
+        RC_ASSERT(fleet.VerdictAt(host, innocent) != Verdict::Quarantined);
+      }
+    }
+  });
+}
+
+TEST_CASE("quarantine: the poison is known on all hosts after the second crash")
+{
+  PoisonFleet fleet;
+  fleet.RunCrowd(0, { 5, 6, 7 });
+  CHECK(fleet.VerdictAt(3, kPoison) == Verdict::Suspect);
+  CHECK(fleet.VerdictAt(2, 6) == Verdict::Suspect);
+  fleet.RunAlone(1, 6);
+  CHECK(fleet.VerdictAt(2, 6) == Verdict::Free);
+  fleet.RunAlone(2, kPoison);
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    CHECK(fleet.VerdictAt(host, kPoison) == Verdict::Quarantined);
+  }
+  CHECK(fleet.crashes_ == 2);
+}
+
+TEST_CASE("quarantine: memory is bounded")
+{
+  VirtualClock clock;
+  Quarantine quarantine({ .capacity_ = 64 });
+  for (std::uint64_t i = 0; i < 10'000; ++i) {
+    quarantine.OnCrash({ i }, false, clock.Now());
+    clock.Advance(std::chrono::milliseconds{ 1 });
+  }
+  CHECK(quarantine.size() <= 64);
+}
+
+TEST_CASE("solo queue: one suspect at a time, only on an empty server, and the "
+          "turn always comes back")
+{
+  CheckProperty([] {
+    VirtualClock clock;
+    SoloQueue queue({ .settle_ = std::chrono::milliseconds{ 300 } });
+    auto added = 0;
+    auto running = 0;
+    auto ended = 0;
+    auto turns = 0;
+    TimePoint reservedAt;
+    for (const auto choice : *Schedule(300)) {
+      clock.Advance(std::chrono::milliseconds(choice % 50));
+      const auto now = clock.Now();
+      if (choice % 5 == 0 && added < 20) {
+        queue.Add({ .id_ = { "a" + std::to_string(added++) },
+                    .pool_ = { choice % 10 == 0 ? "x" : "y" },
+                    .deadline_ = now + std::chrono::hours{ 1 } });
+      }
+      switch (queue.Next(now)) {
+        case SoloQueue::Step::TakeTurn:
+          queue.OnTurn(choice % 3 == 0, now);
+          turns += choice % 3 == 0 ? 1 : 0;
+          break;
+        case SoloQueue::Step::Reserve:
+          queue.OnReserved(choice % 7 == 0 ? std::nullopt
+                                           : std::optional(ServerId{ "s" }),
+                           now);
+          reservedAt = now;
+          break;
+        case SoloQueue::Step::Drain:
+          queue.OnEmpty(now);
+          break;
+        case SoloQueue::Step::Start:
+          RC_ASSERT(now - reservedAt >= std::chrono::milliseconds{ 300 });
+          RC_ASSERT(running == 0);
+          ++running;
+          queue.OnStarted();
+          break;
+        case SoloQueue::Step::Running: {
+          const auto name = AttemptId{ "a" + std::to_string(choice % 20) };
+          const auto mine = queue.IsRunning(name);
+          queue.OnEnded(name, choice % 2 == 0, now);
+          running -= mine ? 1 : 0;
+          ended += mine ? 1 : 0;
+          break;
+        }
+        case SoloQueue::Step::Release:
+          --turns;
+          queue.OnReleased();
+          break;
+        case SoloQueue::Step::Idle:
+          break;
+      }
+      RC_ASSERT(turns == 0 || turns == 1);
+    }
+    RC_ASSERT(ended <= added);
+  });
+}
+
+} // namespace testing
--- /dev/null
+++ b/test/unit/PolicyPartsTest.cpp
@@ -0,0 +1,96 @@
+#include <doctest/doctest.h>
+#include <goldcrestcroft/Policy.h>
+
+namespace testing {
+
+using namespace goldcrestcroft;
+
+TEST_CASE("retry budget: extra work is a share of successes")
+{
+  RetryBudget budget({ .share_ = 0.1, .burst_ = 2.0 });
+  CHECK(budget.TryTake());
+  CHECK(budget.TryTake());
+  CHECK_FALSE(budget.TryTake());
+  auto taken = 0;
+  for (auto i = 0; i < 1000; ++i) {
+    budget.OnSuccess();
+    taken += budget.TryTake() ? 1 : 0;
+  }
+  CHECK(taken <= 100);
+  CHECK(taken >= 98);
+}
+
+TEST_CASE("estimator: learns a line and follows a change")
+{
+  LinearEstimator estimator({ .initial_ = std::chrono::milliseconds{ 50 } });
+  CHECK(estimator.Mean() == std::chrono::milliseconds{ 50 });
+  for (auto i = 0; i < 400; ++i) {
+    const auto size = 1.0 + i % 10;
+    estimator.Observe(size, Duration(1000 + static_cast<int>(300 * size)));
+  }
+  CHECK(std::abs(estimator.Estimate(4.0).count() - 2200) < 50);
+  CHECK(std::abs(estimator.Estimate(20.0).count() - 7000) < 400);
+  for (auto i = 0; i < 1000; ++i) {
+    estimator.Observe(1.0 + i % 10, Duration(9000));
+  }
+  CHECK(std::abs(estimator.Mean().count() - 9000) < 100);
+}
+
+TEST_CASE("stragglers: a slow server is ejected, probed and let back")
+{
+  VirtualClock clock;
+  StragglerDetector detector({});
+  const std::vector<ServerId> pool{ { "a" }, { "b" }, { "c" }, { "d" } };
+  for (auto i = 0; i < 20; ++i) {
+    detector.Observe({ "a" }, 8.0);
+    for (const auto* fine : { "b", "c", "d" }) {
+      detector.Observe({ fine }, 1.0);
+    }
+  }
+  detector.Judge(pool);
+  CHECK(detector.IsEjected({ "a" }));
+  CHECK_FALSE(detector.IsEjected({ "b" }));
+  CHECK(detector.TryProbe({ "a" }, clock.Now()));
+  CHECK_FALSE(detector.TryProbe({ "a" }, clock.Now()));
+  for (auto i = 0; i < 6; ++i) {
+    detector.Observe({ "a" }, 1.0);
+  }
+  detector.Judge(pool);
+  CHECK_FALSE(detector.IsEjected({ "a" }));
+}
+
+TEST_CASE("stragglers: a whole pool that slows down stays in service")
+{
+  StragglerDetector detector({});
+  const std::vector<ServerId> pool{ { "a" }, { "b" }, { "c" } };
+  for (auto i = 0; i < 20; ++i) {
+    for (const auto& server : pool) {
+      detector.Observe(server, 9.0);
+    }
+  }
+  detector.Judge(pool);
+  for (const auto& server : pool) {
+    CHECK_FALSE(detector.IsEjected(server));
+  }
+}
+
+TEST_CASE("routing: affinity and the own zone count only while there is room")
+{
+  RandomEngine random(1);
+  CorrectedLoadRouting routing;
+  const ServerId near{ "near" };
+  const ServerId far{ "far" };
+  std::vector<Candidate> candidates{
+    { .server_ = &near, .slots_ = 10, .estimated_ = 3 },
+    { .server_ = &far,
+      .slots_ = 10,
+      .estimated_ = 3,
+      .sameZone_ = false,
+      .affine_ = true }
+  };
+  CHECK(routing.Choose(candidates, random) == 1);
+  candidates[1].estimated_ = 10;
+  CHECK(routing.Choose(candidates, random) == 0);
+}
+
+} // namespace testing
