Prove the wiring with processes under kills, pauses, cuts and outages

Cause: the models do not show that threads and sockets keep what they prove. Ruled out: a shell harness; the fixture spawns the shipped binary and the stand-ins and talks to them through the same HTTP client. Before: no process tests.

--- a/goldcrestcroft/src/Cli/LoadCommand.cpp
+++ b/goldcrestcroft/src/Cli/LoadCommand.cpp
@@ -1,5 +1,5 @@
 #include "Command.h"
-#include "LoadRun.h"
+#include "../Server/LoadRun.h"
 
 #include <absl/flags/declare.h>
 #include <absl/flags/flag.h>
--- a/goldcrestcroft/src/Cli/LoadRun.h
+++ b/goldcrestcroft/src/Server/LoadRun.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "../Server/HttpClient.h"
+#include "HttpClient.h"
 #include "LoadReport.h"
 
 #include <string>
--- /dev/null
+++ b/test/process/Fleet.cpp
@@ -0,0 +1,348 @@
+#include "Fleet.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <thread>
+
+namespace testing {
+
+using namespace goldcrestcroft;
+
+namespace {
+
+// Generous: it only bounds how long a broken build keeps CI waiting.
+constexpr auto kPatience = std::chrono::seconds{ 40 };
+constexpr auto kPoll = std::chrono::milliseconds{ 20 };
+
+auto Program(const std::string& aName) -> std::string
+{
+  return std::string(BUILD_FOLDER) + "/" + aName;
+}
+
+auto Loopback(int aPort) -> std::string
+{
+  return "127.0.0.1:" + std::to_string(aPort);
+}
+
+} // namespace
+
+Fleet::Fleet(Options aOptions)
+  : options_(aOptions)
+{
+  char pattern[] = "/tmp/goldcrestcroft-XXXXXX";
+  folder_ = mkdtemp(pattern);
+  const auto step = std::to_string(options_.engineStepMicroseconds_);
+  for (const auto* kind : { "table", "objects", "members", "collector" }) {
+    AddStandin(kind, kind, {});
+  }
+  for (auto i = 0; i < 2; ++i) {
+    for (const auto* kind : { "encoder", "retriever", "reranker" }) {
+      AddStandin(kind + ("-" + std::to_string(i)), kind, {});
+    }
+  }
+  for (auto i = 0; i < options_.engines_; ++i) {
+    AddStandin("engine-" + std::to_string(i), "engine",
+               { "--work_us=" + step });
+  }
+  AddStandin("service-0", "service",
+             { "--work_us=" + std::to_string(options_.serviceMicroseconds_) });
+  for (auto i = 0; i < options_.hosts_; ++i) {
+    callerPorts_.push_back(PickPort());
+    peerPorts_.push_back(PickPort());
+  }
+  for (auto i = 0; i < options_.hosts_; ++i) {
+    StartHost(i);
+  }
+  Await("configuration accepted", [this] {
+    return Patch(0, 0, "fleet",
+                 json::array({ { { "op", "replace" },
+                                 { "path", "" },
+                                 { "value", Configuration() } } }))
+             .status_ == 200;
+  });
+  for (auto i = 0; i < options_.hosts_; ++i) {
+    AwaitReady(i);
+    Await("hosts know each other", [this, i] {
+      const auto body =
+        json::parse(Get(HostAddress(i), "/v1/hosts").body_, nullptr, false);
+      return body.is_object() &&
+             body["hosts"].size() == static_cast<std::size_t>(options_.hosts_);
+    });
+  }
+}
+
+Fleet::~Fleet()
+{
+  hosts_.clear();
+  standins_.clear();
+  std::error_code ignored;
+  std::filesystem::remove_all(folder_, ignored);
+}
+
+auto Fleet::PickPort() -> int
+{
+  const auto descriptor = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  bind(descriptor, reinterpret_cast<const sockaddr*>(&address),
+       sizeof(address));
+  socklen_t size = sizeof(address);
+  getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+  close(descriptor);
+  return ntohs(address.sin_port);
+}
+
+auto Fleet::AddStandin(const std::string& aName, const std::string& aKind,
+                       std::vector<std::string> aWords) -> void
+{
+  standinPorts_[aName] = PickPort();
+  aWords.push_back("--kind=" + aKind);
+  aWords.push_back("--port=" + std::to_string(standinPorts_[aName]));
+  standinWords_[aName] = std::move(aWords);
+  StartStandin(aName);
+}
+
+auto Fleet::StartStandin(const std::string& aName) -> void
+{
+  standins_.insert_or_assign(aName,
+                             Process(Program("test/standin"),
+                                     standinWords_.at(aName),
+                                     folder_ + "/" + aName + ".log"));
+  Await(aName + " answers", [this, &aName] {
+    return Get(Address(aName), "/healthz").status_ == 200;
+  });
+}
+
+auto Fleet::StartHost(int aHost) -> void
+{
+  const auto name = "host-" + std::to_string(aHost);
+  auto seeds = json::array();
+  for (const auto port : peerPorts_) {
+    seeds.push_back(Loopback(port));
+  }
+  const json settings{
+    { "host", name },
+    { "availability_zone", "zone-" + std::to_string(aHost % 3) },
+    { "callers",
+      { { "listen", HostAddress(aHost) },
+        { "keep_hosts_ms", options_.keepHostsMilliseconds_ } } },
+    { "peers",
+      { { "listen", Loopback(peerPorts_.at(aHost)) },
+        { "seeds", seeds },
+        { "shared_key", "a key for tests only" },
+        { "heartbeat_ms", 100 },
+        { "suspect_after_ms", 600 },
+        { "gone_after_ms", 1500 } } },
+    { "platform",
+      { { "table", Address("table") },
+        { "objects", Address("objects") },
+        { "members", Address("members") },
+        { "timeout_ms", 400 },
+        { "members_period_ms", 200 },
+        { "head_period_ms", 300 } } },
+    { "collector", Address("collector") }
+  };
+  const auto file = folder_ + "/" + name + ".json";
+  std::ofstream(file) << settings.dump();
+  hosts_.insert_or_assign(aHost, Process(Program("goldcrestcroft/goldcrestcroft"),
+                                         { "serve", "--settings=" + file },
+                                         folder_ + "/" + name + ".log"));
+  Await(name + " answers", [this, aHost] {
+    return Get(HostAddress(aHost), "/healthz").status_ == 200;
+  });
+}
+
+auto Fleet::HostAddress(int aHost) const -> std::string
+{
+  return Loopback(callerPorts_.at(aHost));
+}
+
+auto Fleet::Address(const std::string& aName) const -> std::string
+{
+  return Loopback(standinPorts_.at(aName));
+}
+
+auto Fleet::SetFaults(const std::string& aName, const json& aFaults) -> void
+{
+  REQUIRE(Post(Address(aName), "/faults", aFaults).status_ == 200);
+}
+
+auto Fleet::Await(const std::string& aWhat, const std::function<bool()>& aHolds)
+  -> void
+{
+  const auto end = std::chrono::steady_clock::now() + kPatience;
+  while (!aHolds()) {
+    if (std::chrono::steady_clock::now() > end) {
+      FAIL("never came about: " << aWhat);
+    }
+    std::this_thread::sleep_for(kPoll);
+  }
+}
+
+auto Fleet::AwaitReady(int aHost) -> void
+{
+  Await("host is ready", [this, aHost] {
+    return Get(HostAddress(aHost), "/readyz").status_ == 200;
+  });
+}
+
+auto Fleet::Get(const std::string& aAddress, const std::string& aPath) const
+  -> HttpReply
+{
+  return CallAndWait({ .method_ = "GET",
+                       .url_ = "http://" + aAddress + aPath,
+                       .timeout_ = std::chrono::seconds{ 5 } });
+}
+
+auto Fleet::Post(const std::string& aAddress, const std::string& aPath,
+                 const json& aBody) const -> HttpReply
+{
+  return CallAndWait({ .url_ = "http://" + aAddress + aPath,
+                       .body_ = aBody.dump(),
+                       .timeout_ = std::chrono::seconds{ 20 } });
+}
+
+auto Fleet::Patch(int aHost, std::uint64_t aBase, const std::string& aAuthor,
+                  const json& aOperations) const -> HttpReply
+{
+  return Post(HostAddress(aHost), "/v1/config/patches",
+              { { "base", aBase },
+                { "author", aAuthor },
+                { "operations", aOperations } });
+}
+
+auto Fleet::Send(int aHost, const Ask& aAsk) const -> HttpReply
+{
+  std::vector<std::string> headers{
+    "x-workspace: " + aAsk.workspace_,
+    "x-deadline-ms: " + std::to_string(aAsk.deadlineMilliseconds_)
+  };
+  if (!aAsk.key_.empty()) {
+    headers.push_back("idempotency-key: " + aAsk.key_);
+  }
+  if (aAsk.first_) {
+    headers.emplace_back("x-first-submission: 1");
+  }
+  return CallAndWait(
+    { .url_ =
+        "http://" + HostAddress(aHost) + "/v1/pipelines/" + aAsk.pipeline_,
+      .body_ = json{ { "input", aAsk.input_ },
+                     { "max_tokens", aAsk.maxTokens_ },
+                     { "stream", aAsk.stream_ } }
+                 .dump(),
+      .headers_ = std::move(headers),
+      .timeout_ = std::chrono::seconds{ 20 } });
+}
+
+auto Fleet::SendLater(int aHost, const Ask& aAsk) const
+  -> std::function<HttpReply()>
+{
+  auto future = std::make_shared<std::future<HttpReply>>(
+    std::async(std::launch::async,
+               [this, aHost, aAsk] { return Send(aHost, aAsk); }));
+  return [future] { return future->get(); };
+}
+
+auto Fleet::VersionAt(int aHost) const -> std::uint64_t
+{
+  const auto body =
+    json::parse(Get(HostAddress(aHost), "/v1/config").body_, nullptr, false);
+  return body.is_object() ? body["version"].get<std::uint64_t>() : 0;
+}
+
+auto Fleet::RunsOf(const std::string& aInput) const -> int
+{
+  return json::parse(Get(Address("service-0"), "/counts").body_)
+    .value(aInput, 0);
+}
+
+auto Fleet::MetricAt(int aHost, const std::string& aName) const -> double
+{
+  const auto text = Get(HostAddress(aHost), "/metrics").body_;
+  const auto at = text.find("\n" + aName + " ");
+  return at == std::string::npos
+           ? 0.0
+           : std::strtod(text.c_str() + at + aName.size() + 2, nullptr);
+}
+
+auto Fleet::Pool(const std::string& aKind, const std::string& aStandin,
+                 int aCount, json aExtra) const -> json
+{
+  json pool{ { "kind", aKind }, { "licensed_copies", aCount } };
+  pool.update(aExtra);
+  for (auto i = 0; i < aCount; ++i) {
+    const auto name = aStandin + "-" + std::to_string(i);
+    pool["servers"][name] = { { "address", Address(name) },
+                              { "zone", "zone-" + std::to_string(i % 3) },
+                              { "slots", options_.slots_ } };
+  }
+  return pool;
+}
+
+auto Fleet::Configuration() const -> json
+{
+  const auto stages =
+    json::array({ { { "pool", "encoders" } }, { { "pool", "retrievers" } },
+                  { { "pool", "rerankers" } }, { { "pool", "engines" } } });
+  return {
+    { "workspaces",
+      { { "gallery", json::object() }, { "payments", json::object() } } },
+    { "pools",
+      { { "encoders", Pool("encode", "encoder", 2, json::object()) },
+        { "retrievers", Pool("retrieve", "retriever", 2, json::object()) },
+        { "rerankers", Pool("rerank", "reranker", 2, json::object()) },
+        { "engines", Pool("generate", "engine", options_.engines_,
+                          { { "silence_ms", 500 }, { "expected_ms", 30 } }) },
+        { "payouts", Pool("call", "service", 1,
+                          { { "idempotent", false },
+                            { "silence_ms", 5000 } }) } } },
+    { "pipelines",
+      { { "critique",
+          { { "stages", stages },
+            { "workspaces", json::array({ "gallery" }) } } },
+        { "payout",
+          { { "stages", json::array({ { { "pool", "payouts" } } }) },
+            { "workspaces", json::array({ "payments" }) } } } } }
+  };
+}
+
+auto OutcomeOf(const HttpReply& aReply) -> std::string
+{
+  if (aReply.end_ != HttpEnd::Answered) {
+    return "no answer: " + aReply.error_;
+  }
+  const auto body = json::parse(aReply.body_, nullptr, false);
+  return body.is_object() ? body.value("outcome", "none named") : "unreadable";
+}
+
+auto TextOf(const HttpReply& aReply) -> std::string
+{
+  const auto body = json::parse(aReply.body_, nullptr, false);
+  return body.is_object() ? body.value("text", "") : "";
+}
+
+auto DigestOf(const std::string& aInput) -> std::string
+{
+  return ToHex(Fingerprint(aInput));
+}
+
+auto LoadRequestOf(const Ask& aAsk) -> LoadRequest
+{
+  return { .name_ = aAsk.pipeline_,
+           .pipeline_ = aAsk.pipeline_,
+           .workspace_ = aAsk.workspace_,
+           .input_ = aAsk.input_,
+           .maxTokens_ = aAsk.maxTokens_,
+           .deadlineMilliseconds_ =
+             static_cast<unsigned>(aAsk.deadlineMilliseconds_),
+           .keyed_ = !aAsk.key_.empty() };
+}
+
+} // namespace testing
--- /dev/null
+++ b/test/process/Fleet.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "Process.h"
+
+#include <doctest/doctest.h>
+#include <goldcrestcroft/src/Server/LoadRun.h>
+#include <goldcrestcroft/src/Server/SimpleHttp.h>
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace testing {
+
+using goldcrestcroft::HttpReply;
+using nlohmann::json;
+
+/** \brief What a caller sends, and how. */
+struct Ask
+{
+  std::string pipeline_ = "critique";
+  std::string input_ = "hello";
+  std::string key_;
+  bool first_ = false;
+  bool stream_ = false;
+  int deadlineMilliseconds_ = 8000;
+  std::string workspace_ = "gallery";
+  unsigned maxTokens_ = 8;
+};
+
+/** \brief Entry hosts and stand-ins as processes on loopback, for one test. */
+class Fleet
+{
+public:
+  struct Options
+  {
+    int hosts_ = 3;
+    /** Time of one step of an engine, and of one call of the service. */
+    int engineStepMicroseconds_ = 1000;
+    int serviceMicroseconds_ = 1000;
+    int engines_ = 3;
+    int slots_ = 16;
+    int keepHostsMilliseconds_ = 500;
+  };
+
+  explicit Fleet(Options aOptions);
+  ~Fleet();
+  Fleet(const Fleet&) = delete;
+  auto operator=(const Fleet&) -> Fleet& = delete;
+
+  /** \brief Numbers count from 0. */
+  [[nodiscard]] auto HostAddress(int aHost) const -> std::string;
+  auto Host(int aHost) -> Process& { return hosts_.at(aHost); }
+  auto StartHost(int aHost) -> void;
+  /** \brief "table", "members", "encoder-0", "engine-1", "service-0" ... */
+  [[nodiscard]] auto Address(const std::string& aName) const -> std::string;
+  auto Standin(const std::string& aName) -> Process&
+  {
+    return standins_.at(aName);
+  }
+  auto StartStandin(const std::string& aName) -> void;
+  auto SetFaults(const std::string& aName, const json& aFaults) -> void;
+
+  /** \brief Waits until the condition holds; fails the test if it never does. */
+  auto Await(const std::string& aWhat, const std::function<bool()>& aHolds)
+    -> void;
+  auto AwaitReady(int aHost) -> void;
+
+  /** \brief Sends to a host and waits for the reply. */
+  [[nodiscard]] auto Send(int aHost, const Ask& aAsk) const -> HttpReply;
+  /** \brief Starts a request on a thread of its own. */
+  [[nodiscard]] auto SendLater(int aHost, const Ask& aAsk) const
+    -> std::function<HttpReply()>;
+  [[nodiscard]] auto Get(const std::string& aAddress,
+                         const std::string& aPath) const -> HttpReply;
+  [[nodiscard]] auto Post(const std::string& aAddress, const std::string& aPath,
+                          const json& aBody) const -> HttpReply;
+  [[nodiscard]] auto Patch(int aHost, std::uint64_t aBase,
+                           const std::string& aAuthor,
+                           const json& aOperations) const -> HttpReply;
+  [[nodiscard]] auto VersionAt(int aHost) const -> std::uint64_t;
+  /** \brief How often the plain service ran this input. */
+  [[nodiscard]] auto RunsOf(const std::string& aInput) const -> int;
+  [[nodiscard]] auto MetricAt(int aHost, const std::string& aName) const
+    -> double;
+
+private:
+  auto PickPort() -> int;
+  auto AddStandin(const std::string& aName, const std::string& aKind,
+                  std::vector<std::string> aWords) -> void;
+  auto Pool(const std::string& aKind, const std::string& aStandin, int aCount,
+            json aExtra) const -> json;
+  [[nodiscard]] auto Configuration() const -> json;
+
+  Options options_;
+  std::string folder_;
+  std::vector<int> callerPorts_;
+  std::vector<int> peerPorts_;
+  std::map<std::string, int> standinPorts_;
+  std::map<std::string, std::vector<std::string>> standinWords_;
+  std::map<std::string, Process> standins_;
+  std::map<int, Process> hosts_;
+};
+
+/** \brief The outcome that a reply names, or what is wrong with it. */
+auto OutcomeOf(const HttpReply& aReply) -> std::string;
+auto TextOf(const HttpReply& aReply) -> std::string;
+/** \brief What the stand-in engine says of an input, to prove whose it is. */
+auto DigestOf(const std::string& aInput) -> std::string;
+/** \brief A load run's request file, made in the test. */
+auto LoadRequestOf(const Ask& aAsk) -> goldcrestcroft::LoadRequest;
+
+} // namespace testing
--- /dev/null
+++ b/test/process/Process.cpp
@@ -0,0 +1,93 @@
+#include "Process.h"
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <csignal>
+#include <utility>
+
+extern char** environ; // NOLINT(readability-identifier-naming)
+
+namespace testing {
+
+Process::Process(const std::string& aProgram, std::vector<std::string> aWords,
+                 const std::string& aLog)
+{
+  aWords.insert(aWords.begin(), aProgram);
+  std::vector<char*> words;
+  for (auto& word : aWords) {
+    words.push_back(word.data());
+  }
+  words.push_back(nullptr);
+  posix_spawn_file_actions_t files;
+  posix_spawn_file_actions_init(&files);
+  for (const auto descriptor : { 1, 2 }) {
+    posix_spawn_file_actions_addopen(&files, descriptor, aLog.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0600);
+  }
+  if (posix_spawn(&pid_, aProgram.c_str(), &files, nullptr, words.data(),
+                  environ) != 0) {
+    pid_ = -1;
+  }
+  posix_spawn_file_actions_destroy(&files);
+}
+
+Process::Process(Process&& aOther) noexcept
+  : pid_(std::exchange(aOther.pid_, -1))
+{
+}
+
+auto Process::operator=(Process&& aOther) noexcept -> Process&
+{
+  if (this != &aOther) {
+    Kill();
+    pid_ = std::exchange(aOther.pid_, -1);
+  }
+  return *this;
+}
+
+Process::~Process()
+{
+  Kill();
+}
+
+auto Process::Signal(int aSignal) const -> void
+{
+  if (pid_ > 0) {
+    kill(pid_, aSignal);
+  }
+}
+
+auto Process::Kill() -> void
+{
+  if (pid_ > 0) {
+    kill(pid_, SIGKILL);
+    Wait();
+  }
+}
+
+auto Process::Wait() -> int
+{
+  if (pid_ <= 0) {
+    return -1;
+  }
+  auto status = 0;
+  waitpid(std::exchange(pid_, -1), &status, 0);
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+auto Process::IsRunning() -> bool
+{
+  if (pid_ <= 0) {
+    return false;
+  }
+  auto status = 0;
+  if (waitpid(pid_, &status, WNOHANG) == pid_) {
+    pid_ = -1;
+    return false;
+  }
+  return true;
+}
+
+} // namespace testing
--- /dev/null
+++ b/test/process/ServerFaultsTest.cpp
@@ -0,0 +1,137 @@
+#include "Fleet.h"
+
+#include <thread>
+
+namespace testing {
+
+namespace {
+
+/** Attempts that all hosts have sent to a server. */
+auto CountAt(Fleet& aFleet, const std::string& aServer, int aRequests) -> int
+{
+  auto served = 0;
+  for (auto i = 0; i < aRequests; ++i) {
+    const auto reply = aFleet.Send(i % 3, { .input_ = std::to_string(i) });
+    CHECK(OutcomeOf(reply) == "completed");
+    for (const auto& hop : json::parse(reply.body_)["hops"]) {
+      served += hop["server"] == aServer ? 1 : 0;
+    }
+  }
+  return served;
+}
+
+} // namespace
+
+TEST_CASE("servers: one that leaves gets nothing new, whoever says so first")
+{
+  Fleet fleet({});
+  CHECK(CountAt(fleet, "engine-0", 30) > 0);
+  SUBCASE("the list says so")
+  {
+    REQUIRE(fleet
+              .Post(fleet.Address("members"), "/v1/members",
+                    { { "members",
+                        json::array({ { { "id", "engine-0" },
+                                        { "state", "leaving" } } }) } })
+              .status_ == 200);
+  }
+  SUBCASE("the server says so, while the list calls it live")
+  {
+    REQUIRE(fleet
+              .Post(fleet.Address("members"), "/v1/members",
+                    { { "members", json::array({ { { "id", "engine-0" },
+                                                   { "state", "live" } } }) } })
+              .status_ == 200);
+    fleet.SetFaults("engine-0", { { "leaving", true } });
+    CountAt(fleet, "engine-0", 30); // some host asks it and learns
+  }
+  std::this_thread::sleep_for(std::chrono::seconds{ 3 });
+  CHECK(CountAt(fleet, "engine-0", 60) == 0);
+}
+
+TEST_CASE("servers: engines that die, restart and die again; every answer whole")
+{
+  Fleet fleet({ .engineStepMicroseconds_ = 3000 });
+  for (auto round = 0; round < 6; ++round) {
+    std::vector<std::function<HttpReply()>> replies;
+    for (auto i = 0; i < 12; ++i) {
+      replies.push_back(fleet.SendLater(
+        i % 3, { .input_ = std::to_string(100 * round + i),
+                 .stream_ = i % 2 == 0,
+                 .maxTokens_ = 40 }));
+    }
+    const auto victim = "engine-" + std::to_string(round % 3);
+    std::this_thread::sleep_for(std::chrono::milliseconds{ 60 });
+    fleet.Standin(victim).Kill();
+    for (auto i = 0; i < 12; ++i) {
+      const auto reply = replies[i]();
+      CAPTURE(reply.body_);
+      const auto own = DigestOf(std::to_string(100 * round + i));
+      const auto whole =
+        i % 2 == 0 ? reply.body_.find("event: done") != std::string::npos
+                   : OutcomeOf(reply) == "completed";
+      CHECK(whole);
+      CHECK(reply.body_.find(own) != std::string::npos);
+    }
+    fleet.StartStandin(victim);
+  }
+}
+
+TEST_CASE("servers: connections that go silent for good cost no request its "
+          "deadline")
+{
+  Fleet fleet({});
+  CountAt(fleet, "engine-0", 30); // fills the pools of connections
+  for (const auto* server : { "engine-0", "engine-1", "encoder-0" }) {
+    fleet.SetFaults(server, { { "silence_open", true } });
+  }
+  for (auto i = 0; i < 30; ++i) {
+    const auto reply = fleet.Send(i % 3, { .input_ = "after" + std::to_string(i),
+                                           .deadlineMilliseconds_ = 4000 });
+    CAPTURE(reply.body_);
+    CHECK(OutcomeOf(reply) == "completed");
+  }
+}
+
+TEST_CASE("servers: a request that crashes its servers is stopped after two, "
+          "and its neighbours complete")
+{
+  Fleet fleet({ .engineStepMicroseconds_ = 5000, .engines_ = 4 });
+  for (auto i = 0; i < 4; ++i) {
+    fleet.SetFaults("engine-" + std::to_string(i), { { "crash_on", "POISON" } });
+  }
+  std::vector<std::function<HttpReply()>> neighbours;
+  for (auto i = 0; i < 24; ++i) {
+    neighbours.push_back(fleet.SendLater(
+      i % 3, { .input_ = "neighbour " + std::to_string(i), .maxTokens_ = 60 }));
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds{ 100 });
+  for (auto i = 0; i < 9; ++i) {
+    const auto reply = fleet.Send(i % 3, { .input_ = "POISON" });
+    CHECK(OutcomeOf(reply) != "completed");
+    CHECK(OutcomeOf(reply).find("no answer") == std::string::npos);
+  }
+  auto dead = 0;
+  for (auto i = 0; i < 4; ++i) {
+    dead +=
+      fleet.Standin("engine-" + std::to_string(i)).IsRunning() ? 0 : 1;
+  }
+  CHECK(dead <= 2);
+  for (auto i = 0; i < 24; ++i) {
+    const auto reply = neighbours[i]();
+    CAPTURE(reply.body_);
+    CHECK(OutcomeOf(reply) == "completed");
+    CHECK(TextOf(reply).find(DigestOf("neighbour " + std::to_string(i))) !=
+          std::string::npos);
+  }
+  // Final on all hosts, at once, and for this request only.
+  for (auto host = 0; host < 3; ++host) {
+    fleet.Await("quarantined everywhere", [&] {
+      return fleet.Send(host, { .input_ = "POISON" }).status_ == 403;
+    });
+    CHECK(OutcomeOf(fleet.Send(host, { .input_ = "neighbour 1" })) ==
+          "completed");
+  }
+}
+
+} // namespace testing
