--- /dev/null
+++ b/bench/policy/FleetRunEvents.h
@@ -0,0 +1,490 @@
+#pragma once
+
+#include "FleetRun.h"
+
+namespace bench {
+
+inline constexpr Duration kSameZone{ 250 };
+inline constexpr Duration kTickPeriod = std::chrono::milliseconds{ 5 };
+inline constexpr Duration kJudgePeriod = std::chrono::milliseconds{ 50 };
+inline constexpr Duration kReportPeriod = std::chrono::milliseconds{ 100 };
+inline constexpr Duration kProbePeriod = std::chrono::milliseconds{ 500 };
+inline constexpr Duration kCallerRetry = std::chrono::milliseconds{ 100 };
+inline constexpr int kMaxAttempts = 3;
+
+template<goldcrestcroft::RoutingPolicy Routing>
+FleetRun<Routing>::FleetRun(Options aOptions)
+  : options_(std::move(aOptions))
+  , config_(MakeConfiguration(options_.scenario_.deployment_))
+  , start_(events_.Now())
+  , random_(options_.scenario_.seed_ + 1)
+{
+  const auto hosts = options_.oracle_ ? 1 : options_.scenario_.hosts_;
+  for (auto i = 0; i < hosts; ++i) {
+    auto options = options_.dispatcher_;
+    options.host_ = { "h" + std::to_string(i) };
+    options.zone_ = { options_.oracle_
+                        ? ""
+                        : ZoneOf(static_cast<std::size_t>(i)) };
+    hosts_.push_back({ .dispatcher_ = std::make_unique<Dispatcher>(
+                         options, Routing(), 100 + i),
+                       .budget_ = goldcrestcroft::RetryBudget(
+                         { .share_ = options_.retryShare_ }) });
+    hosts_.back().dispatcher_->Adopt(config_);
+  }
+  for (const auto& pool : config_.Pools()) {
+    for (const auto& server : pool.servers_) {
+      servers_[server.id_] = std::make_unique<FakeServer>(events_, server.slots_);
+      known_[server.id_] = server;
+    }
+  }
+  for (auto& offered : MakeWorkload(options_.scenario_, start_)) {
+    requests_.push_back({ .offered_ = std::move(offered) });
+  }
+}
+
+template<goldcrestcroft::RoutingPolicy Routing>
+auto FleetRun<Routing>::Run() -> RunResult
+{
+  constexpr Duration kDrain = std::chrono::seconds{ 10 };
+  ScheduleAll();
+  ScheduleFaults();
+  events_.RunUntil(start_ + options_.scenario_.length_ + kDrain);
+  result_.seconds_ =
+    std::chrono::duration<double>(options_.scenario_.length_).count();
+  for (const auto& pool : config_.Pools()) {
+    for (const auto& server : pool.servers_) {
+      result_.paid_[pool.id_.value_] += result_.seconds_ * server.slots_;
+      result_.spent_[pool.id_.value_] +=
+        std::chrono::duration<double>(servers_.at(server.id_)->BusyTime())
+          .count();
+    }
+  }
+  return result_;
+}
+
+template<goldcrestcroft::RoutingPolicy Routing>
+auto FleetRun<Routing>::ScheduleAll() -> void
+{
+  for (std::size_t i = 0; i < requests_.size(); ++i) {
+    events_.At(requests_[i].offered_.arrival_, [this, i] { Arrive(i); });
+  }
+  for (std::size_t host = 0; host < hosts_.size(); ++host) {
+    const auto offset = Duration(static_cast<Duration::rep>(
+      goldcrestcroft::UniformBelow(random_, 5000)));
+    events_.After(offset, [this, host] { Tick(host); });
+    if (!options_.oracle_) {
+      events_.After(100 * offset, [this, host] { Gossip(host); });
+    }
+  }
+  events_.After(kReportPeriod, [this] { Report(); });
+}
+
+template<goldcrestcroft::RoutingPolicy Routing>
+auto FleetRun<Routing>::ScheduleFaults() -> void
+{
+  const auto& scenario = options_.scenario_;
+  const auto third = scenario.length_ / 3;
+  if (scenario.straggler_) {
+    constexpr double kSlow = 6.0;
+    auto& victim = *servers_.at({ "shared-1" });
+    events_.At(start_ + third / 2, [&victim] { victim.SetSlowness(kSlow); });
+    events_.At(start_ + 2 * third, [&victim] { victim.SetSlowness(1.0); });
+  }
+  if (scenario.zoneLost_) {
+    for (auto& [id, server] : servers_) {
+      if (known_.at(id).zone_.value_ != "zone-0") {
+        continue;
+      }
+      auto* victim = server.get();
+      events_.At(start_ + third, [this, victim] {
+        victim->Crash([this](const AttemptId& aId) { OnLost(aId); });
+      });
+      events_.At(start_ + 2 * third, [victim] { victim->Restart(); });
+    }
+  }
+  if (scenario.hostLost_ && !options_.oracle_) {
+    events_.At(start_ + third, [this] {
+      hosts_[0].alive_ = false;
+      // Its connections break, so servers drop its work; callers whose request
+      // was there ask another host.
+      for (std::size_t i = 0; i < requests_.size(); ++i) {
+        auto& request = requests_[i];
+        const auto began = request.offered_.arrival_ <= events_.Now();
+        if (request.host_ != 0 || request.ended_ || !began) {
+          continue;
+        }
+        for (const auto& id : std::exchange(request.active_, {})) {
+          Drop(id);
+        }
+        request.stage_ = 0;
+        request.attempts_ = 0;
+        events_.After(kCallerRetry, [this, i] { Arrive(i); });
+      }
+    });
+    constexpr Duration kGoneAfter = std::chrono::seconds{ 8 };
+    events_.At(start_ + third + kGoneAfter, [this] {
+      for (std::size_t host = 1; host < hosts_.size(); ++host) {
+        hosts_[host].dispatcher_->OnPeerGone({ "h0" });
+      }
+    });
+  }
+}
+
+template<goldcrestcroft::RoutingPolicy Routing>
+auto FleetRun<Routing>::PickHost() -> std::size_t
+{
+  while (true) {
+    const auto host = goldcrestcroft::UniformBelow(random_, hosts_.size());
+    if (hosts_[host].alive_) {
+      return host;
+    }
+  }
+}
+
+template<goldcrestcroft::RoutingPolicy Routing>
+auto FleetRun<Routing>::Delay(const goldcrestcroft::ServerId& aServer,
+                              std::size_t aHost) const -> Duration
+{
+  const auto near =
+    options_.oracle_ || known_.at(aServer).zone_.value_ == ZoneOf(aHost);
+  return near ? kSameZone : options_.scenario_.deployment_.betweenZones_;
+}
+
+template<goldcrestcroft::RoutingPolicy Routing>
+auto FleetRun<Routing>::Forecast(const Request& aRequest) const
+  -> std::vector<goldcrestcroft::StageForecast>
+{
+  std::vector<goldcrestcroft::StageForecast> forecast;
+  const auto& stages = aRequest.offered_.stages_;
+  for (auto i = aRequest.stage_; i < stages.size(); ++i) {
+    // As in the entry host: what a rerank stage gets is known only then.
+    const auto known =
+      i == aRequest.stage_ || stages[i].pool_.value_ != "rerankers";
+    forecast.push_back({ .pool_ = stages[i].pool_,
+                         .size_ = known ? std::optional(stages[i].size_)
+                                        : std::nullopt });
+  }
+  return forecast;
+}
+
+template<goldcrestcroft::RoutingPolicy Routing>
+auto FleetRun<Routing>::Arrive(std::size_t aRequest) -> void
+{
+  auto& request = requests_[aRequest];
+  const auto& offered = request.offered_;
+  const auto first = request.offered_.arrival_ == events_.Now();
+  if (first) {
+    auto& all = offered.desk_ ? result_.desksOffered_ : result_.offered_;
+    ++all;
+    result_.offeredBy_[offered.workspace_.value_] += offered.desk_ ? 0 : 1;
+    events_.At(offered.deadline_,
+               [this, aRequest] { End(aRequest, false, false); });
+  }
+  request.host_ = PickHost();
+  auto& dispatcher = *hosts_[request.host_].dispatcher_;
+  const auto admission =
+    dispatcher.Admit(Forecast(request), offered.workspace_, offered.priority_,
+                     offered.deadline_, events_.Now());
+  if (!admission.admitted_) {
+    End(aRequest, false, true);
+    return;
+  }
+  SubmitStage(aRequest, {});
+  Pump(request.host_);
+}
+
+template<goldcrestcroft::RoutingPolicy Routing>
+auto FleetRun<Routing>::SubmitStage(std::size_t aRequest,
+                                    const goldcrestcroft::ServerId& aAvoid)
+  -> void
+{
+  auto& request = requests_[aRequest];
+  const auto& offered = request.offered_;
+  const auto& stage = offered.stages_[request.stage_];
+  auto& dispatcher = *hosts_[request.host_].dispatcher_;
+  const AttemptId id{ std::to_string(aRequest) + "." +
+                      std::to_string(request.stage_) + "." +
+                      std::to_string(++request.attempts_) };
+  auto later = Forecast(request);
+  later.erase(later.begin());
+  request.active_.insert(id);
+  attempts_[id] = { .request_ = aRequest, .host_ = request.host_ };
+  dispatcher.Submit({ .id_ = id,
+                      .pool_ = stage.pool_,
+                      .workspace_ = offered.workspace_,
+                      .priority_ = offered.priority_,
+                      .deadline_ = offered.deadline_,
+                      .reserve_ = dispatcher.ServiceTime(later),
+                      .size_ = stage.size_,
+                      .affinity_ = offered.session_,
+                      .avoid_ = aAvoid });
+}
+
+template<goldcrestcroft::RoutingPolicy Routing>
+auto FleetRun<Routing>::Pump(std::size_t aHost) -> void
+{
+  while (const auto assignment =
+           hosts_[aHost].dispatcher_->Next(events_.Now())) {
+    Send(*assignment);
+  }
+}
+
+template<goldcrestcroft::RoutingPolicy Routing>
+auto FleetRun<Routing>::Send(const goldcrestcroft::Assignment& aAssignment)
+  -> void
+{
+  const auto& id = aAssignment.work_.id_;
+  auto& attempt = attempts_.at(id);
+  attempt.server_ = aAssignment.server_;
+  attempt.sent_ = true;
+  ++result_.attempts_;
+  const auto borrowed = aAssignment.borrowed_;
+  events_.After(Delay(attempt.server_, attempt.host_),
+                [this, id, borrowed] { Reach(id, borrowed); });
+  HedgeLater(id);
+}
+
+template<goldcrestcroft::RoutingPolicy Routing>
+auto FleetRun<Routing>::Reach(const AttemptId& aId, bool aBorrowed) -> void
+{
+  const auto found = attempts_.find(aId);
+  if (found == attempts_.end()) {
+    return;
+  }
+  const auto attempt = found->second;
+  const auto& request = requests_[attempt.request_];
+  const auto& stage = request.offered_.stages_[request.stage_];
+  const auto taken = servers_.at(attempt.server_)
+                       ->Take(aId, stage.service_, aBorrowed, [this, aId] {
+                         const auto done = attempts_.find(aId);
+                         if (done != attempts_.end()) {
+                           events_.After(Delay(done->second.server_,
+                                               done->second.host_),
+                                         [this, aId] { OnDone(aId); });
+                         }
+                       });
+  if (!taken) {
+    OnUnreachable(attempt.server_, attempt.host_);
+    OnLost(aId);
+  }
+}
+
+template<goldcrestcroft::RoutingPolicy Routing>
+auto FleetRun<Routing>::OnUnreachable(const goldcrestcroft::ServerId& aServer,
+                                      std::size_t aHost) -> void
+{
+  hosts_[aHost].dispatcher_->SetClosed(aServer, true);
+  events_.After(kProbePeriod, [this, aServer, aHost] {
+    if (servers_.at(aServer)->IsDown()) {
+      OnUnreachable(aServer, aHost);
+    } else {
+      hosts_[aHost].dispatcher_->SetClosed(aServer, false);
+      Pump(aHost);
+    }
+  });
+}
+
+template<goldcrestcroft::RoutingPolicy Routing>
+auto FleetRun<Routing>::OnDone(const AttemptId& aId) -> void
+{
+  const auto node = attempts_.extract(aId);
+  if (node.empty()) {
+    return;
+  }
+  const auto& attempt = node.mapped();
+  auto& host = hosts_[attempt.host_];
+  host.dispatcher_->OnFinish(aId, goldcrestcroft::Finish::Completed,
+                             events_.Now());
+  auto& request = requests_[attempt.request_];
+  request.active_.erase(aId);
+  if (!request.ended_) {
+    host.budget_.OnSuccess();
+    for (const auto& loser : std::exchange(request.active_, {})) {
+      Drop(loser);
+    }
+    const auto& stage = request.offered_.stages_[request.stage_];
+    // Counted as useful if the request is answered in time; by the time an
+    // idle server of normal speed needs.
+    request.spent_[known_.at(attempt.server_).pool_.value_] += stage.service_;
+    request.attempts_ = 0;
+    request.firstToken_ = events_.Now() - stage.service_ + Duration{ 13'000 };
+    if (++request.stage_ == request.offered_.stages_.size()) {
+      End(attempt.request_, true, false);
+    } else {
+      SubmitStage(attempt.request_, {});
+    }
+  }
+  Pump(attempt.host_);
+}
+
+template<goldcrestcroft::RoutingPolicy Routing>
+auto FleetRun<Routing>::OnLost(const AttemptId& aId) -> void
+{
+  const auto node = attempts_.extract(aId);
+  if (node.empty()) {
+    return;
+  }
+  const auto& attempt = node.mapped();
+  hosts_[attempt.host_].dispatcher_->OnFinish(
+    aId, goldcrestcroft::Finish::Failed, events_.Now());
+  auto& request = requests_[attempt.request_];
+  request.active_.erase(aId);
+  if (request.ended_ || !request.active_.empty()) {
+    return;
+  }
+  if (request.attempts_ < kMaxAttempts) {
+    ++result_.extraAttempts_;
+    SubmitStage(attempt.request_, attempt.server_);
+    Pump(attempt.host_);
+  } else {
+    End(attempt.request_, false, false);
+  }
+}
+
+template<goldcrestcroft::RoutingPolicy Routing>
+auto FleetRun<Routing>::HedgeLater(const AttemptId& aId) -> void
+{
+  if (!options_.dispatcher_.ejection_) {
+    return; // the baselines send everything once
+  }
+  constexpr Duration kLeastDelay = std::chrono::milliseconds{ 10 };
+  constexpr int kSlowFactor = 3;
+  const auto& attempt = attempts_.at(aId);
+  const auto& request = requests_[attempt.request_];
+  const auto& stage = request.offered_.stages_[request.stage_];
+  const auto expected = hosts_[attempt.host_].dispatcher_->ExpectedService(
+    stage.pool_, stage.size_);
+  events_.After(std::max(kLeastDelay, kSlowFactor * expected), [this, aId] {
+    const auto found = attempts_.find(aId);
+    if (found == attempts_.end()) {
+      return;
+    }
+    const auto original = found->second;
+    auto& slow = requests_[original.request_];
+    auto& host = hosts_[original.host_];
+    if (slow.ended_ || slow.active_.size() != 1 || !host.budget_.TryTake()) {
+      return;
+    }
+    const AttemptId copy{ aId.value_ + "h" };
+    const auto assignment =
+      host.dispatcher_->Hedge(aId, copy, events_.Now());
+    if (assignment) {
+      ++result_.extraAttempts_;
+      slow.active_.insert(copy);
+      attempts_[copy] = { .request_ = original.request_,
+                          .host_ = original.host_ };
+      Send(*assignment);
+    }
+  });
+}
+
+template<goldcrestcroft::RoutingPolicy Routing>
+auto FleetRun<Routing>::Drop(const AttemptId& aId) -> void
+{
+  const auto node = attempts_.extract(aId);
+  if (node.empty()) {
+    return;
+  }
+  const auto& attempt = node.mapped();
+  hosts_[attempt.host_].dispatcher_->Cancel(aId, events_.Now());
+  if (attempt.sent_) {
+    servers_.at(attempt.server_)->Cancel(aId);
+  }
+}
+
+template<goldcrestcroft::RoutingPolicy Routing>
+auto FleetRun<Routing>::End(std::size_t aRequest, bool aInTime, bool aRefused)
+  -> void
+{
+  auto& request = requests_[aRequest];
+  if (request.ended_) {
+    return;
+  }
+  request.ended_ = true;
+  for (const auto& id : std::exchange(request.active_, {})) {
+    Drop(id);
+  }
+  const auto& offered = request.offered_;
+  const auto took =
+    goldcrestcroft::ToMilliseconds(events_.Now() - offered.arrival_);
+  if (aInTime) {
+    for (const auto& [pool, spent] : request.spent_) {
+      result_.useful_[pool] += std::chrono::duration<double>(spent).count();
+    }
+  }
+  if (offered.desk_) {
+    result_.desksInTime_ += aInTime ? 1 : 0;
+    return;
+  }
+  result_.inTime_ += aInTime ? 1 : 0;
+  result_.refused_ += aRefused ? 1 : 0;
+  result_.missed_ += !aInTime && !aRefused ? 1 : 0;
+  result_.inTimeBy_[offered.workspace_.value_] += aInTime ? 1 : 0;
+  if (aInTime) {
+    result_.firstTokenMilliseconds_.push_back(goldcrestcroft::ToMilliseconds(
+      request.firstToken_ - offered.arrival_));
+  }
+  if (aRefused) {
+    result_.refusalMilliseconds_.push_back(took);
+  }
+}
+
+template<goldcrestcroft::RoutingPolicy Routing>
+auto FleetRun<Routing>::Tick(std::size_t aHost) -> void
+{
+  auto& host = hosts_[aHost];
+  if (!host.alive_) {
+    return;
+  }
+  const auto now = events_.Now();
+  for (const auto& late : host.dispatcher_->TakeInfeasible(now)) {
+    const auto found = attempts_.find(late.id_);
+    if (found != attempts_.end()) {
+      End(found->second.request_, false, true);
+    }
+  }
+  if (now.time_since_epoch() % kJudgePeriod < kTickPeriod) {
+    host.dispatcher_->Tick(now);
+  }
+  Pump(aHost);
+  events_.After(kTickPeriod, [this, aHost] { Tick(aHost); });
+}
+
+template<goldcrestcroft::RoutingPolicy Routing>
+auto FleetRun<Routing>::Gossip(std::size_t aHost) -> void
+{
+  if (!hosts_[aHost].alive_) {
+    return;
+  }
+  const auto load = hosts_[aHost].dispatcher_->ExportLoad();
+  events_.After(options_.scenario_.deployment_.betweenZones_,
+                [this, aHost, load] {
+                  for (std::size_t peer = 0; peer < hosts_.size(); ++peer) {
+                    if (peer != aHost && hosts_[peer].alive_) {
+                      hosts_[peer].dispatcher_->OnPeerLoad(load, events_.Now());
+                      Pump(peer);
+                    }
+                  }
+                });
+  events_.After(options_.scenario_.gossipPeriod_,
+                [this, aHost] { Gossip(aHost); });
+}
+
+template<goldcrestcroft::RoutingPolicy Routing>
+auto FleetRun<Routing>::Report() -> void
+{
+  for (const auto& [id, server] : servers_) {
+    const auto inFlight = static_cast<double>(server->InFlight());
+    const auto lag = options_.oracle_ ? Duration{ 0 }
+                                      : options_.scenario_.reportLag_;
+    events_.After(lag, [this, server = id, inFlight] {
+      for (auto& host : hosts_) {
+        host.dispatcher_->OnReport(server, inFlight);
+      }
+    });
+  }
+  events_.After(kReportPeriod, [this] { Report(); });
+}
+
+} // namespace bench
--- a/goldcrestcroft/src/Policy/Dispatcher.h
+++ b/goldcrestcroft/src/Policy/Dispatcher.h
@@ -81,7 +81,7 @@
   auto OnReport(const ServerId& aServer, double aInFlight) -> void;
   /** \brief The server takes no new work until opened again. */
   auto SetClosed(const ServerId& aServer, bool aClosed) -> void;
-  auto OnPeerLoad(const HostLoad& aLoad) -> void;
+  auto OnPeerLoad(const HostLoad& aLoad, TimePoint aNow) -> void;
   auto OnPeerGone(const HostId& aHost) -> void;
   [[nodiscard]] auto ExportLoad() const -> HostLoad;
   /** \brief Renews verdicts on stragglers, also from work that is overdue. */
@@ -127,6 +127,13 @@
     std::vector<ServerId> servers_;
     std::vector<PoolId> lenders_;
     TimePoint sharesAt_{};
+    /** How fractions of shares are rounded, and until when. */
+    double rounding_ = 0.0;
+    TimePoint roundingUntil_{};
+    /** Mean of the peers' counts over the servers, and the trust in a server's
+     * difference from it, 0 to 1. */
+    double peersMean_ = 0.0;
+    double trust_ = 0.0;
   };
 
   /** A server that could take a work. Owned ones may be over-committed to
@@ -145,12 +152,17 @@
   auto Route(PoolState& aPool, const Work& aWork, bool aEntitled,
              TimePoint aNow) -> std::optional<Assignment>;
   auto Collect(const PoolState& aPool, const Work& aWork, Reach aReach) -> void;
+  /** \brief Works out how much of the peers' counts to believe now. */
+  auto RefreshTrust(PoolState& aPool, TimePoint aNow) -> void;
+  /** \brief Requests believed to be at a server for its own pool. */
+  [[nodiscard]] auto Believed(const PoolState& aPool,
+                              const ServerLoad& aServer) const -> double;
   auto MarkAffine(std::uint64_t aAffinity) -> void;
   auto Probe(const PoolState& aPool, TimePoint aNow) -> const ServerId*;
   auto Start(Assignment aAssignment, TimePoint aNow) -> Assignment;
   auto Release(const AttemptId& aId) -> std::optional<Started>;
-  [[nodiscard]] auto Accepts(const ServerLoad& aServer, const Work& aWork,
-                             Reach aReach) const -> bool;
+  [[nodiscard]] auto Accepts(const PoolState& aPool, const ServerLoad& aServer,
+                             const Work& aWork, Reach aReach) const -> bool;
 
   DispatcherOptions options_;
   Routing routing_;
@@ -159,6 +171,7 @@
   std::map<PoolId, PoolState> pools_;
   std::unordered_map<ServerId, ServerLoad> servers_;
   std::unordered_map<AttemptId, Started> inFlight_;
+  std::map<HostId, TimePoint> peersHeard_;
   std::vector<Candidate> candidates_;
 };
 
--- a/goldcrestcroft/src/Policy/DispatcherEvents.h
+++ b/goldcrestcroft/src/Policy/DispatcherEvents.h
@@ -199,8 +199,10 @@
 }
 
 template<RoutingPolicy Routing>
-auto Dispatcher<Routing>::OnPeerLoad(const HostLoad& aLoad) -> void
+auto Dispatcher<Routing>::OnPeerLoad(const HostLoad& aLoad, TimePoint aNow)
+  -> void
 {
+  peersHeard_[aLoad.host_] = aNow;
   for (auto& [id, server] : servers_) {
     server.SetPeer(aLoad.host_, {});
   }
@@ -222,6 +224,7 @@
 template<RoutingPolicy Routing>
 auto Dispatcher<Routing>::OnPeerGone(const HostId& aHost) -> void
 {
+  peersHeard_.erase(aHost);
   for (auto& [id, server] : servers_) {
     server.ForgetPeer(aHost);
   }
--- a/goldcrestcroft/src/Policy/DispatcherOptions.h
+++ b/goldcrestcroft/src/Policy/DispatcherOptions.h
@@ -24,6 +24,9 @@
   double lendable_ = 0.75;
   /** Homes of each affinity value. */
   std::size_t affineServers_ = 2;
+  /** Half of what a peer's count says beyond the pool's mean is forgotten in
+   * this many mean service times. */
+  double forgetAfter_ = 0.7;
   /** How old the shares may be. */
   Duration sharePeriod_ = std::chrono::milliseconds{ 1 };
   StragglerDetector::Options stragglers_;
--- a/goldcrestcroft/src/Policy/DispatcherRouting.h
+++ b/goldcrestcroft/src/Policy/DispatcherRouting.h
@@ -9,9 +9,49 @@
   -> void
 {
   if (aNow - aPool.sharesAt_ >= options_.sharePeriod_) {
-    aPool.load_.UpdateShares();
+    if (aNow >= aPool.roundingUntil_) {
+      // Held for as long as work lasts that it lets in; drawn more often, the
+      // highest draw would count.
+      aPool.rounding_ = UniformUnit(random_);
+      aPool.roundingUntil_ = aNow + 2 * aPool.load_.Service().Mean();
+    }
+    aPool.load_.UpdateShares(aPool.rounding_);
     aPool.sharesAt_ = aNow;
+    RefreshTrust(aPool, aNow);
+  }
+}
+
+// A peer's count is a memory: by the time a service time has passed, the
+// requests that made one server differ from the next have ended. What lasts is
+// the pool's total, so differences are forgotten and the mean is kept.
+template<RoutingPolicy Routing>
+auto Dispatcher<Routing>::RefreshTrust(PoolState& aPool, TimePoint aNow) -> void
+{
+  Duration age{ 0 };
+  for (const auto& [host, heard] : peersHeard_) {
+    age += aNow - heard;
   }
+  const auto peers = std::max<std::size_t>(1, peersHeard_.size());
+  const auto mean = static_cast<double>(age.count()) / static_cast<double>(peers);
+  const auto service =
+    std::max(1.0, static_cast<double>(aPool.load_.Service().Mean().count()));
+  aPool.trust_ = std::exp2(-mean / (options_.forgetAfter_ * service));
+  auto sum = 0.0;
+  for (const auto& id : aPool.servers_) {
+    sum += servers_.at(id).PeersOwn();
+  }
+  aPool.peersMean_ =
+    sum / static_cast<double>(std::max<std::size_t>(1, aPool.servers_.size()));
+}
+
+template<RoutingPolicy Routing>
+auto Dispatcher<Routing>::Believed(const PoolState& aPool,
+                                   const ServerLoad& aServer) const -> double
+{
+  const auto peers =
+    aPool.peersMean_ +
+    aPool.trust_ * (aServer.PeersOwn() - aPool.peersMean_);
+  return static_cast<double>(aServer.mine_.own_) + peers;
 }
 
 template<RoutingPolicy Routing>
@@ -62,7 +102,8 @@
 }
 
 template<RoutingPolicy Routing>
-auto Dispatcher<Routing>::Accepts(const ServerLoad& aServer, const Work& aWork,
+auto Dispatcher<Routing>::Accepts(const PoolState& aPool,
+                                  const ServerLoad& aServer, const Work& aWork,
                                   Reach aReach) const -> bool
 {
   if (aServer.closed_ || aServer.server_.id_ == aWork.avoid_) {
@@ -73,10 +114,9 @@
   }
   switch (aReach) {
     case Reach::Room:
-      return aServer.EstimatedForOwner() < aServer.Slots();
+      return Believed(aPool, aServer) < aServer.Slots();
     case Reach::Overcommit:
-      return aServer.EstimatedForOwner() <
-             aServer.Slots() + options_.overcommit_;
+      return Believed(aPool, aServer) < aServer.Slots() + options_.overcommit_;
     case Reach::Borrow:
       return aServer.Estimated() + 1 <= aServer.Slots() * options_.lendable_;
     case Reach::Any:
@@ -92,13 +132,13 @@
   candidates_.clear();
   for (const auto& id : aPool.servers_) {
     const auto& server = servers_.at(id);
-    if (!Accepts(server, aWork, aReach)) {
+    if (!Accepts(aPool, server, aWork, aReach)) {
       continue;
     }
     candidates_.push_back(
       { .server_ = &server.server_.id_,
         .slots_ = server.Slots(),
-        .estimated_ = server.EstimatedForOwner(),
+        .estimated_ = Believed(aPool, server),
         .reported_ = server.reported_,
         .own_ = static_cast<double>(server.mine_.own_ + server.mine_.borrowed_),
         .slowness_ = stragglers_.Slowness(id),
@@ -133,7 +173,7 @@
   for (const auto& id : aPool.servers_) {
     const auto& server = servers_.at(id);
     if (!server.closed_ && stragglers_.IsEjected(id) &&
-        server.EstimatedForOwner() < server.Slots() &&
+        Believed(aPool, server) < server.Slots() &&
         stragglers_.TryProbe(id, aNow)) {
       return &server.server_.id_;
     }
--- a/goldcrestcroft/src/Policy/PoolLoad.cpp
+++ b/goldcrestcroft/src/Policy/PoolLoad.cpp
@@ -4,6 +4,12 @@
 
 namespace goldcrestcroft {
 
+namespace {
+
+constexpr double kRounding = 1e-6;
+
+} // namespace
+
 PoolLoad::PoolLoad(const Pool& aPool)
   : service_({ .initial_ = aPool.expected_ })
 {
@@ -75,7 +81,7 @@
   return sum;
 }
 
-auto PoolLoad::UpdateShares() -> void
+auto PoolLoad::UpdateShares(double aRounding) -> void
 {
   // The fleet's slots are divided among workspaces first and each workspace's
   // part among entry hosts by what it asks there. Every host computes this from
@@ -103,17 +109,19 @@
     const auto share = shares[index++];
     const auto known = workspaces_.find(id);
     if (known != workspaces_.end()) {
-      known->second.share_ =
-        demand > 0.0 ? share * Demand(known->second) / demand : 0.0;
+      auto& load = known->second;
+      load.share_ = demand > 0.0 ? share * Demand(load) / demand : 0.0;
+      // Parts of slots are of no use. Rounding all down would leave slots idle,
+      // all up would overfill the servers; at random, the sum is right.
+      load.whole_ = static_cast<unsigned>(load.share_ + aRounding + kRounding);
     }
   }
 }
 
 auto PoolLoad::IsEntitled(const WorkspaceId& aWorkspace) const -> bool
 {
-  constexpr double kRounding = 1e-6;
   const auto& load = workspaces_.at(aWorkspace);
-  return load.inFlight_ + 1 <= load.share_ + kRounding;
+  return load.inFlight_ < load.whole_;
 }
 
 auto PoolLoad::Pick(bool aPoolHasRoom) const -> const WorkspaceId*
--- a/goldcrestcroft/src/Policy/PoolLoad.h
+++ b/goldcrestcroft/src/Policy/PoolLoad.h
@@ -35,8 +35,9 @@
                const std::vector<WorkspaceDemand>& aDemands) -> void;
   auto ForgetPeer(const HostId& aHost) -> void { peers_.erase(aHost); }
 
-  /** \brief Works out this host's shares anew. */
-  auto UpdateShares() -> void;
+  /** \brief Works out this host's shares anew. aRounding, from [0, 1), decides
+   * what becomes of the fractions; over time it must be spread evenly. */
+  auto UpdateShares(double aRounding) -> void;
 
   /** \brief The workspace to serve next, or none.
    *
@@ -87,6 +88,7 @@
     double weight_ = 1.0;
     /** Requests that may be in flight from this host. */
     double share_ = 0.0;
+    unsigned whole_ = 0;
   };
 
   [[nodiscard]] auto Demand(const WorkspaceLoad& aLoad) const -> double
--- a/goldcrestcroft/src/Policy/ServerLoad.h
+++ b/goldcrestcroft/src/Policy/ServerLoad.h
@@ -40,6 +40,12 @@
            static_cast<double>(mine_.borrowed_ + peersBorrowed_);
   }
 
+  /** \brief The peers' part of EstimatedForOwner. */
+  [[nodiscard]] auto PeersOwn() const -> double
+  {
+    return static_cast<double>(peersOwn_);
+  }
+
   auto SetPeer(const HostId& aHost, const ServerCount& aCount) -> void
   {
     auto& known = peers_[aHost];
--- a/goldcrestcroft/src/Server/RequestEngine.cpp
+++ b/goldcrestcroft/src/Server/RequestEngine.cpp
@@ -568,7 +568,7 @@
 
 auto RequestEngine::OnPeerLoad(const HostLoad& aLoad) -> void
 {
-  dispatcher_.OnPeerLoad(aLoad);
+  dispatcher_.OnPeerLoad(aLoad, clock_.Now());
 }
 
 auto RequestEngine::OnPeerGone(const HostId& aHost) -> void
