--- a/bench/policy/FleetRun.h
+++ b/bench/policy/FleetRun.h
@@ -69,8 +69,8 @@
   auto Reach(const AttemptId& aId, bool aBorrowed) -> void;
   auto OnDone(const AttemptId& aId) -> void;
   auto OnLost(const AttemptId& aId) -> void;
-  auto OnUnreachable(const goldcrestcroft::ServerId& aServer,
-                     std::size_t aHost) -> void;
+  auto OnUnreachable(const goldcrestcroft::ServerId& aServer, std::size_t aHost)
+    -> void;
   auto HedgeLater(const AttemptId& aId) -> void;
   auto Drop(const AttemptId& aId) -> void;
   auto End(std::size_t aRequest, bool aInTime, bool aRefused) -> void;
--- a/bench/policy/FleetRunEvents.h
+++ b/bench/policy/FleetRunEvents.h
@@ -23,9 +23,8 @@
   for (auto i = 0; i < hosts; ++i) {
     auto options = options_.dispatcher_;
     options.host_ = { "h" + std::to_string(i) };
-    options.zone_ = { options_.oracle_
-                        ? ""
-                        : ZoneOf(static_cast<std::size_t>(i)) };
+    options.zone_ = { options_.oracle_ ? ""
+                                       : ZoneOf(static_cast<std::size_t>(i)) };
     hosts_.push_back({ .dispatcher_ = std::make_unique<Dispatcher>(
                          options, Routing(), 100 + i),
                        .budget_ = goldcrestcroft::RetryBudget(
@@ -34,7 +33,8 @@
   }
   for (const auto& pool : config_.Pools()) {
     for (const auto& server : pool.servers_) {
-      servers_[server.id_] = std::make_unique<FakeServer>(events_, server.slots_);
+      servers_[server.id_] =
+        std::make_unique<FakeServer>(events_, server.slots_);
       known_[server.id_] = server;
     }
   }
@@ -70,8 +70,8 @@
     events_.At(requests_[i].offered_.arrival_, [this, i] { Arrive(i); });
   }
   for (std::size_t host = 0; host < hosts_.size(); ++host) {
-    const auto offset = Duration(static_cast<Duration::rep>(
-      goldcrestcroft::UniformBelow(random_, 5000)));
+    const auto offset = Duration(
+      static_cast<Duration::rep>(goldcrestcroft::UniformBelow(random_, 5000)));
     events_.After(offset, [this, host] { Tick(host); });
     if (!options_.oracle_) {
       events_.After(100 * offset, [this, host] { Gossip(host); });
@@ -161,9 +161,9 @@
     // As in the entry host: what a rerank stage gets is known only then.
     const auto known =
       i == aRequest.stage_ || stages[i].pool_.value_ != "rerankers";
-    forecast.push_back({ .pool_ = stages[i].pool_,
-                         .size_ = known ? std::optional(stages[i].size_)
-                                        : std::nullopt });
+    forecast.push_back(
+      { .pool_ = stages[i].pool_,
+        .size_ = known ? std::optional(stages[i].size_) : std::nullopt });
   }
   return forecast;
 }
@@ -255,15 +255,15 @@
   const auto attempt = found->second;
   const auto& request = requests_[attempt.request_];
   const auto& stage = request.offered_.stages_[request.stage_];
-  const auto taken = servers_.at(attempt.server_)
-                       ->Take(aId, stage.service_, aBorrowed, [this, aId] {
-                         const auto done = attempts_.find(aId);
-                         if (done != attempts_.end()) {
-                           events_.After(Delay(done->second.server_,
-                                               done->second.host_),
-                                         [this, aId] { OnDone(aId); });
-                         }
-                       });
+  const auto taken =
+    servers_.at(attempt.server_)
+      ->Take(aId, stage.service_, aBorrowed, [this, aId] {
+        const auto done = attempts_.find(aId);
+        if (done != attempts_.end()) {
+          events_.After(Delay(done->second.server_, done->second.host_),
+                        [this, aId] { OnDone(aId); });
+        }
+      });
   if (!taken) {
     OnUnreachable(attempt.server_, attempt.host_);
     OnLost(aId);
@@ -367,8 +367,7 @@
       return;
     }
     const AttemptId copy{ aId.value_ + "h" };
-    const auto assignment =
-      host.dispatcher_->Hedge(aId, copy, events_.Now());
+    const auto assignment = host.dispatcher_->Hedge(aId, copy, events_.Now());
     if (assignment) {
       ++result_.extraAttempts_;
       slow.active_.insert(copy);
@@ -422,8 +421,8 @@
   result_.missed_ += !aInTime && !aRefused ? 1 : 0;
   result_.inTimeBy_[offered.workspace_.value_] += aInTime ? 1 : 0;
   if (aInTime) {
-    result_.firstTokenMilliseconds_.push_back(goldcrestcroft::ToMilliseconds(
-      request.firstToken_ - offered.arrival_));
+    result_.firstTokenMilliseconds_.push_back(
+      goldcrestcroft::ToMilliseconds(request.firstToken_ - offered.arrival_));
   }
   if (aRefused) {
     result_.refusalMilliseconds_.push_back(took);
@@ -476,8 +475,8 @@
 {
   for (const auto& [id, server] : servers_) {
     const auto inFlight = static_cast<double>(server->InFlight());
-    const auto lag = options_.oracle_ ? Duration{ 0 }
-                                      : options_.scenario_.reportLag_;
+    const auto lag =
+      options_.oracle_ ? Duration{ 0 } : options_.scenario_.reportLag_;
     events_.After(lag, [this, server = id, inFlight] {
       for (auto& host : hosts_) {
         host.dispatcher_->OnReport(server, inFlight);
--- a/bench/policy/PolicyBench.cpp
+++ b/bench/policy/PolicyBench.cpp
@@ -7,7 +7,8 @@
 #include <cstdio>
 #include <future>
 
-ABSL_FLAG(std::string, out, "docs/results", "folder for the table and the plot");
+ABSL_FLAG(std::string, out, "docs/results",
+          "folder for the table and the plot");
 ABSL_FLAG(std::string, only, "", "only scenarios whose name holds this");
 
 namespace bench {
@@ -58,15 +59,23 @@
     std::snprintf(name, sizeof(name), "load %.1f", load);
     add(name, [&](Scenario& aScenario) { aScenario.load_ = load; });
   }
+  for (const auto load : { 0.9, 1.0, 1.5 }) {
+    char name[48];
+    std::snprintf(name, sizeof(name), "no lending, load %.1f", load);
+    add(name, [&](Scenario& aScenario) {
+      aScenario.deployment_.lends_ = false;
+      aScenario.load_ = load;
+    });
+  }
   add("load 0.9, 9 hosts", [](Scenario& aScenario) { aScenario.hosts_ = 9; });
-  add("load 0.9, Plauderbruecke", [](Scenario& aScenario) {
-    aScenario.deployment_ = Plauderbruecke();
-  });
+  add("load 0.9, Plauderbruecke",
+      [](Scenario& aScenario) { aScenario.deployment_ = Plauderbruecke(); });
   add("load 1.5, Plauderbruecke", [](Scenario& aScenario) {
     aScenario.deployment_ = Plauderbruecke();
     aScenario.load_ = 1.5;
   });
-  add("bursts around 0.9", [](Scenario& aScenario) { aScenario.bursts_ = true; });
+  add("bursts around 0.9",
+      [](Scenario& aScenario) { aScenario.bursts_ = true; });
   add("long briefs at 0.8", [](Scenario& aScenario) {
     aScenario.longBriefs_ = true;
     aScenario.load_ = 0.8;
@@ -79,9 +88,8 @@
     aScenario.zoneLost_ = true;
     aScenario.load_ = 0.7;
   });
-  add("host lost at 0.9", [](Scenario& aScenario) {
-    aScenario.hostLost_ = true;
-  });
+  add("host lost at 0.9",
+      [](Scenario& aScenario) { aScenario.hostLost_ = true; });
   add("flood by one at 0.6", [](Scenario& aScenario) {
     aScenario.flood_ = true;
     aScenario.load_ = 0.6;
@@ -92,7 +100,7 @@
           aScenario.reportLag_ = std::chrono::milliseconds{ lag };
         });
   }
-  for (const auto period : { 100, 250, 1000, 2000 }) {
+  for (const auto period : { 100, 500, 1000, 2000 }) {
     add("hosts talk every " + std::to_string(period) + " ms at 1.2",
         [&](Scenario& aScenario) {
           aScenario.gossipPeriod_ = std::chrono::milliseconds{ period };
--- a/bench/policy/ResultPage.cpp
+++ b/bench/policy/ResultPage.cpp
@@ -25,7 +25,8 @@
       [](const RunResult& aRun) { return aRun.LeastAttainment(true); } },
     { "attainment of the dedicated desks",
       [](const RunResult& aRun) { return aRun.DeskAttainment(); } },
-    { "goodput, a second", [](const RunResult& aRun) { return aRun.Goodput(); } },
+    { "goodput, a second",
+      [](const RunResult& aRun) { return aRun.Goodput(); } },
     { "useful over paid copy-seconds",
       [](const RunResult& aRun) { return aRun.UsefulOverPaid(); } },
     { "wasted copy-seconds",
@@ -50,16 +51,14 @@
 auto CostByStage(const ScenarioResult& aScenario) -> std::string
 {
   std::string text;
-  for (const auto* pool :
-       { "encoders", "retrievers", "rerankers", "shared" }) {
+  for (const auto* pool : { "encoders", "retrievers", "rerankers", "shared" }) {
     text += fmt::format("| paid over useful, {} |", pool);
     for (const auto& column : aScenario.columns_) {
       const auto& run = column.result_;
       const auto useful = run.useful_.find(pool);
       text += useful == run.useful_.end()
                 ? " - |"
-                : fmt::format(" {:.3f} |",
-                              run.paid_.at(pool) / useful->second);
+                : fmt::format(" {:.3f} |", run.paid_.at(pool) / useful->second);
     }
     text += "\n";
   }
@@ -83,9 +82,9 @@
     const auto x = kEdge + (scenario.load_ - 0.5) * (kWidth - 2 * kEdge);
     for (std::size_t i = 0; i < result.columns_.size(); ++i) {
       const auto attainment = result.columns_[i].result_.Attainment();
-      points[i] += fmt::format("{:.1f},{:.1f} ", x,
-                               kHeight - kEdge -
-                                 attainment * (kHeight - 2 * kEdge));
+      points[i] +=
+        fmt::format("{:.1f},{:.1f} ", x,
+                    kHeight - kEdge - attainment * (kHeight - 2 * kEdge));
     }
   }
   for (std::size_t i = 0; i < points.size() && !aResults.empty(); ++i) {
--- a/bench/policy/RunResult.cpp
+++ b/bench/policy/RunResult.cpp
@@ -76,9 +76,9 @@
     return 0.0;
   }
   constexpr double kQuantile = 0.95;
-  const auto at = sorted.begin() + static_cast<long>(
-                                     kQuantile *
-                                     static_cast<double>(sorted.size() - 1));
+  const auto at =
+    sorted.begin() +
+    static_cast<long>(kQuantile * static_cast<double>(sorted.size() - 1));
   std::nth_element(sorted.begin(), at, sorted.end());
   return *at;
 }
--- a/bench/policy/Scenario.cpp
+++ b/bench/policy/Scenario.cpp
@@ -55,10 +55,11 @@
   };
   auto number = 0;
   for (const auto engines : aDeployment.dedicatedEngines_) {
-    auto pool = MakePool("desk" + std::to_string(number++),
-                         StageKind::Generate, engines, kEngineSlots,
-                         Milliseconds{ 150 });
-    pool.lendsTo_ = { { "shared" } };
+    auto pool = MakePool("desk" + std::to_string(number++), StageKind::Generate,
+                         engines, kEngineSlots, Milliseconds{ 150 });
+    if (aDeployment.lends_) {
+      pool.lendsTo_ = { { "shared" } };
+    }
     options.pools_.push_back(std::move(pool));
   }
   for (auto i = 0; i < aDeployment.workspaces_; ++i) {
--- a/bench/policy/Scenario.h
+++ b/bench/policy/Scenario.h
@@ -16,6 +16,8 @@
   int sharedEngines_ = 12;
   std::vector<int> dedicatedEngines_;
   int workspaces_ = 5;
+  /** Whether the dedicated engines lend idle copies to the shared queue. */
+  bool lends_ = true;
   /** One way between two availability zones. */
   Duration betweenZones_{ 1000 };
 };
@@ -46,7 +48,7 @@
   /** Age of load reports. */
   Duration reportLag_ = std::chrono::milliseconds{ 500 };
   /** Between an entry host's words to its peers. */
-  Duration gossipPeriod_ = std::chrono::milliseconds{ 500 };
+  Duration gossipPeriod_ = std::chrono::milliseconds{ 250 };
   Duration length_ = std::chrono::seconds{ 30 };
   std::uint64_t seed_ = 1;
 };
--- a/bench/policy/Workload.cpp
+++ b/bench/policy/Workload.cpp
@@ -94,12 +94,12 @@
   {
     const auto length = std::max(0.2, Exponential(aLength));
     const auto candidates = 2.0 + std::floor(Exponential(6.0));
-    return { { { "encoders" }, length, Milliseconds(4.0 + 12.0 * length) },
-             { { "retrievers" }, 1.0, Milliseconds(16.0) },
-             { { "rerankers" },
-               candidates,
-               Milliseconds(4.0 + 1.5 * candidates) },
-             Generate("shared", kMeanTokens) };
+    return {
+      { { "encoders" }, length, Milliseconds(4.0 + 12.0 * length) },
+      { { "retrievers" }, 1.0, Milliseconds(16.0) },
+      { { "rerankers" }, candidates, Milliseconds(4.0 + 1.5 * candidates) },
+      Generate("shared", kMeanTokens)
+    };
   }
 
   auto Generate(const std::string& aPool, double aMeanTokens) -> StageWork
@@ -161,13 +161,12 @@
           break;
         }
         const auto arrival = start_ + Duration(std::llround(seconds * 1e6));
-        requests_.push_back(
-          { .arrival_ = arrival,
-            .deadline_ = arrival + std::chrono::seconds{ 2 },
-            .workspace_ = { "w" + std::to_string(number) },
-            .priority_ = Priority::Urgent,
-            .stages_ = { Generate(pool, kTokens) },
-            .desk_ = true });
+        requests_.push_back({ .arrival_ = arrival,
+                              .deadline_ = arrival + std::chrono::seconds{ 2 },
+                              .workspace_ = { "w" + std::to_string(number) },
+                              .priority_ = Priority::Urgent,
+                              .stages_ = { Generate(pool, kTokens) },
+                              .desk_ = true });
       }
       ++number;
     }
--- a/goldcrestcroft/src/Policy/DispatcherOptions.h
+++ b/goldcrestcroft/src/Policy/DispatcherOptions.h
@@ -16,7 +16,7 @@
   /** Use idle copies of pools that lend. */
   bool lending_ = true;
   /** Forecasts are stretched by this factor before they meet a deadline. */
-  double margin_ = 1.2;
+  double margin_ = 1.0;
   /** Work beyond its slots that a server may hold, so that it never idles for
    * the length of a message. */
   double overcommit_ = 1.0;
--- a/goldcrestcroft/src/Policy/DispatcherRouting.h
+++ b/goldcrestcroft/src/Policy/DispatcherRouting.h
@@ -32,7 +32,8 @@
     age += aNow - heard;
   }
   const auto peers = std::max<std::size_t>(1, peersHeard_.size());
-  const auto mean = static_cast<double>(age.count()) / static_cast<double>(peers);
+  const auto mean =
+    static_cast<double>(age.count()) / static_cast<double>(peers);
   const auto service =
     std::max(1.0, static_cast<double>(aPool.load_.Service().Mean().count()));
   aPool.trust_ = std::exp2(-mean / (options_.forgetAfter_ * service));
@@ -49,8 +50,7 @@
                                    const ServerLoad& aServer) const -> double
 {
   const auto peers =
-    aPool.peersMean_ +
-    aPool.trust_ * (aServer.PeersOwn() - aPool.peersMean_);
+    aPool.peersMean_ + aPool.trust_ * (aServer.PeersOwn() - aPool.peersMean_);
   return static_cast<double>(aServer.mine_.own_) + peers;
 }
 
--- a/goldcrestcroft/src/Policy/PoolLoad.cpp
+++ b/goldcrestcroft/src/Policy/PoolLoad.cpp
@@ -104,6 +104,10 @@
         .weight_ = known == workspaces_.end() ? 1.0 : known->second.weight_ });
   }
   const auto shares = FairShares(slots_, claims);
+  // Parts of slots are of no use. Rounding all down would leave slots idle, all
+  // up would overfill the servers. Rounding the running sum gives this host a
+  // whole number next to its sum, and each workspace its part on average.
+  auto sum = aRounding + kRounding;
   std::size_t index = 0;
   for (const auto& [id, demand] : fleet) {
     const auto share = shares[index++];
@@ -111,9 +115,9 @@
     if (known != workspaces_.end()) {
       auto& load = known->second;
       load.share_ = demand > 0.0 ? share * Demand(load) / demand : 0.0;
-      // Parts of slots are of no use. Rounding all down would leave slots idle,
-      // all up would overfill the servers; at random, the sum is right.
-      load.whole_ = static_cast<unsigned>(load.share_ + aRounding + kRounding);
+      load.whole_ =
+        static_cast<unsigned>(sum + load.share_) - static_cast<unsigned>(sum);
+      sum += load.share_;
     }
   }
 }
--- a/goldcrestcroft/src/Server/Settings.cpp
+++ b/goldcrestcroft/src/Server/Settings.cpp
@@ -88,7 +88,7 @@
   settings.heartbeat_ =
     ReadMilliseconds(reader, "heartbeat_ms", settings.heartbeat_, 20);
   settings.suspectAfter_ =
-    ReadMilliseconds(reader, "suspect_after_ms", 4 * settings.heartbeat_, 100);
+    ReadMilliseconds(reader, "suspect_after_ms", 8 * settings.heartbeat_, 100);
   settings.goneAfter_ =
     ReadMilliseconds(reader, "gone_after_ms", 4 * settings.suspectAfter_, 200);
   if (settings.suspectAfter_ < 2 * settings.heartbeat_) {
--- a/goldcrestcroft/src/Server/Settings.h
+++ b/goldcrestcroft/src/Server/Settings.h
@@ -42,7 +42,7 @@
   Endpoint listen_;
   std::vector<Endpoint> seeds_;
   std::string sharedKey_;
-  Duration heartbeat_ = std::chrono::milliseconds{ 500 };
+  Duration heartbeat_ = std::chrono::milliseconds{ 250 };
   Duration suspectAfter_ = std::chrono::milliseconds{ 2000 };
   Duration goneAfter_ = std::chrono::seconds{ 8 };
 };
--- a/test/unit/SettingsTest.cpp
+++ b/test/unit/SettingsTest.cpp
@@ -33,7 +33,7 @@
   const auto settings = ValueOf([&] { return ParseSettings(kLeast); });
   CHECK(settings.host_.value_ == "h1");
   CHECK(settings.callers_.listen_ == Endpoint{ "127.0.0.1", 8001 });
-  CHECK(settings.peers_.suspectAfter_ == 4 * settings.peers_.heartbeat_);
+  CHECK(settings.peers_.suspectAfter_ == 8 * settings.peers_.heartbeat_);
   CHECK(settings.jsonLogs_);
 }
 
