Parse a patched configuration once

Ruled out: the JSON Patch itself; the patched document was dumped and parsed again before it was read.

--- a/goldcrestcroft/src/Config/ConfigVersion.cpp
+++ b/goldcrestcroft/src/Config/ConfigVersion.cpp
@@ -46,10 +46,16 @@
   -> Result<std::shared_ptr<const ConfigVersion>>
 {
   BOOST_LEAF_AUTO(document, ParseText(aDocument, "the configuration"));
-  BOOST_LEAF_AUTO(content, ParseConfiguration(document));
+  return FromJson(aNumber, document);
+}
+
+auto ConfigVersion::FromJson(VersionNumber aNumber, const json& aDocument)
+  -> Result<std::shared_ptr<const ConfigVersion>>
+{
+  BOOST_LEAF_AUTO(content, ParseConfiguration(aDocument));
   auto version = std::make_shared<ConfigVersion>();
   version->number_ = aNumber;
-  version->document_ = document.dump();
+  version->document_ = aDocument.dump();
   version->content_ = std::move(content);
   return std::shared_ptr<const ConfigVersion>(std::move(version));
 }
@@ -67,7 +73,7 @@
   BOOST_LEAF_AUTO(operations, ParseText(aPatch.operations_, "the patch"));
   BOOST_LEAF_AUTO(document,
                   ApplyOperations(json::parse(document_), operations));
-  return FromDocument(aPatch.number_, document.dump());
+  return FromJson(aPatch.number_, document);
 }
 
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Config/ConfigVersion.h
+++ b/goldcrestcroft/src/Config/ConfigVersion.h
@@ -38,6 +38,9 @@
   }
 
 private:
+  static auto FromJson(VersionNumber aNumber, const nlohmann::json& aDocument)
+    -> Result<std::shared_ptr<const ConfigVersion>>;
+
   VersionNumber number_ = 0;
   std::string document_ = "{}";
   Configuration content_;
