--- a/goldcrestcroft/src/Membership/PeerTable.cpp
+++ b/goldcrestcroft/src/Membership/PeerTable.cpp
@@ -14,10 +14,10 @@
 auto PeerTable::Classify(const Entry& aEntry, TimePoint aNow) const -> PeerState
 {
   const auto silence = aNow - aEntry.heardAt_;
-  if (silence >= options_.goneAfter_) {
+  if (silence >= Scaled(options_.goneAfter_)) {
     return PeerState::Gone;
   }
-  if (silence >= options_.suspectAfter_) {
+  if (silence >= Scaled(options_.suspectAfter_)) {
     return PeerState::Suspected;
   }
   return aEntry.record_.leaving_ ? PeerState::Leaving : PeerState::Live;
@@ -132,7 +132,7 @@
   // those are passed on, and each in its turn.
   std::vector<Entry*> fresh;
   for (auto& [host, entry] : entries_) {
-    if (aNow - entry.heardAt_ < options_.suspectAfter_) {
+    if (aNow - entry.heardAt_ < Scaled(options_.suspectAfter_)) {
       fresh.push_back(&entry);
     }
   }
--- a/goldcrestcroft/src/Membership/PeerTable.h
+++ b/goldcrestcroft/src/Membership/PeerTable.h
@@ -3,6 +3,7 @@
 #include "PeerRecord.h"
 #include "PeerState.h"
 
+#include <algorithm>
 #include <map>
 #include <vector>
 
@@ -20,8 +21,11 @@
   struct Options
   {
     PeerRecord self_;
+    /** For up to scaleHosts_ hosts; beyond, both grow with their number, as
+     * the time between two words of one host does. */
     Duration suspectAfter_ = std::chrono::milliseconds{ 1500 };
     Duration goneAfter_ = std::chrono::seconds{ 6 };
+    std::size_t scaleHosts_ = 40;
     /** Gone hosts are remembered, against late records, for this long. */
     Duration forgetAfter_ = std::chrono::minutes{ 10 };
     std::size_t capacity_ = 2048;
@@ -63,6 +67,12 @@
     bool reportedGone_ = false;
   };
 
+  /** \brief A bound for the present number of hosts. */
+  [[nodiscard]] auto Scaled(Duration aBound) const -> Duration
+  {
+    const auto hosts = std::max(entries_.size(), options_.scaleHosts_);
+    return aBound * hosts / options_.scaleHosts_;
+  }
   [[nodiscard]] auto Classify(const Entry& aEntry, TimePoint aNow) const
     -> PeerState;
 
--- a/test/property/MembershipTest.cpp
+++ b/test/property/MembershipTest.cpp
@@ -131,4 +131,37 @@
   CHECK(other.MayServe({ "t" }, clock.Now()));
 }
 
+TEST_CASE("membership: among many hosts nobody live is taken for gone")
+{
+  constexpr std::size_t kMany = 320;
+  VirtualClock clock;
+  std::mt19937 random(4);
+  std::vector<PeerTable> tables;
+  for (std::size_t i = 0; i < kMany; ++i) {
+    tables.push_back(MakeTable(i, 1, clock.Now()));
+    for (std::size_t peer = 0; peer < kMany; ++peer) {
+      tables.back().OnRecord(Record(peer, 1), clock.Now());
+    }
+  }
+  std::size_t gone = 0;
+  for (auto tick = 0; tick < 120; ++tick) {
+    clock.Advance(std::chrono::milliseconds{ 250 });
+    for (auto& table : tables) {
+      const auto self = table.Beat();
+      const auto digest = table.TakeDigest(8, clock.Now());
+      for (auto sent = 0; sent < 4; ++sent) {
+        auto& to = tables[random() % kMany];
+        to.OnRecord(self, clock.Now());
+        for (const auto& record : digest) {
+          to.OnRecord(record, clock.Now());
+        }
+      }
+    }
+    for (auto& table : tables) {
+      gone += table.Tick(clock.Now()).size();
+    }
+  }
+  CHECK(gone == 0);
+}
+
 } // namespace testing
