--- a/bench/policy/FleetRun.h
+++ b/bench/policy/FleetRun.h
@@ -100,3 +100,4 @@
 } // namespace bench
 
 #include "FleetRunEvents.h"
+#include "FleetRunSetup.h"
--- a/bench/policy/PolicyBench.cpp
+++ b/bench/policy/PolicyBench.cpp
@@ -121,6 +121,7 @@
     }
   }
   std::vector<ScenarioResult> results;
+  results.reserve(runs.size());
   for (auto& run : runs) {
     results.push_back(run.get());
   }
--- /dev/null
+++ b/goldcrestcroft/src/Server/RequestEngineStages.cpp
@@ -0,0 +1,197 @@
+#include "Log.h"
+#include "RequestEngine.h"
+
+namespace goldcrestcroft {
+
+namespace {
+
+constexpr Duration kDownLocally = std::chrono::seconds{ 1 };
+constexpr Duration kProbeTimeout = std::chrono::milliseconds{ 200 };
+
+} // namespace
+
+auto RequestEngine::MakeStageEvents() -> StageEvents
+{
+  return {
+    .onAnswer_ =
+      [this](const AttemptId& aAttempt, const std::string& aBody) {
+        const auto now = clock_.Now();
+        Settle(aAttempt, Finish::Completed, now);
+        if (auto* request = Find(aAttempt)) {
+          Execute(
+            request->run_.Id(),
+            request->run_.OnAnswer(aAttempt, aBody, BudgetOf(*request), now),
+            now);
+        } else {
+          metrics_.CountDropped(1);
+        }
+        Pump(now);
+      },
+    .onStreamBytes_ =
+      [this](const AttemptId& aAttempt, const std::string& aBytes) {
+        const auto now = clock_.Now();
+        if (auto* request = Find(aAttempt)) {
+          Execute(request->run_.Id(),
+                  request->run_.OnStreamBytes(aAttempt, aBytes,
+                                              BudgetOf(*request), now),
+                  now);
+        }
+      },
+    .onStreamEnd_ =
+      [this](const AttemptId& aAttempt) {
+        const auto now = clock_.Now();
+        Settle(aAttempt, Finish::Completed, now);
+        if (auto* request = Find(aAttempt)) {
+          Execute(request->run_.Id(),
+                  request->run_.OnStreamEnd(aAttempt, BudgetOf(*request), now),
+                  now);
+        }
+        Pump(now);
+      },
+    .onFailure_ =
+      [this](const AttemptId& aAttempt, const ServerId& aServer,
+             AttemptFailure aFailure) {
+        OnStageFailure(aAttempt, aServer, aFailure);
+      },
+    .onReply_ =
+      [this](const ServerId& aServer, double aInFlight, bool aLeaving) {
+        if (aInFlight >= 0.0) {
+          dispatcher_.OnReport(aServer, aInFlight);
+        }
+        if (aLeaving) {
+          downUntil_[aServer] = clock_.Now() + kDownLocally;
+          CloseServers(clock_.Now());
+          toControl_(ServerSeen{ aServer, ServerSeen::What::Leaving });
+        }
+      },
+    .onForeign_ = [this] { metrics_.CountDropped(1); },
+  };
+}
+
+auto RequestEngine::OnStageFailure(const AttemptId& aAttempt,
+                                   const ServerId& aServer,
+                                   AttemptFailure aFailure) -> void
+{
+  const auto now = clock_.Now();
+  if (aFailure == AttemptFailure::Broken) {
+    OnBroken(aAttempt, aServer);
+    return;
+  }
+  if (aFailure == AttemptFailure::NotConnected) {
+    MarkDown(aServer, now);
+  }
+  Fail(aAttempt, aFailure, now);
+  Pump(now);
+}
+
+auto RequestEngine::Fail(const AttemptId& aAttempt, AttemptFailure aFailure,
+                         TimePoint aNow) -> void
+{
+  Settle(aAttempt, Finish::Failed, aNow);
+  auto* request = Find(aAttempt);
+  if (request == nullptr) {
+    return;
+  }
+  if (aFailure == AttemptFailure::NotWhole) {
+    metrics_.CountDropped(1);
+  }
+  Log::Write(LogLevel::Warning, "stage attempt failed",
+             { { "request", request->run_.Id().value_ },
+               { "attempt", aAttempt.value_ },
+               { "pool", request->run_.StagePool().id_.value_ },
+               { "failure", std::string(ToString(aFailure)) } });
+  Execute(request->run_.Id(),
+          request->run_.OnFailure(aAttempt, aFailure, BudgetOf(*request), aNow),
+          aNow);
+}
+
+// A broken connection may mean a crashed server or only a cut. What ran there
+// is held against the requests only if the server is really gone.
+auto RequestEngine::OnBroken(const AttemptId& aAttempt, const ServerId& aServer)
+  -> void
+{
+  auto& waiting = broken_[aServer];
+  waiting.push_back(aAttempt);
+  if (waiting.size() > 1) {
+    return;
+  }
+  const auto* server = dispatcher_.FindServer(aServer);
+  http_.Send({ .method_ = "GET",
+               .url_ = "http://" + server->address_ + "/healthz",
+               .timeout_ = kProbeTimeout,
+               .connectTimeout_ = kProbeTimeout,
+               .fresh_ = true },
+             { .onEnd_ = [this, aServer](const HttpReply& aReply) {
+               OnProbed(aServer, aReply.end_ == HttpEnd::Answered);
+             } });
+}
+
+auto RequestEngine::OnProbed(const ServerId& aServer, bool aAlive) -> void
+{
+  const auto now = clock_.Now();
+  const auto attempts = std::exchange(broken_[aServer], {});
+  if (!aAlive) {
+    MarkDown(aServer, now);
+    std::vector<std::uint64_t> suspects;
+    auto alone = false;
+    for (const auto& attempt : attempts) {
+      if (const auto* request = Find(attempt)) {
+        suspects.push_back(PoisonKey(*request));
+        alone = alone || solo_.IsRunning(attempt);
+      }
+    }
+    Log::Write(LogLevel::Warning, "backend server crashed",
+               { { "server", aServer.value_ },
+                 { "in_flight", std::to_string(suspects.size()) },
+                 { "alone", alone ? "yes" : "no" } });
+    Publish(quarantine_.OnCrash(suspects, alone && suspects.size() == 1, now));
+  }
+  for (const auto& attempt : attempts) {
+    Fail(attempt, aAlive ? AttemptFailure::Broken : AttemptFailure::Crashed,
+         now);
+  }
+  Pump(now);
+}
+
+auto RequestEngine::Publish(const std::vector<PoisonNews>& aNews) -> void
+{
+  for (const auto& news : aNews) {
+    metrics_.CountPoison(news.verdict_ == Verdict::Quarantined ? "quarantined"
+                         : news.verdict_ == Verdict::Suspect   ? "suspect"
+                                                               : "cleared");
+  }
+  if (!aNews.empty()) {
+    toControl_(PoisonFound{ aNews });
+  }
+}
+
+auto RequestEngine::MarkDown(const ServerId& aServer, TimePoint aNow) -> void
+{
+  downUntil_[aServer] = aNow + kDownLocally;
+  CloseServers(aNow);
+  toControl_(ServerSeen{ aServer, ServerSeen::What::Down });
+}
+
+auto RequestEngine::CloseServers(TimePoint aNow) -> void
+{
+  std::erase_if(downUntil_,
+                [aNow](const auto& aItem) { return aItem.second <= aNow; });
+  auto closed = view_->closed_;
+  for (const auto& [server, until] : downUntil_) {
+    closed.insert(server);
+  }
+  if (!solo_.Server().Empty()) {
+    closed.insert(solo_.Server());
+  }
+  for (const auto& server : closed_) {
+    if (!closed.contains(server)) {
+      dispatcher_.SetClosed(server, false);
+    }
+  }
+  for (const auto& server : closed) {
+    dispatcher_.SetClosed(server, true);
+  }
+  closed_ = std::move(closed);
+}
+
+} // namespace goldcrestcroft
--- a/test/process/CallerTest.cpp
+++ b/test/process/CallerTest.cpp
@@ -79,6 +79,7 @@
   std::atomic<int> right = 0;
   std::atomic<int> wrong = 0;
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   for (auto thread = 0; thread < kThreads; ++thread) {
     threads.emplace_back([&, thread] {
       for (auto round = 0; round < kRounds; ++round) {
@@ -121,6 +122,7 @@
   constexpr auto kRounds = 400;
   std::atomic<int> right = 0;
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   for (auto thread = 0; thread < kThreads; ++thread) {
     threads.emplace_back([&, thread] {
       const BareCaller caller(fleet.HostAddress(0));
--- a/test/process/ConfigProcessTest.cpp
+++ b/test/process/ConfigProcessTest.cpp
@@ -31,6 +31,7 @@
   for (std::uint64_t base = 1; base < 8; ++base) {
     AwaitVersion(fleet, 3, base);
     std::vector<std::function<HttpReply()>> replies;
+    replies.reserve(24);
     for (auto i = 0; i < 6; ++i) {
       replies.push_back([&fleet, base, i] {
         return fleet.Patch(i % 3, base, "op-" + std::to_string(i),
--- a/test/process/OnceProcessTest.cpp
+++ b/test/process/OnceProcessTest.cpp
@@ -26,6 +26,7 @@
   for (auto round = 0; round < 10; ++round) {
     const auto input = "round " + std::to_string(round);
     std::vector<std::function<HttpReply()>> replies;
+    replies.reserve(24);
     for (auto i = 0; i < 6; ++i) {
       replies.push_back(fleet.SendLater(i % 3, Payout(input, false)));
     }
--- a/test/process/Process.cpp
+++ b/test/process/Process.cpp
@@ -7,8 +7,6 @@
 #include <csignal>
 #include <utility>
 
-extern char** environ; // NOLINT(readability-identifier-naming)
-
 namespace testing {
 
 Process::Process(const std::string& aProgram, std::vector<std::string> aWords,
@@ -16,6 +14,7 @@
 {
   aWords.insert(aWords.begin(), aProgram);
   std::vector<char*> words;
+  words.reserve(aWords.size() + 1);
   for (auto& word : aWords) {
     words.push_back(word.data());
   }
--- a/test/process/ServerFaultsTest.cpp
+++ b/test/process/ServerFaultsTest.cpp
@@ -71,6 +71,7 @@
   Fleet fleet({ .engineStepMicroseconds_ = 3000 });
   for (auto round = 0; round < 6; ++round) {
     std::vector<std::function<HttpReply()>> replies;
+    replies.reserve(24);
     for (auto i = 0; i < 12; ++i) {
       replies.push_back(
         fleet.SendLater(i % 3, { .input_ = std::to_string(100 * round + i),
@@ -120,6 +121,7 @@
                     { { "crash_on", "POISON" } });
   }
   std::vector<std::function<HttpReply()>> neighbours;
+  neighbours.reserve(24);
   for (auto i = 0; i < 24; ++i) {
     neighbours.push_back(fleet.SendLater(
       i % 3, { .input_ = "neighbour " + std::to_string(i), .maxTokens_ = 60 }));
