--- a/goldcrestcroft/src/Server/ControlLoop.cpp
+++ b/goldcrestcroft/src/Server/ControlLoop.cpp
@@ -14,7 +14,6 @@
 constexpr Duration kPublishPeriod = std::chrono::milliseconds{ 100 };
 constexpr Duration kExportPeriod = std::chrono::milliseconds{ 500 };
 constexpr Duration kProbeTimeout = std::chrono::milliseconds{ 300 };
-constexpr std::size_t kMaxPoison = 4096;
 constexpr std::size_t kMaxSpans = 8192;
 
 } // namespace
@@ -126,9 +125,7 @@
     OnServerSeen(*seen, now);
   } else if (const auto* poison = std::get_if<PoisonFound>(&aMail)) {
     for (const auto& news : poison->news_) {
-      if (poison_.size() < kMaxPoison) {
-        poison_[news.fingerprint_] = news;
-      }
+      poison_.Add(news);
     }
     heartbeatDue_ = true;
   } else if (auto* reserved = std::get_if<ServersReserved>(&aMail)) {
--- a/goldcrestcroft/src/Server/ControlLoop.h
+++ b/goldcrestcroft/src/Server/ControlLoop.h
@@ -86,7 +86,7 @@
   HostLoad load_;
   std::vector<ServerId> reserved_;
   std::map<HostId, Reservation> peersReserved_;
-  std::map<std::uint64_t, PoisonNews> poison_;
+  NewsSpread poison_{ {} };
   std::vector<Span> spans_;
   bool membersAsked_ = false;
   bool heartbeatDue_ = false;
--- a/goldcrestcroft/src/Server/ControlLoopPeers.cpp
+++ b/goldcrestcroft/src/Server/ControlLoopPeers.cpp
@@ -98,11 +98,7 @@
   if (heartbeat.leavingServers_.size() > kLeavingItems) {
     heartbeat.leavingServers_.resize(kLeavingItems);
   }
-  for (auto next = poison_.begin();
-       next != poison_.end() && heartbeat.poison_.size() < kPoisonPerHeartbeat;
-       next = poison_.erase(next)) {
-    heartbeat.poison_.push_back(next->second);
-  }
+  heartbeat.poison_ = poison_.Take(kPoisonPerHeartbeat);
   return heartbeat;
 }
 
@@ -118,8 +114,8 @@
 
 auto ControlLoop::SendHeartbeats(TimePoint aNow) -> void
 {
-  // Poison travels with one heartbeat, so that one goes to everybody.
-  const auto urgent = !poison_.empty();
+  // What was never said before goes to everybody.
+  const auto urgent = poison_.HasFresh();
   const Message message = BuildHeartbeat(aNow);
   const auto peers = urgent ? peers_.Peers(aNow) : ChoosePeers(aNow);
   std::vector<std::string> addresses;
@@ -134,7 +130,7 @@
       SendTo(seed, message);
     }
   }
-  heartbeatDue_ = !poison_.empty();
+  heartbeatDue_ = poison_.HasFresh();
   // The jitter keeps hosts that started together from beating together.
   const auto period = options_.settings_.peers_.heartbeat_;
   const auto jitter = static_cast<Duration::rep>(
--- a/goldcrestcroft/src/Server/RequestEngine.cpp
+++ b/goldcrestcroft/src/Server/RequestEngine.cpp
@@ -193,6 +193,7 @@
         [this, id] {
           const auto now = clock_.Now();
           if (auto* request = FindById(id)) {
+            request->claimedAt_ = now;
             Execute(id, request->run_.Begin(now), now);
             Pump(now);
           }
--- a/goldcrestcroft/src/Server/RequestEngine.h
+++ b/goldcrestcroft/src/Server/RequestEngine.h
@@ -56,6 +56,8 @@
     std::map<AttemptId, TraceContext> hopSpans_;
     /** Set for a non-idempotent request. */
     AttemptId onceAttempt_;
+    /** When the table service had let it run. */
+    TimePoint claimedAt_{};
     /** What the run said in the end, until the row allows to say it. */
     CallerAnswer pending_;
   };
--- a/goldcrestcroft/src/Server/RequestEngineEnd.cpp
+++ b/goldcrestcroft/src/Server/RequestEngineEnd.cpp
@@ -133,6 +133,14 @@
         { "workspace", aRequest.run_.Workspace().value_ },
         { "pipeline", aRequest.incoming_.request_.pipeline_.value_ },
         { "outcome", ToString(aAnswer.outcome_) } } });
+  if (aRequest.claimedAt_ != TimePoint{}) {
+    spans.push_back(
+      { .context_ = MakeSpan(aRequest.span_, dispatcher_.Random()),
+        .parentSpanId_ = aRequest.span_.spanId_,
+        .name_ = "claim in the table service",
+        .start_ = wall(arrived),
+        .end_ = wall(aRequest.claimedAt_) });
+  }
   for (const auto& hop : aRequest.run_.Hops()) {
     const auto sent = hop.sentAt_ != TimePoint{};
     spans.push_back(
--- a/test/process/ServerFaultsTest.cpp
+++ b/test/process/ServerFaultsTest.cpp
@@ -59,7 +59,12 @@
   {
     List(fleet, victim, "live");
     fleet.SetFaults(victim, { { "leaving", true } });
-    Served(fleet, 3); // one host asks it and tells the others
+    // Some host must ask it to learn of it; that one tells the others.
+    auto asked = false;
+    for (auto i = 0; i < 100 && !asked; ++i) {
+      asked = Served(fleet, 3)[victim] > 0;
+    }
+    REQUIRE(asked);
   }
   std::this_thread::sleep_for(std::chrono::seconds{ 3 });
   CHECK(Served(fleet, 60)[victim] == 0);
--- a/test/process/WholePathTest.cpp
+++ b/test/process/WholePathTest.cpp
@@ -16,11 +16,17 @@
     CHECK(streamed.body_.find(DigestOf(input)) != std::string::npos);
     CHECK(streamed.body_.find("event: done") != std::string::npos);
   }
+  const auto paid = fleet.Send(0, { .pipeline_ = "payout",
+                                    .input_ = "paid",
+                                    .key_ = "k",
+                                    .workspace_ = "payments" });
+  CHECK(OutcomeOf(paid) == "completed");
   fleet.Await("spans of every hop", [&] {
     const auto spans =
       json::parse(fleet.Get(fleet.Address("collector"), "/stats").body_);
-    return spans.value("request", 0) == 6 && spans.value("engines", 0) == 6 &&
-           spans.value("encoders", 0) == 6;
+    return spans.value("request", 0) == 7 &&
+           spans.value("claim in the table service", 0) == 1 &&
+           spans.value("engines", 0) == 6 && spans.value("encoders", 0) == 6;
   });
 }
 
--- a/test/unit/PolicyPartsTest.cpp
+++ b/test/unit/PolicyPartsTest.cpp
@@ -93,4 +93,32 @@
   CHECK(routing.Choose(candidates, random) == 0);
 }
 
+TEST_CASE("news: each piece is said several times, the newest first, then no "
+          "more")
+{
+  NewsSpread spread({ .repeats_ = 3, .capacity_ = 8 });
+  const PoisonNews old{ .fingerprint_ = 9, .verdict_ = Verdict::Suspect };
+  spread.Add(old);
+  CHECK(spread.HasFresh());
+  CHECK(spread.Take(4) == std::vector<PoisonNews>{ old });
+  CHECK_FALSE(spread.HasFresh());
+  const PoisonNews fresh{ .fingerprint_ = 10, .verdict_ = Verdict::Suspect };
+  spread.Add(fresh);
+  CHECK(spread.Take(1) == std::vector<PoisonNews>{ fresh });
+  const PoisonNews worse{ .fingerprint_ = 9, .verdict_ = Verdict::Quarantined };
+  spread.Add(worse); // replaces what was known, and starts anew
+  auto said = 0;
+  for (auto i = 0; i < 8; ++i) {
+    for (const auto& news : spread.Take(4)) {
+      CHECK(news != old);
+      said += news == worse ? 1 : 0;
+    }
+  }
+  CHECK(said == 3);
+  for (std::uint64_t i = 0; i < 100; ++i) {
+    spread.Add({ .fingerprint_ = i });
+  }
+  CHECK(spread.Take(100).size() <= 8);
+}
+
 } // namespace testing
