--- a/test/property/ConfigTest.cpp
+++ b/test/property/ConfigTest.cpp
@@ -26,17 +26,11 @@
 auto GoesWrongWithout(ConfigRemoved aRemoved) -> bool
 {
   constexpr auto kSchedules = 2'000;
-  std::mt19937 random(11);
-  for (auto i = 0; i < kSchedules; ++i) {
-    std::vector<std::uint16_t> schedule(kScheduleLength);
-    for (auto& choice : schedule) {
-      choice = static_cast<std::uint16_t>(random());
-    }
-    if (!ViolationOf(schedule, aRemoved).empty()) {
-      return true;
-    }
-  }
-  return false;
+  constexpr auto kSeed = 11;
+  return AnyGoesWrong(kSchedules, kSeed, kScheduleLength,
+                      [aRemoved](const auto& aSchedule) {
+                        return ViolationOf(aSchedule, aRemoved);
+                      });
 }
 
 } // namespace
