Forecast the waits of every stage

Cause: due times were noted for orders made from a key only, so the collectors of later stages forecast no wait and nothing was refused for them.

--- a/goldcrestcroft/src/Gateway/StageDesk.cpp
+++ b/goldcrestcroft/src/Gateway/StageDesk.cpp
@@ -89,9 +89,7 @@
     return id;
   }
   listeners_[id] = { .tell_ = std::move(aTell) };
-  if (!aOrder.key_.empty()) {
-    service->dueIn_[aOrder.rank_] = aOrder.dueAt_ - clock_.Now();
-  }
+  service->dueIn_[aOrder.rank_] = aOrder.dueAt_ - clock_.Now();
   service->queue_.Add(std::move(aOrder), clock_.Now());
   Kick(*service);
   return id;
