--- a/goldcrestcroft/src/Gateway/StageDesk.cpp
+++ b/goldcrestcroft/src/Gateway/StageDesk.cpp
@@ -414,7 +414,6 @@
       if (engine->state_->entry_.address_ != address) {
         continue;
       }
-      engine->room_.Drop(handle);
       engine->toRelease_.push_back(handle);
       if (!engine->releasing_) {
         engine->releasing_ = true;
@@ -446,6 +445,11 @@
   if (end == ReadEnd::Done) {
     end = co_await exchange.ReadAll(body, kMaxAnswerBytes);
   }
+  if (end == ReadEnd::Done) {
+    for (const auto& handle : handles) {
+      aEngine->room_.Drop(handle);
+    }
+  }
   if (end == ReadEnd::Done && exchange.IsReusable()) {
     pool_.Keep(lease, exchange.Head().keepFor_);
   } else {
--- a/goldcrestcroft/src/Gateway/StageDesk.h
+++ b/goldcrestcroft/src/Gateway/StageDesk.h
@@ -32,7 +32,7 @@
     /** How often waiting pieces are looked at again. */
     Duration lookAgain_ = std::chrono::milliseconds{ 20 };
     /** Releases of one engine are sent together after this. */
-    Duration releaseDelay_ = std::chrono::milliseconds{ 40 };
+    Duration releaseDelay_ = std::chrono::milliseconds{ 10 };
   };
 
   StageDesk(asio::io_context& aContext, Options aOptions, EnginePool& aPool,
