Release a stage's inputs once the next call has fetched them

Cause: the middle stage is bound by its engines' memory for results, and a result was held until the following call had ended although the engine fetches it at the call's turn. A call that is lost after that makes its inputs again.

--- a/goldcrestcroft/src/Gateway/PeerFrames.cpp
+++ b/goldcrestcroft/src/Gateway/PeerFrames.cpp
@@ -119,7 +119,7 @@
     auto end = static_cast<std::uint8_t>(aResult.end_);
     auto handle = Bounded(aResult.handle_);
     aEach(aResult.piece_, end, handle);
-    if (end > static_cast<std::uint8_t>(PieceEnd::Moved)) {
+    if (end > static_cast<std::uint8_t>(PieceEnd::Begun)) {
       throw std::out_of_range("piece end");
     }
     aResult.end_ = static_cast<PieceEnd>(end);
--- a/goldcrestcroft/src/Gateway/RequestRunStages.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunStages.cpp
@@ -107,6 +107,9 @@
       case PieceEnd::Made:
         graph_->OnMade(stage, result.piece_, result.handle_);
         break;
+      case PieceEnd::Begun:
+        graph_->OnBegun(stage, result.piece_);
+        break;
       case PieceEnd::InputsGone:
         again = true;
         break;
--- a/goldcrestcroft/src/Gateway/StageCallPiece.h
+++ b/goldcrestcroft/src/Gateway/StageCallPiece.h
@@ -35,7 +35,9 @@
   /** The collector has no time for it before its deadline. */
   Refused,
   /** The collector is leaving; ask its successor. */
-  Moved
+  Moved,
+  /** No end yet: an engine works on it and has fetched its inputs. */
+  Begun
 };
 
 /** \brief The answer about one piece. */
--- a/goldcrestcroft/src/Gateway/StageDesk.cpp
+++ b/goldcrestcroft/src/Gateway/StageDesk.cpp
@@ -295,6 +295,8 @@
   const auto startedAt = clock_.Now();
   const auto call = codec_.MakeStageCall(aCall.pieces_);
   const auto written = co_await WriteCall(lease, call, timeout);
+  asio::co_spawn(context_, TellBegun(lease.connection_, aCall.tickets_),
+                 asio::detached);
   EngineExchange exchange(lease, codec_.Headers());
   std::string body;
   auto end = ReadEnd::Broken;
@@ -338,6 +340,24 @@
   co_return results;
 }
 
+auto StageDesk::TellBegun(std::shared_ptr<EngineConnection> aConnection,
+                          std::vector<PieceTicket> aTickets) -> Task<void>
+{
+  asio::steady_timer timer(context_, options_.fetchTime_);
+  co_await timer.async_wait(kAsTuple);
+  if (!aConnection->IsOpen()) {
+    co_return;
+  }
+  std::map<std::uint64_t, std::vector<PieceResult>> byOrder;
+  for (const auto& ticket : aTickets) {
+    byOrder[ticket.order_].push_back(
+      { .piece_ = ticket.piece_, .end_ = PieceEnd::Begun });
+  }
+  for (auto& [order, results] : byOrder) {
+    Report(order, std::move(results));
+  }
+}
+
 auto StageDesk::RunCall(std::string aService, std::shared_ptr<Engine> aEngine,
                         Call aCall) -> Task<void>
 {
--- a/goldcrestcroft/src/Gateway/StageDesk.h
+++ b/goldcrestcroft/src/Gateway/StageDesk.h
@@ -29,6 +29,8 @@
     std::size_t mostTries_ = 3;
     /** Part of an engine's memory for results that is planned with. */
     double roomShare_ = 0.9;
+    /** After this long an engine that was free has fetched a call's inputs. */
+    Duration fetchTime_ = std::chrono::milliseconds{ 60 };
     /** How often waiting pieces are looked at again. */
     Duration lookAgain_ = std::chrono::milliseconds{ 20 };
     /** Releases of one engine are sent together after this. */
@@ -101,6 +103,8 @@
                 const Call& aCall) -> Task<std::vector<PieceResult>>;
   auto Settle(Service& aService, Engine& aEngine, const Call& aCall,
               const std::vector<PieceResult>& aResults) -> void;
+  auto TellBegun(std::shared_ptr<EngineConnection> aConnection,
+                 std::vector<PieceTicket> aTickets) -> Task<void>;
   auto SendReleases(std::shared_ptr<Engine> aEngine) -> Task<void>;
   auto Report(std::uint64_t aOrder, std::vector<PieceResult> aResults) -> void;
   auto WriteCall(const EngineLease& aLease, const EngineCall& aCall,
--- a/goldcrestcroft/src/Staging/StageGraph.cpp
+++ b/goldcrestcroft/src/Staging/StageGraph.cpp
@@ -11,6 +11,7 @@
   for (std::size_t i = 0; i < stages_.size(); ++i) {
     const auto count = i < aPieceCounts.size() ? aPieceCounts[i] : 1;
     stages_[i].handles_.resize(count);
+    stages_[i].begun_.resize(count);
     for (const auto before : aStages[i].after_) {
       if (before >= i) {
         continue;
@@ -83,6 +84,15 @@
   if (aPiece < stage.handles_.size() && stage.handles_[aPiece].empty()) {
     stage.handles_[aPiece] = std::move(aHandle);
     ++stage.made_;
+    stage.begun_[aPiece] = true;
+  }
+}
+
+auto StageGraph::OnBegun(std::size_t aStage, std::uint32_t aPiece) -> void
+{
+  auto& begun = stages_[aStage].begun_;
+  if (aPiece < begun.size()) {
+    begun[aPiece] = true;
   }
 }
 
@@ -90,6 +100,7 @@
 {
   auto& stage = stages_[aStage];
   std::fill(stage.handles_.begin(), stage.handles_.end(), "");
+  std::fill(stage.begun_.begin(), stage.begun_.end(), false);
   stage.made_ = 0;
   stage.started_ = false;
   stage.released_ = false;
@@ -103,7 +114,11 @@
 
 auto StageGraph::OnInputsGone(std::size_t aStage) -> void
 {
-  stages_[aStage].started_ = false;
+  auto& stage = stages_[aStage];
+  stage.started_ = false;
+  for (std::size_t i = 0; i < stage.handles_.size(); ++i) {
+    stage.begun_[i] = !stage.handles_[i].empty();
+  }
   for (const auto before : stages_[aStage].after_) {
     Reset(before);
   }
@@ -158,7 +173,7 @@
     }
     const auto needed =
       std::any_of(stages_.begin(), stages_.end(), [&](const Stage& aOther) {
-        return !aOther.handles_.empty() && !aOther.IsMade() &&
+        return !aOther.HasFetched() &&
                std::find(aOther.after_.begin(), aOther.after_.end(), i) !=
                  aOther.after_.end();
       });
--- a/goldcrestcroft/src/Staging/StageGraph.h
+++ b/goldcrestcroft/src/Staging/StageGraph.h
@@ -2,6 +2,7 @@
 
 #include "../Routing/Route.h"
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,8 @@
 
   auto OnMade(std::size_t aStage, std::uint32_t aPiece, std::string aHandle)
     -> void;
+  /** \brief An engine works on the piece: it has fetched its inputs. */
+  auto OnBegun(std::size_t aStage, std::uint32_t aPiece) -> void;
   /** \brief Inputs of the stage are gone: it and what it needs run again. */
   auto OnInputsGone(std::size_t aStage) -> void;
   /** \brief Results of the last stages are gone. */
@@ -42,8 +45,8 @@
   [[nodiscard]] auto IsDone() const -> bool;
   /** \brief Handles of all pieces of the stages that no other follows. */
   [[nodiscard]] auto FinalInputs() const -> std::vector<std::string>;
-  /** \brief Results, with the index of their stage, all of whose followers are
-   * made; each is returned once. */
+  /** \brief Results, with the index of their stage, that all followers have
+   * fetched; each is returned once. */
   auto TakeNeedless() -> std::vector<std::pair<std::size_t, std::string>>;
   /** \brief All results not returned by TakeNeedless yet. */
   auto TakeAll() -> std::vector<std::pair<std::size_t, std::string>>;
@@ -56,6 +59,7 @@
   {
     std::vector<std::size_t> after_;
     std::vector<std::string> handles_;
+    std::vector<bool> begun_;
     std::size_t made_ = 0;
     bool started_ = false;
     bool released_ = false;
@@ -65,6 +69,11 @@
     {
       return made_ == handles_.size();
     }
+    /** \brief Whether no piece needs the stage's inputs any more. */
+    [[nodiscard]] auto HasFetched() const -> bool
+    {
+      return std::find(begun_.begin(), begun_.end(), false) == begun_.end();
+    }
   };
 
   auto Reset(std::size_t aStage) -> void;
