--- a/goldcrestcroft/src/Gateway/StageDesk.cpp
+++ b/goldcrestcroft/src/Gateway/StageDesk.cpp
@@ -164,8 +164,9 @@
 auto StageDesk::Kick(Service& aService) -> void
 {
   const auto now = clock_.Now();
-  for (const auto id : aService.queue_.TakeOverdue(now)) {
-    Report(id, { { .end_ = PieceEnd::Late } });
+  for (const auto id : aService.queue_.TakeHopeless(now)) {
+    Report(id, { { .end_ = PieceEnd::Refused,
+                   .retryAfter_ = options_.retryAfter_ } });
     listeners_.erase(id);
   }
   if (aService.queue_.Waiting() == 0) {
--- a/goldcrestcroft/src/Gateway/StageDesk.h
+++ b/goldcrestcroft/src/Gateway/StageDesk.h
@@ -31,6 +31,8 @@
     double roomShare_ = 0.9;
     /** After this long an engine that was free has fetched a call's inputs. */
     Duration fetchTime_ = std::chrono::milliseconds{ 60 };
+    /** When to come back after an order was given up. */
+    Duration retryAfter_ = std::chrono::milliseconds{ 1000 };
     /** How often waiting pieces are looked at again. */
     Duration lookAgain_ = std::chrono::milliseconds{ 20 };
     /** Releases of one engine are sent together after this. */
--- a/goldcrestcroft/src/Staging/StageQueue.cpp
+++ b/goldcrestcroft/src/Staging/StageQueue.cpp
@@ -126,18 +126,22 @@
   return taken;
 }
 
-auto StageQueue::TakeOverdue(TimePoint aNow) -> std::vector<std::uint64_t>
+auto StageQueue::TakeHopeless(TimePoint aNow) -> std::vector<std::uint64_t>
 {
-  std::vector<std::uint64_t> overdue;
+  std::vector<std::uint64_t> hopeless;
   for (const auto& [id, entry] : entries_) {
-    if (!entry.waiting_.empty() && entry.order_.deadline_ <= aNow) {
-      overdue.push_back(id);
+    const auto& order = entry.order_;
+    const auto over = std::min(
+      order.deadline_, std::max(order.dueAt_, entry.addedAt_) +
+                         options_.latePatience_);
+    if (!entry.waiting_.empty() && over <= aNow) {
+      hopeless.push_back(id);
     }
   }
-  for (const auto id : overdue) {
+  for (const auto id : hopeless) {
     Cancel(id);
   }
-  return overdue;
+  return hopeless;
 }
 
 auto StageQueue::CountBefore(int aRank, TimePoint aDueAt, TimePoint aNow) const
--- a/goldcrestcroft/src/Staging/StageQueue.h
+++ b/goldcrestcroft/src/Staging/StageQueue.h
@@ -24,6 +24,10 @@
     /** Pieces meant for another zone are taken only after this wait, while
      * that zone has engines. */
     Duration zonePatience_ = std::chrono::milliseconds{ 60 };
+    /** An order that still waits this long after it was due is given up: by
+     * then the results that it needs are about to expire, and a caller that
+     * hears so early may come back. */
+    Duration latePatience_ = std::chrono::milliseconds{ 1500 };
     /** A piece of another zone counts as due this much later. */
     Duration zonePenalty_ = std::chrono::milliseconds{ 400 };
   };
@@ -55,8 +59,9 @@
   auto TakeCall(const FreeEngine& aEngine,
                 const std::vector<std::string>& aZones, TimePoint aNow)
     -> std::vector<PieceTicket>;
-  /** \brief Orders with waiting pieces whose deadline has passed; forgotten. */
-  auto TakeOverdue(TimePoint aNow) -> std::vector<std::uint64_t>;
+  /** \brief Orders that wait although they are late beyond patience, or whose
+   * deadline has passed; forgotten. */
+  auto TakeHopeless(TimePoint aNow) -> std::vector<std::uint64_t>;
 
   /** \brief Pieces that wait and would go before one of this rank and due
    * time. */
