Keep a request's pieces in one zone while there is slack

Cause: each piece of a stage fetches all results of the stages before it, so a request whose 60 kB results are made in one zone and used by six pieces in another moves 1.4 MB; nearly all results crossed zones. Change: bytes count every follower's fetch, small ones go anywhere, prompts' homes are weighted by the stage engines of their zone, and a piece waits up to 300 ms for its zone while it stays punctual.

--- a/goldcrestcroft/src/Engines/EngineChoice.cpp
+++ b/goldcrestcroft/src/Engines/EngineChoice.cpp
@@ -1,9 +1,26 @@
 #include "EngineChoice.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace goldcrestcroft {
 
+namespace {
+
+/** Weighted rendezvous hashing: an engine of twice the weight is the home of
+ * twice the prompts, and a change of one weight moves no others' prompts. */
+auto HomeScore(const std::string& aPart, const EngineCandidate& aCandidate)
+  -> double
+{
+  constexpr auto kRange = 18446744073709551616.0;
+  const auto unit =
+    (static_cast<double>(RendezvousWeight(aPart, aCandidate.id_)) + 1.0) /
+    (kRange + 2.0);
+  return -aCandidate.homeWeight_ / std::log(unit);
+}
+
+} // namespace
+
 auto ChooseLeastLoaded(const std::vector<EngineCandidate>& aCandidates,
                        const EngineChoiceOptions& aOptions,
                        const std::string& aSalt) -> std::optional<std::size_t>
@@ -39,15 +56,15 @@
     least = std::min(least, candidate.Load());
   }
   std::optional<std::size_t> best;
-  std::uint64_t bestWeight = 0;
+  auto bestScore = 0.0;
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
     if (aCandidates[i].Load() > least + aOptions.homeTolerance_) {
       continue;
     }
-    const auto weight = RendezvousWeight(aPart, aCandidates[i].id_);
-    if (!best || weight > bestWeight) {
+    const auto score = HomeScore(aPart, aCandidates[i]);
+    if (!best || score > bestScore) {
       best = i;
-      bestWeight = weight;
+      bestScore = score;
     }
   }
   return best;
--- a/goldcrestcroft/src/Engines/EngineChoice.h
+++ b/goldcrestcroft/src/Engines/EngineChoice.h
@@ -18,6 +18,8 @@
   double ownRequests_ = 0.0;
   /** Requests that it runs or keeps waiting, by its last word. */
   double reportedRequests_ = 0.0;
+  /** Share of the prompts that it should be the home of. */
+  double homeWeight_ = 1.0;
   /** How much slower than its peers it answers; 1 for the usual. */
   double slowness_ = 1.0;
 
--- a/goldcrestcroft/src/Gateway/RequestRun.h
+++ b/goldcrestcroft/src/Gateway/RequestRun.h
@@ -68,6 +68,11 @@
     -> std::vector<EngineCandidate>;
   auto ChooseEngine() -> std::shared_ptr<EngineState>;
   auto PlanHome() -> void;
+  /** \brief Part of the stages' engines that is in each zone. */
+  [[nodiscard]] auto StageShares() const -> std::map<std::string, double>;
+  /** \brief Bytes that cross zones if the stage is made in another zone than
+   * the engine. */
+  [[nodiscard]] auto BytesMoved(std::size_t aStage) const -> double;
   auto Attempt(std::shared_ptr<EngineState> aEngine) -> Task<AttemptEnd>;
   auto TalkTo(const EngineLease& aLease) -> Task<AttemptEnd>;
   auto MakeForwarded(const EngineEntry& aEngine) const -> std::string;
--- a/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
@@ -92,7 +92,19 @@
     return;
   }
   std::vector<EngineEntry> entries;
-  const auto candidates = Candidates(entries);
+  auto candidates = Candidates(entries);
+  if (!route_->stages_.empty()) {
+    const auto shares = StageShares();
+    std::map<std::string, double> engines;
+    for (const auto& entry : entries) {
+      engines[entry.zone_] += 1.0;
+    }
+    for (auto& candidate : candidates) {
+      const auto share = shares.find(candidate.zone_);
+      candidate.homeWeight_ =
+        share == shares.end() ? 0.0 : share->second / engines[candidate.zone_];
+    }
+  }
   const auto home = ChooseHome(candidates, { .ownZone_ = zone_ }, part);
   if (home) {
     home_ = entries[*home].id_;
--- a/goldcrestcroft/src/Gateway/RequestRunStages.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunStages.cpp
@@ -1,6 +1,8 @@
 #include "../Observability/Log.h"
 #include "RequestRun.h"
 
+#include <algorithm>
+
 namespace goldcrestcroft {
 
 namespace {
@@ -9,6 +11,8 @@
 constexpr auto kUsualStageTime = std::chrono::milliseconds{ 420 };
 /** What a model engine takes to its first event, for due times. */
 constexpr auto kUsualFirstEvent = std::chrono::milliseconds{ 250 };
+/** Stages that move less than this, in bytes, are made in any zone. */
+constexpr auto kBytesWorthAZone = 100'000.0;
 /** Waits below this are no overload; nothing is refused for them. */
 constexpr auto kCalmWait = std::chrono::milliseconds{ 150 };
 
@@ -62,6 +66,51 @@
   }
 }
 
+auto RequestRun::BytesMoved(std::size_t aStage) const -> double
+{
+  // Each piece of a follower fetches all pieces of the stages before it.
+  const auto& stages = route_->stages_;
+  const auto size = [&](std::size_t aOf) {
+    return stages[aOf].resultBytes_ *
+           static_cast<double>(graph_->PiecesOf(aOf));
+  };
+  const auto needs = [&](std::size_t aFollower, std::size_t aOf) {
+    const auto& after = stages[aFollower].after_;
+    return std::find(after.begin(), after.end(), aOf) != after.end();
+  };
+  auto bytes = 0.0;
+  auto followers = 0.0;
+  for (std::size_t other = 0; other < stages.size(); ++other) {
+    if (needs(aStage, other)) {
+      bytes += size(other) * static_cast<double>(graph_->PiecesOf(aStage));
+    }
+    if (needs(other, aStage)) {
+      followers += static_cast<double>(graph_->PiecesOf(other));
+    }
+  }
+  // The last stages are fetched once, by the model engine.
+  return bytes + size(aStage) * std::max(followers, 1.0);
+}
+
+auto RequestRun::StageShares() const -> std::map<std::string, double>
+{
+  std::map<std::string, double> shares;
+  auto first = true;
+  for (const auto& stage : route_->stages_) {
+    const auto& engines = traffic_.Pool().Engines().Of(stage.service_);
+    std::map<std::string, double> its;
+    for (const auto& engine : engines) {
+      its[engine.zone_] += 1.0 / static_cast<double>(engines.size());
+    }
+    // The zone's scarcest stage bounds what can be made there.
+    for (const auto& [zone, share] : its) {
+      shares[zone] = first ? share : std::min(shares[zone], share);
+    }
+    first = false;
+  }
+  return shares;
+}
+
 auto RequestRun::PlaceStage(std::size_t aStage) -> void
 {
   const auto& stage = route_->stages_[aStage];
@@ -77,8 +126,10 @@
                     .deadline_ = deadline_,
                     .dueAt_ = arrivedAt_ + route_->objective_ -
                               kUsualFirstEvent - kUsualStageTime * depth,
-                    .rank_ = rank_,
-                    .zone_ = zone_ };
+                    .rank_ = rank_ };
+  if (BytesMoved(aStage) >= kBytesWorthAZone) {
+    order.zone_ = zone_;
+  }
   if (graph_->StartsFromKey(aStage)) {
     order.key_ = key;
   }
--- a/goldcrestcroft/src/Staging/StageGraph.h
+++ b/goldcrestcroft/src/Staging/StageGraph.h
@@ -24,6 +24,10 @@
   /** \brief Pieces of the stage that have no result yet. */
   [[nodiscard]] auto MissingPieces(std::size_t aStage) const
     -> std::vector<std::uint32_t>;
+  [[nodiscard]] auto PiecesOf(std::size_t aStage) const -> std::size_t
+  {
+    return stages_[aStage].handles_.size();
+  }
   /** \brief Handles of all pieces of all stages that aStage needs. */
   [[nodiscard]] auto InputsOf(std::size_t aStage) const
     -> std::vector<std::string>;
--- a/goldcrestcroft/src/Staging/StageQueue.cpp
+++ b/goldcrestcroft/src/Staging/StageQueue.cpp
@@ -62,7 +62,10 @@
     const auto elsewhere =
       order.zone_ != aEngine.zone_ &&
       std::find(aZones.begin(), aZones.end(), order.zone_) != aZones.end();
-    if (elsewhere && aNow - entry.addedAt_ < options_.zonePatience_) {
+    const auto inTime =
+      aNow + aEngine.callTime_ + options_.zoneSlack_ < order.dueAt_;
+    if (elsewhere && inTime &&
+        aNow - entry.addedAt_ < options_.zonePatience_) {
       continue;
     }
     due += elsewhere ? options_.zonePenalty_ : Duration{};
--- a/goldcrestcroft/src/Staging/StageQueue.h
+++ b/goldcrestcroft/src/Staging/StageQueue.h
@@ -22,8 +22,11 @@
     /** A rank is worth this much of being due earlier. */
     Duration rankBonus_ = std::chrono::milliseconds{ 1500 };
     /** Pieces meant for another zone are taken only after this wait, while
-     * that zone has engines. */
-    Duration zonePatience_ = std::chrono::milliseconds{ 60 };
+     * that zone has engines; about the rest of a call there. */
+    Duration zonePatience_ = std::chrono::milliseconds{ 300 };
+    /** They are taken at once if waiting leaves less than this until they
+     * would be late. */
+    Duration zoneSlack_ = std::chrono::milliseconds{ 100 };
     /** An order that still waits this long after it was due is given up: by
      * then the results that it needs are about to expire, and a caller that
      * hears so early may come back. */
