--- a/goldcrestcroft/src/Cli/EntryCommand.cpp
+++ b/goldcrestcroft/src/Cli/EntryCommand.cpp
@@ -1,8 +1,8 @@
-#include "../../../platform/StoreClient.h"
-#include "../../../platform/TableCodec.h"
 #include "../../Gateway.h"
 #include "../Observability/Log.h"
 #include "Command.h"
+#include <platform/StoreClient.h>
+#include <platform/TableCodec.h>
 
 #include <cstdio>
 #include <cstdlib>
--- a/goldcrestcroft/src/Gateway/RequestRunStages.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunStages.cpp
@@ -24,16 +24,15 @@
   co_await wake_.async_wait(kAsTuple);
 }
 
-auto RequestRun::RefuseByForecast(const std::vector<std::uint32_t>& aPieces)
-  const -> std::optional<OwnAnswer>
+auto RequestRun::RefuseByForecast(
+  const std::vector<std::uint32_t>& aPieces) const -> std::optional<OwnAnswer>
 {
   const auto forecast =
     ForecastChain(*route_, aPieces, *routing_, [&](const auto& aService) {
       return traffic_.Broker().WaitAt(aService, rank_);
     });
-  const auto late =
-    forecast.total_ + kUsualFirstEvent > route_->objective_ &&
-    forecast.waiting_ > kCalmWait;
+  const auto late = forecast.total_ + kUsualFirstEvent > route_->objective_ &&
+                    forecast.waiting_ > kCalmWait;
   if (!late) {
     return std::nullopt;
   }
--- a/goldcrestcroft/src/Gateway/StageBroker.cpp
+++ b/goldcrestcroft/src/Gateway/StageBroker.cpp
@@ -222,9 +222,9 @@
     timer.expires_after(kTellBacklog);
     co_await timer.async_wait(kAsTuple);
     for (const auto& backlog : desk_.Backlogs()) {
-      const auto waits =
-        std::any_of(backlog.waits_.begin(), backlog.waits_.end(),
-                    [](const auto& aItem) { return aItem.second > kLeastWait; });
+      const auto waits = std::any_of(
+        backlog.waits_.begin(), backlog.waits_.end(),
+        [](const auto& aItem) { return aItem.second > kLeastWait; });
       auto& last = backlogs_[backlog.service_];
       const auto told = last.backlog_.waits_ != backlog.waits_;
       last = { .backlog_ = backlog, .heardAt_ = clock_.Now() };
--- a/goldcrestcroft/src/Gateway/StageDesk.cpp
+++ b/goldcrestcroft/src/Gateway/StageDesk.cpp
@@ -136,8 +136,8 @@
       { service.rate_.PerSecond(now), planned * kLeastShareOfPlan, 1.0 });
     StageBacklog backlog{ .service_ = name };
     for (const auto& [rank, dueIn] : service.dueIn_) {
-      const auto before = static_cast<double>(
-        service.queue_.CountBefore(rank, now + dueIn, now));
+      const auto before =
+        static_cast<double>(service.queue_.CountBefore(rank, now + dueIn, now));
       backlog.waits_[rank] = std::chrono::duration_cast<Duration>(
         std::chrono::duration<double>(before / rate));
     }
@@ -189,7 +189,8 @@
       aService.queue_.TakeCall({ .zone_ = engine->state_->entry_.zone_,
                                  .batch_ = aService.profile_.batch_,
                                  .freeBytes_ = engine->room_.Free(),
-        .callTime_ = aService.profile_.callTime_ },
+                                 .totalBytes_ = engine->room_.Total(),
+                                 .callTime_ = aService.profile_.callTime_ },
                                zones, now);
     if (tickets.empty()) {
       continue;
@@ -230,9 +231,9 @@
   std::string engines;
   for (const auto& [id, engine] : aService.engines_) {
     const auto* state = !engine->state_->health_.IsUsable(now) ? "suspended"
-                        : engine->busy_                         ? "busy"
-                        : now < engine->pausedUntil_            ? "paused"
-                                                                : "free";
+                        : engine->busy_                        ? "busy"
+                        : now < engine->pausedUntil_           ? "paused"
+                                                               : "free";
     engines += fmt::format("{}{}:{}:{:.1f}MB", engines.empty() ? "" : " ", id,
                            state, engine->room_.Free() / 1e6);
   }
--- a/goldcrestcroft/src/Server/CallerServer.h
+++ b/goldcrestcroft/src/Server/CallerServer.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "../Observability/Metrics.h"
 #include "ControlMail.h"
 #include "ControlView.h"
-#include "../Observability/Metrics.h"
 #include "Settings.h"
 #include "TrafficMail.h"
 
--- a/goldcrestcroft/src/Server/ControlLoopPeers.cpp
+++ b/goldcrestcroft/src/Server/ControlLoopPeers.cpp
@@ -1,5 +1,5 @@
-#include "ControlLoop.h"
 #include "../Observability/Log.h"
+#include "ControlLoop.h"
 
 #include <algorithm>
 
--- a/goldcrestcroft/src/Server/ControlMail.h
+++ b/goldcrestcroft/src/Server/ControlMail.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "../../Policy.h"
-#include "CallerReply.h"
 #include "../Observability/Span.h"
+#include "CallerReply.h"
 
 #include <variant>
 
--- a/goldcrestcroft/src/Server/IncomingRequest.h
+++ b/goldcrestcroft/src/Server/IncomingRequest.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "../../Pipeline.h"
-#include "CallerReply.h"
 #include "../Observability/TraceContext.h"
+#include "CallerReply.h"
 
 #include <optional>
 
--- a/goldcrestcroft/src/Server/StageCaller.h
+++ b/goldcrestcroft/src/Server/StageCaller.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "../../Pipeline.h"
-#include "HttpClient.h"
 #include "../Observability/Metrics.h"
+#include "HttpClient.h"
 
 #include <map>
 
--- a/goldcrestcroft/src/Staging/ChainForecast.cpp
+++ b/goldcrestcroft/src/Staging/ChainForecast.cpp
@@ -26,9 +26,9 @@
     if (pieces > 0 && service != nullptr && service->stage_) {
       const auto wait = aWaitAt(stage.service_);
       ends[i].waiting_ += wait;
-      ends[i].total_ += wait + service->stage_->callTime_ +
-                        service->stage_->pieceTime_ *
-                          static_cast<Duration::rep>(pieces);
+      ends[i].total_ +=
+        wait + service->stage_->callTime_ +
+        service->stage_->pieceTime_ * static_cast<Duration::rep>(pieces);
     }
     if (ends[i].total_ > longest.total_) {
       longest = ends[i];
--- a/goldcrestcroft/src/Staging/ResultRoom.h
+++ b/goldcrestcroft/src/Staging/ResultRoom.h
@@ -29,6 +29,8 @@
   /** \brief Room for pieces of a call that is about to start, in bytes. */
   [[nodiscard]] auto Free() const -> double { return options_.bytes_ - used_; }
 
+  [[nodiscard]] auto Total() const -> double { return options_.bytes_; }
+
   auto Reserve(double aBytes) -> void { used_ += aBytes; }
   auto Release(double aBytes) -> void { used_ -= aBytes; }
   /** \brief Turns a reservation into a held result. */
--- a/goldcrestcroft/src/Staging/StageQueue.cpp
+++ b/goldcrestcroft/src/Staging/StageQueue.cpp
@@ -64,8 +64,7 @@
       std::find(aZones.begin(), aZones.end(), order.zone_) != aZones.end();
     const auto inTime =
       aNow + aEngine.callTime_ + options_.zoneSlack_ < order.dueAt_;
-    if (elsewhere && inTime &&
-        aNow - entry.addedAt_ < options_.zonePatience_) {
+    if (elsewhere && inTime && aNow - entry.addedAt_ < options_.zonePatience_) {
       continue;
     }
     due += elsewhere ? options_.zonePenalty_ : Duration{};
@@ -102,16 +101,21 @@
       break;
     }
     const auto bytes = order.resultBytes_;
-    const auto fitting =
-      bytes > 0.0 ? static_cast<std::size_t>(std::max(room / bytes, 0.0))
-                  : places;
+    const auto fitInto = [&](double aRoom) {
+      return bytes > 0.0
+               ? static_cast<std::size_t>(std::max(aRoom, 0.0) / bytes)
+               : aEngine.batch_;
+    };
+    const auto fitting = fitInto(room);
     if (bytes >= blocked) {
       continue;
     }
-    // An order goes whole: a part of its results would only take up room.
-    const auto splits = begun || waiting.size() > aEngine.batch_;
+    // An order goes whole, since a part of its results would only take up
+    // room, unless no engine could ever take all of it.
+    const auto most = std::min(aEngine.batch_, fitInto(aEngine.totalBytes_));
+    const auto splits = begun || waiting.size() > most;
     const auto whole = waiting.size() <= std::min(places, fitting);
-    if (!whole && fitting < std::min(waiting.size(), aEngine.batch_)) {
+    if (!whole && fitting < std::min(waiting.size(), most)) {
       blocked = bytes;
     }
     if (!whole && (!splits || fitting == 0)) {
@@ -134,9 +138,9 @@
   std::vector<std::uint64_t> hopeless;
   for (const auto& [id, entry] : entries_) {
     const auto& order = entry.order_;
-    const auto over = std::min(
-      order.deadline_, std::max(order.dueAt_, entry.addedAt_) +
-                         options_.latePatience_);
+    const auto over =
+      std::min(order.deadline_,
+               std::max(order.dueAt_, entry.addedAt_) + options_.latePatience_);
     if (!entry.waiting_.empty() && over <= aNow) {
       hopeless.push_back(id);
     }
@@ -154,8 +158,8 @@
   std::size_t count = 0;
   for (const auto& [id, entry] : entries_) {
     const auto& order = entry.order_;
-    const auto counts = order.dueAt_ > aNow &&
-                        EffectiveDue(order.rank_, order.dueAt_) <= due;
+    const auto counts =
+      order.dueAt_ > aNow && EffectiveDue(order.rank_, order.dueAt_) <= due;
     count += counts ? entry.waiting_.size() : 0;
   }
   return count;
--- a/goldcrestcroft/src/Staging/StageQueue.h
+++ b/goldcrestcroft/src/Staging/StageQueue.h
@@ -41,6 +41,8 @@
     std::string zone_;
     std::size_t batch_ = 1;
     double freeBytes_ = 0.0;
+    /** Its memory for results when it holds none. */
+    double totalBytes_ = 0.0;
     /** What the shortest call takes. */
     Duration callTime_{};
   };
--- /dev/null
+++ b/test/platform/EngineStandin.cpp
@@ -0,0 +1,160 @@
+#include "EngineStandin.h"
+
+#include <nlohmann/json.hpp>
+
+namespace standins {
+
+using namespace goldcrestcroft;
+using nlohmann::json;
+
+namespace {
+
+constexpr auto kRequestId = "Goldcrestcroft-Request-Id";
+constexpr auto kSignature = "Goldcrestcroft-Server-Seal";
+constexpr auto kNotRun = "Goldcrestcroft-Not-Executed";
+
+auto Header(const Request& aRequest, const char* aName) -> std::string
+{
+  return std::string(aRequest[aName]);
+}
+
+/** Events from the one after the last that the caller has. */
+auto Events(const std::string& aLastId, const std::string& aId)
+  -> std::vector<std::string>
+{
+  constexpr auto kEvents = 6;
+  std::vector<std::string> events;
+  for (auto i = aLastId.empty() ? 1 : std::stoi(aLastId) + 1; i <= kEvents;
+       ++i) {
+    events.push_back("id: " + std::to_string(i) + "\ndata: " + aId + "\n\n");
+  }
+  return events;
+}
+
+} // namespace
+
+EngineStandin::EngineStandin(asio::io_context& aContext,
+                             const std::string& aAddress, std::string aId)
+  : address_(aAddress)
+  , id_(std::move(aId))
+  , server_(aContext, aAddress, [this](Request aRequest) -> Task<Reaction> {
+    co_return Handle(aRequest);
+  })
+{
+}
+
+auto EngineStandin::Entry(const std::string& aService,
+                          const std::string& aState) const -> std::string
+{
+  return json{
+    { "service", aService }, { "address", address_ }, { "zone", "z1" },
+    { "slots", 8 },          { "state", aState },     { "sequence", 1 }
+  }.dump();
+}
+
+auto EngineStandin::Runs() -> std::map<std::string, int>
+{
+  const std::lock_guard lock(mutex_);
+  return runs_;
+}
+
+auto EngineStandin::LastHeader(const std::string& aName) -> std::string
+{
+  const std::lock_guard lock(mutex_);
+  return std::string(lastHeaders_[aName]);
+}
+
+auto EngineStandin::PiecesRun() -> std::size_t
+{
+  const std::lock_guard lock(mutex_);
+  return pieces_;
+}
+
+auto EngineStandin::CallsRun() -> std::size_t
+{
+  const std::lock_guard lock(mutex_);
+  return calls_;
+}
+
+auto EngineStandin::ResultsHeld() -> std::size_t
+{
+  const std::lock_guard lock(mutex_);
+  return results_.size();
+}
+
+auto EngineStandin::RunPieces(const Request& aRequest) -> Reaction
+{
+  const auto call = json::parse(aRequest.body());
+  auto items = json::array();
+  ++calls_;
+  for (auto left = call.at("items").size(); left > 0; --left) {
+    ++pieces_;
+    const auto handle = address_ + "/" + std::to_string(nextResult_++);
+    results_.insert(handle);
+    items.push_back({ { "handle", handle } });
+  }
+  return { .body_ = json{ { "items", items } }.dump(),
+           .delay_ = std::chrono::milliseconds{ 20 } };
+}
+
+auto EngineStandin::Release(const Request& aRequest) -> Reaction
+{
+  const auto call = json::parse(aRequest.body());
+  for (const auto& handle : call.at("handles")) {
+    results_.erase(handle.get<std::string>());
+  }
+  return { .body_ = "{}" };
+}
+
+auto EngineStandin::Handle(const Request& aRequest) -> Reaction
+{
+  const std::lock_guard lock(mutex_);
+  const auto expected = Header(aRequest, "Goldcrestcroft-Expect-Instance");
+  if (!expected.empty() && expected != id_) {
+    return { .status_ = 421,
+             .headers_ = { { "Goldcrestcroft-Instance-Id", id_ },
+                           { kRequestId, Header(aRequest, kRequestId) } } };
+  }
+  const std::string target(aRequest.target());
+  if (target == "/stage-run") {
+    return RunPieces(aRequest);
+  }
+  if (target == "/stage-free") {
+    return Release(aRequest);
+  }
+  const auto id = Header(aRequest, kRequestId);
+  const auto trouble = trouble_.load();
+  Reaction reaction{ .headers_ = { { kRequestId, id },
+                                   { "Goldcrestcroft-Server-Load", "1,0,8" } },
+                     .delay_ = std::chrono::milliseconds{ delayMs_ } };
+  if (trouble == Trouble::Full) {
+    reaction.status_ = 503;
+    reaction.headers_.emplace_back(kNotRun, "1");
+    return reaction;
+  }
+  ++runs_[id];
+  lastHeaders_ = aRequest.base();
+  if (trouble != Trouble::Unsigned) {
+    reaction.headers_.emplace_back(kSignature, "signed-by-" + id_);
+  }
+  reaction.status_ = trouble == Trouble::Fails ? 500 : 200;
+  reaction.drops_ = trouble == Trouble::Drops;
+  reaction.cuts_ = trouble == Trouble::Cuts;
+  reaction.body_ = "answer to " + id + " " + aRequest.body();
+  if (trouble == Trouble::Stray) {
+    reaction.strayId_ = "another";
+  }
+  if (target.find("/stream/") != std::string::npos &&
+      trouble != Trouble::Fails) {
+    reaction.headers_.emplace_back("Content-Type", "text/event-stream");
+    reaction.chunks_ = Events(Header(aRequest, "Last-Event-Id"), id);
+    reaction.pause_ = std::chrono::milliseconds{ 5 };
+    if (reaction.cuts_) {
+      reaction.chunks_.resize(2);
+      reaction.chunks_.push_back("id: 3\nda");
+    }
+  }
+  return reaction;
+}
+
+} // namespace standins
--- /dev/null
+++ b/test/platform/EngineStandin.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "HttpServer.h"
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <set>
+
+namespace standins {
+
+/** \brief A model engine, a plain service and a stage engine in one: what it
+ * does follows from the call. Counts what it ran. */
+class EngineStandin
+{
+public:
+  enum class Trouble
+  {
+    None,
+    /** Runs the request and closes without an answer. */
+    Drops,
+    /** Closes in the middle of the answer. */
+    Cuts,
+    /** Sends an answer to another request first. */
+    Stray,
+    /** Refuses, and says that it did not run it. */
+    Full,
+    /** Answers with a failure of its own. */
+    Fails,
+    /** Answers success without its signature. */
+    Unsigned
+  };
+
+  EngineStandin(goldcrestcroft::asio::io_context& aContext,
+                const std::string& aAddress, std::string aId);
+
+  [[nodiscard]] auto Entry(const std::string& aService,
+                           const std::string& aState = "ready") const
+    -> std::string;
+  [[nodiscard]] auto Id() const -> const std::string& { return id_; }
+  /** \brief How often each request ran, by its id. */
+  [[nodiscard]] auto Runs() -> std::map<std::string, int>;
+  /** \brief A header of the last request that ran. */
+  [[nodiscard]] auto LastHeader(const std::string& aName) -> std::string;
+  [[nodiscard]] auto PiecesRun() -> std::size_t;
+  [[nodiscard]] auto CallsRun() -> std::size_t;
+  [[nodiscard]] auto ResultsHeld() -> std::size_t;
+
+  std::atomic<Trouble> trouble_ = Trouble::None;
+  std::atomic<int> delayMs_ = 0;
+
+private:
+  auto Handle(const Request& aRequest) -> Reaction;
+  auto RunPieces(const Request& aRequest) -> Reaction;
+  auto Release(const Request& aRequest) -> Reaction;
+
+  std::string address_;
+  std::string id_;
+  std::mutex mutex_;
+  std::map<std::string, int> runs_;
+  goldcrestcroft::http::fields lastHeaders_;
+  std::set<std::string> results_;
+  std::size_t pieces_ = 0;
+  std::size_t calls_ = 0;
+  std::uint64_t nextResult_ = 1;
+  HttpServer server_;
+};
+
+} // namespace standins
--- /dev/null
+++ b/test/platform/HttpServer.cpp
@@ -0,0 +1,116 @@
+#include "HttpServer.h"
+
+namespace standins {
+
+using namespace goldcrestcroft;
+
+namespace {
+
+auto Sleep(asio::io_context& aContext, std::chrono::milliseconds aTime)
+  -> Task<void>
+{
+  asio::steady_timer timer(aContext, aTime);
+  co_await timer.async_wait(kAsTuple);
+}
+
+auto MakeHead(const Reaction& aReaction) -> http::response<http::string_body>
+{
+  http::response<http::string_body> answer(
+    static_cast<http::status>(aReaction.status_), 11);
+  for (const auto& [name, value] : aReaction.headers_) {
+    answer.set(name, value);
+  }
+  return answer;
+}
+
+auto WriteChunks(asio::io_context& aContext, Tcp::socket& aSocket,
+                 const Reaction& aReaction) -> Task<bool>
+{
+  http::response<http::empty_body> head(MakeHead(aReaction).base());
+  head.chunked(true);
+  http::response_serializer<http::empty_body> serializer(head);
+  co_await http::async_write_header(aSocket, serializer, kAsTuple);
+  for (const auto& chunk : aReaction.chunks_) {
+    co_await Sleep(aContext, aReaction.pause_);
+    const auto [error, size] = co_await asio::async_write(
+      aSocket, http::make_chunk(asio::buffer(chunk)), kAsTuple);
+    if (error) {
+      co_return false;
+    }
+  }
+  if (aReaction.cuts_) {
+    co_return false;
+  }
+  const auto [error, size] =
+    co_await asio::async_write(aSocket, http::make_chunk_last(), kAsTuple);
+  co_return !error;
+}
+
+} // namespace
+
+HttpServer::HttpServer(asio::io_context& aContext, const std::string& aAddress,
+                       Handler aHandler)
+  : context_(aContext)
+  , handler_(std::move(aHandler))
+  , acceptor_(aContext, ParseTcpEndpoint(aAddress))
+{
+  asio::co_spawn(context_, Accept(), asio::detached);
+}
+
+auto HttpServer::Accept() -> Task<void>
+{
+  for (;;) {
+    auto [error, socket] = co_await acceptor_.async_accept(kAsTuple);
+    if (error) {
+      co_return;
+    }
+    asio::co_spawn(context_, Serve(std::move(socket)), asio::detached);
+  }
+}
+
+auto HttpServer::Serve(Tcp::socket aSocket) -> Task<void>
+{
+  auto socket = std::move(aSocket);
+  beast::flat_buffer buffer;
+  for (;;) {
+    Request request;
+    const auto [error, size] =
+      co_await http::async_read(socket, buffer, request, kAsTuple);
+    if (error) {
+      co_return;
+    }
+    const auto reaction = co_await handler_(std::move(request));
+    co_await Sleep(context_, reaction.delay_);
+    if (reaction.drops_) {
+      co_return;
+    }
+    if (reaction.strayId_) {
+      Reaction stray{ .body_ = "an answer to another request" };
+      auto head = MakeHead(stray);
+      head.set("Goldcrestcroft-Request-Id", *reaction.strayId_);
+      head.body() = stray.body_;
+      head.prepare_payload();
+      co_await http::async_write(socket, head, kAsTuple);
+    }
+    if (!reaction.chunks_.empty()) {
+      const auto whole = co_await WriteChunks(context_, socket, reaction);
+      if (!whole) {
+        co_return;
+      }
+      continue;
+    }
+    auto answer = MakeHead(reaction);
+    answer.body() = reaction.body_;
+    answer.prepare_payload();
+    if (reaction.cuts_) {
+      answer.body().resize(answer.body().size() / 2);
+    }
+    const auto [writeError, written] =
+      co_await http::async_write(socket, answer, kAsTuple);
+    if (writeError || reaction.cuts_) {
+      co_return;
+    }
+  }
+}
+
+} // namespace standins
--- /dev/null
+++ b/test/platform/HttpServer.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <goldcrestcroft/src/Gateway/Net.h>
+
+#include <functional>
+#include <optional>
+
+namespace standins {
+
+using Request =
+  goldcrestcroft::http::request<goldcrestcroft::http::string_body>;
+
+/** \brief What a stand-in does with a request. */
+struct Reaction
+{
+  int status_ = 200;
+  std::vector<std::pair<std::string, std::string>> headers_;
+  std::string body_;
+  std::chrono::milliseconds delay_{ 0 };
+  /** Parts of a body that is sent in chunks, with a pause before each. */
+  std::vector<std::string> chunks_;
+  std::chrono::milliseconds pause_{ 0 };
+  /** Closed without an answer. */
+  bool drops_ = false;
+  /** Closed in the middle of the answer. */
+  bool cuts_ = false;
+  /** An answer to another request is sent before it. */
+  std::optional<std::string> strayId_;
+};
+
+/** \brief An HTTP server for stand-ins, on its owner's context. */
+class HttpServer
+{
+public:
+  using Handler =
+    std::function<goldcrestcroft::Task<Reaction>(Request aRequest)>;
+
+  HttpServer(goldcrestcroft::asio::io_context& aContext,
+             const std::string& aAddress, Handler aHandler);
+
+private:
+  auto Accept() -> goldcrestcroft::Task<void>;
+  auto Serve(goldcrestcroft::Tcp::socket aSocket) -> goldcrestcroft::Task<void>;
+
+  goldcrestcroft::asio::io_context& context_;
+  Handler handler_;
+  goldcrestcroft::Tcp::acceptor acceptor_;
+};
+
+} // namespace standins
--- /dev/null
+++ b/test/platform/PlatformStandin.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "EngineStandin.h"
+#include "StoreStandin.h"
+
+#include <memory>
+#include <thread>
+
+namespace standins {
+
+/** \brief A small platform on loopback: a store, engines of a plain service, of
+ * a model and of two stages, and a configuration that uses them. */
+class PlatformStandin
+{
+public:
+  struct Options
+  {
+    std::string ip_ = "127.0.0.1";
+    std::uint16_t firstPort_ = 7300;
+    std::size_t enginesOfEach_ = 2;
+  };
+
+  explicit PlatformStandin(Options aOptions);
+  ~PlatformStandin();
+  PlatformStandin(const PlatformStandin&) = delete;
+  auto operator=(const PlatformStandin&) -> PlatformStandin& = delete;
+
+  auto Store() -> StoreStandin& { return *store_; }
+  /** \brief Engines of "desk", "model", "cutter" or "ranker". */
+  auto Engines(const std::string& aService)
+    -> std::vector<std::unique_ptr<EngineStandin>>&
+  {
+    return engines_[aService];
+  }
+  [[nodiscard]] auto StoreAddress() const -> std::string;
+  /** \brief Writes the configuration; aExtraPrefix adds a plain route. */
+  auto PutConfig(unsigned aVersion, const std::string& aExtraPrefix = "")
+    -> void;
+  auto SetTrouble(const std::string& aService, EngineStandin::Trouble aTrouble)
+    -> void;
+
+private:
+  Options options_;
+  goldcrestcroft::asio::io_context context_;
+  std::unique_ptr<StoreStandin> store_;
+  std::map<std::string, std::vector<std::unique_ptr<EngineStandin>>> engines_;
+  std::thread thread_;
+};
+
+} // namespace standins
--- /dev/null
+++ b/test/platform/StoreStandin.cpp
@@ -0,0 +1,147 @@
+#include "StoreStandin.h"
+
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+namespace standins {
+
+using namespace goldcrestcroft;
+using nlohmann::json;
+
+namespace {
+
+auto Encode(const std::string& aValue) -> std::string
+{
+  std::string text((aValue.size() + 2) / 3 * 4 + 1, '\0');
+  const auto size =
+    EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                    reinterpret_cast<const unsigned char*>(aValue.data()),
+                    static_cast<int>(aValue.size()));
+  text.resize(static_cast<std::size_t>(size));
+  return text;
+}
+
+auto Query(const std::string& aTarget, const std::string& aName) -> std::string
+{
+  const auto at = aTarget.find(aName + "=");
+  if (at == std::string::npos) {
+    return "";
+  }
+  const auto from = at + aName.size() + 1;
+  return aTarget.substr(from, aTarget.find('&', from) - from);
+}
+
+} // namespace
+
+StoreStandin::StoreStandin(asio::io_context& aContext,
+                           const std::string& aAddress)
+  : context_(aContext)
+  , server_(aContext, aAddress,
+            [this](Request aRequest) { return Handle(std::move(aRequest)); })
+{
+}
+
+auto StoreStandin::Put(const std::string& aTable, const std::string& aKey,
+                       const std::string& aValue) -> void
+{
+  const std::lock_guard lock(mutex_);
+  tables_[aTable][aKey] = { .value_ = Encode(aValue), .version_ = ++version_ };
+}
+
+auto StoreStandin::Remove(const std::string& aTable, const std::string& aKey)
+  -> void
+{
+  const std::lock_guard lock(mutex_);
+  tables_[aTable][aKey] = { .version_ = ++version_, .removed_ = true };
+}
+
+auto StoreStandin::Has(const std::string& aTable, const std::string& aKey)
+  -> bool
+{
+  const std::lock_guard lock(mutex_);
+  const auto& table = tables_[aTable];
+  const auto row = table.find(aKey);
+  return row != table.end() && !row->second.removed_;
+}
+
+auto StoreStandin::RowsOf(const std::string& aTable, std::uint64_t aAfter,
+                          bool aRemoved) -> std::string
+{
+  const std::lock_guard lock(mutex_);
+  auto rows = json::array();
+  for (const auto& [key, row] : tables_[aTable]) {
+    if (row.version_ > aAfter && (aRemoved || !row.removed_)) {
+      json item{ { "table", aTable },
+                 { "part", "" },
+                 { "key", key },
+                 { "ver", row.version_ } };
+      if (row.removed_) {
+        item["deleted"] = true;
+      } else {
+        item["value"] = row.value_;
+      }
+      rows.push_back(std::move(item));
+    }
+  }
+  return json{
+    { "rows", std::move(rows) },
+    { "truncated", false },
+    { "ver", version_ },
+    { "now_ms", 1 }
+  }.dump();
+}
+
+auto StoreStandin::Transact(const std::string& aBody) -> Reaction
+{
+  const auto call = json::parse(aBody);
+  const std::lock_guard lock(mutex_);
+  ++version_;
+  for (const auto& row : call.at("writes")) {
+    tables_[row.at("table")][row.at("key")] = { .value_ = row.at("value"),
+                                                .version_ = version_ };
+  }
+  for (const auto& row : call.at("remove")) {
+    tables_[row.at("table")][row.at("key")] = { .version_ = version_,
+                                                .removed_ = true };
+  }
+  return { .body_ = json{ { "ver", version_ }, { "now_ms", 1 } }.dump(),
+           .drops_ = losesAnswers_ };
+}
+
+auto StoreStandin::Handle(Request aRequest) -> Task<Reaction>
+{
+  ++calls_;
+  const std::string target(aRequest.target());
+  if (busy_) {
+    co_return Reaction{ .status_ = 503 };
+  }
+  if (target.starts_with("/rows-tx")) {
+    co_return Transact(aRequest.body());
+  }
+  const auto table = Query(target, "table");
+  if (target.starts_with("/rows-get")) {
+    auto body = RowsOf(table, 0, false);
+    co_return Reaction{ .body_ = std::move(body) };
+  }
+  if (forgets_) {
+    co_return Reaction{ .status_ = 410 };
+  }
+  const auto after = std::stoull(Query(target, "after"));
+  auto left = std::stoi(Query(target, "wait_ms"));
+  constexpr auto kLook = 5;
+  for (; left > 0 && !busy_ && !forgets_; left -= kLook) {
+    auto body = RowsOf(table, after, true);
+    if (body.find("\"key\"") != std::string::npos) {
+      co_return Reaction{ .body_ = std::move(body) };
+    }
+    asio::steady_timer timer(context_, std::chrono::milliseconds{ kLook });
+    co_await timer.async_wait(kAsTuple);
+  }
+  auto body = RowsOf(table, after, true);
+  co_return Reaction{ .status_ = forgets_ ? 410
+                                 : busy_  ? 503
+                                          : 200,
+                      .body_ = std::move(body) };
+}
+
+} // namespace standins
--- /dev/null
+++ b/test/process/EntryFleet.cpp
@@ -0,0 +1,156 @@
+#include "EntryFleet.h"
+
+#include <sys/socket.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+namespace testing {
+
+using namespace goldcrestcroft;
+
+namespace {
+
+constexpr unsigned kFirstPort = 8300;
+constexpr unsigned kPortsOfHost = 10;
+
+auto ReadAnswer(Tcp::socket& aSocket, bool aHead) -> CallerAnswer
+{
+  CallerAnswer answer;
+  beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+  parser.skip(aHead);
+  boost::system::error_code error;
+  http::read_header(aSocket, buffer, parser, error);
+  if (error) {
+    return answer;
+  }
+  answer.status_ = static_cast<int>(parser.get().result_int());
+  for (const auto& field : parser.get()) {
+    answer.headers_[std::string(field.name_string())] =
+      std::string(field.value());
+  }
+  http::read(aSocket, buffer, parser, error);
+  answer.whole_ = !error && parser.is_done();
+  answer.body_ = parser.get().body();
+  return answer;
+}
+
+} // namespace
+
+auto SendCall(const std::string& aAddress, const CallerCall& aCall)
+  -> CallerAnswer
+{
+  asio::io_context context;
+  Tcp::socket socket(context);
+  boost::system::error_code error;
+  socket.connect(ParseTcpEndpoint(aAddress), error);
+  if (error) {
+    return {};
+  }
+  const timeval patience{ .tv_sec = 8 };
+  setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &patience,
+             sizeof(patience));
+  if (aCall.raw_) {
+    asio::write(socket, asio::buffer(*aCall.raw_), error);
+  } else {
+    http::request<http::string_body> request(
+      http::string_to_verb(aCall.method_), aCall.target_, 11, aCall.body_);
+    for (const auto& [name, value] : aCall.headers_) {
+      request.set(name, value);
+    }
+    request.prepare_payload();
+    http::write(socket, request, error);
+  }
+  return ReadAnswer(socket, aCall.method_ == "HEAD");
+}
+
+EntryFleet::EntryFleet(std::size_t aHosts)
+  : platform_({})
+  , processes_()
+{
+  char folder[] = "/tmp/goldcrestcroft-entry-XXXXXX";
+  folder_ = mkdtemp(folder);
+  for (std::size_t i = 0; i < aHosts; ++i) {
+    std::ofstream file(folder_ + "/host-" + std::to_string(i) + ".json");
+    file << R"({"host": "h)" << i << R"(", "availability_zone": "z1",)"
+         << R"("ip": "127.0.0.1", "callers": ")" << Port(i, 0)
+         << R"(", "readiness": ")" << Port(i, 1) << R"(", "directory": ")"
+         << Port(i, 2) << R"(", "metrics": ")" << Port(i, 3)
+         << R"(", "peer_port": )" << kFirstPort + i * kPortsOfHost + 5
+         << R"(, "store": ")" << platform_.StoreAddress()
+         << R"(", "grace_s": 5, "directory_keep_s": 0.3})";
+  }
+  processes_.reserve(aHosts);
+  for (std::size_t i = 0; i < aHosts; ++i) {
+    processes_.emplace_back(
+      std::string(BUILD_FOLDER) + "/goldcrestcroft/goldcrestcroft",
+      std::vector<std::string>{ "entry", folder_ + "/host-" +
+                                           std::to_string(i) + ".json" },
+      folder_ + "/log-" + std::to_string(i));
+  }
+}
+
+auto EntryFleet::Start(std::size_t aHost) -> void
+{
+  processes_[aHost] =
+    Process(std::string(BUILD_FOLDER) + "/goldcrestcroft/goldcrestcroft",
+            { "entry", folder_ + "/host-" + std::to_string(aHost) + ".json" },
+            folder_ + "/log-" + std::to_string(aHost));
+}
+
+auto EntryFleet::Port(std::size_t aHost, unsigned aUse) const -> std::string
+{
+  return "127.0.0.1:" +
+         std::to_string(kFirstPort + aHost * kPortsOfHost + aUse);
+}
+
+auto EntryFleet::AwaitReady(std::size_t aHost) -> bool
+{
+  return Await([&] {
+    return SendCall(Port(aHost, 1), { .target_ = "/readyz" }).status_ == 200;
+  });
+}
+
+auto EntryFleet::LastId() const -> std::string
+{
+  return "request-" + std::to_string(calls_);
+}
+
+auto EntryFleet::Call(std::size_t aHost, CallerCall aCall) -> CallerAnswer
+{
+  ++calls_;
+  const auto add = [&](const std::string& aName, const std::string& aValue) {
+    aCall.headers_.emplace(aName, aValue);
+  };
+  add("Host", "try.example");
+  add("X-Api-Key", "key1");
+  add("Goldcrestcroft-Request-Id", LastId());
+  add("Goldcrestcroft-Deadline-Ms", "2500");
+  add("Goldcrestcroft-Pieces", "2,3");
+  add("Goldcrestcroft-Piece-Key", "abc");
+  return SendCall(Port(aHost, 0), aCall);
+}
+
+auto EntryFleet::Get(std::size_t aHost, const std::string& aTarget)
+  -> CallerAnswer
+{
+  return Call(aHost, { .target_ = aTarget });
+}
+
+auto EntryFleet::Directory(std::size_t aHost) -> CallerAnswer
+{
+  return SendCall(Port(aHost, 2),
+                  { .target_ = "/resolve?name=try.example&zone=z1" });
+}
+
+auto EntryFleet::Log(std::size_t aHost) const -> std::string
+{
+  std::ifstream file(folder_ + "/log-" + std::to_string(aHost));
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+} // namespace testing
--- /dev/null
+++ b/test/process/EntryFleet.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "../platform/PlatformStandin.h"
+#include "Process.h"
+
+#include <optional>
+
+namespace testing {
+
+/** \brief What a caller got. */
+struct CallerAnswer
+{
+  /** 0 where no whole head came. */
+  int status_ = 0;
+  std::map<std::string, std::string> headers_;
+  std::string body_;
+  /** Whether the body came to its end. */
+  bool whole_ = false;
+};
+
+/** \brief One request as a caller sends it, on a connection of its own. */
+struct CallerCall
+{
+  std::string method_ = "GET";
+  std::string target_;
+  std::map<std::string, std::string> headers_;
+  std::string body_;
+  /** Sent as it is, instead of all of the above. */
+  std::optional<std::string> raw_;
+};
+
+/** \brief A small platform and entry hosts as processes before it. */
+class EntryFleet
+{
+public:
+  explicit EntryFleet(std::size_t aHosts);
+
+  auto Platform() -> standins::PlatformStandin& { return platform_; }
+  auto Start(std::size_t aHost) -> void;
+  auto ProcessOf(std::size_t aHost) -> Process& { return processes_[aHost]; }
+  /** \brief Whether the host says within some seconds that it is ready. */
+  auto AwaitReady(std::size_t aHost) -> bool;
+  /** \brief Whether the condition holds within some seconds. */
+  template<typename Condition>
+  static auto Await(Condition aCondition) -> bool
+  {
+    constexpr auto kTries = 400;
+    for (auto i = 0; i < kTries; ++i) {
+      if (aCondition()) {
+        return true;
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds{ 20 });
+    }
+    return false;
+  }
+
+  /** \brief Adds host, key, id and time to the call and sends it. */
+  auto Call(std::size_t aHost, CallerCall aCall) -> CallerAnswer;
+  auto Get(std::size_t aHost, const std::string& aTarget) -> CallerAnswer;
+  /** \brief The id of the last call. */
+  [[nodiscard]] auto LastId() const -> std::string;
+  auto Directory(std::size_t aHost) -> CallerAnswer;
+  [[nodiscard]] auto Log(std::size_t aHost) const -> std::string;
+
+private:
+  auto Port(std::size_t aHost, unsigned aUse) const -> std::string;
+
+  standins::PlatformStandin platform_;
+  std::string folder_;
+  std::vector<Process> processes_;
+  unsigned calls_ = 0;
+};
+
+/** \brief Sends a call and reads the answer to its end, or gives up after some
+ * seconds. */
+auto SendCall(const std::string& aAddress, const CallerCall& aCall)
+  -> CallerAnswer;
+
+} // namespace testing
--- /dev/null
+++ b/test/property/HostileInputTest.cpp
@@ -0,0 +1,122 @@
+#include "Property.h"
+
+#include <goldcrestcroft/src/Gateway/EventRelay.h>
+#include <goldcrestcroft/src/Gateway/PeerFrames.h>
+#include <platform/StoreRows.h>
+#include <platform/TableCodec.h>
+
+namespace testing {
+
+namespace {
+
+using namespace goldcrestcroft;
+
+/** A valid message with some bytes changed, cut or added. */
+auto Damage(std::string aBytes, const std::vector<std::uint16_t>& aChoices)
+  -> std::string
+{
+  for (const auto choice : aChoices) {
+    if (aBytes.empty()) {
+      break;
+    }
+    const auto at = choice % aBytes.size();
+    switch (choice % 3) {
+      case 0:
+        aBytes[at] = static_cast<char>(choice >> 8U);
+        break;
+      case 1:
+        aBytes.resize(at);
+        break;
+      default:
+        aBytes.insert(at, 1, static_cast<char>(choice));
+        break;
+    }
+  }
+  return aBytes;
+}
+
+template<typename Try>
+auto Survives(Try aTry) -> void
+{
+  Handle(
+    [&]() -> Result<int> {
+      BOOST_LEAF_CHECK(aTry());
+      return 0;
+    },
+    [](const Error&) { return 0; });
+}
+
+auto SomeFrame() -> PeerFrame
+{
+  return StageAsk{ .order_ = { .id_ = 3,
+                               .requestId_ = "request",
+                               .service_ = "service",
+                               .pieces_ = { 1, 2, 3 },
+                               .inputs_ = { "1.2.3.4:5/abc" } } };
+}
+
+} // namespace
+
+TEST_CASE("damaged frames and beats of peers are refused without harm")
+{
+  CheckProperty([] {
+    const auto choices = *Schedule(4);
+    const auto frame = Damage(EncodeFrame(SomeFrame()).substr(4), choices);
+    Survives([&] { return DecodeFrame(frame); });
+    const auto beat =
+      Damage(EncodeHeartbeat({ .sender_ = { .host_ = { "h" } },
+                               .passedOn_ = { { .host_ = { "i" } } } }),
+             choices);
+    Survives([&] { return DecodeHeartbeat(beat); });
+  });
+}
+
+TEST_CASE("damaged documents of the platform are refused without harm")
+{
+  CheckProperty([] {
+    const platform::TableCodec codec;
+    const auto choices = *Schedule(3);
+    const auto config = Damage(
+      R"({"version":3,"route_table":[{"name":"r","host":"h","prefix":"/",)"
+      R"("route_type":"safe","stages":[{"service":"s","after":[0],"bytes":1}],)"
+      R"("traffic_split":[{"service":"s","weight":1}]}],"services":[{"name":)"
+      R"("s","pieces":{"batch":3}}],"tenants":[{"name":"t","api_keys":["k"]}]})",
+      choices);
+    Survives([&] { return codec.DecodeRouting(config); });
+    const auto engine = Damage(
+      R"({"service":"s","address":"1.2.3.4:5","state":"ready"})", choices);
+    Survives([&] { return codec.DecodeEngine("i", engine); });
+    const auto answer =
+      Damage(R"({"items":[{"handle":"h"},{"reason":"gone"}]})", choices);
+    Survives([&] { return codec.DecodeStageAnswer(answer, 2); });
+    StoreReply reply;
+    auto truncated = false;
+    platform::ReadRows(
+      Damage(R"({"rows":[{"key":"k","value":"AAAA","ver":1}],"ver":2})",
+             choices),
+      reply, truncated);
+  });
+}
+
+TEST_CASE("events come out the same however the bytes are cut")
+{
+  CheckProperty([] {
+    const std::string stream = "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\n"
+                               "id: 3\r\ndata: d\r\n\r\nid: 4\nda";
+    const auto cuts = *Schedule(6);
+    EventRelay relay;
+    std::string passed;
+    std::size_t at = 0;
+    for (const auto cut : cuts) {
+      const auto size = cut % 12;
+      passed += relay.Feed(std::string_view(stream).substr(at, size));
+      at = std::min(at + size, stream.size());
+    }
+    passed += relay.Feed(std::string_view(stream).substr(at));
+    RC_ASSERT(passed + relay.Partial() == stream);
+    RC_ASSERT(relay.Partial() == "id: 4\nda");
+    RC_ASSERT(relay.LastId() == "3");
+  });
+}
+
+} // namespace testing
--- /dev/null
+++ b/test/unit/EnginesTest.cpp
@@ -0,0 +1,145 @@
+#include <doctest/doctest.h>
+#include <goldcrestcroft/Engines.h>
+
+namespace testing {
+
+namespace {
+
+using namespace goldcrestcroft;
+using std::chrono::milliseconds;
+
+const TimePoint kNow{ std::chrono::hours{ 1 } };
+
+auto After(AttemptEnd aEnd, AttemptRecord aBefore = {}) -> AttemptRecord
+{
+  return Count(aBefore, aEnd);
+}
+
+} // namespace
+
+TEST_CASE("a request that may have run goes elsewhere only if idempotent")
+{
+  const Route unsafe{ .kind_ = RouteKind::Unsafe, .maxAttempts_ = 3 };
+  const Route safe{ .kind_ = RouteKind::Safe, .maxAttempts_ = 2 };
+  const Route stream{ .kind_ = RouteKind::Streaming, .maxAttempts_ = 2 };
+  const Route resumable{ .kind_ = RouteKind::Streaming,
+                         .maxAttempts_ = 2,
+                         .resumable_ = true };
+  for (const auto end : { AttemptEnd::Lost, AttemptEnd::FailureAnswer }) {
+    CHECK(DecideNext(unsafe, After(end), end) == NextStep::Stop);
+    CHECK(DecideNext(stream, After(end), end) == NextStep::Stop);
+    CHECK(DecideNext(safe, After(end), end) == NextStep::TryAnother);
+    CHECK(DecideNext(resumable, After(end), end) == NextStep::TryAnother);
+    const auto twice = After(end, After(end));
+    CHECK(DecideNext(safe, twice, end) == NextStep::Stop);
+  }
+}
+
+TEST_CASE("a request that surely has not run goes elsewhere, within bounds")
+{
+  const Route unsafe{ .kind_ = RouteKind::Unsafe };
+  const AttemptLimits limits;
+  AttemptRecord record;
+  for (std::size_t i = 0; i < limits.mostRejected_; ++i) {
+    record = After(AttemptEnd::Rejected, record);
+    CHECK(DecideNext(unsafe, record, AttemptEnd::Rejected) ==
+          NextStep::TryAnother);
+  }
+  record = After(AttemptEnd::Rejected, record);
+  CHECK(DecideNext(unsafe, record, AttemptEnd::Rejected) == NextStep::Stop);
+  CHECK(DecideNext(unsafe, After(AttemptEnd::Unreachable),
+                   AttemptEnd::Unreachable) == NextStep::TryAnother);
+  CHECK(DecideNext(unsafe, After(AttemptEnd::InputsGone),
+                   AttemptEnd::InputsGone) == NextStep::RemakeInputs);
+}
+
+TEST_CASE("failures in a row suspend an engine, and longer each time")
+{
+  EngineHealth health;
+  health.OnFailure(kNow);
+  health.OnFailure(kNow);
+  CHECK(health.IsUsable(kNow));
+  health.OnFailure(kNow);
+  CHECK_FALSE(health.IsUsable(kNow + milliseconds{ 999 }));
+  CHECK(health.IsUsable(kNow + milliseconds{ 1000 }));
+  CHECK(health.IsOnTrial());
+  const auto later = kNow + std::chrono::seconds{ 2 };
+  health.OnFailure(later);
+  CHECK_FALSE(health.IsUsable(later + milliseconds{ 1999 }));
+  health.OnSuccess(milliseconds{ 20 });
+  CHECK_FALSE(health.IsOnTrial());
+}
+
+TEST_CASE("a success between failures keeps an engine in use")
+{
+  EngineHealth health;
+  for (auto i = 0; i < 10; ++i) {
+    health.OnFailure(kNow);
+    health.OnFailure(kNow);
+    health.OnSuccess(milliseconds{ 20 });
+  }
+  CHECK(health.IsUsable(kNow));
+  CHECK(health.FailureShare() > 0.3);
+}
+
+TEST_CASE("the home of a prompt is the same for all, unless it is overloaded")
+{
+  std::vector<EngineCandidate> engines;
+  for (const auto* id : { "a", "b", "c", "d" }) {
+    engines.push_back({ .id_ = id, .zone_ = "z", .slots_ = 10.0 });
+  }
+  const auto home = ChooseHome(engines, {}, "part");
+  REQUIRE(home);
+  auto reversed = engines;
+  std::reverse(reversed.begin(), reversed.end());
+  CHECK(reversed[*ChooseHome(reversed, {}, "part")].id_ == engines[*home].id_);
+  engines[*home].ownRequests_ = 9.0;
+  CHECK(*ChooseHome(engines, {}, "part") != *home);
+  CHECK_FALSE(ChooseHome({}, {}, "part"));
+}
+
+TEST_CASE("homes are dealt by weight")
+{
+  std::vector<EngineCandidate> engines{ { .id_ = "a", .homeWeight_ = 3.0 },
+                                        { .id_ = "b", .homeWeight_ = 1.0 } };
+  auto toA = 0;
+  for (auto i = 0; i < 2000; ++i) {
+    toA += *ChooseHome(engines, {}, std::to_string(i)) == 0 ? 1 : 0;
+  }
+  CHECK(toA > 1400);
+  CHECK(toA < 1600);
+}
+
+TEST_CASE("the least loaded engine takes a request, the own zone first")
+{
+  std::vector<EngineCandidate> engines{
+    { .id_ = "a", .zone_ = "z1", .slots_ = 6.0, .ownRequests_ = 2.0 },
+    { .id_ = "b", .zone_ = "z2", .slots_ = 6.0, .ownRequests_ = 2.0 },
+    { .id_ = "c", .zone_ = "z2", .slots_ = 6.0, .reportedRequests_ = 6.0 }
+  };
+  CHECK(*ChooseLeastLoaded(engines, { .ownZone_ = "z2" }, "r") == 1);
+  engines[1].ownRequests_ = 6.0;
+  CHECK(*ChooseLeastLoaded(engines, { .ownZone_ = "z2" }, "r") == 0);
+}
+
+TEST_CASE("a request seen on enough engines that broke off is held back")
+{
+  CrashSuspects suspects({ .crashesToHold_ = 3 });
+  CHECK(suspects.OnCrash(7, 1, kNow));
+  CHECK_FALSE(suspects.OnCrash(7, 1, kNow));
+  suspects.OnCrash(7, 2, kNow);
+  CHECK_FALSE(suspects.IsHeldBack(7, kNow));
+  suspects.OnCrash(7, 3, kNow);
+  CHECK(suspects.IsHeldBack(7, kNow));
+  CHECK_FALSE(suspects.IsHeldBack(8, kNow));
+  CHECK_FALSE(suspects.IsHeldBack(7, kNow + std::chrono::minutes{ 5 }));
+}
+
+TEST_CASE("the part that tells an engine's memory is the last shared one")
+{
+  CHECK(SharedPartId({ { "a", 1 }, { "b", 2 }, { "c", 3 } }) == "b");
+  CHECK(SharedPartId({ { "own", 5 } }).empty());
+  CHECK(SharedPartId({}).empty());
+}
+
+} // namespace testing
--- /dev/null
+++ b/test/unit/GatewayPartsTest.cpp
@@ -0,0 +1,159 @@
+#include "Failure.h"
+
+#include <doctest/doctest.h>
+#include <goldcrestcroft/src/Gateway/EventRelay.h>
+#include <goldcrestcroft/src/Gateway/FleetView.h>
+#include <goldcrestcroft/src/Gateway/NodeSettings.h>
+#include <goldcrestcroft/src/Gateway/PeerFrames.h>
+#include <goldcrestcroft/src/Observability/NonBlockingSink.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace testing {
+
+namespace {
+
+using namespace goldcrestcroft;
+
+constexpr auto kSettings = R"({
+  // A comment.
+  "host": "h1", "availability_zone": "z1", "ip": "127.0.0.1",
+  "callers": "127.0.0.1:8000", "peer_port": 9000, "store": "127.0.0.1:7000"
+})";
+
+} // namespace
+
+TEST_CASE("events are passed on whole")
+{
+  EventRelay relay;
+  CHECK(relay.Feed("id: 1\ndata: a\n\nid: 2\nda") == "id: 1\ndata: a\n\n");
+  CHECK(relay.LastId() == "1");
+  CHECK(relay.Partial() == "id: 2\nda");
+  CHECK(relay.Feed("ta: b\n\n") == "id: 2\ndata: b\n\n");
+  CHECK(relay.LastId() == "2");
+  CHECK(relay.Events() == 2);
+  CHECK(relay.Feed("id:3\r\ndata: c\r\n\r\n") == "id:3\r\ndata: c\r\n\r\n");
+  CHECK(relay.LastId() == "3");
+  relay.Feed("id: 4\nda");
+  relay.DropPartial();
+  CHECK(relay.Feed("id: 4\ndata: d\n\n") == "id: 4\ndata: d\n\n");
+}
+
+TEST_CASE("callers are named ready hosts, those of their zone first")
+{
+  const FleetView view{ .self_ = "h1",
+                        .hosts_ = {
+                          { .id_ = "h1", .zone_ = "z1", .callerAddress_ = "1" },
+                          { .id_ = "h2", .zone_ = "z1", .callerAddress_ = "2" },
+                          { .id_ = "h3", .zone_ = "z2", .callerAddress_ = "3" },
+                          { .id_ = "h4", .zone_ = "z1" },
+                          { .id_ = "h5",
+                            .zone_ = "z1",
+                            .callerAddress_ = "5",
+                            .leaving_ = true } } };
+  using Addresses = std::vector<std::string>;
+  CHECK(ChooseAddresses(view, "z1", 2) == Addresses{ "1", "2" });
+  CHECK(ChooseAddresses(view, "z2", 2) == Addresses{ "3", "1", "2" });
+  CHECK(ChooseAddresses({}, "z1", 2).empty());
+  CHECK(view.Staying() == std::vector<std::string>{ "h1", "h2", "h3", "h4" });
+}
+
+TEST_CASE("settings are read, and what is wrong is named")
+{
+  const auto settings = Handle([] { return ParseNodeSettings(kSettings); },
+                               [](const Error&) { return NodeSettings{}; });
+  CHECK(settings.host_ == "h1");
+  CHECK(settings.PeerAddress() == "127.0.0.1:9000");
+  CHECK(settings.StageAddress() == "127.0.0.1:9001");
+
+  const auto problemOf = [](const std::string& aText) {
+    return FailureOfResult([&] { return ParseNodeSettings(aText); }).message_;
+  };
+  CHECK(problemOf("{").find("not JSON") != std::string::npos);
+  CHECK(problemOf(R"({"host": 1})").find("'host'") != std::string::npos);
+  std::string text = kSettings;
+  text.replace(text.find("127.0.0.1:8000"), 14, "nowhere");
+  CHECK(problemOf(text).find("'callers' is not an address") !=
+        std::string::npos);
+  text = kSettings;
+  text.insert(1, "\"unheard_of\": 1,");
+  CHECK(problemOf(text).find("'unheard_of'") != std::string::npos);
+}
+
+TEST_CASE("frames between hosts survive the way")
+{
+  const auto roundTrip = [](const PeerFrame& aFrame) {
+    const auto bytes = EncodeFrame(aFrame);
+    return Handle([&] { return DecodeFrame(bytes.substr(4)); },
+                  [](const Error&) { return PeerFrame(StageDrop{}); });
+  };
+  const PeerFrame ask = StageAsk{ .order_ = { .id_ = 9,
+                                              .requestId_ = "r",
+                                              .service_ = "s",
+                                              .stage_ = 2,
+                                              .pieces_ = { 0, 3 },
+                                              .inputs_ = { "a/1", "b/2" },
+                                              .resultBytes_ = 6e4,
+                                              .rank_ = 1,
+                                              .zone_ = "z" },
+                                  .timeLeft_ = std::chrono::seconds{ 2 },
+                                  .dueIn_ = std::chrono::seconds{ -1 } };
+  CHECK(roundTrip(ask) == ask);
+  const PeerFrame state = StateReply{
+    .configuration_ = { { .key_ = "c",
+                          .value_ = std::string(100'000, 'x'),
+                          .version_ = 3 } },
+    .engines_ = { { .key_ = "e", .version_ = 4, .removed_ = true } },
+    .engineRows_ = 4
+  };
+  CHECK(roundTrip(state) == state);
+  const PeerFrame backlog =
+    StageBacklog{ .service_ = "s",
+                  .waits_ = { { 0, Duration{ 5 } }, { 2, Duration{ 9 } } } };
+  CHECK(roundTrip(backlog) == backlog);
+  const FleetHeartbeat beat{ .sender_ = { .host_ = { "h" } },
+                             .engineRows_ = 5,
+                             .crashes_ = { { .request_ = 1, .engine_ = 2 } } };
+  CHECK(Handle([&] { return DecodeHeartbeat(EncodeHeartbeat(beat)); },
+               [](const Error&) { return FleetHeartbeat{}; }) == beat);
+}
+
+TEST_CASE("a wait that was not forecast is that of the rank before it")
+{
+  const StageBacklog backlog{ .waits_ = { { 0, Duration{ 5 } },
+                                          { 2, Duration{ 9 } } } };
+  CHECK(backlog.WaitOf(0) == Duration{ 5 });
+  CHECK(backlog.WaitOf(1) == Duration{ 5 });
+  CHECK(backlog.WaitOf(3) == Duration{ 9 });
+  CHECK(StageBacklog{}.WaitOf(0) == Duration{});
+}
+
+TEST_CASE("a log whose reader stands still drops lines and never waits")
+{
+  int ends[2] = {};
+  REQUIRE(pipe(ends) == 0);
+  internal::NonBlockingSink sink(
+    { .descriptor_ = ends[1], .linesPerSecond_ = 1e6, .burst_ = 1e6 });
+  const std::string line(1000, 'x');
+  for (auto i = 0; i < 200; ++i) {
+    sink.log({ "test", spdlog::level::info, line });
+  }
+  CHECK(sink.Dropped() > 0);
+  close(ends[0]);
+  close(ends[1]);
+}
+
+TEST_CASE("a log is bounded in lines")
+{
+  const auto null = open("/dev/null", O_WRONLY);
+  internal::NonBlockingSink sink(
+    { .descriptor_ = null, .linesPerSecond_ = 0.001, .burst_ = 10.0 });
+  for (auto i = 0; i < 100; ++i) {
+    sink.log({ "test", spdlog::level::info, "line" });
+  }
+  CHECK(sink.Dropped() == 90);
+  close(null);
+}
+
+} // namespace testing
--- /dev/null
+++ b/test/unit/PlatformAdapterTest.cpp
@@ -0,0 +1,181 @@
+#include "Failure.h"
+
+#include <doctest/doctest.h>
+#include <platform/StoreRows.h>
+#include <platform/TableCodec.h>
+
+namespace testing {
+
+namespace {
+
+using namespace goldcrestcroft;
+
+constexpr auto kConfig = R"({"version": 7, "route_table": [
+  {"name": "r1", "host": "a.example", "prefix": "/p/",
+   "route_type": "streaming", "timeout_ms": 15000, "target_latency_ms": 1200,
+   "priority": 1,
+   "traffic_split": [{"service": "m", "weight": 90},
+                     {"service": "n", "weight": 10}],
+   "max_attempts": 2,
+   "stages": [{"service": "s", "after": [], "bytes": 800000},
+              {"service": "s", "after": [0], "bytes": 6000.0}],
+   "anonymous": false, "session_affinity": true, "stream_resume": true,
+   "gap_target_ms": 250},
+  {"name": "r2", "host": "a.example", "prefix": "/q/", "service": "m",
+   "route_type": "new-kind", "max_attempts": "many"}],
+ "services": [
+  {"name": "m", "health_path": "/h", "max_connections": 280,
+   "engine": {"slots": 64, "kv_capacity": 1000}},
+  {"name": "s", "pieces": {"slots": 1, "queue": 2, "batch": 12,
+   "call_ms": 240.0, "item_ms": 17.5, "headroom_mb": 14.0, "handle_s": 4.0}}],
+ "limits": {"max_header_bytes": 100, "idle_timeout_ms": 9000},
+ "tenants": [{"name": "t", "api_keys": ["k1", 5, "k2"], "priority": 2}]})";
+
+auto Decode(const std::string& aText) -> RoutingTable
+{
+  return Handle([&] { return platform::TableCodec().DecodeRouting(aText); },
+                [](const Error&) { return RoutingTable(); });
+}
+
+} // namespace
+
+TEST_CASE("a configuration is decoded into the product's own types")
+{
+  const auto routing = Decode(kConfig);
+  CHECK(routing.Version() == 7);
+  const auto* route = routing.FindRoute("a.example", "/p/x");
+  REQUIRE(route != nullptr);
+  CHECK(route->kind_ == RouteKind::Streaming);
+  CHECK(route->objective_ == std::chrono::milliseconds{ 1200 });
+  CHECK(route->split_.size() == 2);
+  CHECK(route->resumable_);
+  CHECK(route->gapObjective_ == std::chrono::milliseconds{ 250 });
+  REQUIRE(route->stages_.size() == 2);
+  CHECK(route->stages_[1].after_ == std::vector<std::size_t>{ 0 });
+  CHECK(route->stages_[1].resultBytes_ == 6000.0);
+  const auto* stage = routing.FindService("s");
+  REQUIRE(stage != nullptr);
+  REQUIRE(stage->stage_);
+  CHECK(stage->stage_->pieceTime_ == std::chrono::microseconds{ 17'500 });
+  CHECK(stage->stage_->headroomBytes_ == 14e6);
+  CHECK(routing.Limits().maxHeaderBytes_ == 100);
+  CHECK(routing.Limits().maxBodyBytes_ == ClientLimits{}.maxBodyBytes_);
+  REQUIRE(routing.FindKey("k2") != nullptr);
+  CHECK(routing.FindKey("k2")->rank_ == 2);
+}
+
+TEST_CASE("a route of an unknown kind may not be repeated")
+{
+  const auto routing = Decode(kConfig);
+  const auto* route = routing.FindRoute("a.example", "/q/");
+  REQUIRE(route != nullptr);
+  CHECK(route->kind_ == RouteKind::Unsafe);
+  CHECK(route->maxAttempts_ == 1);
+  CHECK(route->split_ == std::vector<SplitTarget>{ { .service_ = "m" } });
+}
+
+TEST_CASE("what is no configuration is refused")
+{
+  const platform::TableCodec codec;
+  for (const auto* text : { "", "{", "[]", "{}", R"({"version": "7"})" }) {
+    CHECK(FailureOfResult([&] { return codec.DecodeRouting(text); }).kind_ ==
+          ErrorKind::InvalidConfiguration);
+  }
+}
+
+TEST_CASE("an entry of another writer names no engine")
+{
+  const platform::TableCodec codec;
+  const auto good = Handle(
+    [&] {
+      return codec.DecodeEngine(
+        "i-1", R"({"service": "s", "address": "1.2.3.4:5", "zone": "z",
+                   "slots": 6, "state": "draining", "born": 17})");
+    },
+    [](const Error&) { return EngineEntry{}; });
+  CHECK(good == EngineEntry{ .id_ = "i-1",
+                             .service_ = "s",
+                             .address_ = "1.2.3.4:5",
+                             .zone_ = "z",
+                             .slots_ = 6,
+                             .draining_ = true,
+                             .startedAt_ = 17 });
+  for (const auto* text :
+       { "", "\xff\xfe", "7", "{}", R"({"service": 5, "address": "a:1"})",
+         R"({"service": "s", "address": "a:1"})",
+         R"({"service": "s", "address": "a:1", "state": "dancing"})" }) {
+    CHECK(FailureOfResult([&] {
+            return codec.DecodeEngine("i-2", text);
+          }).kind_ == ErrorKind::Protocol);
+  }
+}
+
+TEST_CASE("a call of pieces and its answer")
+{
+  const platform::TableCodec codec;
+  const auto call =
+    codec.MakeStageCall({ { .requestId_ = "r",
+                            .stage_ = 1,
+                            .piece_ = 2,
+                            .timeLeft_ = std::chrono::milliseconds{ 900 },
+                            .inputs_ = { "1.2.3.4:5/a" } } });
+  CHECK(call.body_ ==
+        R"({"items":[{"id":"r","inputs":["1.2.3.4:5/a"],"piece":2,)"
+        R"("remaining_ms":900,"stage":1}]})");
+  const auto results = Handle(
+    [&] {
+      return codec.DecodeStageAnswer(
+        R"({"items":[{"handle":"h"},{"reason":"gone"},{"reason":"room"},{}]})",
+        4);
+    },
+    [](const Error&) { return std::vector<PieceResult>{}; });
+  REQUIRE(results.size() == 4);
+  CHECK(results[0].handle_ == "h");
+  CHECK(results[1].end_ == PieceEnd::InputsGone);
+  CHECK(results[2].end_ == PieceEnd::NoRoom);
+  CHECK(results[3].end_ == PieceEnd::Failed);
+  CHECK(FailureOfResult([&] {
+          return codec.DecodeStageAnswer("{}", 1);
+        }).kind_ == ErrorKind::Protocol);
+}
+
+TEST_CASE("headers are read, and forged ones do no harm")
+{
+  const platform::TableCodec codec;
+  CHECK(
+    codec.ReadPrompt("5c1e07a2:800, 91bd3f06:410") ==
+    std::vector<PromptPart>{ { "5c1e07a2", 800.0 }, { "91bd3f06", 410.0 } });
+  CHECK(codec.ReadPieceCounts("3,0,x,99999999999") ==
+        std::vector<std::uint32_t>{ 3, 0, 0, 1000 });
+  CHECK(codec.ReadLoad("3,0,8") ==
+        EngineLoadReport{ .running_ = 3, .waiting_ = 0, .slots_ = 8 });
+  CHECK_FALSE(codec.ReadLoad("3,-1,8"));
+  CHECK_FALSE(codec.ReadLoad("busy"));
+  CHECK(codec.DirectoryZone("/resolve?name=a&region=r&zone=z1") == "z1");
+  CHECK(codec.DirectoryZone("/resolve?zone=&name=a").empty());
+  CHECK(codec.DirectoryZone("/resolve").empty());
+}
+
+TEST_CASE("rows of the store are read and written")
+{
+  StoreReply reply;
+  auto truncated = false;
+  CHECK(platform::ReadRows(
+    R"({"rows":[{"table":"t","part":"","key":"k","value":"bm9kZS0x","ver":4},
+                {"table":"t","part":"","key":"x","ver":5,"deleted":true},
+                {"table":"t","part":"p","key":"y","value":"","ver":6}, 7],
+        "truncated":true,"ver":9,"now_ms":1})",
+    reply, truncated));
+  CHECK(truncated);
+  CHECK(reply.version_ == 9);
+  REQUIRE(reply.rows_.size() >= 2);
+  CHECK(reply.rows_[0] ==
+        StoreRow{ .key_ = "k", .value_ = "node-1", .version_ = 4 });
+  CHECK(reply.rows_[1].removed_);
+  CHECK_FALSE(platform::ReadRows("<html>", reply, truncated));
+  const auto body =
+    platform::MakeTransaction(StoreTable::Hosts, "h1", "node-1");
+  CHECK(body.find("\"value\":\"bm9kZS0x\"") != std::string::npos);
+}
+
+} // namespace testing
--- /dev/null
+++ b/test/unit/StageGraphTest.cpp
@@ -0,0 +1,107 @@
+#include <doctest/doctest.h>
+#include <goldcrestcroft/Staging.h>
+
+namespace testing {
+
+namespace {
+
+using namespace goldcrestcroft;
+using Stages = std::vector<std::size_t>;
+using Handles = std::vector<std::string>;
+
+auto Chain() -> std::vector<RouteStage>
+{
+  return { { .service_ = "a" },
+           { .service_ = "b" },
+           { .service_ = "c", .after_ = { 1 } },
+           { .service_ = "d", .after_ = { 2 } } };
+}
+
+auto NamesOf(const std::vector<std::pair<std::size_t, std::string>>& aResults)
+  -> Handles
+{
+  Handles names;
+  for (const auto& [stage, handle] : aResults) {
+    names.push_back(handle);
+  }
+  return names;
+}
+
+} // namespace
+
+TEST_CASE("stages start when all that they need is made")
+{
+  StageGraph graph(Chain(), { 2, 1, 1, 1 });
+  CHECK(graph.TakeReady() == Stages{ 0, 1 });
+  CHECK(graph.TakeReady().empty());
+  graph.OnMade(1, 0, "b0");
+  CHECK(graph.TakeReady() == Stages{ 2 });
+  CHECK(graph.InputsOf(2) == Handles{ "b0" });
+  graph.OnMade(2, 0, "c0");
+  CHECK(graph.TakeReady() == Stages{ 3 });
+  graph.OnMade(3, 0, "d0");
+  CHECK_FALSE(graph.IsDone());
+  graph.OnMade(0, 1, "a1");
+  graph.OnMade(0, 1, "again");
+  CHECK(graph.MissingPieces(0) == std::vector<std::uint32_t>{ 0 });
+  graph.OnMade(0, 0, "a0");
+  CHECK(graph.IsDone());
+  CHECK(graph.FinalInputs() == Handles{ "a0", "a1", "d0" });
+}
+
+TEST_CASE("a stage without pieces is left out and passes on its needs")
+{
+  StageGraph graph(Chain(), { 0, 1, 0, 1 });
+  CHECK(graph.TakeReady() == Stages{ 1 });
+  graph.OnMade(1, 0, "b0");
+  CHECK(graph.TakeReady() == Stages{ 3 });
+  CHECK(graph.InputsOf(3) == Handles{ "b0" });
+  graph.OnMade(3, 0, "d0");
+  CHECK(graph.IsDone());
+  CHECK(graph.FinalInputs() == Handles{ "d0" });
+  CHECK(StageGraph(Chain(), { 0, 0, 0, 0 }).IsDone());
+}
+
+TEST_CASE("results are released once, when every follower has fetched them")
+{
+  StageGraph graph(Chain(), { 0, 1, 2, 1 });
+  graph.TakeReady();
+  graph.OnMade(1, 0, "b0");
+  graph.TakeReady();
+  graph.OnBegun(2, 0);
+  CHECK(graph.TakeNeedless().empty());
+  graph.OnBegun(2, 1);
+  CHECK(NamesOf(graph.TakeNeedless()) == Handles{ "b0" });
+  CHECK(graph.TakeNeedless().empty());
+  graph.OnMade(2, 0, "c0");
+  CHECK(NamesOf(graph.TakeAll()) == Handles{ "c0" });
+}
+
+TEST_CASE("inputs that are gone are made again, with what they need")
+{
+  StageGraph graph(Chain(), { 0, 1, 1, 1 });
+  graph.TakeReady();
+  graph.OnMade(1, 0, "b0");
+  graph.TakeReady();
+  graph.OnMade(2, 0, "c0");
+  graph.TakeReady();
+  graph.TakeNeedless();
+  // The stage of c0 ended, and b0 was released: both run again.
+  graph.OnInputsGone(3);
+  CHECK(graph.TakeReady() == Stages{ 1 });
+  graph.OnMade(1, 0, "b1");
+  CHECK(graph.TakeReady() == Stages{ 2 });
+  graph.OnMade(2, 0, "c1");
+  CHECK(graph.TakeReady() == Stages{ 3 });
+  CHECK(graph.InputsOf(3) == Handles{ "c1" });
+}
+
+TEST_CASE("depth counts the stages in a row to the end")
+{
+  const StageGraph graph(Chain(), { 1, 1, 1, 1 });
+  CHECK(graph.DepthFrom(0) == 1);
+  CHECK(graph.DepthFrom(1) == 3);
+  CHECK(graph.DepthFrom(3) == 1);
+}
+
+} // namespace testing
--- /dev/null
+++ b/test/unit/StageQueueTest.cpp
@@ -0,0 +1,198 @@
+#include <doctest/doctest.h>
+#include <goldcrestcroft/Staging.h>
+
+namespace testing {
+
+namespace {
+
+using namespace goldcrestcroft;
+using std::chrono::milliseconds;
+
+const TimePoint kNow{ std::chrono::hours{ 1 } };
+
+auto Order(std::uint64_t aId, std::uint32_t aPieces, Duration aDueIn)
+  -> StageOrder
+{
+  StageOrder order{ .id_ = aId,
+                    .service_ = "s",
+                    .resultBytes_ = 1.0,
+                    .deadline_ = kNow + std::chrono::seconds{ 10 },
+                    .dueAt_ = kNow + aDueIn };
+  for (std::uint32_t i = 0; i < aPieces; ++i) {
+    order.pieces_.push_back(i);
+  }
+  return order;
+}
+
+auto Orders(const std::vector<PieceTicket>& aTickets)
+  -> std::vector<std::uint64_t>
+{
+  std::vector<std::uint64_t> orders;
+  for (const auto& ticket : aTickets) {
+    orders.push_back(ticket.order_);
+  }
+  return orders;
+}
+
+const StageQueue::FreeEngine kEngine{ .zone_ = "z1",
+                                      .batch_ = 4,
+                                      .freeBytes_ = 100.0,
+                                      .totalBytes_ = 100.0,
+                                      .callTime_ = milliseconds{ 240 } };
+const std::vector<std::string> kZones{ "z1", "z2" };
+
+} // namespace
+
+TEST_CASE("what is due first goes first, what is late goes last")
+{
+  StageQueue queue({});
+  queue.Add(Order(1, 1, milliseconds{ 900 }), kNow);
+  queue.Add(Order(2, 1, milliseconds{ 100 }), kNow);
+  queue.Add(Order(3, 1, milliseconds{ 400 }), kNow);
+  CHECK(Orders(queue.TakeCall(kEngine, kZones, kNow)) ==
+        std::vector<std::uint64_t>{ 3, 1, 2 });
+}
+
+TEST_CASE("an urgent rank goes before an order that is due earlier")
+{
+  StageQueue queue({});
+  auto lessUrgent = Order(1, 1, milliseconds{ 300 });
+  lessUrgent.rank_ = 1;
+  queue.Add(lessUrgent, kNow);
+  queue.Add(Order(2, 1, milliseconds{ 1500 }), kNow);
+  CHECK(Orders(queue.TakeCall(kEngine, kZones, kNow)) ==
+        std::vector<std::uint64_t>{ 2, 1 });
+}
+
+TEST_CASE("an order goes whole, or waits for the next engine")
+{
+  StageQueue queue({});
+  queue.Add(Order(1, 3, milliseconds{ 500 }), kNow);
+  queue.Add(Order(2, 2, milliseconds{ 600 }), kNow);
+  queue.Add(Order(3, 1, milliseconds{ 700 }), kNow);
+  CHECK(Orders(queue.TakeCall(kEngine, kZones, kNow)) ==
+        std::vector<std::uint64_t>{ 1, 1, 1, 3 });
+  CHECK(queue.Waiting() == 2);
+}
+
+TEST_CASE("an order larger than a call is split, and its rest goes first")
+{
+  StageQueue queue({});
+  queue.Add(Order(1, 6, milliseconds{ 900 }), kNow);
+  CHECK(queue.TakeCall(kEngine, kZones, kNow).size() == 4);
+  queue.Add(Order(2, 1, milliseconds{ 500 }), kNow);
+  CHECK(Orders(queue.TakeCall(kEngine, kZones, kNow)) ==
+        std::vector<std::uint64_t>{ 1, 1, 2 });
+}
+
+// Seen on the bench: parts of orders filled the engines' memory and waited for
+// their rest, which found no room: 2,000 pieces stood behind them.
+TEST_CASE("an order that finds no room takes none, and keeps its place")
+{
+  StageQueue queue({});
+  auto engine = kEngine;
+  engine.freeBytes_ = 2.0;
+  queue.Add(Order(1, 3, milliseconds{ 500 }), kNow);
+  queue.Add(Order(2, 1, milliseconds{ 600 }), kNow);
+  auto small = Order(3, 1, milliseconds{ 700 });
+  small.resultBytes_ = 0.01;
+  queue.Add(small, kNow);
+  CHECK(Orders(queue.TakeCall(engine, kZones, kNow)) ==
+        std::vector<std::uint64_t>{ 3 });
+  CHECK(queue.Waiting() == 4);
+}
+
+TEST_CASE("a piece waits for its zone while it stays punctual")
+{
+  StageQueue queue({});
+  auto elsewhere = Order(1, 1, milliseconds{ 2000 });
+  elsewhere.zone_ = "z2";
+  queue.Add(elsewhere, kNow);
+  CHECK(queue.TakeCall(kEngine, kZones, kNow).empty());
+  CHECK(queue.TakeCall(kEngine, kZones, kNow + milliseconds{ 300 }).size() ==
+        1);
+  auto tight = Order(2, 1, milliseconds{ 330 });
+  tight.zone_ = "z2";
+  queue.Add(tight, kNow);
+  CHECK(queue.TakeCall(kEngine, kZones, kNow).size() == 1);
+  auto orphan = Order(3, 1, milliseconds{ 2000 });
+  orphan.zone_ = "z9";
+  queue.Add(orphan, kNow);
+  CHECK(queue.TakeCall(kEngine, kZones, kNow).size() == 1);
+}
+
+TEST_CASE("orders late beyond patience are given up, punctual ones are not")
+{
+  StageQueue queue({});
+  queue.Add(Order(1, 1, milliseconds{ 500 }), kNow);
+  queue.Add(Order(2, 1, milliseconds{ 5000 }), kNow);
+  CHECK(queue.TakeHopeless(kNow + milliseconds{ 1999 }).empty());
+  CHECK(queue.TakeHopeless(kNow + milliseconds{ 2000 }) ==
+        std::vector<std::uint64_t>{ 1 });
+  CHECK(queue.Waiting() == 1);
+  CHECK(queue.Find(1) == nullptr);
+}
+
+TEST_CASE("a returned piece waits again, that of a cancelled order does not")
+{
+  StageQueue queue({});
+  queue.Add(Order(1, 2, milliseconds{ 500 }), kNow);
+  const auto taken = queue.TakeCall(kEngine, kZones, kNow);
+  queue.Return(taken.front());
+  CHECK(queue.Waiting() == 1);
+  queue.Cancel(1);
+  queue.Return(taken.back());
+  CHECK(queue.Waiting() == 0);
+}
+
+TEST_CASE("room is free again once a result is dropped or has expired")
+{
+  ResultRoom room({ .bytes_ = 10.0, .keepFor_ = std::chrono::seconds{ 4 } });
+  room.Reserve(6.0);
+  room.Hold("a", 6.0, kNow);
+  room.Reserve(3.0);
+  room.Hold("b", 3.0, kNow);
+  CHECK(room.Free() == doctest::Approx(1.0));
+  room.Drop("a");
+  room.Drop("a");
+  CHECK(room.Free() == doctest::Approx(7.0));
+  room.Expire(kNow + std::chrono::seconds{ 3 });
+  CHECK(room.Free() == doctest::Approx(7.0));
+  room.Expire(kNow + std::chrono::seconds{ 4 });
+  CHECK(room.Free() == doctest::Approx(10.0));
+}
+
+TEST_CASE(
+  "all hosts name the same collector, and the loss of others moves none")
+{
+  const std::vector<std::string> hosts{ "h1", "h2", "h3", "h4" };
+  const auto collector = ChooseCollector("s", hosts);
+  for (const auto& lost : hosts) {
+    auto left = hosts;
+    std::erase(left, lost);
+    CHECK((ChooseCollector("s", left) == collector) == (lost != collector));
+  }
+  CHECK(ChooseCollector("s", {}).empty());
+}
+
+TEST_CASE("a forecast adds waits and calls along the longest chain")
+{
+  const StageProfile profile{ .callTime_ = milliseconds{ 200 },
+                              .pieceTime_ = milliseconds{ 10 } };
+  const RoutingTable routing(
+    { .services_ = { { .name_ = "a", .stage_ = profile },
+                     { .name_ = "b", .stage_ = profile } } });
+  const Route route{ .stages_ = { { .service_ = "a" },
+                                  { .service_ = "a" },
+                                  { .service_ = "b", .after_ = { 1 } } } };
+  const auto waitAt = [](const std::string& aService) -> Duration {
+    return aService == "a" ? milliseconds{ 50 } : milliseconds{ 70 };
+  };
+  const auto forecast = ForecastChain(route, { 4, 1, 2 }, routing, waitAt);
+  CHECK(forecast.total_ == milliseconds{ 50 + 210 + 70 + 220 });
+  CHECK(forecast.waiting_ == milliseconds{ 120 });
+  CHECK(ForecastChain(route, { 0, 0, 0 }, routing, waitAt).total_ ==
+        Duration{});
+}
+
+} // namespace testing
