--- a/goldcrestcroft/src/Engines/AttemptPolicy.cpp
+++ b/goldcrestcroft/src/Engines/AttemptPolicy.cpp
@@ -2,6 +2,27 @@
 
 namespace goldcrestcroft {
 
+auto ToString(AttemptEnd aEnd) -> std::string
+{
+  switch (aEnd) {
+    case AttemptEnd::Delivered:
+      return "delivered";
+    case AttemptEnd::Unreachable:
+      return "unreachable";
+    case AttemptEnd::Rejected:
+      return "rejected";
+    case AttemptEnd::InputsGone:
+      return "inputs_gone";
+    case AttemptEnd::FailureAnswer:
+      return "failure_answer";
+    case AttemptEnd::Lost:
+      return "lost";
+    case AttemptEnd::Abandoned:
+      break;
+  }
+  return "abandoned";
+}
+
 auto Count(AttemptRecord aRecord, AttemptEnd aEnd) -> AttemptRecord
 {
   switch (aEnd) {
--- a/goldcrestcroft/src/Engines/AttemptPolicy.h
+++ b/goldcrestcroft/src/Engines/AttemptPolicy.h
@@ -3,6 +3,7 @@
 #include "../Routing/Route.h"
 
 #include <cstdint>
+#include <string>
 
 namespace goldcrestcroft {
 
@@ -25,6 +26,9 @@
   Abandoned
 };
 
+/** \brief The end as a stable lower-case word, for logs and counters. */
+auto ToString(AttemptEnd aEnd) -> std::string;
+
 /** \brief What to do after an attempt. */
 enum class NextStep
 {
--- a/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
@@ -102,9 +102,10 @@
     if (error) {
       continue; // Refusals of earlier sends are reported here.
     }
+    const std::string_view bytes(buffer.data(), size);
     Handle(
       [&]() -> Result<void> {
-        BOOST_LEAF_AUTO(beat, DecodeHeartbeat({ buffer.data(), size }));
+        BOOST_LEAF_AUTO(beat, DecodeHeartbeat(bytes));
         OnBeat(beat);
         return {};
       },
--- a/goldcrestcroft/src/Gateway/RequestRun.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRun.cpp
@@ -231,8 +231,7 @@
       co_return co_await Conclude(AttemptEnd::Unreachable);
     }
     const auto end = co_await Attempt(engine);
-    traffic_.Metrics().CountAttempt(service_,
-                                    std::to_string(static_cast<int>(end)));
+    traffic_.Metrics().CountAttempt(service_, ToString(end));
     attempts_ = Count(attempts_, end);
     if (end == AttemptEnd::Delivered) {
       Finish("ok");
--- a/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
@@ -184,7 +184,7 @@
       LogLevel::Info, "attempt_ended",
       { { "request", requestId_ },
         { "engine", entry.id_ },
-        { "end", std::to_string(static_cast<int>(end)) },
+        { "end", ToString(end) },
         { "timed_out", lease.connection_->TimedOut() ? "true" : "false" },
         { "left_ms", std::to_string(ToMilliseconds(TimeLeft())) } });
   }
--- a/goldcrestcroft/src/Observability/NonBlockingSink.cpp
+++ b/goldcrestcroft/src/Observability/NonBlockingSink.cpp
@@ -23,8 +23,8 @@
 
 auto NonBlockingSink::TryWrite(const char* aData, std::size_t aSize) -> bool
 {
-  pollfd poll_{ .fd = options_.descriptor_, .events = POLLOUT };
-  if (poll(&poll_, 1, 0) != 1 || (poll_.revents & POLLOUT) == 0) {
+  pollfd writable{ .fd = options_.descriptor_, .events = POLLOUT };
+  if (poll(&writable, 1, 0) != 1 || (writable.revents & POLLOUT) == 0) {
     return false;
   }
   const auto size = std::min(aSize, kMostBytes);
--- a/goldcrestcroft/src/Staging/StageQueue.cpp
+++ b/goldcrestcroft/src/Staging/StageQueue.cpp
@@ -80,6 +80,7 @@
                             std::tie(aRight.late_, aRight.fresh_, aRight.due_);
                    });
   std::vector<Entry*> ranked;
+  ranked.reserve(choices.size());
   for (const auto& choice : choices) {
     ranked.push_back(choice.entry_);
   }
