Count the work on its way from earlier stages in the forecast

Cause: a host refused by the queue of each stage alone, while the pieces of requests already begun were still at earlier stages; requests were admitted that became late at the last stage. Change: a request's later stages are told to their collectors when it begins; a wait passes while earlier stages are made; a service's rate is measured while it is saturated and worked out from profile and learned piece time before.

--- a/goldcrestcroft/src/Gateway/PeerFrames.cpp
+++ b/goldcrestcroft/src/Gateway/PeerFrames.cpp
@@ -156,6 +156,14 @@
   aFrame.waits_ = { waits.begin(), waits.end() };
 }
 
+template<typename Ar>
+auto ArchiveFrame(Ar& aArchive, StageNotice& aFrame) -> void
+{
+  auto service = Bounded(aFrame.service_);
+  aArchive(service, aFrame.order_, aFrame.pieces_, aFrame.rank_);
+  ArchiveTime(aArchive, aFrame.dueIn_);
+}
+
 template<typename Ar>
 auto ArchiveHeartbeat(Ar& aArchive, FleetHeartbeat& aHeartbeat) -> void
 {
--- a/goldcrestcroft/src/Gateway/PeerFrames.h
+++ b/goldcrestcroft/src/Gateway/PeerFrames.h
@@ -61,6 +61,19 @@
   auto operator<=>(const StageAsk&) const = default;
 };
 
+/** \brief Tells the collector of a service of pieces to come; the StageAsk or
+ * StageDrop of the same number ends it. */
+struct StageNotice
+{
+  std::string service_;
+  std::uint64_t order_ = 0;
+  std::uint32_t pieces_ = 0;
+  int rank_ = 0;
+  Duration dueIn_{};
+
+  auto operator<=>(const StageNotice&) const = default;
+};
+
 /** \brief What became of pieces of an order. */
 struct StageTell
 {
@@ -89,8 +102,9 @@
 };
 
 /** \brief All that goes over connections between hosts. */
-using PeerFrame = std::variant<StateRequest, StateReply, StageAsk, StageTell,
-                               StageDrop, StageRelease, StageBacklog>;
+using PeerFrame =
+  std::variant<StateRequest, StateReply, StageAsk, StageTell, StageDrop,
+               StageRelease, StageBacklog, StageNotice>;
 
 /** \brief Largest frame that is sent or accepted, in bytes; a configuration of
  * thousands of routes fits. */
--- a/goldcrestcroft/src/Gateway/RequestRun.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRun.cpp
@@ -217,6 +217,7 @@
       co_return co_await Answer(std::move(*refusal));
     }
     graph_.emplace(route_->stages_, pieces);
+    PlanStages();
   }
   for (;;) {
     if (graph_) {
--- a/goldcrestcroft/src/Gateway/RequestRun.h
+++ b/goldcrestcroft/src/Gateway/RequestRun.h
@@ -56,6 +56,9 @@
     -> std::optional<OwnAnswer>;
   auto MakeStages() -> Task<StageEnd>;
   auto PlaceStage(std::size_t aStage) -> void;
+  /** \brief Tells the collectors of the stages that cannot start yet. */
+  auto PlanStages() -> void;
+  [[nodiscard]] auto DueOf(std::size_t aStage) const -> TimePoint;
   auto OnPieces(std::uint64_t aOrder, const std::vector<PieceResult>& aResults)
     -> void;
   auto CancelOrders() -> void;
@@ -106,6 +109,8 @@
 
   std::optional<StageGraph> graph_;
   std::map<std::uint64_t, StageOrderInFlight> orders_;
+  /** Plans by stage. */
+  std::map<std::size_t, std::uint64_t> plans_;
   std::optional<OwnAnswer> stageProblem_;
   std::vector<PromptPart> prompt_;
   /** Zone where its pieces are made, that of the engine meant to run it. */
--- a/goldcrestcroft/src/Gateway/RequestRunStages.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunStages.cpp
@@ -110,10 +110,30 @@
   return shares;
 }
 
+auto RequestRun::DueOf(std::size_t aStage) const -> TimePoint
+{
+  const auto after = static_cast<Duration::rep>(graph_->DepthFrom(aStage)) - 1;
+  return arrivedAt_ + route_->objective_ - kUsualFirstEvent -
+         kUsualStageTime * after;
+}
+
+auto RequestRun::PlanStages() -> void
+{
+  for (std::size_t i = 0; i < route_->stages_.size(); ++i) {
+    if (graph_->StartsFromKey(i) || graph_->PiecesOf(i) == 0) {
+      continue;
+    }
+    plans_[i] = traffic_.Broker().Plan(
+      route_->stages_[i].service_,
+      { .pieces_ = static_cast<std::uint32_t>(graph_->PiecesOf(i)),
+        .rank_ = rank_,
+        .dueAt_ = DueOf(i) });
+  }
+}
+
 auto RequestRun::PlaceStage(std::size_t aStage) -> void
 {
   const auto& stage = route_->stages_[aStage];
-  const auto depth = static_cast<Duration::rep>(graph_->DepthFrom(aStage)) - 1;
   auto pieces = graph_->MissingPieces(aStage);
   const auto key = std::string(request_[traffic_.Codec().Headers().pieceKey_]);
   StageOrder order{ .requestId_ = requestId_,
@@ -123,8 +143,7 @@
                     .inputs_ = graph_->InputsOf(aStage),
                     .resultBytes_ = stage.resultBytes_,
                     .deadline_ = deadline_,
-                    .dueAt_ = arrivedAt_ + route_->objective_ -
-                              kUsualFirstEvent - kUsualStageTime * depth,
+                    .dueAt_ = DueOf(aStage),
                     .rank_ = rank_ };
   if (BytesMoved(aStage) >= kBytesWorthAZone) {
     order.zone_ = zone_;
@@ -133,13 +152,19 @@
     order.key_ = key;
   }
   const auto number = std::make_shared<std::uint64_t>(0);
+  const auto plan = plans_.find(aStage);
+  const auto planned = plan == plans_.end() ? 0 : plan->second;
   *number = traffic_.Broker().Place(
     std::move(order),
     [weak = weak_from_this(), number](std::vector<PieceResult> aResults) {
       if (const auto self = weak.lock()) {
         self->OnPieces(*number, aResults);
       }
-    });
+    },
+    planned);
+  if (planned != 0) {
+    plans_.erase(plan);
+  }
   orders_[*number] = { .stage_ = aStage, .missing_ = pieces.size() };
 }
 
@@ -203,6 +228,10 @@
     traffic_.Broker().Cancel(number);
   }
   orders_.clear();
+  for (const auto& [stage, number] : plans_) {
+    traffic_.Broker().Cancel(number);
+  }
+  plans_.clear();
 }
 
 auto RequestRun::ReleaseResults(
--- a/goldcrestcroft/src/Gateway/StageBroker.cpp
+++ b/goldcrestcroft/src/Gateway/StageBroker.cpp
@@ -88,8 +88,35 @@
   return link;
 }
 
-auto StageBroker::Place(StageOrder aOrder, Tell aTell) -> std::uint64_t
+auto StageBroker::Plan(const std::string& aService, StagePlan aPlan)
+  -> std::uint64_t
 {
+  const auto number = nextNumber_++;
+  auto& outstanding = outstanding_[number];
+  outstanding.order_.service_ = aService;
+  const auto collector = Collector(aService);
+  const auto link = collector.empty() || collector == fleet_->self_
+                      ? nullptr
+                      : LinkTo(collector);
+  outstanding.link_ = link;
+  if (link) {
+    link->Send(StageNotice{ .service_ = aService,
+                            .order_ = number,
+                            .pieces_ = aPlan.pieces_,
+                            .rank_ = aPlan.rank_,
+                            .dueIn_ = aPlan.dueAt_ - clock_.Now() });
+  } else {
+    outstanding.deskOrder_ = desk_.Plan(aService, aPlan);
+  }
+  return number;
+}
+
+auto StageBroker::Place(StageOrder aOrder, Tell aTell, std::uint64_t aPlan)
+  -> std::uint64_t
+{
+  if (aPlan != 0) {
+    Cancel(aPlan);
+  }
   const auto number = nextNumber_++;
   outstanding_[number] = { .order_ = std::move(aOrder),
                            .tell_ = std::move(aTell) };
@@ -155,7 +182,7 @@
 {
   std::vector<std::uint64_t> orphans;
   for (const auto& [number, outstanding] : outstanding_) {
-    if (outstanding.link_ == aLink) {
+    if (outstanding.link_ == aLink && outstanding.tell_) {
       orphans.push_back(number);
     }
   }
@@ -309,6 +336,14 @@
     }
     return;
   }
+  if (const auto* notice = std::get_if<StageNotice>(&aFrame)) {
+    const auto plan =
+      desk_.Plan(notice->service_, { .pieces_ = notice->pieces_,
+                                     .rank_ = notice->rank_,
+                                     .dueAt_ = clock_.Now() + notice->dueIn_ });
+    served_[aLink.get()].orders_[notice->order_] = { notice->service_, plan };
+    return;
+  }
   if (const auto* release = std::get_if<StageRelease>(&aFrame)) {
     desk_.Release(release->service_, release->handles_);
   }
--- a/goldcrestcroft/src/Gateway/StageBroker.h
+++ b/goldcrestcroft/src/Gateway/StageBroker.h
@@ -23,8 +23,13 @@
   auto Start() -> Result<void>;
   auto SetFleet(std::shared_ptr<const FleetView> aFleet) -> void;
 
-  /** \brief Returns a number that names the order for Cancel. */
-  auto Place(StageOrder aOrder, Tell aTell) -> std::uint64_t;
+  /** \brief Tells the collector of pieces to come. Returns a number that names
+   * them for Place and Cancel. */
+  auto Plan(const std::string& aService, StagePlan aPlan) -> std::uint64_t;
+  /** \brief Places an order, in place of the plan aPlan if it is not 0. Returns
+   * a number that names the order for Cancel. */
+  auto Place(StageOrder aOrder, Tell aTell, std::uint64_t aPlan = 0)
+    -> std::uint64_t;
   auto Cancel(std::uint64_t aOrder) -> void;
   auto Release(const std::string& aService, std::vector<std::string> aHandles)
     -> void;
--- a/goldcrestcroft/src/Gateway/StageDesk.cpp
+++ b/goldcrestcroft/src/Gateway/StageDesk.cpp
@@ -9,8 +9,6 @@
 namespace {
 
 /** Pause between two lines on the backlog of the same desk. */
-/** Part of the rate by the profile that is counted on at least. */
-constexpr auto kLeastShareOfPlan = 0.3;
 constexpr auto kLogBacklog = std::chrono::milliseconds{ 1000 };
 
 } // namespace
@@ -89,12 +87,25 @@
     return id;
   }
   listeners_[id] = { .tell_ = std::move(aTell) };
-  service->dueIn_[aOrder.rank_] = aOrder.dueAt_ - clock_.Now();
+  if (aOrder.inputs_.empty()) {
+    service->dueIn_[aOrder.rank_] = aOrder.dueAt_ - clock_.Now();
+  }
   service->queue_.Add(std::move(aOrder), clock_.Now());
   Kick(*service);
   return id;
 }
 
+auto StageDesk::Plan(const std::string& aService, StagePlan aPlan)
+  -> std::uint64_t
+{
+  const auto id = nextOrder_++;
+  if (auto* service = Find(aService)) {
+    service->dueIn_[aPlan.rank_] = aPlan.dueAt_ - clock_.Now();
+    service->queue_.Plan(id, aPlan);
+  }
+  return id;
+}
+
 auto StageDesk::Cancel(const std::string& aService, std::uint64_t aOrder)
   -> void
 {
@@ -115,25 +126,26 @@
   }
 }
 
+auto StageDesk::RatePlan(const Service& aService) const -> ServiceRate::Plan
+{
+  const auto now = clock_.Now();
+  const auto usable = std::count_if(
+    aService.engines_.begin(), aService.engines_.end(), [&](const auto& aItem) {
+      return aItem.second->state_->health_.IsUsable(now);
+    });
+  return { .engines_ = static_cast<std::size_t>(usable),
+           .batch_ = aService.profile_.batch_,
+           .callTime_ = aService.profile_.callTime_,
+           .pieceTime_ = aService.profile_.pieceTime_ };
+}
+
 auto StageDesk::Backlogs() -> std::vector<StageBacklog>
 {
   const auto now = clock_.Now();
   std::vector<StageBacklog> backlogs;
   for (auto& [name, service] : services_) {
-    const auto& profile = service.profile_;
-    const auto fullCall =
-      profile.callTime_ +
-      profile.pieceTime_ * static_cast<Duration::rep>(profile.batch_);
-    const auto usable = std::count_if(
-      service.engines_.begin(), service.engines_.end(), [&](const auto& aItem) {
-        return aItem.second->state_->health_.IsUsable(now);
-      });
-    const auto planned = static_cast<double>(usable) *
-                         static_cast<double>(profile.batch_) /
-                         std::chrono::duration<double>(fullCall).count();
-    // At the begin of a load the rate is not yet what it can be.
-    const auto rate = std::max(
-      { service.rate_.PerSecond(now), planned * kLeastShareOfPlan, 1.0 });
+    service.rate_.OnWaiting(service.queue_.Waiting() > 0, now);
+    const auto rate = service.rate_.PerSecond(RatePlan(service), now);
     StageBacklog backlog{ .service_ = name };
     for (const auto& [rank, dueIn] : service.dueIn_) {
       const auto before =
@@ -338,6 +350,7 @@
     }
   } else {
     health.OnSuccess(clock_.Now() - startedAt);
+    aEngine.lastCall_ = clock_.Now() - startedAt;
   }
   co_return results;
 }
@@ -369,6 +382,10 @@
   const auto results = co_await Exchange(profile, *aEngine, aCall);
   aEngine->busy_ = false;
   if (auto* service = Find(aService)) {
+    if (!results.empty()) {
+      service->rate_.OnCall(results.size(), aEngine->lastCall_,
+                            RatePlan(*service));
+    }
     Settle(*service, *aEngine, aCall, results);
     Kick(*service);
   }
@@ -388,7 +405,7 @@
     const auto listener = listeners_.find(ticket.order_);
     if (result.end_ == PieceEnd::Made) {
       ++made_;
-      aService.rate_.OnMade(1, now);
+      aService.rate_.OnMade(now);
       aEngine.room_.Hold(result.handle_, aCall.bytes_[i], now);
       if (listener == listeners_.end()) {
         orphans.push_back(result.handle_);
--- a/goldcrestcroft/src/Gateway/StageDesk.h
+++ b/goldcrestcroft/src/Gateway/StageDesk.h
@@ -49,6 +49,9 @@
   /** \brief Queues an order; its id is set here and returned. aTell is called
    * with results as they come, until each piece has one. */
   auto Place(StageOrder aOrder, Tell aTell) -> std::uint64_t;
+  /** \brief Counts pieces to come as work ahead; returns a number for Cancel.
+   */
+  auto Plan(const std::string& aService, StagePlan aPlan) -> std::uint64_t;
   auto Cancel(const std::string& aService, std::uint64_t aOrder) -> void;
   auto Release(const std::string& aService,
                const std::vector<std::string>& aHandles) -> void;
@@ -69,6 +72,7 @@
     TimePoint pausedUntil_;
     std::vector<std::string> toRelease_;
     bool releasing_ = false;
+    Duration lastCall_{};
   };
   struct Service
   {
@@ -78,8 +82,7 @@
     std::map<std::string, std::shared_ptr<Engine>> engines_;
     /** When orders of each rank are due after they come, lately. */
     std::map<int, Duration> dueIn_;
-    /** Pieces made in this second and in the one before. */
-    PieceRate rate_;
+    ServiceRate rate_;
   };
   struct Listener
   {
@@ -94,6 +97,7 @@
   };
 
   auto Find(const std::string& aService) -> Service*;
+  auto RatePlan(const Service& aService) const -> ServiceRate::Plan;
   auto Kick(Service& aService) -> void;
   auto LookAgain() -> Task<void>;
   auto LogBacklog(const Service& aService) -> void;
--- a/goldcrestcroft/src/Staging/ChainForecast.cpp
+++ b/goldcrestcroft/src/Staging/ChainForecast.cpp
@@ -24,7 +24,9 @@
     const auto* service = aRouting.FindService(stage.service_);
     ends[i] = before;
     if (pieces > 0 && service != nullptr && service->stage_) {
-      const auto wait = aWaitAt(stage.service_);
+      // The queue ahead shrinks while the stages before are made.
+      const auto wait =
+        std::max(aWaitAt(stage.service_) - ends[i].total_, Duration{});
       ends[i].waiting_ += wait;
       ends[i].total_ +=
         wait + service->stage_->callTime_ +
--- a/goldcrestcroft/src/Staging/ChainForecast.h
+++ b/goldcrestcroft/src/Staging/ChainForecast.h
@@ -19,7 +19,9 @@
 };
 
 /** \brief Adds up calls and waits along each chain of the route's stages;
- * aPieces are the pieces of each stage, none for one that is left out. */
+ * aPieces are the pieces of each stage, none for one that is left out. aWaitAt
+ * tells how long the work ahead of a fresh order will keep a service, that on
+ * its way from earlier stages included. */
 auto ForecastChain(const Route& aRoute,
                    const std::vector<std::uint32_t>& aPieces,
                    const RoutingTable& aRouting,
--- a/goldcrestcroft/src/Staging/StageQueue.cpp
+++ b/goldcrestcroft/src/Staging/StageQueue.cpp
@@ -17,6 +17,11 @@
                               .waiting_ = std::move(pieces) });
 }
 
+auto StageQueue::Plan(std::uint64_t aOrder, StagePlan aPlan) -> void
+{
+  plans_[aOrder] = aPlan;
+}
+
 auto StageQueue::Return(const PieceTicket& aTicket) -> void
 {
   const auto found = entries_.find(aTicket.order_);
@@ -28,6 +33,7 @@
 
 auto StageQueue::Cancel(std::uint64_t aOrder) -> void
 {
+  plans_.erase(aOrder);
   const auto found = entries_.find(aOrder);
   if (found != entries_.end()) {
     waiting_ -= found->second.waiting_.size();
@@ -156,12 +162,16 @@
   -> std::size_t
 {
   const auto due = EffectiveDue(aRank, aDueAt);
+  const auto goesBefore = [&](int aOther, TimePoint aOtherDue) {
+    return aOtherDue > aNow && EffectiveDue(aOther, aOtherDue) <= due;
+  };
   std::size_t count = 0;
   for (const auto& [id, entry] : entries_) {
     const auto& order = entry.order_;
-    const auto counts =
-      order.dueAt_ > aNow && EffectiveDue(order.rank_, order.dueAt_) <= due;
-    count += counts ? entry.waiting_.size() : 0;
+    count += goesBefore(order.rank_, order.dueAt_) ? entry.waiting_.size() : 0;
+  }
+  for (const auto& [id, plan] : plans_) {
+    count += goesBefore(plan.rank_, plan.dueAt_) ? plan.pieces_ : 0;
   }
   return count;
 }
--- a/goldcrestcroft/src/Staging/StageQueue.h
+++ b/goldcrestcroft/src/Staging/StageQueue.h
@@ -2,6 +2,7 @@
 
 #include "PieceTicket.h"
 #include "StageOrder.h"
+#include "StagePlan.h"
 
 #include <map>
 #include <vector>
@@ -53,6 +54,9 @@
   }
 
   auto Add(StageOrder aOrder, TimePoint aNow) -> void;
+  /** \brief Pieces that a request will ask for when its earlier stages are
+   * made; they count as work ahead until Add or Cancel of the same id. */
+  auto Plan(std::uint64_t aOrder, StagePlan aPlan) -> void;
   /** \brief Puts a piece back, in its old place. */
   auto Return(const PieceTicket& aTicket) -> void;
   /** \brief Forgets an order; pieces in calls are not stopped. */
@@ -68,8 +72,8 @@
    * deadline has passed; forgotten. */
   auto TakeHopeless(TimePoint aNow) -> std::vector<std::uint64_t>;
 
-  /** \brief Pieces that wait and would go before one of this rank and due
-   * time. */
+  /** \brief Pieces that wait or are planned, and would go before one of this
+   * rank and due time. */
   [[nodiscard]] auto CountBefore(int aRank, TimePoint aDueAt,
                                  TimePoint aNow) const -> std::size_t;
   [[nodiscard]] auto Waiting() const -> std::size_t { return waiting_; }
@@ -95,6 +99,7 @@
 
   Options options_;
   std::map<std::uint64_t, Entry> entries_;
+  std::map<std::uint64_t, StagePlan> plans_;
   std::size_t waiting_ = 0;
 };
 
