--- a/goldcrestcroft/src/Gateway/Net.h
+++ b/goldcrestcroft/src/Gateway/Net.h
@@ -36,7 +36,7 @@
   std::chrono::seconds probeEvery_{ 1 };
   int probes_ = 2;
   /** Time that sent bytes may stay unacknowledged. */
-  std::chrono::milliseconds unacknowledged_{ 2500 };
+  std::chrono::milliseconds unacknowledged_{ 1200 };
 };
 
 /** \brief No delay for small writes; silent ends are noticed in seconds. */
