--- a/goldcrestcroft/src/Cli/ServeCommand.cpp
+++ b/goldcrestcroft/src/Cli/ServeCommand.cpp
@@ -1,3 +1,4 @@
+#include "../Gateway/NodeSettings.h"
 #include "../Observability/Log.h"
 #include "../Server/EntryHost.h"
 #include "../Server/SimpleHttp.h"
@@ -95,6 +96,12 @@
   return Handle(
     [&]() -> Result<int> {
       BOOST_LEAF_AUTO(text, ReadFile(aWords[0]));
+      // Settings of `entry` name the store; those of `serve` never do.
+      if (text.find("\"store\"") != std::string::npos) {
+        BOOST_LEAF_CHECK(LoadNodeSettings(aWords[0]));
+        std::printf("%s: valid settings of entry\n", aWords[0].c_str());
+        return 0;
+      }
       // A configuration document names pools or pipelines; settings never do.
       const auto isConfig = text.find("\"pipelines\"") != std::string::npos ||
                             text.find("\"pools\"") != std::string::npos;
--- a/goldcrestcroft/src/Gateway/CallerConnection.cpp
+++ b/goldcrestcroft/src/Gateway/CallerConnection.cpp
@@ -77,11 +77,16 @@
   timer_.cancel();
 }
 
+auto CallerConnection::IsIdle() -> bool
+{
+  return idle_ && buffer_.size() == 0 &&
+         ProbeIdle(socket_) != IdleState::HasBytes;
+}
+
 auto CallerConnection::CloseWhenIdle() -> void
 {
   stopping_ = true;
-  if (idle_ && buffer_.size() == 0 &&
-      ProbeIdle(socket_) != IdleState::HasBytes) {
+  if (IsIdle()) {
     Abort();
   }
 }
--- a/goldcrestcroft/src/Gateway/CallerConnection.h
+++ b/goldcrestcroft/src/Gateway/CallerConnection.h
@@ -20,6 +20,8 @@
   auto Run() -> Task<void>;
   /** \brief The host is stopping: closes when no request is under way. */
   auto CloseWhenIdle() -> void;
+  /** \brief Whether no request is under way and none has begun to come. */
+  [[nodiscard]] auto IsIdle() -> bool;
   /** \brief Breaks off whatever is under way. */
   auto Abort() -> void;
 
--- a/goldcrestcroft/src/Gateway/RequestRun.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRun.cpp
@@ -165,7 +165,7 @@
 
 auto RequestRun::Answer(OwnAnswer aAnswer) -> Task<bool>
 {
-  Finish(aAnswer.reason_);
+  Finish(aAnswer.reason_, aAnswer.message_);
   if (aborted_ == Aborted::CallerGone) {
     co_return false;
   }
@@ -174,7 +174,8 @@
   co_return sent && !aAnswer.closes_;
 }
 
-auto RequestRun::Finish(const std::string& aOutcome) -> void
+auto RequestRun::Finish(const std::string& aOutcome, const std::string& aDetail)
+  -> void
 {
   const auto now = traffic_.Now();
   const auto took = now - arrivedAt_;
@@ -185,22 +186,26 @@
              ? std::string("-")
              : fmt::format("{:.1f}", ToMilliseconds(aAt - arrivedAt_));
   };
-  Log::Write(LogLevel::Info, "request_ended",
-             { { "request", requestId_ },
-               { "outcome", aOutcome },
-               { "route", route_ == nullptr ? "" : route_->name_ },
-               { "configuration", std::to_string(routing_->Version()) },
-               { "workspace", workspace_ },
-               { "engine", lastEngine_ },
-               { "took_ms", since(now) },
-               { "stages_ms", since(stagesDoneAt_) },
-               { "first_event_ms", since(firstEventAt_) },
-               { "events", std::to_string(relay_.Events()) },
-               { "left_ms", fmt::format("{:.0f}", ToMilliseconds(TimeLeft())) },
-               { "ran", std::to_string(attempts_.ran_) },
-               { "rejected", std::to_string(attempts_.rejected_) },
-               { "unreachable", std::to_string(attempts_.unreachable_) },
-               { "remade", std::to_string(attempts_.remade_) } });
+  Log::Write(
+    LogLevel::Info, "request_ended",
+    { { "request", requestId_ },
+      { "outcome", aOutcome },
+      { "detail", aDetail },
+      { "route", route_ == nullptr ? "" : route_->name_ },
+      { "configuration", std::to_string(routing_->Version()) },
+      { "workspace", workspace_ },
+      { "engine", lastEngine_ },
+      { "took_ms", since(now) },
+      { "stages_ms", since(stagesDoneAt_) },
+      { "first_event_ms", since(firstEventAt_) },
+      { "events", std::to_string(relay_.Events()) },
+      { "left_ms", deadline_ == arrivedAt_
+                     ? "-"
+                     : fmt::format("{:.0f}", ToMilliseconds(TimeLeft())) },
+      { "ran", std::to_string(attempts_.ran_) },
+      { "rejected", std::to_string(attempts_.rejected_) },
+      { "unreachable", std::to_string(attempts_.unreachable_) },
+      { "remade", std::to_string(attempts_.remade_) } });
 }
 
 auto RequestRun::Execute() -> Task<bool>
--- a/goldcrestcroft/src/Gateway/RequestRun.h
+++ b/goldcrestcroft/src/Gateway/RequestRun.h
@@ -44,7 +44,9 @@
   auto Admit() -> std::optional<OwnAnswer>;
   auto ReadTimes() -> void;
   auto Abort(Aborted aWhy) -> void;
-  auto Finish(const std::string& aOutcome) -> void;
+  /** \brief Counts and logs the end; aDetail tells what decided it. */
+  auto Finish(const std::string& aOutcome, const std::string& aDetail = "")
+    -> void;
   auto Answer(OwnAnswer aAnswer) -> Task<bool>;
 
   auto Execute() -> Task<bool>;
--- a/goldcrestcroft/src/Gateway/RequestRunStages.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunStages.cpp
@@ -1,6 +1,8 @@
 #include "../Observability/Log.h"
 #include "RequestRun.h"
 
+#include <spdlog/fmt/fmt.h>
+
 #include <algorithm>
 
 namespace goldcrestcroft {
@@ -37,7 +39,10 @@
     return std::nullopt;
   }
   return OwnAnswer{ .reason_ = "overloaded",
-                    .message_ = "the stages have no time for it",
+                    .message_ = fmt::format(
+                      "the stages would take {:.0f} ms, {:.0f} of them waiting",
+                      ToMilliseconds(forecast.total_),
+                      ToMilliseconds(forecast.waiting_)),
                     .retryAfter_ = std::max<Duration>(
                       forecast.waiting_, traffic_.Options().retryAfter_) };
 }
--- a/goldcrestcroft/src/Gateway/Traffic.cpp
+++ b/goldcrestcroft/src/Gateway/Traffic.cpp
@@ -38,7 +38,7 @@
     if (error == asio::error::operation_aborted) {
       co_return;
     }
-    if (error || callers_.size() >= options_.maxCallers_) {
+    if (error || (callers_.size() >= options_.maxCallers_ && !DropIdle())) {
       metrics_.Count("callers_turned_away");
       asio::steady_timer timer(context_, kPauseWithoutDescriptors);
       co_await timer.async_wait(kAsTuple);
@@ -51,6 +51,20 @@
   }
 }
 
+auto Traffic::DropIdle() -> bool
+{
+  for (const auto& caller : callers_) {
+    if (caller->IsIdle()) {
+      const auto dropped = caller;
+      callers_.erase(dropped);
+      dropped->Abort();
+      metrics_.Count("idle_callers_dropped");
+      return true;
+    }
+  }
+  return false;
+}
+
 auto Traffic::OnCallerEnd(const std::shared_ptr<CallerConnection>& aCaller)
   -> void
 {
--- a/goldcrestcroft/src/Gateway/Traffic.h
+++ b/goldcrestcroft/src/Gateway/Traffic.h
@@ -99,6 +99,8 @@
 
 private:
   auto Accept() -> Task<void>;
+  /** \brief Closes an idle connection to make room for a new one. */
+  auto DropIdle() -> bool;
   auto WindowOf(const std::string& aService) -> RepeatWindow&;
 
   asio::io_context& context_;
--- a/test/process/EntryFleet.cpp
+++ b/test/process/EntryFleet.cpp
@@ -68,7 +68,6 @@
 
 EntryFleet::EntryFleet(std::size_t aHosts)
   : platform_({})
-  , processes_()
 {
   char folder[] = "/tmp/goldcrestcroft-entry-XXXXXX";
   folder_ = mkdtemp(folder);
--- a/test/unit/StageQueueTest.cpp
+++ b/test/unit/StageQueueTest.cpp
@@ -1,6 +1,8 @@
 #include <doctest/doctest.h>
 #include <goldcrestcroft/Staging.h>
 
+#include <numeric>
+
 namespace testing {
 
 namespace {
@@ -18,9 +20,8 @@
                     .resultBytes_ = 1.0,
                     .deadline_ = kNow + std::chrono::seconds{ 10 },
                     .dueAt_ = kNow + aDueIn };
-  for (std::uint32_t i = 0; i < aPieces; ++i) {
-    order.pieces_.push_back(i);
-  }
+  order.pieces_.resize(aPieces);
+  std::iota(order.pieces_.begin(), order.pieces_.end(), 0U);
   return order;
 }
 
