--- a/goldcrestcroft/src/Gateway/RequestRunStages.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunStages.cpp
@@ -15,6 +15,10 @@
 constexpr auto kUsualFirstEvent = std::chrono::milliseconds{ 250 };
 /** Stages that move less than this, in bytes, are made in any zone. */
 constexpr auto kBytesWorthAZone = 100'000.0;
+/** Part of the spare time that each rank after the second may wait less than
+ * the one before, and the part that every rank may wait. */
+constexpr auto kSparePerRank = 0.25;
+constexpr auto kLeastSpare = 0.25;
 /** Waits below this are no overload; nothing is refused for them. */
 constexpr auto kCalmWait = std::chrono::milliseconds{ 150 };
 
@@ -33,8 +37,14 @@
     ForecastChain(*route_, aPieces, *routing_, [&](const auto& aService) {
       return traffic_.Broker().WaitAt(aService, rank_);
     });
-  const auto late = forecast.total_ + kUsualFirstEvent > route_->objective_ &&
-                    forecast.waiting_ > kCalmWait;
+  // Less urgent ranks give way first: they may wait for a smaller part of the
+  // time that their objective leaves.
+  const auto spare = route_->objective_ - kUsualFirstEvent -
+                     (forecast.total_ - forecast.waiting_);
+  const auto allowed = Duration(static_cast<Duration::rep>(
+    static_cast<double>(spare.count()) *
+    std::max(1.0 - kSparePerRank * std::max(rank_ - 1, 0), kLeastSpare)));
+  const auto late = forecast.waiting_ > std::max<Duration>(allowed, kCalmWait);
   if (!late) {
     return std::nullopt;
   }
--- a/goldcrestcroft/src/Gateway/StageDesk.cpp
+++ b/goldcrestcroft/src/Gateway/StageDesk.cpp
@@ -397,6 +397,7 @@
   const auto now = clock_.Now();
   std::map<std::uint64_t, std::vector<PieceResult>> byOrder;
   std::vector<std::string> orphans;
+  auto noRoom = false;
   for (std::size_t i = 0; i < aCall.tickets_.size(); ++i) {
     const auto& ticket = aCall.tickets_[i];
     auto result = i < aResults.size() ? aResults[i]
@@ -419,6 +420,7 @@
     }
     if (result.end_ == PieceEnd::NoRoom) {
       aEngine.pausedUntil_ = now + options_.roomPause_;
+      noRoom = true;
       aService.queue_.Return(ticket);
       continue;
     }
@@ -431,6 +433,9 @@
       byOrder[ticket.order_].push_back(std::move(result));
     }
   }
+  if (noRoom) {
+    aEngine.room_.AssumeFull(now);
+  }
   if (!orphans.empty()) {
     Release(aService.name_, orphans);
   }
--- a/goldcrestcroft/src/Gateway/Traffic.cpp
+++ b/goldcrestcroft/src/Gateway/Traffic.cpp
@@ -4,6 +4,8 @@
 
 #include <spdlog/fmt/fmt.h>
 
+#include <algorithm>
+
 namespace goldcrestcroft {
 
 Traffic::Traffic(asio::io_context& aContext, TrafficOptions aOptions,
@@ -53,16 +55,16 @@
 
 auto Traffic::DropIdle() -> bool
 {
-  for (const auto& caller : callers_) {
-    if (caller->IsIdle()) {
-      const auto dropped = caller;
-      callers_.erase(dropped);
-      dropped->Abort();
-      metrics_.Count("idle_callers_dropped");
-      return true;
-    }
+  const auto idle =
+    std::find_if(callers_.begin(), callers_.end(),
+                 [](const auto& aCaller) { return aCaller->IsIdle(); });
+  if (idle == callers_.end()) {
+    return false;
   }
-  return false;
+  (*idle)->Abort();
+  callers_.erase(idle);
+  metrics_.Count("idle_callers_dropped");
+  return true;
 }
 
 auto Traffic::OnCallerEnd(const std::shared_ptr<CallerConnection>& aCaller)
--- a/goldcrestcroft/src/Staging/ResultRoom.h
+++ b/goldcrestcroft/src/Staging/ResultRoom.h
@@ -47,6 +47,20 @@
       held_.erase(found);
     }
   }
+  /** \brief The engine says that it is full: results that this host does not
+   * know of, such as those of a collector before it, hold what seems free.
+   * Counted as gone after an eighth of the time that results stay, when the
+   * engine is tried again. */
+  auto AssumeFull(TimePoint aNow) -> void
+  {
+    const auto unknown = Free();
+    if (unknown > 0.0) {
+      used_ += unknown;
+      held_["unknown " + std::to_string(++unknown_)] = {
+        .bytes_ = unknown, .until_ = aNow + options_.keepFor_ / 8
+      };
+    }
+  }
   /** \brief Forgets results whose time has passed. */
   auto Expire(TimePoint aNow) -> void
   {
@@ -66,6 +80,7 @@
 
   Options options_;
   double used_ = 0.0;
+  std::uint64_t unknown_ = 0;
   std::unordered_map<std::string, Result> held_;
 };
 
--- a/test/unit/StageQueueTest.cpp
+++ b/test/unit/StageQueueTest.cpp
@@ -29,6 +29,7 @@
   -> std::vector<std::uint64_t>
 {
   std::vector<std::uint64_t> orders;
+  orders.reserve(aTickets.size());
   for (const auto& ticket : aTickets) {
     orders.push_back(ticket.order_);
   }
@@ -163,6 +164,19 @@
   CHECK(room.Free() == doctest::Approx(10.0));
 }
 
+TEST_CASE("an engine that says it is full holds results of others for a while")
+{
+  ResultRoom room({ .bytes_ = 10.0, .keepFor_ = std::chrono::seconds{ 4 } });
+  room.Reserve(3.0);
+  room.Hold("a", 3.0, kNow);
+  room.AssumeFull(kNow);
+  CHECK(room.Free() == doctest::Approx(0.0));
+  room.Drop("a");
+  CHECK(room.Free() == doctest::Approx(3.0));
+  room.Expire(kNow + milliseconds{ 500 });
+  CHECK(room.Free() == doctest::Approx(10.0));
+}
+
 TEST_CASE(
   "all hosts name the same collector, and the loss of others moves none")
 {
