Clean the gateway: one way to the collector, to an answer, and to base64

Cause: the way to a collector stood three times and reading a stage engine's answer twice; base64 came from a private header of Beast; the address in a handle was read outside platform/; an unreadable entry was counted but not logged; a setting for the control address had no use.

--- a/goldcrestcroft/src/Gateway/ControlPlane.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlane.cpp
@@ -39,13 +39,28 @@
            clock_.Now())
   , engines_({ .decode_ =
                  [this](const std::string& aId, const std::string& aText) {
-                   return codec_.DecodeEngine(aId, aText);
+                   return DecodeEngine(aId, aText);
                  } })
   , beats_(aContext)
   , lastBeat_(clock_.Now())
 {
 }
 
+auto ControlPlane::DecodeEngine(const std::string& aId,
+                                const std::string& aText) const
+  -> Result<EngineEntry>
+{
+  return boost::leaf::try_handle_some(
+    [&] { return codec_.DecodeEngine(aId, aText); },
+    [&](const Error& aError) -> Result<EngineEntry> {
+      // Once for each change of the entry.
+      Log::Write(
+        LogLevel::Warning, "engine_entry_unreadable",
+        { { "reason", aError.message_ }, { "remedy", aError.remedy_ } });
+      return Fail(aError);
+    });
+}
+
 auto ControlPlane::Start() -> Result<void>
 {
   const auto address = options_.settings_.PeerAddress();
--- a/goldcrestcroft/src/Gateway/ControlPlane.h
+++ b/goldcrestcroft/src/Gateway/ControlPlane.h
@@ -70,6 +70,8 @@
     bool answering_ = true;
   };
 
+  auto DecodeEngine(const std::string& aId, const std::string& aText) const
+    -> Result<EngineEntry>;
   auto Follow(StoreTable aTable) -> Task<void>;
   auto IsReader(StoreTable aTable) const -> bool;
   auto OnStoreReply(StoreTable aTable, Followed& aFollowed, bool aWhole,
--- a/goldcrestcroft/src/Gateway/NodeSettings.cpp
+++ b/goldcrestcroft/src/Gateway/NodeSettings.cpp
@@ -45,7 +45,6 @@
   settings.callers_ = ReadAddress(reader, "callers");
   settings.readiness_ = ReadAddress(reader, "readiness");
   settings.directory_ = ReadAddress(reader, "directory");
-  settings.control_ = ReadAddress(reader, "control");
   settings.metrics_ = ReadAddress(reader, "metrics");
   settings.store_ = ReadAddress(reader, "store");
   settings.peerPort_ = static_cast<std::uint16_t>(
--- a/goldcrestcroft/src/Gateway/NodeSettings.h
+++ b/goldcrestcroft/src/Gateway/NodeSettings.h
@@ -17,7 +17,6 @@
   std::string callers_;
   std::string readiness_;
   std::string directory_;
-  std::string control_;
   std::string metrics_;
   /** First of the ports for traffic between hosts: datagrams and state on the
    * first, pieces of stages on the second. */
--- a/goldcrestcroft/src/Gateway/PlatformCodec.h
+++ b/goldcrestcroft/src/Gateway/PlatformCodec.h
@@ -68,6 +68,10 @@
   [[nodiscard]] virtual auto MakeRelease(
     const std::vector<std::string>& aHandles) const -> EngineCall = 0;
 
+  /** \brief Address of the engine that made a result. */
+  [[nodiscard]] virtual auto MakerOf(const std::string& aHandle) const
+    -> std::string = 0;
+
   [[nodiscard]] virtual auto ReadPrompt(std::string_view aHeader) const
     -> std::vector<PromptPart> = 0;
   [[nodiscard]] virtual auto ReadPieceCounts(std::string_view aHeader) const
--- a/goldcrestcroft/src/Gateway/RequestRun.h
+++ b/goldcrestcroft/src/Gateway/RequestRun.h
@@ -32,7 +32,6 @@
   {
     Made,
     Refused,
-    Failed,
     Aborted
   };
   struct StageOrderInFlight
--- a/goldcrestcroft/src/Gateway/StageBroker.cpp
+++ b/goldcrestcroft/src/Gateway/StageBroker.cpp
@@ -39,9 +39,12 @@
   return {};
 }
 
-auto StageBroker::Collector(const std::string& aService) const -> std::string
+auto StageBroker::LinkToCollector(const std::string& aService)
+  -> std::shared_ptr<PeerLink>
 {
-  return ChooseCollector(aService, fleet_->Staying());
+  const auto collector = ChooseCollector(aService, fleet_->Staying());
+  return collector.empty() || collector == fleet_->self_ ? nullptr
+                                                         : LinkTo(collector);
 }
 
 auto StageBroker::SetFleet(std::shared_ptr<const FleetView> aFleet) -> void
@@ -94,10 +97,7 @@
   const auto number = nextNumber_++;
   auto& outstanding = outstanding_[number];
   outstanding.order_.service_ = aService;
-  const auto collector = Collector(aService);
-  const auto link = collector.empty() || collector == fleet_->self_
-                      ? nullptr
-                      : LinkTo(collector);
+  const auto link = LinkToCollector(aService);
   outstanding.link_ = link;
   if (link) {
     link->Send(StageNotice{ .service_ = aService,
@@ -127,10 +127,7 @@
 auto StageBroker::Send(std::uint64_t aNumber) -> void
 {
   auto& outstanding = outstanding_.at(aNumber);
-  const auto collector = Collector(outstanding.order_.service_);
-  const auto link = collector.empty() || collector == fleet_->self_
-                      ? nullptr
-                      : LinkTo(collector);
+  const auto link = LinkToCollector(outstanding.order_.service_);
   if (!link) {
     PlaceHere(aNumber);
     return;
@@ -221,10 +218,7 @@
   if (aHandles.empty()) {
     return;
   }
-  const auto collector = Collector(aService);
-  const auto link = collector.empty() || collector == fleet_->self_
-                      ? nullptr
-                      : LinkTo(collector);
+  const auto link = LinkToCollector(aService);
   if (link) {
     link->Send(
       StageRelease{ .service_ = aService, .handles_ = std::move(aHandles) });
--- a/goldcrestcroft/src/Gateway/StageBroker.h
+++ b/goldcrestcroft/src/Gateway/StageBroker.h
@@ -54,7 +54,9 @@
     std::map<std::uint64_t, std::pair<std::string, std::uint64_t>> orders_;
   };
 
-  auto Collector(const std::string& aService) const -> std::string;
+  /** \brief The connection to the collector; null where this host collects. */
+  auto LinkToCollector(const std::string& aService)
+    -> std::shared_ptr<PeerLink>;
   auto LinkTo(const std::string& aHost) -> std::shared_ptr<PeerLink>;
   auto Send(std::uint64_t aNumber) -> void;
   auto PlaceHere(std::uint64_t aNumber) -> void;
--- a/goldcrestcroft/src/Gateway/StageDesk.cpp
+++ b/goldcrestcroft/src/Gateway/StageDesk.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+/** Answers about a call's pieces are far smaller. */
+constexpr std::size_t kMaxAnswerBytes = 1U << 20U;
 /** Pause between two lines on the backlog of the same desk. */
 constexpr auto kLogBacklog = std::chrono::milliseconds{ 1000 };
 
@@ -291,10 +293,24 @@
   co_return co_await aLease.connection_->BeginWrite(std::move(text));
 }
 
+auto StageDesk::ReadAnswer(EngineLease aLease, std::string& aBody) -> Task<int>
+{
+  EngineExchange exchange(aLease, codec_.Headers());
+  auto end = co_await exchange.ReadHead("", false);
+  if (end == ReadEnd::Done) {
+    end = co_await exchange.ReadAll(aBody, kMaxAnswerBytes);
+  }
+  if (end == ReadEnd::Done && exchange.IsReusable()) {
+    pool_.Keep(aLease, exchange.Head().keepFor_);
+  } else {
+    pool_.Drop(aLease);
+  }
+  co_return end == ReadEnd::Done ? exchange.Head().status_ : 0;
+}
+
 auto StageDesk::Exchange(const StageProfile& aProfile, Engine& aEngine,
                          const Call& aCall) -> Task<std::vector<PieceResult>>
 {
-  constexpr std::size_t kMaxAnswerBytes = 1U << 20U;
   const auto lease = co_await pool_.Open(aEngine.state_);
   if (!lease.connection_) {
     co_return std::vector<PieceResult>{};
@@ -311,18 +327,10 @@
   const auto written = co_await WriteCall(lease, call, timeout);
   asio::co_spawn(context_, TellBegun(lease.connection_, aCall.tickets_),
                  asio::detached);
-  EngineExchange exchange(lease, codec_.Headers());
   std::string body;
-  auto end = ReadEnd::Broken;
+  auto status = 0;
   if (written) {
-    end = co_await exchange.ReadHead("", false);
-  }
-  if (end == ReadEnd::Done) {
-    end = co_await exchange.ReadAll(body, kMaxAnswerBytes);
-  }
-  const auto status = end == ReadEnd::Done ? exchange.Head().status_ : 0;
-  if (end == ReadEnd::Done && exchange.IsReusable()) {
-    pool_.Keep(lease, exchange.Head().keepFor_);
+    status = co_await ReadAnswer(lease, body);
   } else {
     pool_.Drop(lease);
   }
@@ -452,8 +460,7 @@
     return;
   }
   for (const auto& handle : aHandles) {
-    // A handle begins with the address of its maker.
-    const auto address = handle.substr(0, handle.find('/'));
+    const auto address = codec_.MakerOf(handle);
     for (const auto& [id, engine] : service->engines_) {
       if (engine->state_->entry_.address_ != address) {
         continue;
@@ -470,7 +477,6 @@
 auto StageDesk::SendReleases(std::shared_ptr<Engine> aEngine) -> Task<void>
 {
   constexpr auto kTimeout = std::chrono::milliseconds{ 1000 };
-  constexpr std::size_t kMaxAnswerBytes = 65'536;
   asio::steady_timer timer(context_, options_.releaseDelay_);
   co_await timer.async_wait(kAsTuple);
   const auto handles = std::exchange(aEngine->toRelease_, {});
@@ -479,25 +485,20 @@
   if (!lease.connection_) {
     co_return; // Results of an engine that is gone are gone as well.
   }
-  EngineExchange exchange(lease, codec_.Headers());
-  std::string body;
-  auto end = ReadEnd::Broken;
   const auto call = codec_.MakeRelease(handles);
-  if (co_await WriteCall(lease, call, kTimeout)) {
-    end = co_await exchange.ReadHead("", false);
-  }
-  if (end == ReadEnd::Done) {
-    end = co_await exchange.ReadAll(body, kMaxAnswerBytes);
+  const auto written = co_await WriteCall(lease, call, kTimeout);
+  auto status = 0;
+  std::string body;
+  if (written) {
+    status = co_await ReadAnswer(lease, body);
+  } else {
+    pool_.Drop(lease);
   }
-  if (end == ReadEnd::Done) {
+  if (status != 0) {
     for (const auto& handle : handles) {
       aEngine->room_.Drop(handle);
     }
-  }
-  if (end == ReadEnd::Done && exchange.IsReusable()) {
-    pool_.Keep(lease, exchange.Head().keepFor_);
   } else {
-    pool_.Drop(lease);
     Log::Write(LogLevel::Info, "stage_release_failed",
                { { "engine", aEngine->state_->entry_.id_ },
                  { "results", std::to_string(handles.size()) } });
--- a/goldcrestcroft/src/Gateway/StageDesk.h
+++ b/goldcrestcroft/src/Gateway/StageDesk.h
@@ -113,6 +113,9 @@
                  std::vector<PieceTicket> aTickets) -> Task<void>;
   auto SendReleases(std::shared_ptr<Engine> aEngine) -> Task<void>;
   auto Report(std::uint64_t aOrder, std::vector<PieceResult> aResults) -> void;
+  /** \brief The status of the whole answer, 0 without one; keeps or drops the
+   * connection. */
+  auto ReadAnswer(EngineLease aLease, std::string& aBody) -> Task<int>;
   auto WriteCall(const EngineLease& aLease, const EngineCall& aCall,
                  Duration aTimeout) -> Task<bool>;
 
--- a/test/unit/PlatformAdapterTest.cpp
+++ b/test/unit/PlatformAdapterTest.cpp
@@ -1,6 +1,7 @@
 #include "Failure.h"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 #include <platform/StoreRows.h>
 #include <platform/TableCodec.h>
 
@@ -139,6 +140,12 @@
         }).kind_ == ErrorKind::Protocol);
 }
 
+TEST_CASE("a handle names its maker")
+{
+  CHECK(platform::TableCodec().MakerOf("10.1.64.9:8080/5c1e07a2e440") ==
+        "10.1.64.9:8080");
+}
+
 TEST_CASE("headers are read, and forged ones do no harm")
 {
   const platform::TableCodec codec;
@@ -156,6 +163,24 @@
   CHECK(codec.DirectoryZone("/resolve").empty());
 }
 
+TEST_CASE("values of any length come back from the store as they were written")
+{
+  for (std::size_t size = 0; size < 12; ++size) {
+    std::string value(size, '\0');
+    for (std::size_t i = 0; i < size; ++i) {
+      value[i] = static_cast<char>(i * 37);
+    }
+    const auto call = nlohmann::json::parse(
+      platform::MakeTransaction(StoreTable::Hosts, "h", value));
+    const nlohmann::json answer{ { "rows", call.at("writes") }, { "ver", 1 } };
+    StoreReply reply;
+    auto truncated = false;
+    REQUIRE(platform::ReadRows(answer.dump(), reply, truncated));
+    REQUIRE(reply.rows_.size() == 1);
+    CHECK(reply.rows_[0].value_ == value);
+  }
+}
+
 TEST_CASE("rows of the store are read and written")
 {
   StoreReply reply;
