Sort the sources of Server by job

Cause: 6,000 lines lay flat in one folder. Http, Control, Traffic and Load are folders now; names, code and tests are as they were, only include paths change. Seen: the build and 89 unit tests pass.

--- a/goldcrestcroft/src/Cli/ConfigCommand.cpp
+++ b/goldcrestcroft/src/Cli/ConfigCommand.cpp
@@ -1,4 +1,4 @@
-#include "../Server/SimpleHttp.h"
+#include "../Server/Http/SimpleHttp.h"
 #include "Command.h"
 
 #include <absl/flags/flag.h>
--- a/goldcrestcroft/src/Cli/LoadCommand.cpp
+++ b/goldcrestcroft/src/Cli/LoadCommand.cpp
@@ -1,4 +1,4 @@
-#include "../Server/LoadRun.h"
+#include "../Server/Load/LoadRun.h"
 #include "Command.h"
 
 #include <absl/flags/declare.h>
--- a/goldcrestcroft/src/Cli/ServeCommand.cpp
+++ b/goldcrestcroft/src/Cli/ServeCommand.cpp
@@ -1,7 +1,7 @@
 #include "../Gateway/NodeSettings.h"
 #include "../Observability/Log.h"
 #include "../Server/EntryHost.h"
-#include "../Server/SimpleHttp.h"
+#include "../Server/Http/SimpleHttp.h"
 #include "Command.h"
 
 #include <absl/flags/flag.h>
--- a/goldcrestcroft/src/Server/ConfigKeeper.cpp
+++ b/goldcrestcroft/src/Server/Control/ConfigKeeper.cpp
@@ -1,7 +1,7 @@
 #include "ConfigKeeper.h"
 
-#include "../Observability/Log.h"
-#include "AnswerCodec.h"
+#include "../../Observability/Log.h"
+#include "../Http/AnswerCodec.h"
 
 #include <nlohmann/json.hpp>
 #include <spdlog/fmt/fmt.h>
--- a/goldcrestcroft/src/Server/ConfigKeeper.h
+++ b/goldcrestcroft/src/Server/Control/ConfigKeeper.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "../../Config.h"
+#include "../../../Config.h"
+#include "../Settings.h"
 #include "ControlMail.h"
 #include "PlatformTable.h"
-#include "Settings.h"
 
 #include <deque>
 
--- a/goldcrestcroft/src/Server/ControlLoop.cpp
+++ b/goldcrestcroft/src/Server/Control/ControlLoop.cpp
@@ -1,6 +1,6 @@
 #include "ControlLoop.h"
 
-#include "../Observability/Log.h"
+#include "../../Observability/Log.h"
 
 #include <algorithm>
 
--- a/goldcrestcroft/src/Server/ControlLoop.h
+++ b/goldcrestcroft/src/Server/Control/ControlLoop.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "../../Wire.h"
+#include "../../../Wire.h"
+#include "../Mailbox.h"
+#include "../Traffic/TrafficMail.h"
 #include "ConfigKeeper.h"
 #include "ControlView.h"
-#include "Mailbox.h"
 #include "PeerSocket.h"
-#include "TrafficMail.h"
 
 #include <atomic>
 
--- a/goldcrestcroft/src/Server/ControlMail.h
+++ b/goldcrestcroft/src/Server/Control/ControlMail.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "../../Policy.h"
-#include "../Observability/Span.h"
-#include "CallerReply.h"
+#include "../../../Policy.h"
+#include "../../Observability/Span.h"
+#include "../Http/CallerReply.h"
 
 #include <variant>
 
--- a/goldcrestcroft/src/Server/ControlView.h
+++ b/goldcrestcroft/src/Server/Control/ControlView.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "../../Config.h"
-#include "../../Membership.h"
+#include "../../../Config.h"
+#include "../../../Membership.h"
 
 #include <set>
 #include <vector>
--- a/goldcrestcroft/src/Server/OnceKeeper.cpp
+++ b/goldcrestcroft/src/Server/Control/OnceKeeper.cpp
@@ -1,6 +1,6 @@
 #include "OnceKeeper.h"
 
-#include "../Observability/Log.h"
+#include "../../Observability/Log.h"
 
 namespace goldcrestcroft {
 
--- a/goldcrestcroft/src/Server/OnceKeeper.h
+++ b/goldcrestcroft/src/Server/Control/OnceKeeper.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "../../Once.h"
+#include "../../../Once.h"
+#include "../Settings.h"
 #include "ControlView.h"
 #include "PlatformTable.h"
-#include "Settings.h"
 
 #include <deque>
 #include <map>
--- a/goldcrestcroft/src/Server/PeerSocket.h
+++ b/goldcrestcroft/src/Server/Control/PeerSocket.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Settings.h"
+#include "../Settings.h"
 
 #include <optional>
 #include <string>
--- a/goldcrestcroft/src/Server/PlatformTable.h
+++ b/goldcrestcroft/src/Server/Control/PlatformTable.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "../../Platform.h"
-#include "../Observability/Metrics.h"
-#include "HttpClient.h"
+#include "../../../Platform.h"
+#include "../../Observability/Metrics.h"
+#include "../Http/HttpClient.h"
 
 #include <memory>
 #include <mutex>
--- a/goldcrestcroft/src/Server/EntryHost.h
+++ b/goldcrestcroft/src/Server/EntryHost.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "CallerServer.h"
-#include "ControlLoop.h"
-#include "TrafficLoop.h"
+#include "Control/ControlLoop.h"
+#include "Http/CallerServer.h"
+#include "Traffic/TrafficLoop.h"
 
 #include <memory>
 #include <thread>
--- a/goldcrestcroft/src/Server/AnswerCodec.h
+++ b/goldcrestcroft/src/Server/Http/AnswerCodec.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "../../Once.h"
-#include "../../Pipeline.h"
+#include "../../../Once.h"
+#include "../../../Pipeline.h"
 #include "CallerReply.h"
 
 namespace goldcrestcroft {
--- a/goldcrestcroft/src/Server/CallerReply.h
+++ b/goldcrestcroft/src/Server/Http/CallerReply.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "../../Pipeline.h"
+#include "../../../Pipeline.h"
 #include "CallerSocket.h"
 
 #include <memory>
--- a/goldcrestcroft/src/Server/CallerServer.h
+++ b/goldcrestcroft/src/Server/Http/CallerServer.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "../Observability/Metrics.h"
-#include "ControlMail.h"
-#include "ControlView.h"
-#include "Settings.h"
-#include "TrafficMail.h"
+#include "../../Observability/Metrics.h"
+#include "../Control/ControlMail.h"
+#include "../Control/ControlView.h"
+#include "../Settings.h"
+#include "../Traffic/TrafficMail.h"
 
 #include <memory>
 
--- a/goldcrestcroft/src/Server/CallerSocket.h
+++ b/goldcrestcroft/src/Server/Http/CallerSocket.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "../../Core.h"
+#include "../../../Core.h"
 
 #include <functional>
 #include <mutex>
--- a/goldcrestcroft/src/Server/IncomingRequest.cpp
+++ b/goldcrestcroft/src/Server/Http/IncomingRequest.cpp
@@ -1,6 +1,6 @@
 #include "IncomingRequest.h"
 
-#include "../Core/ObjectReader.h"
+#include "../../Core/ObjectReader.h"
 
 #include <charconv>
 
--- a/goldcrestcroft/src/Server/IncomingRequest.h
+++ b/goldcrestcroft/src/Server/Http/IncomingRequest.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "../../Pipeline.h"
-#include "../Observability/TraceContext.h"
+#include "../../../Pipeline.h"
+#include "../../Observability/TraceContext.h"
 #include "CallerReply.h"
 
 #include <optional>
--- a/goldcrestcroft/src/Server/LoadRun.cpp
+++ b/goldcrestcroft/src/Server/Load/LoadRun.cpp
@@ -1,6 +1,6 @@
 #include "LoadRun.h"
 
-#include "SimpleHttp.h"
+#include "../Http/SimpleHttp.h"
 
 #include <nlohmann/json.hpp>
 #include <spdlog/fmt/fmt.h>
--- a/goldcrestcroft/src/Server/LoadRun.h
+++ b/goldcrestcroft/src/Server/Load/LoadRun.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "HttpClient.h"
+#include "../Http/HttpClient.h"
 #include "LoadReport.h"
 
 #include <string>
--- a/goldcrestcroft/src/Server/RequestEngine.cpp
+++ b/goldcrestcroft/src/Server/Traffic/RequestEngine.cpp
@@ -1,6 +1,6 @@
 #include "RequestEngine.h"
 
-#include "../Observability/Log.h"
+#include "../../Observability/Log.h"
 
 namespace goldcrestcroft {
 
--- a/goldcrestcroft/src/Server/RequestEngine.h
+++ b/goldcrestcroft/src/Server/Traffic/RequestEngine.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "AnswerCodec.h"
-#include "ControlMail.h"
-#include "ControlView.h"
-#include "IncomingRequest.h"
-#include "OnceKeeper.h"
+#include "../Control/ControlMail.h"
+#include "../Control/ControlView.h"
+#include "../Control/OnceKeeper.h"
+#include "../Http/AnswerCodec.h"
+#include "../Http/IncomingRequest.h"
 #include "SoloTurn.h"
 #include "StageCaller.h"
 
--- a/goldcrestcroft/src/Server/RequestEngineEnd.cpp
+++ b/goldcrestcroft/src/Server/Traffic/RequestEngineEnd.cpp
@@ -1,4 +1,4 @@
-#include "../Observability/Log.h"
+#include "../../Observability/Log.h"
 #include "RequestEngine.h"
 
 #include <nlohmann/json.hpp>
--- a/goldcrestcroft/src/Server/RequestEngineStages.cpp
+++ b/goldcrestcroft/src/Server/Traffic/RequestEngineStages.cpp
@@ -1,4 +1,4 @@
-#include "../Observability/Log.h"
+#include "../../Observability/Log.h"
 #include "RequestEngine.h"
 
 namespace goldcrestcroft {
--- a/goldcrestcroft/src/Server/SoloTurn.h
+++ b/goldcrestcroft/src/Server/Traffic/SoloTurn.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "../../Policy.h"
-#include "PlatformTable.h"
+#include "../../../Policy.h"
+#include "../Control/PlatformTable.h"
 
 namespace goldcrestcroft {
 
--- a/goldcrestcroft/src/Server/StageCaller.h
+++ b/goldcrestcroft/src/Server/Traffic/StageCaller.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "../../Pipeline.h"
-#include "../Observability/Metrics.h"
-#include "HttpClient.h"
+#include "../../../Pipeline.h"
+#include "../../Observability/Metrics.h"
+#include "../Http/HttpClient.h"
 
 #include <map>
 
--- a/goldcrestcroft/src/Server/TrafficLoop.h
+++ b/goldcrestcroft/src/Server/Traffic/TrafficLoop.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Mailbox.h"
+#include "../Mailbox.h"
 #include "RequestEngine.h"
 #include "TrafficMail.h"
 
--- a/goldcrestcroft/src/Server/TrafficMail.h
+++ b/goldcrestcroft/src/Server/Traffic/TrafficMail.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "IncomingRequest.h"
+#include "../Http/IncomingRequest.h"
 
 #include <variant>
 
--- a/test/standins/StandinRequest.h
+++ b/test/standins/StandinRequest.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <goldcrestcroft/src/Server/CallerReply.h>
+#include <goldcrestcroft/src/Server/Http/CallerReply.h>
 
 #include <string>
 
--- a/test/unit/AnswerTest.cpp
+++ b/test/unit/AnswerTest.cpp
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 #include <goldcrestcroft/src/Observability/Span.h>
-#include <goldcrestcroft/src/Server/AnswerCodec.h>
+#include <goldcrestcroft/src/Server/Http/AnswerCodec.h>
 
 namespace testing {
 
--- a/test/unit/CallerSocketTest.cpp
+++ b/test/unit/CallerSocketTest.cpp
@@ -1,5 +1,5 @@
 #include <doctest/doctest.h>
-#include <goldcrestcroft/src/Server/CallerSocket.h>
+#include <goldcrestcroft/src/Server/Http/CallerSocket.h>
 
 #include <sys/socket.h>
 #include <unistd.h>
--- a/test/unit/ControlLoopTest.cpp
+++ b/test/unit/ControlLoopTest.cpp
@@ -1,6 +1,6 @@
 #include "Failure.h"
 
-#include <goldcrestcroft/src/Server/ControlLoop.h>
+#include <goldcrestcroft/src/Server/Control/ControlLoop.h>
 
 #include <thread>
 
--- a/test/unit/RequestTest.cpp
+++ b/test/unit/RequestTest.cpp
@@ -1,6 +1,6 @@
 #include "Failure.h"
 
-#include <goldcrestcroft/src/Server/IncomingRequest.h>
+#include <goldcrestcroft/src/Server/Http/IncomingRequest.h>
 
 namespace testing {
 
