--- a/test/process/Fleet.h
+++ b/test/process/Fleet.h
@@ -3,8 +3,8 @@
 #include "Process.h"
 
 #include <doctest/doctest.h>
-#include <goldcrestcroft/src/Server/Load/LoadRun.h>
 #include <goldcrestcroft/src/Server/Http/SimpleHttp.h>
+#include <goldcrestcroft/src/Server/Load/LoadRun.h>
 #include <nlohmann/json.hpp>
 
 #include <functional>
