--- /dev/null
+++ b/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
@@ -0,0 +1,208 @@
+#include "../Observability/Log.h"
+#include "ControlPlane.h"
+
+#include <algorithm>
+
+namespace goldcrestcroft {
+
+namespace {
+
+auto Name(StoreTable aTable) -> std::string
+{
+  switch (aTable) {
+    case StoreTable::Configuration:
+      return "configuration";
+    case StoreTable::Engines:
+      return "engines";
+    case StoreTable::Hosts:
+      break;
+  }
+  return "hosts";
+}
+
+} // namespace
+
+auto ControlPlane::Pause(Duration aTime) -> Task<void>
+{
+  asio::steady_timer timer(context_, aTime);
+  co_await timer.async_wait(kAsTuple);
+}
+
+auto ControlPlane::IsReader(StoreTable aTable) const -> bool
+{
+  if (published_.hosts_.size() <= options_.smallFleet_) {
+    return true;
+  }
+  // The hosts of largest weight, alike on all hosts.
+  const auto weight = [&](const std::string& aHost) {
+    return RendezvousWeight(Name(aTable), aHost);
+  };
+  const auto own = weight(options_.settings_.host_);
+  const auto ahead = std::count_if(
+    published_.hosts_.begin(), published_.hosts_.end(), [&](const auto& aHost) {
+      return !aHost.leaving_ && weight(aHost.id_) > own;
+    });
+  return static_cast<std::size_t>(ahead) < options_.readers_;
+}
+
+auto ControlPlane::Follow(StoreTable aTable) -> Task<void>
+{
+  constexpr auto kCheckRole = std::chrono::milliseconds{ 500 };
+  Followed followed;
+  auto pause = options_.leastPause_;
+  for (;;) {
+    if (followed.known_ && !IsReader(aTable)) {
+      co_await Pause(kCheckRole);
+      // What peers told is skipped when this host reads again.
+      followed.version_ = aTable == StoreTable::Engines
+                            ? std::max(followed.version_, engines_.Version())
+                            : followed.version_;
+      continue;
+    }
+    const auto whole = !followed.known_;
+    StoreReply reply;
+    if (whole) {
+      reply = co_await store_.ReadAll(aTable);
+    } else {
+      reply =
+        co_await store_.Follow(aTable, followed.version_, options_.followWait_);
+    }
+    OnStoreReply(aTable, followed, whole, reply);
+    if (reply.end_ == StoreEnd::Done) {
+      pause = options_.leastPause_;
+    } else if (reply.end_ != StoreEnd::HistoryDropped) {
+      co_await Pause(pause);
+      pause = std::min(pause * 2, options_.mostPause_);
+    }
+  }
+}
+
+auto ControlPlane::OnStoreReply(StoreTable aTable, Followed& aFollowed,
+                                bool aWhole, const StoreReply& aReply) -> void
+{
+  const auto now = clock_.Now();
+  const auto answering =
+    aReply.end_ == StoreEnd::Done || aReply.end_ == StoreEnd::HistoryDropped;
+  if (answering != aFollowed.answering_) {
+    aFollowed.answering_ = answering;
+    Log::Write(answering ? LogLevel::Info : LogLevel::Warning,
+               answering ? "store_regained" : "store_lost",
+               { { "table", Name(aTable) }, { "reason", aReply.detail_ } });
+  }
+  if (!answering) {
+    engines_.OnStoreTrouble(now);
+    return;
+  }
+  if (aReply.end_ == StoreEnd::HistoryDropped) {
+    Log::Write(LogLevel::Info, "store_history_dropped",
+               { { "table", Name(aTable) },
+                 { "version", std::to_string(aFollowed.version_) } });
+    aFollowed.known_ = false;
+    return;
+  }
+  aFollowed.known_ = true;
+  aFollowed.version_ = std::max(aFollowed.version_, aReply.version_);
+  auto news = false;
+  switch (aTable) {
+    case StoreTable::Configuration:
+      for (const auto& row : aReply.rows_) {
+        news |= AdoptConfiguration(row);
+      }
+      break;
+    case StoreTable::Engines:
+      news = aWhole ? engines_.ApplyAll(aReply.rows_, aReply.version_, now)
+                    : engines_.Apply(aReply.rows_, now);
+      if (news) {
+        PublishEngines();
+      }
+      break;
+    case StoreTable::Hosts:
+      AdoptHosts(aReply.rows_);
+      break;
+  }
+  if (news) {
+    BeatToSome();
+  }
+}
+
+auto ControlPlane::AdoptConfiguration(const StoreRow& aRow) -> bool
+{
+  if (aRow.key_ != "config" || aRow.removed_ ||
+      aRow.version_ <= configuration_.version_) {
+    return false;
+  }
+  return Handle(
+    [&]() -> Result<bool> {
+      BOOST_LEAF_AUTO(routing, codec_.DecodeRouting(aRow.value_));
+      if (routing.Version() <= configurationVersion_) {
+        return false;
+      }
+      configuration_ = aRow;
+      configurationVersion_ = routing.Version();
+      Log::Write(LogLevel::Info, "configuration_adopted",
+                 { { "version", std::to_string(configurationVersion_) },
+                   { "row", std::to_string(aRow.version_) } });
+      listener_.onRouting_(
+        std::make_shared<const RoutingTable>(std::move(routing)));
+      peers_.SetCallerAddress(options_.settings_.callers_);
+      PublishFleet();
+      return true;
+    },
+    [&](const Error& aError) {
+      Log::Write(
+        LogLevel::Error, "configuration_unreadable",
+        { { "reason", aError.message_ }, { "remedy", aError.remedy_ } });
+      return false;
+    });
+}
+
+auto ControlPlane::AdoptHosts(const std::vector<StoreRow>& aRows) -> void
+{
+  for (const auto& row : aRows) {
+    if (row.key_ == options_.settings_.host_) {
+      continue;
+    }
+    if (row.removed_) {
+      hostRows_.erase(row.key_);
+      continue;
+    }
+    const auto address = Handle(
+      [&]() -> Result<std::string> {
+        BOOST_LEAF_AUTO(card, codec_.DecodeHost(row.key_, row.value_));
+        return card.peerAddress_;
+      },
+      [&](const Error& aError) {
+        Log::Write(LogLevel::Warning, "host_row_unreadable",
+                   { { "reason", aError.message_ } });
+        return std::string();
+      });
+    if (!address.empty()) {
+      hostRows_[row.key_] = address;
+    }
+  }
+}
+
+auto ControlPlane::Announce() -> Task<void>
+{
+  const auto& settings = options_.settings_;
+  const auto card =
+    codec_.EncodeHost({ .host_ = settings.host_,
+                        .zone_ = settings.zone_,
+                        .callerAddress_ = settings.callers_,
+                        .peerAddress_ = settings.PeerAddress(),
+                        .incarnation_ = options_.incarnation_ });
+  auto pause = options_.leastPause_;
+  while (!leaving_) {
+    const auto reply =
+      co_await store_.Write(StoreTable::Hosts, settings.host_, card);
+    if (reply.end_ == StoreEnd::Done) {
+      co_return;
+    }
+    Log::Write(LogLevel::Warning, "host_row_not_written",
+               { { "reason", reply.detail_ } });
+    co_await Pause(pause);
+    pause = std::min(pause * 2, options_.mostPause_);
+  }
+}
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
@@ -0,0 +1,184 @@
+#include "HopHeaders.h"
+#include "RequestRun.h"
+
+#include <algorithm>
+
+namespace goldcrestcroft {
+
+namespace {
+
+template<typename Message>
+auto CopyAnswerFields(const EngineAnswerHead& aHead, const HeaderNames& aNames,
+                      Message& aAnswer) -> void
+{
+  for (const auto& field : aHead.fields_) {
+    const auto name = field.name_string();
+    const auto dropped = IsHopByHop(field.name()) ||
+                         beast::iequals(name, aNames.engineLoad_) ||
+                         beast::iequals(name, aNames.notRun_);
+    if (!dropped) {
+      aAnswer.insert(name, field.value());
+    }
+  }
+}
+
+} // namespace
+
+auto RequestRun::HandOver(EngineExchange& aExchange) -> Task<AttemptEnd>
+{
+  const auto& head = aExchange.Head();
+  const auto succeeded = head.status_ >= 200 && head.status_ < 300;
+  if (succeeded && head.signed_ && route_->kind_ == RouteKind::Streaming) {
+    co_return co_await RelayStream(aExchange);
+  }
+  std::string body;
+  aExchange.Lease().connection_->CloseAfter(TimeForHead());
+  const auto end =
+    co_await aExchange.ReadAll(body, traffic_.Options().maxAnswerBytes_);
+  if (head.notRun_) {
+    co_return graph_ && (head.status_ == 409 || head.status_ == 400)
+      ? AttemptEnd::InputsGone
+      : AttemptEnd::Rejected;
+  }
+  if (end != ReadEnd::Done || (succeeded && !head.signed_)) {
+    co_return AttemptEnd::Lost;
+  }
+  if (succeeded) {
+    co_return co_await Deliver(head, std::move(body));
+  }
+  if (!streamBegun_) {
+    failureHead_ = head;
+    failureBody_ = std::move(body);
+  }
+  co_return AttemptEnd::FailureAnswer;
+}
+
+auto RequestRun::Deliver(const EngineAnswerHead& aHead, std::string aBody)
+  -> Task<AttemptEnd>
+{
+  const auto& names = traffic_.Codec().Headers();
+  if (request_.method() == http::verb::head) {
+    http::response<http::empty_body> answer(
+      static_cast<http::status>(aHead.status_), 11);
+    CopyAnswerFields(aHead, names, answer);
+    if (aHead.length_) {
+      answer.content_length(*aHead.length_);
+    }
+    answer.keep_alive(!traffic_.IsStopping());
+    const auto sent = co_await caller_->SendHeadOnly(std::move(answer));
+    co_return sent ? AttemptEnd::Delivered : AttemptEnd::Abandoned;
+  }
+  http::response<http::string_body> answer(
+    static_cast<http::status>(aHead.status_), 11, std::move(aBody));
+  CopyAnswerFields(aHead, names, answer);
+  answer.keep_alive(!traffic_.IsStopping());
+  answer.prepare_payload();
+  const auto sent = co_await caller_->SendWhole(std::move(answer));
+  co_return sent ? AttemptEnd::Delivered : AttemptEnd::Abandoned;
+}
+
+auto RequestRun::RelayStream(EngineExchange& aExchange) -> Task<AttemptEnd>
+{
+  const auto& options = traffic_.Options();
+  const auto& connection = aExchange.Lease().connection_;
+  const auto gap = route_->gapObjective_.value_or(Duration{});
+  const auto stall = std::max<Duration>(
+    options.leastStall_,
+    Duration(static_cast<Duration::rep>(static_cast<double>(gap.count()) *
+                                        options.stallPauses_)));
+  relay_.DropPartial();
+  while (!aExchange.IsComplete()) {
+    // Only where it could go on elsewhere is silence a reason to leave.
+    connection->CloseAfter(HasAttemptsLeft() ? std::min(stall, TimeLeft())
+                                             : TimeLeft());
+    std::string bytes;
+    const auto end = co_await aExchange.ReadSome(bytes);
+    auto events = relay_.Feed(bytes);
+    if (aExchange.IsComplete()) {
+      events += relay_.Partial();
+    }
+    if (!streamBegun_ && (!events.empty() || aExchange.IsComplete()) &&
+        end == ReadEnd::Done) {
+      streamBegun_ = true;
+      firstEventAt_ = traffic_.Now();
+      http::response<http::empty_body> head(
+        static_cast<http::status>(aExchange.Head().status_), 11);
+      CopyAnswerFields(aExchange.Head(), traffic_.Codec().Headers(), head);
+      head.keep_alive(!traffic_.IsStopping());
+      if (!co_await caller_->SendStreamHead(std::move(head))) {
+        co_return AttemptEnd::Abandoned;
+      }
+      if (graph_) {
+        // The engine has fetched what the stages made.
+        ReleaseResults(graph_->TakeAll());
+      }
+    }
+    if (streamBegun_) {
+      const auto passed = co_await caller_->SendChunk(std::move(events));
+      if (!passed) {
+        co_return AttemptEnd::Abandoned;
+      }
+    }
+    if (aborted_ != Aborted::No) {
+      co_return AttemptEnd::Abandoned;
+    }
+    if (end != ReadEnd::Done) {
+      co_return AttemptEnd::Lost;
+    }
+  }
+  const auto ended = co_await caller_->SendLastChunk();
+  co_return ended ? AttemptEnd::Delivered : AttemptEnd::Abandoned;
+}
+
+auto RequestRun::Conclude(AttemptEnd aEnd) -> Task<bool>
+{
+  if (aborted_ == Aborted::CallerGone) {
+    Finish("caller_gone");
+    co_return false;
+  }
+  if (streamBegun_) {
+    // The caller must see that the answer is not whole.
+    Finish(aborted_ == Aborted::TimeOver ? "timeout" : "stream_broken");
+    caller_->Abort();
+    co_return false;
+  }
+  if (failureHead_) {
+    const auto delivered =
+      co_await Deliver(*failureHead_, std::move(failureBody_));
+    Finish("engine_failure");
+    co_return delivered == AttemptEnd::Delivered;
+  }
+  // A local, as the compiler destroys braced temporaries of co_await twice.
+  auto answer = ConcludingAnswer(aEnd);
+  co_return co_await Answer(std::move(answer));
+}
+
+auto RequestRun::ConcludingAnswer(AttemptEnd aEnd) const -> OwnAnswer
+{
+  const auto mayHaveRun = attempts_.ran_ > 0 || unsettled_;
+  const auto soon = traffic_.Options().retryAfter_;
+  if (aborted_ == Aborted::TimeOver && mayHaveRun) {
+    return { .status_ = 504,
+             .reason_ = "timeout",
+             .message_ = "no engine answered in time" };
+  }
+  if (aborted_ == Aborted::TimeOver) {
+    return { .reason_ = "timeout_not_run",
+             .message_ = "it did not run in time",
+             .retryAfter_ = soon };
+  }
+  if (mayHaveRun) {
+    return { .status_ = 502,
+             .reason_ = "engine_lost",
+             .message_ = "the engine broke off; the request may have run" };
+  }
+  if (stageProblem_) {
+    return *stageProblem_;
+  }
+  return { .reason_ =
+             aEnd == AttemptEnd::Unreachable ? "no_engine" : "engines_full",
+           .message_ = "no engine takes the request now",
+           .retryAfter_ = soon };
+}
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Gateway/RequestRunChoice.cpp
@@ -0,0 +1,89 @@
+#include "RequestRun.h"
+
+#include <algorithm>
+
+namespace goldcrestcroft {
+
+auto RequestRun::Candidates(std::vector<EngineEntry>& aEntries)
+  -> std::vector<EngineCandidate>
+{
+  auto& pool = traffic_.Pool();
+  const auto now = traffic_.Now();
+  const auto* profile = routing_->FindService(service_);
+  const auto hosts = std::max<std::size_t>(traffic_.Fleet().hosts_.size(), 1);
+  const auto share = std::max<std::size_t>(
+    (profile != nullptr ? profile->maxConnections_ : 64) / hosts, 2);
+  std::vector<EngineCandidate> candidates;
+  for (const auto& entry : pool.Engines().Of(service_)) {
+    const auto state = pool.StateOf(entry);
+    const auto full = state->openConnections_ >= share && state->kept_.empty();
+    const auto onTrial = state->health_.IsOnTrial() && state->ownRequests_ > 0;
+    if (tried_.contains(entry.id_) || full || onTrial ||
+        !state->health_.IsUsable(now)) {
+      continue;
+    }
+    aEntries.push_back(entry);
+    candidates.push_back(
+      { .id_ = entry.id_,
+        .zone_ = entry.zone_,
+        .slots_ = static_cast<double>(entry.slots_),
+        .ownRequests_ = static_cast<double>(state->ownRequests_),
+        .reportedRequests_ = state->ReportedRequests(now),
+        .slowness_ = 1.0 + state->health_.FailureShare() });
+  }
+  return candidates;
+}
+
+auto RequestRun::PlanHome() -> void
+{
+  zone_ = traffic_.Fleet().zone_;
+  const auto part = SharedPartId(prompt_);
+  if (part.empty()) {
+    return;
+  }
+  std::vector<EngineEntry> entries;
+  auto candidates = Candidates(entries);
+  if (!route_->stages_.empty()) {
+    const auto shares = StageShares();
+    std::map<std::string, double> engines;
+    for (const auto& entry : entries) {
+      engines[entry.zone_] += 1.0;
+    }
+    for (auto& candidate : candidates) {
+      const auto share = shares.find(candidate.zone_);
+      candidate.homeWeight_ =
+        share == shares.end() ? 0.0 : share->second / engines[candidate.zone_];
+    }
+  }
+  const auto home = ChooseHome(candidates, { .ownZone_ = zone_ }, part);
+  if (home) {
+    home_ = entries[*home].id_;
+    zone_ = entries[*home].zone_;
+  }
+}
+
+auto RequestRun::ChooseEngine() -> std::shared_ptr<EngineState>
+{
+  std::vector<EngineEntry> entries;
+  const auto candidates = Candidates(entries);
+  const EngineChoiceOptions options{ .ownZone_ = zone_ };
+  const auto part = SharedPartId(prompt_);
+  auto chosen = part.empty()
+                  ? ChooseLeastLoaded(candidates, options, requestId_)
+                  : ChooseHome(candidates, options, part);
+  if (!home_.empty()) {
+    const auto planned =
+      std::find_if(entries.begin(), entries.end(),
+                   [&](const auto& aEntry) { return aEntry.id_ == home_; });
+    if (planned != entries.end()) {
+      chosen = static_cast<std::size_t>(planned - entries.begin());
+    }
+    home_.clear();
+  }
+  if (!chosen) {
+    return nullptr;
+  }
+  return traffic_.Pool().StateOf(entries[*chosen]);
+}
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Gateway/StageDeskCalls.cpp
@@ -0,0 +1,262 @@
+#include "../Observability/Log.h"
+#include "StageDesk.h"
+
+#include <sstream>
+
+namespace goldcrestcroft {
+
+namespace {
+
+/** Answers about a call's pieces are far smaller. */
+constexpr std::size_t kMaxAnswerBytes = 1U << 20U;
+
+} // namespace
+
+auto StageDesk::MakeCall(Service& aService,
+                         const std::vector<PieceTicket>& aTickets) -> Call
+{
+  const auto now = clock_.Now();
+  Call call{ .tickets_ = aTickets };
+  for (const auto& ticket : aTickets) {
+    const auto* order = aService.queue_.Find(ticket.order_);
+    call.pieces_.push_back({ .requestId_ = order->requestId_,
+                             .stage_ = order->stage_,
+                             .piece_ = ticket.piece_,
+                             .timeLeft_ = order->deadline_ - now,
+                             .key_ = order->key_,
+                             .inputs_ = order->inputs_ });
+    call.bytes_.push_back(order->resultBytes_);
+  }
+  return call;
+}
+
+auto StageDesk::WriteCall(const EngineLease& aLease, const EngineCall& aCall,
+                          Duration aTimeout) -> Task<bool>
+{
+  const auto& entry = aLease.engine_->entry_;
+  http::request<http::string_body> request(http::string_to_verb(aCall.method_),
+                                           aCall.path_, 11, aCall.body_);
+  request.set(http::field::host, entry.address_);
+  request.set(http::field::content_type, aCall.contentType_);
+  request.set(codec_.Headers().expectEngine_, entry.id_);
+  request.prepare_payload();
+  std::ostringstream bytes;
+  bytes << request;
+  aLease.connection_->CloseAfter(aTimeout);
+  auto text = std::move(bytes).str();
+  co_return co_await aLease.connection_->BeginWrite(std::move(text));
+}
+
+auto StageDesk::ReadAnswer(EngineLease aLease, std::string& aBody) -> Task<int>
+{
+  EngineExchange exchange(aLease, codec_.Headers());
+  auto end = co_await exchange.ReadHead("", false);
+  if (end == ReadEnd::Done) {
+    end = co_await exchange.ReadAll(aBody, kMaxAnswerBytes);
+  }
+  if (end == ReadEnd::Done && exchange.IsReusable()) {
+    pool_.Keep(aLease, exchange.Head().keepFor_);
+  } else {
+    pool_.Drop(aLease);
+  }
+  co_return end == ReadEnd::Done ? exchange.Head().status_ : 0;
+}
+
+auto StageDesk::Exchange(const StageProfile& aProfile, Engine& aEngine,
+                         const Call& aCall) -> Task<std::vector<PieceResult>>
+{
+  const auto lease = co_await pool_.Open(aEngine.state_);
+  if (!lease.connection_) {
+    co_return std::vector<PieceResult>{};
+  }
+  const auto expected =
+    aProfile.callTime_ +
+    aProfile.pieceTime_ * static_cast<Duration::rep>(aCall.pieces_.size());
+  const auto timeout =
+    Duration(static_cast<Duration::rep>(static_cast<double>(expected.count()) *
+                                        options_.callPatience_)) +
+    options_.callSlack_;
+  const auto startedAt = clock_.Now();
+  const auto call = codec_.MakeStageCall(aCall.pieces_);
+  const auto written = co_await WriteCall(lease, call, timeout);
+  asio::co_spawn(context_, TellBegun(lease.connection_, aCall.tickets_),
+                 asio::detached);
+  std::string body;
+  auto status = 0;
+  if (written) {
+    status = co_await ReadAnswer(lease, body);
+  } else {
+    pool_.Drop(lease);
+  }
+  auto& health = aEngine.state_->health_;
+  auto results =
+    status != 200
+      ? std::vector<PieceResult>{}
+      : Handle(
+          [&] { return codec_.DecodeStageAnswer(body, aCall.pieces_.size()); },
+          [](const Error& aError) {
+            Log::Write(LogLevel::Warning, "stage_answer_unreadable",
+                       { { "reason", aError.message_ } });
+            return std::vector<PieceResult>{};
+          });
+  if (results.empty()) {
+    health.OnFailure(clock_.Now());
+    Log::Write(
+      LogLevel::Info, "stage_call_failed",
+      { { "engine", aEngine.state_->entry_.id_ },
+        { "status", std::to_string(status) },
+        { "timed_out", lease.connection_->TimedOut() ? "true" : "false" },
+        { "pieces", std::to_string(aCall.pieces_.size()) } });
+    if (status == 0) {
+      health.OnUnreachable(clock_.Now());
+    }
+  } else {
+    health.OnSuccess(clock_.Now() - startedAt);
+    aEngine.lastCall_ = clock_.Now() - startedAt;
+  }
+  co_return results;
+}
+
+auto StageDesk::TellBegun(std::shared_ptr<EngineConnection> aConnection,
+                          std::vector<PieceTicket> aTickets) -> Task<void>
+{
+  asio::steady_timer timer(context_, options_.fetchTime_);
+  co_await timer.async_wait(kAsTuple);
+  if (!aConnection->IsOpen()) {
+    co_return;
+  }
+  std::map<std::uint64_t, std::vector<PieceResult>> byOrder;
+  for (const auto& ticket : aTickets) {
+    byOrder[ticket.order_].push_back(
+      { .piece_ = ticket.piece_, .end_ = PieceEnd::Begun });
+  }
+  for (auto& [order, results] : byOrder) {
+    Report(order, std::move(results));
+  }
+}
+
+auto StageDesk::RunCall(std::string aService, std::shared_ptr<Engine> aEngine,
+                        Call aCall) -> Task<void>
+{
+  ++calls_;
+  const auto found = services_.find(aService);
+  const auto profile = found->second.profile_;
+  const auto results = co_await Exchange(profile, *aEngine, aCall);
+  aEngine->busy_ = false;
+  if (auto* service = Find(aService)) {
+    if (!results.empty()) {
+      service->rate_.OnCall(results.size(), aEngine->lastCall_,
+                            RatePlan(*service));
+    }
+    Settle(*service, *aEngine, aCall, results);
+    Kick(*service);
+  }
+}
+
+auto StageDesk::Settle(Service& aService, Engine& aEngine, const Call& aCall,
+                       const std::vector<PieceResult>& aResults) -> void
+{
+  const auto now = clock_.Now();
+  std::map<std::uint64_t, std::vector<PieceResult>> byOrder;
+  std::vector<std::string> orphans;
+  auto noRoom = false;
+  for (std::size_t i = 0; i < aCall.tickets_.size(); ++i) {
+    const auto& ticket = aCall.tickets_[i];
+    auto result = i < aResults.size() ? aResults[i]
+                                      : PieceResult{ .end_ = PieceEnd::Failed };
+    result.piece_ = ticket.piece_;
+    const auto listener = listeners_.find(ticket.order_);
+    if (result.end_ == PieceEnd::Made) {
+      ++made_;
+      aService.rate_.OnMade(now);
+      aEngine.room_.Hold(result.handle_, aCall.bytes_[i], now);
+      if (listener == listeners_.end()) {
+        orphans.push_back(result.handle_);
+        continue;
+      }
+    } else {
+      aEngine.room_.Release(aCall.bytes_[i]);
+    }
+    if (listener == listeners_.end()) {
+      continue;
+    }
+    if (result.end_ == PieceEnd::NoRoom) {
+      aEngine.pausedUntil_ = now + options_.roomPause_;
+      noRoom = true;
+      aService.queue_.Return(ticket);
+      continue;
+    }
+    const auto again =
+      result.end_ == PieceEnd::Failed &&
+      ++listener->second.tries_[ticket.piece_] < options_.mostTries_;
+    if (again) {
+      aService.queue_.Return(ticket);
+    } else {
+      byOrder[ticket.order_].push_back(std::move(result));
+    }
+  }
+  if (noRoom) {
+    aEngine.room_.AssumeFull(now);
+  }
+  if (!orphans.empty()) {
+    Release(aService.name_, orphans);
+  }
+  for (auto& [order, results] : byOrder) {
+    Report(order, std::move(results));
+  }
+}
+
+auto StageDesk::Release(const std::string& aService,
+                        const std::vector<std::string>& aHandles) -> void
+{
+  auto* service = Find(aService);
+  if (service == nullptr) {
+    return;
+  }
+  for (const auto& handle : aHandles) {
+    const auto address = codec_.MakerOf(handle);
+    for (const auto& [id, engine] : service->engines_) {
+      if (engine->state_->entry_.address_ != address) {
+        continue;
+      }
+      engine->toRelease_.push_back(handle);
+      if (!engine->releasing_) {
+        engine->releasing_ = true;
+        asio::co_spawn(context_, SendReleases(engine), asio::detached);
+      }
+    }
+  }
+}
+
+auto StageDesk::SendReleases(std::shared_ptr<Engine> aEngine) -> Task<void>
+{
+  constexpr auto kTimeout = std::chrono::milliseconds{ 1000 };
+  asio::steady_timer timer(context_, options_.releaseDelay_);
+  co_await timer.async_wait(kAsTuple);
+  const auto handles = std::exchange(aEngine->toRelease_, {});
+  aEngine->releasing_ = false;
+  const auto lease = co_await pool_.Open(aEngine->state_);
+  if (!lease.connection_) {
+    co_return; // Results of an engine that is gone are gone as well.
+  }
+  const auto call = codec_.MakeRelease(handles);
+  const auto written = co_await WriteCall(lease, call, kTimeout);
+  auto status = 0;
+  std::string body;
+  if (written) {
+    status = co_await ReadAnswer(lease, body);
+  } else {
+    pool_.Drop(lease);
+  }
+  if (status != 0) {
+    for (const auto& handle : handles) {
+      aEngine->room_.Drop(handle);
+    }
+  } else {
+    Log::Write(LogLevel::Info, "stage_release_failed",
+               { { "engine", aEngine->state_->entry_.id_ },
+                 { "results", std::to_string(handles.size()) } });
+  }
+}
+
+} // namespace goldcrestcroft
