Remove dead state, join twins, and split three long sources of Server

Cause: read as a newcomer, the change held state that nobody read (a caller's own deadline, counts of calls, a mean of times, a version in a frame), two copies of the making of a test's folder, and Server kept three sources of 340 to 395 lines.

--- a/goldcrestcroft/src/Engines/EngineHealth.cpp
+++ b/goldcrestcroft/src/Engines/EngineHealth.cpp
@@ -4,17 +4,11 @@
 
 namespace goldcrestcroft {
 
-auto EngineHealth::OnSuccess(Duration aTook) -> void
+auto EngineHealth::OnSuccess() -> void
 {
   consecutive_ = 0;
   suspensions_ = 0;
   failureShare_ *= 1.0 - options_.newShare_;
-  meanTime_ =
-    meanTime_ == Duration{}
-      ? aTook
-      : Duration(static_cast<Duration::rep>(
-          static_cast<double>(meanTime_.count()) * (1.0 - options_.newShare_) +
-          static_cast<double>(aTook.count()) * options_.newShare_));
 }
 
 auto EngineHealth::OnFailure(TimePoint aNow) -> void
--- a/goldcrestcroft/src/Engines/EngineHealth.h
+++ b/goldcrestcroft/src/Engines/EngineHealth.h
@@ -18,7 +18,7 @@
     std::uint32_t failuresToSuspend_ = 3;
     Duration firstSuspension_ = std::chrono::milliseconds{ 1000 };
     Duration longestSuspension_ = std::chrono::seconds{ 8 };
-    /** Share of the newest answer in the running mean of times. */
+    /** Share of the newest answer in the running share of failures. */
     double newShare_ = 0.2;
   };
 
@@ -31,7 +31,7 @@
   {
   }
 
-  auto OnSuccess(Duration aTook) -> void;
+  auto OnSuccess() -> void;
   /** \brief An answer of failure, or a silence. */
   auto OnFailure(TimePoint aNow) -> void;
   /** \brief A connection could not be made: suspended at once. */
@@ -44,8 +44,6 @@
   /** \brief Whether the next request would be its first after a
    * suspension. */
   [[nodiscard]] auto IsOnTrial() const -> bool { return suspensions_ > 0; }
-  /** \brief Mean time of answers; zero before the first. */
-  [[nodiscard]] auto MeanTime() const -> Duration { return meanTime_; }
   /** \brief Share of recent requests that failed. */
   [[nodiscard]] auto FailureShare() const -> double { return failureShare_; }
 
@@ -56,7 +54,6 @@
   std::uint32_t consecutive_ = 0;
   std::uint32_t suspensions_ = 0;
   double failureShare_ = 0.0;
-  Duration meanTime_{};
   TimePoint suspendedUntil_{};
 };
 
--- a/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
@@ -193,8 +193,7 @@
                            const PeerFrame& aFrame) -> void
 {
   if (const auto* request = std::get_if<StateRequest>(&aFrame)) {
-    StateReply reply{ .engines_ = engines_.RowsAfter(request->engineRows_),
-                      .engineRows_ = engines_.Version() };
+    StateReply reply{ .engines_ = engines_.RowsAfter(request->engineRows_) };
     if (configuration_.version_ > request->configurationRow_) {
       reply.configuration_.push_back(configuration_);
     }
--- a/goldcrestcroft/src/Gateway/EnginePool.cpp
+++ b/goldcrestcroft/src/Gateway/EnginePool.cpp
@@ -84,7 +84,6 @@
   }
   connection = std::make_shared<EngineConnection>(context_);
   ++aEngine->openConnections_;
-  ++opened_;
   const auto connected = co_await connection->Connect(aEngine->entry_.address_,
                                                       options_.connectTimeout_);
   if (!connected) {
--- a/goldcrestcroft/src/Gateway/EnginePool.h
+++ b/goldcrestcroft/src/Gateway/EnginePool.h
@@ -72,10 +72,6 @@
   auto Keep(const EngineLease& aLease, Duration aKeepFor) -> void;
   /** \brief Closes the connection. */
   auto Drop(const EngineLease& aLease) -> void;
-  [[nodiscard]] auto ConnectionsOpened() const -> std::uint64_t
-  {
-    return opened_;
-  }
 
 private:
   auto TakeKept(EngineState& aEngine) -> std::shared_ptr<EngineConnection>;
@@ -86,7 +82,6 @@
   std::shared_ptr<const EngineList> engines_ =
     std::make_shared<const EngineList>();
   std::map<std::string, std::shared_ptr<EngineState>> states_;
-  std::uint64_t opened_ = 0;
 };
 
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/PeerFrames.cpp
+++ b/goldcrestcroft/src/Gateway/PeerFrames.cpp
@@ -91,7 +91,6 @@
 {
   ArchiveRows(aArchive, aFrame.configuration_);
   ArchiveRows(aArchive, aFrame.engines_);
-  aArchive(aFrame.engineRows_);
 }
 
 template<typename Ar>
--- a/goldcrestcroft/src/Gateway/PeerFrames.h
+++ b/goldcrestcroft/src/Gateway/PeerFrames.h
@@ -45,7 +45,6 @@
 {
   std::vector<StoreRow> configuration_;
   std::vector<StoreRow> engines_;
-  std::uint64_t engineRows_ = 0;
 
   auto operator<=>(const StateReply&) const = default;
 };
@@ -61,8 +60,8 @@
   auto operator<=>(const StageAsk&) const = default;
 };
 
-/** \brief Tells the collector of a service of pieces to come; the StageAsk or
- * StageDrop of the same number ends it. */
+/** \brief Tells the collector of a service of pieces to come; the StageDrop of
+ * the same number ends it. */
 struct StageNotice
 {
   std::string service_;
--- a/goldcrestcroft/src/Gateway/RequestRun.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRun.cpp
@@ -107,8 +107,7 @@
     ReadMilliseconds(Text(request_, traffic_.Codec().Headers().timeLeft_));
   deadline_ = arrivedAt_ + route_->timeout_;
   if (wait) {
-    callerDeadline_ = arrivedAt_ + *wait;
-    deadline_ = std::min(deadline_, *callerDeadline_);
+    deadline_ = std::min(deadline_, arrivedAt_ + *wait);
   }
   deadlineTimer_.expires_after(deadline_ - arrivedAt_);
   deadlineTimer_.async_wait([weak = weak_from_this()](auto aError) {
--- a/goldcrestcroft/src/Gateway/RequestRun.h
+++ b/goldcrestcroft/src/Gateway/RequestRun.h
@@ -34,11 +34,6 @@
     Refused,
     Aborted
   };
-  struct StageOrderInFlight
-  {
-    std::size_t stage_ = 0;
-    std::size_t missing_ = 0;
-  };
 
   auto Admit() -> std::optional<OwnAnswer>;
   auto ReadTimes() -> void;
@@ -101,15 +96,14 @@
   int rank_ = 0;
   std::uint64_t fingerprint_ = 0;
   TimePoint deadline_;
-  /** What the caller said that it will wait; none if it did not. */
-  std::optional<TimePoint> callerDeadline_;
   asio::steady_timer deadlineTimer_;
   asio::steady_timer wake_;
   Aborted aborted_ = Aborted::No;
   std::shared_ptr<EngineConnection> current_;
 
   std::optional<StageGraph> graph_;
-  std::map<std::uint64_t, StageOrderInFlight> orders_;
+  /** Stages by the orders placed for them. */
+  std::map<std::uint64_t, std::size_t> orders_;
   /** Plans by stage. */
   std::map<std::size_t, std::uint64_t> plans_;
   std::optional<OwnAnswer> stageProblem_;
--- a/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
@@ -126,7 +126,6 @@
 {
   auto& pool = traffic_.Pool();
   auto& health = aLease.engine_->health_;
-  const auto startedAt = traffic_.Now();
   EngineExchange exchange(aLease, traffic_.Codec().Headers());
   aLease.connection_->CloseAfter(TimeForHead());
   unsettled_ = true;
@@ -157,7 +156,7 @@
   }
   switch (result) {
     case AttemptEnd::Delivered:
-      health.OnSuccess(traffic_.Now() - startedAt);
+      health.OnSuccess();
       break;
     case AttemptEnd::FailureAnswer:
     case AttemptEnd::Rejected:
--- a/goldcrestcroft/src/Gateway/RequestRunStages.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunStages.cpp
@@ -149,12 +149,11 @@
 auto RequestRun::PlaceStage(std::size_t aStage) -> void
 {
   const auto& stage = route_->stages_[aStage];
-  auto pieces = graph_->MissingPieces(aStage);
   const auto key = std::string(request_[traffic_.Codec().Headers().pieceKey_]);
   StageOrder order{ .requestId_ = requestId_,
                     .service_ = stage.service_,
                     .stage_ = static_cast<std::uint32_t>(aStage),
-                    .pieces_ = pieces,
+                    .pieces_ = graph_->MissingPieces(aStage),
                     .inputs_ = graph_->InputsOf(aStage),
                     .resultBytes_ = stage.resultBytes_,
                     .deadline_ = deadline_,
@@ -180,7 +179,7 @@
   if (planned != 0) {
     plans_.erase(plan);
   }
-  orders_[*number] = { .stage_ = aStage, .missing_ = pieces.size() };
+  orders_[*number] = aStage;
 }
 
 auto RequestRun::OnPieces(std::uint64_t aOrder,
@@ -190,7 +189,7 @@
   if (found == orders_.end()) {
     return;
   }
-  const auto stage = found->second.stage_;
+  const auto stage = found->second;
   auto again = false;
   for (const auto& result : aResults) {
     switch (result.end_) {
--- a/goldcrestcroft/src/Gateway/StageBrokerServing.cpp
+++ b/goldcrestcroft/src/Gateway/StageBrokerServing.cpp
@@ -94,12 +94,16 @@
 auto StageBroker::OnServedFrame(const std::shared_ptr<PeerLink>& aLink,
                                 PeerFrame aFrame) -> void
 {
+  const auto served = served_.find(aLink.get());
+  if (served == served_.end()) {
+    return; // Its end is known; what it placed is cancelled.
+  }
   if (auto* ask = std::get_if<StageAsk>(&aFrame)) {
     ServeAsk(aLink, std::move(*ask));
     return;
   }
   if (const auto* drop = std::get_if<StageDrop>(&aFrame)) {
-    auto& orders = served_[aLink.get()].orders_;
+    auto& orders = served->second.orders_;
     const auto order = orders.find(drop->order_);
     if (order != orders.end()) {
       desk_.Cancel(order->second.first, order->second.second);
@@ -112,7 +116,7 @@
       desk_.Plan(notice->service_, { .pieces_ = notice->pieces_,
                                      .rank_ = notice->rank_,
                                      .dueAt_ = clock_.Now() + notice->dueIn_ });
-    served_[aLink.get()].orders_[notice->order_] = { notice->service_, plan };
+    served->second.orders_[notice->order_] = { notice->service_, plan };
     return;
   }
   if (const auto* release = std::get_if<StageRelease>(&aFrame)) {
--- a/goldcrestcroft/src/Gateway/StageDesk.h
+++ b/goldcrestcroft/src/Gateway/StageDesk.h
@@ -60,8 +60,6 @@
 
   /** \brief How long fresh orders would wait, for each service here. */
   [[nodiscard]] auto Backlogs() -> std::vector<StageBacklog>;
-  [[nodiscard]] auto CallsRun() const -> std::uint64_t { return calls_; }
-  [[nodiscard]] auto PiecesMade() const -> std::uint64_t { return made_; }
 
 private:
   struct Engine
@@ -128,8 +126,6 @@
   std::map<std::string, Service> services_;
   std::map<std::uint64_t, Listener> listeners_;
   std::uint64_t nextOrder_ = 1;
-  std::uint64_t calls_ = 0;
-  std::uint64_t made_ = 0;
   bool looking_ = false;
   TimePoint loggedAt_;
 };
--- a/goldcrestcroft/src/Gateway/StageDeskCalls.cpp
+++ b/goldcrestcroft/src/Gateway/StageDeskCalls.cpp
@@ -111,7 +111,7 @@
       health.OnUnreachable(clock_.Now());
     }
   } else {
-    health.OnSuccess(clock_.Now() - startedAt);
+    health.OnSuccess();
     aEngine.lastCall_ = clock_.Now() - startedAt;
   }
   co_return results;
@@ -138,7 +138,6 @@
 auto StageDesk::RunCall(std::string aService, std::shared_ptr<Engine> aEngine,
                         Call aCall) -> Task<void>
 {
-  ++calls_;
   const auto found = services_.find(aService);
   const auto profile = found->second.profile_;
   const auto results = co_await Exchange(profile, *aEngine, aCall);
@@ -167,7 +166,6 @@
     result.piece_ = ticket.piece_;
     const auto listener = listeners_.find(ticket.order_);
     if (result.end_ == PieceEnd::Made) {
-      ++made_;
       aService.rate_.OnMade(now);
       aEngine.room_.Hold(result.handle_, aCall.bytes_[i], now);
       if (listener == listeners_.end()) {
--- a/goldcrestcroft/src/Routing/RoutingTable.cpp
+++ b/goldcrestcroft/src/Routing/RoutingTable.cpp
@@ -54,17 +54,6 @@
                                       : &options_.services_[found->second];
 }
 
-auto RoutingTable::StageServices() const -> std::vector<std::string>
-{
-  std::vector<std::string> names;
-  for (const auto& service : options_.services_) {
-    if (service.stage_) {
-      names.push_back(service.name_);
-    }
-  }
-  return names;
-}
-
 auto ChooseService(const Route& aRoute, double aUnit) -> std::string
 {
   auto total = 0.0;
--- a/goldcrestcroft/src/Routing/RoutingTable.h
+++ b/goldcrestcroft/src/Routing/RoutingTable.h
@@ -50,7 +50,6 @@
   [[nodiscard]] auto FindKey(const std::string& aKey) const -> const KeyHolder*;
   [[nodiscard]] auto FindService(const std::string& aName) const
     -> const ServiceProfile*;
-  [[nodiscard]] auto StageServices() const -> std::vector<std::string>;
 
 private:
   Options options_;
--- /dev/null
+++ b/goldcrestcroft/src/Server/Control/ConfigKeeperSubmit.cpp
@@ -0,0 +1,168 @@
+#include "../../Observability/Log.h"
+#include "../Http/AnswerCodec.h"
+#include "ConfigKeeper.h"
+#include "ConfigRows.h"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/fmt/fmt.h>
+
+namespace goldcrestcroft {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr long kOk = 200;
+} // namespace
+
+auto ConfigKeeper::OnSubmitted(PatchSubmitted aPatch) -> void
+{
+  const auto& inForce = follower_.InForce();
+  // The number makes two patches of one author distinct rows.
+  const ConfigPatch patch{ .number_ = aPatch.base_ + 1,
+                           .author_ = fmt::format("{}@{}-{:x}-{}",
+                                                  aPatch.author_, host_.value_,
+                                                  incarnation_, ++submissions_),
+                           .operations_ = aPatch.operations_ };
+  const auto valid = Handle(
+    [&]() -> Result<bool> {
+      BOOST_LEAF_CHECK(inForce->Apply(patch));
+      return true;
+    },
+    [&](const Error& aError) {
+      aPatch.reply_.Send(
+        BuildReply(Refusal(aError), { .request_ = aPatch.request_,
+                                      .version_ = inForce->Number() }));
+      return false;
+    });
+  if (valid) {
+    Drive(std::make_shared<Submission>(Submission{
+      .state_ = PatchSubmission(patch, {}), .mail_ = std::move(aPatch) }));
+  }
+}
+
+auto ConfigKeeper::Drive(const std::shared_ptr<Submission>& aSubmission) -> void
+{
+  switch (aSubmission->state_.Next()) {
+    case PatchSubmission::Step::Insert:
+      Insert(aSubmission);
+      break;
+    case PatchSubmission::Step::ReadBack:
+      ReadBack(aSubmission);
+      break;
+    default:
+      Finish(*aSubmission);
+      break;
+  }
+}
+
+auto ConfigKeeper::Insert(const std::shared_ptr<Submission>& aSubmission)
+  -> void
+{
+  const auto& patch = aSubmission->state_.Patch();
+  // Both rows in one transaction: the head never runs ahead or falls back,
+  // since the row of a number is inserted once only.
+  table_.Transact(
+    { { .key_ = PatchKey(patch.number_),
+        .value_ = EncodePatch(patch),
+        .expected_ = 0 },
+      { .key_ = HeadKey(), .value_ = std::to_string(patch.number_) } },
+    [this, aSubmission](const TransactReply& aReply) {
+      auto& state = aSubmission->state_;
+      if (aReply.status_ == TableStatus::Done) {
+        state.OnInserted();
+      } else if (aReply.status_ == TableStatus::Conflict) {
+        const auto rows = DecodePatches(aReply.conflicts_);
+        rows.empty() ? state.OnLost() : state.OnRow(rows.front());
+      } else {
+        state.OnLost();
+      }
+      Drive(aSubmission);
+    });
+}
+
+auto ConfigKeeper::ReadBack(const std::shared_ptr<Submission>& aSubmission)
+  -> void
+{
+  table_.Read({ PatchKey(aSubmission->state_.Patch().number_) },
+              [this, aSubmission](const ReadReply& aReply) {
+                auto& state = aSubmission->state_;
+                const auto rows = DecodePatches(aReply.rows_);
+                if (aReply.status_ != TableStatus::Done) {
+                  state.OnLost();
+                } else if (rows.empty()) {
+                  state.OnAbsent();
+                } else {
+                  state.OnRow(rows.front());
+                }
+                Drive(aSubmission);
+              });
+}
+
+auto ConfigKeeper::Finish(Submission& aSubmission) -> void
+{
+  const auto& state = aSubmission.state_;
+  const auto& patch = state.Patch();
+  AnswerContext context{ .request_ = aSubmission.mail_.request_,
+                         .version_ = patch.number_ };
+  auto& reply = aSubmission.mail_.reply_;
+  if (state.Next() == PatchSubmission::Step::Accepted) {
+    Take(patch, clock_.Now());
+    handlers_.onAccepted_(patch);
+    if (patch.number_ % kSnapshotEvery == 0) {
+      SaveSnapshot(follower_.InForce());
+    }
+    reply.Send(BuildReply({ .outcome_ = Outcome::Completed,
+                            .text_ = fmt::format("version {}", patch.number_) },
+                          context));
+    return;
+  }
+  if (state.Next() == PatchSubmission::Step::Refused) {
+    const auto& winner = *state.Winner();
+    OnNumberHeard(winner.number_, clock_.Now());
+    Take(winner, clock_.Now());
+    reply.Send(BuildReply(
+      Refusal({ .kind_ = ErrorKind::Conflict,
+                .message_ = fmt::format("version {} was taken by {}",
+                                        winner.number_, winner.author_),
+                .remedy_ = "read the newest version and patch that" }),
+      context));
+    return;
+  }
+  reply.Send(BuildReply(
+    { .outcome_ = Outcome::Unknown,
+      .error_ = { .kind_ = ErrorKind::Timeout,
+                  .message_ = fmt::format(
+                    "the table service does not say whether {} made version {}",
+                    patch.author_, patch.number_),
+                  .remedy_ = "look for that author in the history before "
+                             "sending the patch again" },
+      .retryAfter_ = std::chrono::seconds{ 2 } },
+    context));
+}
+
+auto ConfigKeeper::SaveSnapshot(const ConfigVersionPtr& aVersion) -> void
+{
+  if (settings_.objects_.empty()) {
+    return;
+  }
+  const auto number = aVersion->Number();
+  const auto body = json{ { "version", number },
+                          { "document", json::parse(aVersion->Document()) } };
+  http_.Send({ .method_ = "PUT",
+               .url_ = fmt::format("http://{}/v1/objects/config-{}",
+                                   settings_.objects_, number),
+               .body_ = body.dump(),
+               .timeout_ = settings_.timeout_ },
+             { .onEnd_ = [this, number](const HttpReply& aReply) {
+               if (aReply.end_ == HttpEnd::Answered && aReply.status_ == kOk) {
+                 // Two hosts may write this row in either order; the lower
+                 // number only means a few more patches to read.
+                 table_.Transact({ { .key_ = SnapshotKey(),
+                                     .value_ = std::to_string(number) } },
+                                 [](const TransactReply&) {});
+               }
+             } });
+}
+
+} // namespace goldcrestcroft
--- a/goldcrestcroft/src/Server/Http/HttpClient.cpp
+++ b/goldcrestcroft/src/Server/Http/HttpClient.cpp
@@ -1,99 +1,18 @@
 #include "HttpClient.h"
 
+#include "HttpExchange.h"
+
 #include <curl/curl.h>
 
-#include <cstring>
-#include <strings.h>
 #include <unordered_map>
 
 namespace goldcrestcroft {
 
 namespace {
 
-constexpr Duration kSilenceCheckPeriod = std::chrono::milliseconds{ 5 };
-
-/** One exchange with its easy handle. */
-struct Exchange
-{
-  ExchangeId id_ = 0;
-  CURL* easy_ = nullptr;
-  curl_slist* headers_ = nullptr;
-  HttpRequest request_;
-  HttpHandlers handlers_;
-  HttpReply reply_;
-  std::string arrived_;
-  std::size_t bodySent_ = 0;
-  bool bodyTaken_ = false;
-  TimePoint lastMove_;
-  /** Where to note that bytes for onBytes_ have arrived. */
-  std::vector<ExchangeId>* touched_ = nullptr;
-};
-
-auto HasPrefix(std::string_view aLine, std::string_view aName) -> bool
-{
-  return aLine.size() > aName.size() &&
-         strncasecmp(aLine.data(), aName.data(), aName.size()) == 0;
-}
-
-auto HeaderValue(std::string_view aLine, std::string_view aName) -> std::string
-{
-  aLine.remove_prefix(aName.size());
-  const auto first = aLine.find_first_not_of(' ');
-  const auto last = aLine.find_last_not_of("\r\n ");
-  return first == std::string_view::npos || last == std::string_view::npos
-           ? std::string()
-           : std::string(aLine.substr(first, last - first + 1));
-}
-
-auto OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aUser)
-  -> std::size_t
-{
-  constexpr std::string_view kAttempt = "x-attempt-id:";
-  constexpr std::string_view kLeaving = "x-leaving:";
-  constexpr std::string_view kInFlight = "x-in-flight:";
-  auto& exchange = *static_cast<Exchange*>(aUser);
-  const std::string_view line(aData, aSize * aCount);
-  exchange.lastMove_ = SteadyClock{}.Now();
-  if (HasPrefix(line, "HTTP/")) {
-    curl_easy_getinfo(exchange.easy_, CURLINFO_RESPONSE_CODE,
-                      &exchange.reply_.status_);
-  } else if (HasPrefix(line, kAttempt)) {
-    exchange.reply_.attempt_ = HeaderValue(line, kAttempt);
-  } else if (HasPrefix(line, kLeaving)) {
-    exchange.reply_.leaving_ = HeaderValue(line, kLeaving) == "1";
-  } else if (HasPrefix(line, kInFlight)) {
-    exchange.reply_.inFlight_ =
-      std::strtod(HeaderValue(line, kInFlight).c_str(), nullptr);
-  }
-  return line.size();
-}
+using internal::Exchange;
 
-auto OnWrite(char* aData, std::size_t aSize, std::size_t aCount, void* aUser)
-  -> std::size_t
-{
-  auto& exchange = *static_cast<Exchange*>(aUser);
-  exchange.lastMove_ = SteadyClock{}.Now();
-  if (exchange.handlers_.onBytes_ && exchange.arrived_.empty()) {
-    exchange.touched_->push_back(exchange.id_);
-  }
-  exchange.arrived_.append(aData, aSize * aCount);
-  return aSize * aCount;
-}
-
-// libcurl sends a request again, unasked, when a pooled connection turns out
-// dead, also after the server has read and perhaps run it. It must rewind the
-// body for that, and cannot: this callback has no seeking counterpart.
-auto OnRead(char* aBuffer, std::size_t aSize, std::size_t aCount, void* aUser)
-  -> std::size_t
-{
-  auto& exchange = *static_cast<Exchange*>(aUser);
-  const auto& body = exchange.request_.body_;
-  const auto bytes = std::min(aSize * aCount, body.size() - exchange.bodySent_);
-  std::memcpy(aBuffer, body.data() + exchange.bodySent_, bytes);
-  exchange.bodySent_ += bytes;
-  exchange.bodyTaken_ = true;
-  return bytes;
-}
+constexpr Duration kSilenceCheckPeriod = std::chrono::milliseconds{ 5 };
 
 } // namespace
 
@@ -204,9 +123,9 @@
       static_cast<long>(
         std::chrono::ceil<std::chrono::seconds>(options_.maxIdle_).count()));
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request.fresh_ ? 1L : 0L);
-    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, OnHeader);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, internal::OnHeader);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &aExchange);
-    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, OnWrite);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, internal::OnWrite);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &aExchange);
     if (request.method_ == "GET") {
       curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
@@ -215,7 +134,7 @@
       curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method_.c_str());
       curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
                        static_cast<curl_off_t>(request.body_.size()));
-      curl_easy_setopt(easy, CURLOPT_READFUNCTION, OnRead);
+      curl_easy_setopt(easy, CURLOPT_READFUNCTION, internal::OnRead);
       curl_easy_setopt(easy, CURLOPT_READDATA, &aExchange);
     }
     auto* headers = curl_slist_append(nullptr, "Expect:");
--- /dev/null
+++ b/goldcrestcroft/src/Server/Http/HttpExchange.cpp
@@ -0,0 +1,78 @@
+#include "HttpExchange.h"
+
+#include <cstring>
+#include <strings.h>
+
+namespace goldcrestcroft::internal {
+
+namespace {
+
+auto HasPrefix(std::string_view aLine, std::string_view aName) -> bool
+{
+  return aLine.size() > aName.size() &&
+         strncasecmp(aLine.data(), aName.data(), aName.size()) == 0;
+}
+
+auto HeaderValue(std::string_view aLine, std::string_view aName) -> std::string
+{
+  aLine.remove_prefix(aName.size());
+  const auto first = aLine.find_first_not_of(' ');
+  const auto last = aLine.find_last_not_of("\r\n ");
+  return first == std::string_view::npos || last == std::string_view::npos
+           ? std::string()
+           : std::string(aLine.substr(first, last - first + 1));
+}
+
+} // namespace
+
+auto OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aUser)
+  -> std::size_t
+{
+  constexpr std::string_view kAttempt = "x-attempt-id:";
+  constexpr std::string_view kLeaving = "x-leaving:";
+  constexpr std::string_view kInFlight = "x-in-flight:";
+  auto& exchange = *static_cast<Exchange*>(aUser);
+  const std::string_view line(aData, aSize * aCount);
+  exchange.lastMove_ = SteadyClock{}.Now();
+  if (HasPrefix(line, "HTTP/")) {
+    curl_easy_getinfo(exchange.easy_, CURLINFO_RESPONSE_CODE,
+                      &exchange.reply_.status_);
+  } else if (HasPrefix(line, kAttempt)) {
+    exchange.reply_.attempt_ = HeaderValue(line, kAttempt);
+  } else if (HasPrefix(line, kLeaving)) {
+    exchange.reply_.leaving_ = HeaderValue(line, kLeaving) == "1";
+  } else if (HasPrefix(line, kInFlight)) {
+    exchange.reply_.inFlight_ =
+      std::strtod(HeaderValue(line, kInFlight).c_str(), nullptr);
+  }
+  return line.size();
+}
+
+auto OnWrite(char* aData, std::size_t aSize, std::size_t aCount, void* aUser)
+  -> std::size_t
+{
+  auto& exchange = *static_cast<Exchange*>(aUser);
+  exchange.lastMove_ = SteadyClock{}.Now();
+  if (exchange.handlers_.onBytes_ && exchange.arrived_.empty()) {
+    exchange.touched_->push_back(exchange.id_);
+  }
+  exchange.arrived_.append(aData, aSize * aCount);
+  return aSize * aCount;
+}
+
+// libcurl sends a request again, unasked, when a pooled connection turns out
+// dead, also after the server has read and perhaps run it. It must rewind the
+// body for that, and cannot: this callback has no seeking counterpart.
+auto OnRead(char* aBuffer, std::size_t aSize, std::size_t aCount, void* aUser)
+  -> std::size_t
+{
+  auto& exchange = *static_cast<Exchange*>(aUser);
+  const auto& body = exchange.request_.body_;
+  const auto bytes = std::min(aSize * aCount, body.size() - exchange.bodySent_);
+  std::memcpy(aBuffer, body.data() + exchange.bodySent_, bytes);
+  exchange.bodySent_ += bytes;
+  exchange.bodyTaken_ = true;
+  return bytes;
+}
+
+} // namespace goldcrestcroft::internal
--- a/test/process/EntryFleet.cpp
+++ b/test/process/EntryFleet.cpp
@@ -1,5 +1,7 @@
 #include "EntryFleet.h"
 
+#include "TempFolder.h"
+
 #include <sys/socket.h>
 
 #include <cstdlib>
@@ -69,8 +71,7 @@
 EntryFleet::EntryFleet(std::size_t aHosts)
   : platform_({})
 {
-  char folder[] = "/tmp/goldcrestcroft-entry-XXXXXX";
-  folder_ = mkdtemp(folder);
+  folder_ = MakeTempFolder();
   for (std::size_t i = 0; i < aHosts; ++i) {
     std::ofstream file(folder_ + "/host-" + std::to_string(i) + ".json");
     file << R"({"host": "h)" << i << R"(", "availability_zone": "z1",)"
--- a/test/process/Fleet.cpp
+++ b/test/process/Fleet.cpp
@@ -1,5 +1,7 @@
 #include "Fleet.h"
 
+#include "TempFolder.h"
+
 #include <arpa/inet.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -34,8 +36,7 @@
 Fleet::Fleet(Options aOptions)
   : options_(aOptions)
 {
-  char pattern[] = "/tmp/goldcrestcroft-XXXXXX";
-  folder_ = mkdtemp(pattern);
+  folder_ = MakeTempFolder();
   const auto step = std::to_string(options_.engineStepMicroseconds_);
   for (const auto* kind : { "table", "objects", "members", "collector" }) {
     AddStandin(kind, kind, {});
--- a/test/unit/EnginesTest.cpp
+++ b/test/unit/EnginesTest.cpp
@@ -66,7 +66,7 @@
   const auto later = kNow + std::chrono::seconds{ 2 };
   health.OnFailure(later);
   CHECK_FALSE(health.IsUsable(later + milliseconds{ 1999 }));
-  health.OnSuccess(milliseconds{ 20 });
+  health.OnSuccess();
   CHECK_FALSE(health.IsOnTrial());
 }
 
@@ -76,7 +76,7 @@
   for (auto i = 0; i < 10; ++i) {
     health.OnFailure(kNow);
     health.OnFailure(kNow);
-    health.OnSuccess(milliseconds{ 20 });
+    health.OnSuccess();
   }
   CHECK(health.IsUsable(kNow));
   CHECK(health.FailureShare() > 0.3);
--- a/test/unit/GatewayPartsTest.cpp
+++ b/test/unit/GatewayPartsTest.cpp
@@ -104,8 +104,7 @@
     .configuration_ = { { .key_ = "c",
                           .value_ = std::string(100'000, 'x'),
                           .version_ = 3 } },
-    .engines_ = { { .key_ = "e", .version_ = 4, .removed_ = true } },
-    .engineRows_ = 4
+    .engines_ = { { .key_ = "e", .version_ = 4, .removed_ = true } }
   };
   CHECK(roundTrip(state) == state);
   const PeerFrame backlog =
