Let a host hold the fleet's turn for suspects for 2 s, not 8

A host with suspects of its own held the turn for up to 8 s, as long as the deadline itself; on a calm machine more hosts have suspects at once. A hold of 1 s passed 2 of 2, but leaves little beyond the 0.6 s that a reservation needs to settle.

--- a/goldcrestcroft/src/Policy/SoloQueue.h
+++ b/goldcrestcroft/src/Policy/SoloQueue.h
@@ -37,8 +37,10 @@
   {
     /** Reservation and peers' answers to it spread within this time. */
     Duration settle_ = std::chrono::milliseconds{ 600 };
-    /** Longest hold of the fleet's turn before others get a chance. */
-    Duration hold_ = std::chrono::seconds{ 8 };
+    /** Longest hold of the fleet's turn before others get a chance: a quarter
+     * of the users' deadline of 8 s, so that suspects at several hosts have
+     * their turn within it, and enough to settle, drain and run some. */
+    Duration hold_ = std::chrono::seconds{ 2 };
     /** Between tries to take the turn. */
     Duration retry_ = std::chrono::milliseconds{ 100 };
     std::size_t capacity_ = 256;
