Soak the real processes under random faults, seen from outside

Change: a program that starts entry hosts behind loopback proxies to callers, store and engines, brings about faults from a seeded plan (two of four families a phase, so that rules which excuse one kind of trouble still bind), and checks twelve promises from what callers, engines and the operator saw. Its checker is a pure function with a unit test that shows each check fail. Ruled out: one proxy for all hosts, since the store must turn some away; checks on logs or metrics, since these are the product's own word.

--- a/test/platform/EngineStandin.cpp
+++ b/test/platform/EngineStandin.cpp
@@ -34,21 +34,37 @@
 } // namespace
 
 EngineStandin::EngineStandin(asio::io_context& aContext,
-                             const std::string& aAddress, std::string aId)
-  : address_(aAddress)
+                             const std::string& aAddress, std::string aId,
+                             const std::string& aPublished)
+  : published_(aPublished.empty() ? aAddress : aPublished)
   , id_(std::move(aId))
   , server_(aContext, aAddress, [this](Request aRequest) -> Task<Reaction> {
     co_return Handle(aRequest);
   })
 {
+  Restart();
+}
+
+auto EngineStandin::Restart() -> void
+{
+  using std::chrono::system_clock;
+  const auto now = system_clock::now().time_since_epoch();
+  const std::lock_guard lock(mutex_);
+  born_ = static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+  sequence_ = 0;
+  results_.clear();
 }
 
 auto EngineStandin::Entry(const std::string& aService,
-                          const std::string& aState) const -> std::string
+                          const std::string& aState) -> std::string
 {
+  const std::lock_guard lock(mutex_);
   return json{
-    { "service", aService }, { "address", address_ }, { "zone", "z1" },
-    { "slots", 8 },          { "state", aState },     { "sequence", 1 }
+    { "service", aService },    { "address", published_ },
+    { "zone", "z1" },           { "slots", 8 },
+    { "state", aState },        { "born", born_ },
+    { "sequence", ++sequence_ }
   }.dump();
 }
 
@@ -58,6 +74,12 @@
   return runs_;
 }
 
+auto EngineStandin::Arrivals() -> std::vector<Arrival>
+{
+  const std::lock_guard lock(mutex_);
+  return arrivals_;
+}
+
 auto EngineStandin::LastHeader(const std::string& aName) -> std::string
 {
   const std::lock_guard lock(mutex_);
@@ -89,7 +111,7 @@
   ++calls_;
   for (auto left = call.at("items").size(); left > 0; --left) {
     ++pieces_;
-    const auto handle = address_ + "/" + std::to_string(nextResult_++);
+    const auto handle = published_ + "/" + std::to_string(nextResult_++);
     results_.insert(handle);
     items.push_back({ { "handle", handle } });
   }
@@ -124,6 +146,10 @@
   }
   const auto id = Header(aRequest, kRequestId);
   const auto trouble = trouble_.load();
+  arrivals_.push_back({ .requestId_ = id,
+                        .workspace_ = Header(aRequest, "Goldcrestcroft-Tenant"),
+                        .at_ = SuspendAwareClock{}.Now(),
+                        .ran_ = trouble != Trouble::Full });
   Reaction reaction{ .headers_ = { { kRequestId, id },
                                    { "Goldcrestcroft-Server-Load", "1,0,8" } },
                      .delay_ = std::chrono::milliseconds{ delayMs_ } };
--- a/test/platform/EngineStandin.h
+++ b/test/platform/EngineStandin.h
@@ -31,15 +31,29 @@
     Unsigned
   };
 
+  /** \brief A request or a call that reached the engine. */
+  struct Arrival
+  {
+    std::string requestId_;
+    std::string workspace_;
+    goldcrestcroft::TimePoint at_;
+    /** False where the engine refused it, unrun. */
+    bool ran_ = true;
+  };
+
+  /** \brief aPublished is the address that others are told, if another. */
   EngineStandin(goldcrestcroft::asio::io_context& aContext,
-                const std::string& aAddress, std::string aId);
+                const std::string& aAddress, std::string aId,
+                const std::string& aPublished = "");
 
   [[nodiscard]] auto Entry(const std::string& aService,
-                           const std::string& aState = "ready") const
-    -> std::string;
+                           const std::string& aState = "ready") -> std::string;
+  /** \brief Starts again under its id: it holds nothing of before. */
+  auto Restart() -> void;
   [[nodiscard]] auto Id() const -> const std::string& { return id_; }
   /** \brief How often each request ran, by its id. */
   [[nodiscard]] auto Runs() -> std::map<std::string, int>;
+  [[nodiscard]] auto Arrivals() -> std::vector<Arrival>;
   /** \brief A header of the last request that ran. */
   [[nodiscard]] auto LastHeader(const std::string& aName) -> std::string;
   [[nodiscard]] auto PiecesRun() -> std::size_t;
@@ -54,10 +68,13 @@
   auto RunPieces(const Request& aRequest) -> Reaction;
   auto Release(const Request& aRequest) -> Reaction;
 
-  std::string address_;
+  std::string published_;
   std::string id_;
   std::mutex mutex_;
+  std::uint64_t born_ = 0;
+  std::uint64_t sequence_ = 0;
   std::map<std::string, int> runs_;
+  std::vector<Arrival> arrivals_;
   goldcrestcroft::http::fields lastHeaders_;
   std::set<std::string> results_;
   std::size_t pieces_ = 0;
--- a/test/platform/PlatformStandin.cpp
+++ b/test/platform/PlatformStandin.cpp
@@ -46,8 +46,11 @@
   for (const auto* service : { "desk", "model", "cutter", "ranker" }) {
     for (std::size_t i = 0; i < options_.enginesOfEach_; ++i) {
       const auto id = "i-" + std::string(service) + std::to_string(i);
+      const auto prefix = options_.ip_ + ":";
+      ++port;
       engines_[service].push_back(std::make_unique<EngineStandin>(
-        context_, options_.ip_ + ":" + std::to_string(++port), id));
+        context_, prefix + std::to_string(port), id,
+        prefix + std::to_string(port + options_.publishedOffset_)));
       store_->Put("servers", id, engines_[service].back()->Entry(service));
     }
   }
@@ -67,7 +70,8 @@
 }
 
 auto PlatformStandin::PutConfig(unsigned aVersion,
-                                const std::string& aExtraPrefix) -> void
+                                const std::string& aExtraPrefix,
+                                const std::vector<std::string>& aKeys) -> void
 {
   auto stream = Route("/stream/", "streaming", "model", 2);
   stream["stream_resume"] = true;
@@ -95,8 +99,7 @@
     { "limits",
       { { "max_header_bytes", 4096 }, { "max_body_bytes", 100'000 } } },
     { "tenants",
-      json::array(
-        { { { "name", "w1" }, { "api_keys", json::array({ "key1" }) } } }) }
+      json::array({ { { "name", "w1" }, { "api_keys", json(aKeys) } } }) }
   };
   store_->Put("op", "config", config.dump());
 }
--- a/test/platform/PlatformStandin.h
+++ b/test/platform/PlatformStandin.h
@@ -18,6 +18,8 @@
     std::string ip_ = "127.0.0.1";
     std::uint16_t firstPort_ = 7300;
     std::size_t enginesOfEach_ = 2;
+    /** Added to the ports that engines tell others, for proxies before them. */
+    std::uint16_t publishedOffset_ = 0;
   };
 
   explicit PlatformStandin(Options aOptions);
@@ -33,9 +35,10 @@
     return engines_[aService];
   }
   [[nodiscard]] auto StoreAddress() const -> std::string;
-  /** \brief Writes the configuration; aExtraPrefix adds a plain route. */
-  auto PutConfig(unsigned aVersion, const std::string& aExtraPrefix = "")
-    -> void;
+  /** \brief Writes the configuration; aExtraPrefix adds a plain route, aKeys
+   * are the keys of workspace "w1". */
+  auto PutConfig(unsigned aVersion, const std::string& aExtraPrefix = "",
+                 const std::vector<std::string>& aKeys = { "key1" }) -> void;
   auto SetTrouble(const std::string& aService, EngineStandin::Trouble aTrouble)
     -> void;
 
--- a/test/process/Process.cpp
+++ b/test/process/Process.cpp
@@ -32,8 +32,18 @@
   posix_spawn_file_actions_destroy(&files);
 }
 
+namespace {
+
+auto ExitCodeOf(int aStatus) -> int
+{
+  return WIFEXITED(aStatus) ? WEXITSTATUS(aStatus) : -WTERMSIG(aStatus);
+}
+
+} // namespace
+
 Process::Process(Process&& aOther) noexcept
   : pid_(std::exchange(aOther.pid_, -1))
+  , exitCode_(aOther.exitCode_)
 {
 }
 
@@ -42,6 +52,7 @@
   if (this != &aOther) {
     Kill();
     pid_ = std::exchange(aOther.pid_, -1);
+    exitCode_ = aOther.exitCode_;
   }
   return *this;
 }
@@ -73,7 +84,8 @@
   }
   auto status = 0;
   waitpid(std::exchange(pid_, -1), &status, 0);
-  return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+  exitCode_ = ExitCodeOf(status);
+  return exitCode_;
 }
 
 auto Process::IsRunning() -> bool
@@ -84,6 +96,7 @@
   auto status = 0;
   if (waitpid(pid_, &status, WNOHANG) == pid_) {
     pid_ = -1;
+    exitCode_ = ExitCodeOf(status);
     return false;
   }
   return true;
--- a/test/process/Process.h
+++ b/test/process/Process.h
@@ -11,6 +11,7 @@
 class Process
 {
 public:
+  Process() = default;
   Process(const std::string& aProgram, std::vector<std::string> aWords,
           const std::string& aLog);
   ~Process();
@@ -23,9 +24,13 @@
   /** \brief Waits for the end and gives the exit code; below 0 by a signal. */
   auto Wait() -> int;
   [[nodiscard]] auto IsRunning() -> bool;
+  /** \brief Of a process that has ended; below 0 by a signal. */
+  [[nodiscard]] auto ExitCode() const -> int { return exitCode_; }
+  [[nodiscard]] auto Pid() const -> pid_t { return pid_; }
 
 private:
   pid_t pid_ = -1;
+  int exitCode_ = 0;
 };
 
 } // namespace testing
--- /dev/null
+++ b/test/soak/CallRecord.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "Disturbances.h"
+
+namespace soak {
+
+enum class CallKind
+{
+  Safe,
+  Unsafe,
+  Stream,
+  /** To the route that was added last. */
+  NewRoute,
+  /** With the key that was issued last. */
+  NewKey,
+  /** With a key that was taken away. */
+  OldKey
+};
+
+/** \brief One request, as its caller saw it. */
+struct CallRecord
+{
+  std::string id_;
+  std::size_t host_ = 0;
+  /** Process of that host, counted from its first start. */
+  unsigned life_ = 0;
+  CallKind kind_ = CallKind::Safe;
+  /** When the change on which the outcome depends was in the store. */
+  TimePoint changedAt_;
+  TimePoint sentAt_;
+  TimePoint endedAt_;
+  /** 0 where no whole head came. */
+  int status_ = 0;
+  bool whole_ = false;
+  bool gaveUp_ = false;
+  /** An own rule of the answer that it breaks; empty if none. */
+  std::string problem_;
+
+  [[nodiscard]] auto IsServed() const -> bool
+  {
+    return status_ == 200 && whole_;
+  }
+};
+
+} // namespace soak
--- /dev/null
+++ b/test/soak/Disturbances.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <goldcrestcroft/Core.h>
+
+#include <string>
+#include <vector>
+
+namespace soak {
+
+using goldcrestcroft::Duration;
+using goldcrestcroft::TimePoint;
+
+/** \brief When which part of the deployment was harmed. */
+class Disturbances
+{
+public:
+  /** \brief Returns a number for End. */
+  auto Begin(const std::string& aPart, TimePoint aNow) -> std::size_t
+  {
+    spans_.push_back(
+      { .part_ = aPart, .from_ = aNow, .to_ = TimePoint::max() });
+    return spans_.size() - 1;
+  }
+  auto End(std::size_t aNumber, TimePoint aNow) -> void
+  {
+    spans_[aNumber].to_ = aNow;
+  }
+  /** \brief Whether one of the parts was harmed at some time of the span. */
+  [[nodiscard]] auto Within(const std::vector<std::string>& aParts,
+                            TimePoint aFrom, TimePoint aTo) const -> bool
+  {
+    for (const auto& span : spans_) {
+      const auto overlaps = span.from_ <= aTo && span.to_ >= aFrom;
+      for (const auto& part : aParts) {
+        if (overlaps && span.part_ == part) {
+          return true;
+        }
+      }
+    }
+    return false;
+  }
+
+private:
+  struct Span
+  {
+    std::string part_;
+    TimePoint from_;
+    TimePoint to_;
+  };
+
+  std::vector<Span> spans_;
+};
+
+/** Names of the parts, as Disturbances holds them. */
+inline auto HostPart(std::size_t aHost) -> std::string
+{
+  return "host " + std::to_string(aHost);
+}
+inline auto CallerLinkPart(std::size_t aHost) -> std::string
+{
+  return "caller link " + std::to_string(aHost);
+}
+inline auto StoreLinkPart(std::size_t aHost) -> std::string
+{
+  return "store link " + std::to_string(aHost);
+}
+inline auto StopPart(std::size_t aHost) -> std::string
+{
+  return "planned stop " + std::to_string(aHost);
+}
+inline auto EnginePart(const std::string& aEngine) -> std::string
+{
+  return "engine " + aEngine;
+}
+inline constexpr auto kStorePart = "store";
+
+} // namespace soak
--- /dev/null
+++ b/test/soak/FaultInjector.cpp
@@ -0,0 +1,330 @@
+#include "FaultInjector.h"
+
+#include <csignal>
+#include <iostream>
+
+namespace soak {
+
+using namespace goldcrestcroft;
+using Trouble = standins::EngineStandin::Trouble;
+
+namespace {
+
+constexpr auto kLook = std::chrono::milliseconds{ 20 };
+/** Before a program's own code runs it cannot tell what signals do to it. */
+constexpr auto kLoadTime = std::chrono::milliseconds{ 100 };
+/** Between signals of a series. */
+constexpr auto kBetweenSignals = std::chrono::milliseconds{ 50 };
+constexpr auto kKilledWhileStopping = std::chrono::milliseconds{ 500 };
+/** Beyond its grace a stopping host has this long to end. */
+constexpr auto kStopSlack = std::chrono::milliseconds{ 2000 };
+constexpr auto kLongestDrain = std::chrono::milliseconds{ 6000 };
+
+auto Sleep(asio::io_context& aContext, Duration aTime) -> Task<void>
+{
+  asio::steady_timer timer(aContext, aTime);
+  co_await timer.async_wait(kAsTuple);
+}
+
+auto LinkFaultOf(const Fault& aFault) -> LinkFault
+{
+  constexpr std::array kFaults = {
+    LinkFault::Delayed, LinkFault::Reset,     LinkFault::Held,
+    LinkFault::Mute,    LinkFault::NoAnswers, LinkFault::NoRequests
+  };
+  return kFaults.at(aFault.variant_ % kFaults.size());
+}
+
+} // namespace
+
+FaultInjector::FaultInjector(asio::io_context& aContext, SoakFleet& aFleet)
+  : context_(aContext)
+  , fleet_(aFleet)
+{
+}
+
+auto FaultInjector::Now() const -> TimePoint
+{
+  return SuspendAwareClock{}.Now();
+}
+
+auto FaultInjector::Run(std::vector<Fault> aPlan) -> Task<void>
+{
+  const auto start = Now();
+  for (const auto& fault : aPlan) {
+    co_await Sleep(context_, start + fault.at_ - Now());
+    std::cout << "at " << fault.at_.count() << " ms for " << fault.for_.count()
+              << " ms: " << ToString(fault.kind_) << " " << fault.target_ << "/"
+              << fault.variant_ << std::endl;
+    ++running_;
+    asio::co_spawn(context_, Apply(fault),
+                   [this](const std::exception_ptr&) { --running_; });
+  }
+  while (running_ > 0) {
+    co_await Sleep(context_, kLook);
+  }
+}
+
+auto FaultInjector::Apply(Fault aFault) -> Task<void>
+{
+  switch (aFault.kind_) {
+    case FaultKind::HostPause:
+      return Pause(aFault);
+    case FaultKind::HostKill:
+      return Kill(aFault);
+    case FaultKind::HostStop:
+      return StopHost(aFault);
+    case FaultKind::HostReload:
+      return Reload(aFault);
+    case FaultKind::EngineLink:
+      return HarmLink(
+        fleet_.EngineLink(aFault.target_),
+        EnginePart(fleet_.Engines()[aFault.target_].standin_->Id()), aFault);
+    case FaultKind::EngineTrouble:
+    case FaultKind::EngineSlow:
+      return HarmEngine(aFault);
+    case FaultKind::EngineRestart:
+      return RestartEngine(aFault);
+    case FaultKind::StoreLink:
+      return HarmLink(fleet_.StoreLink(aFault.target_),
+                      StoreLinkPart(aFault.target_), aFault);
+    case FaultKind::StoreBusy:
+    case FaultKind::StoreLosesAnswers:
+    case FaultKind::StoreForgets:
+      return HarmStore(aFault);
+    case FaultKind::CallerLink:
+      return HarmLink(fleet_.CallerLink(aFault.target_),
+                      CallerLinkPart(aFault.target_), aFault);
+    case FaultKind::EngineDrain:
+      return Drain(aFault);
+    case FaultKind::NewRoute:
+    case FaultKind::KeyRevoked:
+      ChangeConfig(aFault.kind_);
+      break;
+  }
+  return Sleep(context_, Duration{});
+}
+
+auto FaultInjector::Pause(Fault aFault) -> Task<void>
+{
+  auto& host = fleet_.Hosts()[aFault.target_];
+  const auto harm = harm_.Begin(HostPart(aFault.target_), Now());
+  host.process_.Signal(SIGSTOP);
+  co_await Sleep(context_, aFault.for_);
+  host.process_.Signal(SIGCONT);
+  harm_.End(harm, Now());
+}
+
+auto FaultInjector::Kill(Fault aFault) -> Task<void>
+{
+  auto& host = fleet_.Hosts()[aFault.target_];
+  if (host.down_) {
+    co_return;
+  }
+  host.down_ = true;
+  const auto harm = harm_.Begin(HostPart(aFault.target_), Now());
+  host.process_.Kill();
+  co_await Sleep(context_, aFault.for_);
+  fleet_.Start(aFault.target_);
+  harm_.End(harm, Now());
+}
+
+auto FaultInjector::AwaitEnd(std::size_t aHost) -> Task<bool>
+{
+  auto& host = fleet_.Hosts()[aHost];
+  const auto from = Now();
+  auto until = from + SoakFleet::kGrace + kStopSlack;
+  while (host.process_.IsRunning()) {
+    // A host that stands still cannot end.
+    if (harm_.Within({ HostPart(aHost) }, Now(), Now())) {
+      until = Now() + SoakFleet::kGrace + kStopSlack;
+    }
+    if (Now() > until) {
+      co_return false;
+    }
+    co_await Sleep(context_, kLook);
+  }
+  co_return true;
+}
+
+auto FaultInjector::StopHost(Fault aFault) -> Task<void>
+{
+  const auto number = aFault.target_;
+  auto& host = fleet_.Hosts()[number];
+  if (host.down_) {
+    co_return;
+  }
+  host.down_ = true;
+  const auto stop = harm_.Begin(StopPart(number), Now());
+  host.process_.Signal(SIGTERM);
+  enum : std::size_t
+  {
+    KilledToo,
+    ToldTwice,
+    Forms = 4
+  };
+  if (aFault.variant_ % Forms == ToldTwice) {
+    co_await Sleep(context_, kBetweenSignals);
+    host.process_.Signal(SIGHUP);
+    host.process_.Signal(SIGTERM);
+  }
+  if (aFault.variant_ % Forms == KilledToo) {
+    co_await Sleep(context_, kKilledWhileStopping);
+    const auto harm = harm_.Begin(HostPart(number), Now());
+    host.process_.Kill();
+    harm_.End(harm, Now());
+  } else {
+    const auto ended = co_await AwaitEnd(number);
+    if (!ended) {
+      problems_.push_back("host " + std::to_string(number) +
+                          " does not end after SIGTERM");
+      host.process_.Kill();
+    } else if (host.process_.ExitCode() != 0) {
+      problems_.push_back("host " + std::to_string(number) +
+                          " ends after SIGTERM with code " +
+                          std::to_string(host.process_.ExitCode()));
+    }
+  }
+  co_await Sleep(context_, aFault.for_);
+  fleet_.Start(number);
+  harm_.End(stop, Now());
+}
+
+auto FaultInjector::Reload(Fault aFault) -> Task<void>
+{
+  constexpr std::size_t kMost = 3;
+  for (auto left = 1 + aFault.variant_ % kMost; left > 0; --left) {
+    const auto& host = fleet_.Hosts()[aFault.target_];
+    if (!host.down_ && Now() - host.startedAt_ > kLoadTime) {
+      host.process_.Signal(SIGHUP);
+    }
+    co_await Sleep(context_, kBetweenSignals);
+  }
+}
+
+auto FaultInjector::HarmLink(LoopbackProxy& aLink, std::string aPart,
+                             Fault aFault) -> Task<void>
+{
+  const auto harm = harm_.Begin(aPart, Now());
+  ++active_[aPart];
+  aLink.Set(LinkFaultOf(aFault), aFault.for_ / 4);
+  co_await Sleep(context_, aFault.for_);
+  if (--active_[aPart] == 0) {
+    aLink.Set(LinkFault::None);
+  }
+  harm_.End(harm, Now());
+}
+
+auto FaultInjector::HarmEngine(Fault aFault) -> Task<void>
+{
+  constexpr std::array kTroubles = { Trouble::Drops, Trouble::Cuts,
+                                     Trouble::Stray, Trouble::Full,
+                                     Trouble::Fails, Trouble::Unsigned };
+  constexpr auto kSlowest = 2000;
+  auto& engine = *fleet_.Engines()[aFault.target_].standin_;
+  const auto part = EnginePart(engine.Id());
+  const auto harm = harm_.Begin(part, Now());
+  ++active_[part];
+  if (aFault.kind_ == FaultKind::EngineSlow) {
+    engine.delayMs_ = static_cast<int>(aFault.variant_ * 100 % kSlowest);
+  } else {
+    engine.trouble_ = kTroubles.at(aFault.variant_ % kTroubles.size());
+  }
+  co_await Sleep(context_, aFault.for_);
+  if (--active_[part] == 0) {
+    engine.trouble_ = Trouble::None;
+    engine.delayMs_ = 0;
+    fleet_.EngineLink(aFault.target_).Set(LinkFault::None);
+  }
+  harm_.End(harm, Now());
+}
+
+auto FaultInjector::RestartEngine(Fault aFault) -> Task<void>
+{
+  auto& engine = fleet_.Engines()[aFault.target_];
+  const auto part = EnginePart(engine.standin_->Id());
+  const auto harm = harm_.Begin(part, Now());
+  ++active_[part];
+  fleet_.EngineLink(aFault.target_).Set(LinkFault::Reset);
+  co_await Sleep(context_, aFault.for_);
+  if (--active_[part] == 0) {
+    fleet_.EngineLink(aFault.target_).Set(LinkFault::None);
+  }
+  engine.standin_->Restart();
+  fleet_.Platform().Store().Put(
+    "servers", engine.standin_->Id(),
+    engine.standin_->Entry(engine.service_,
+                           engine.draining_ ? "draining" : "ready"));
+  harm_.End(harm, Now());
+}
+
+auto FaultInjector::Drain(Fault aFault) -> Task<void>
+{
+  auto& engine = fleet_.Engines()[aFault.target_];
+  for (const auto& other : fleet_.Engines()) {
+    if (other.service_ == engine.service_ && other.draining_) {
+      co_return; // The service would be left with too few.
+    }
+  }
+  auto& store = fleet_.Platform().Store();
+  const auto& id = engine.standin_->Id();
+  engine.draining_ = true;
+  store.Put("servers", id, engine.standin_->Entry(engine.service_, "draining"));
+  const auto drain = drains_.size();
+  drains_.push_back({ .engine_ = id, .from_ = Now() });
+  co_await Sleep(context_, kLongestDrain);
+  engine.draining_ = false;
+  drains_[drain].to_ = Now();
+  store.Put("servers", id, engine.standin_->Entry(engine.service_, "ready"));
+}
+
+auto FaultInjector::HarmStore(Fault aFault) -> Task<void>
+{
+  auto& store = fleet_.Platform().Store();
+  auto& flag = aFault.kind_ == FaultKind::StoreBusy      ? store.busy_
+               : aFault.kind_ == FaultKind::StoreForgets ? store.forgets_
+                                                         : store.losesAnswers_;
+  const auto name = ToString(aFault.kind_);
+  const auto harm = harm_.Begin(kStorePart, Now());
+  ++active_[name];
+  flag = true;
+  co_await Sleep(context_, aFault.for_);
+  if (--active_[name] == 0) {
+    flag = false;
+  }
+  harm_.End(harm, Now());
+}
+
+auto FaultInjector::ChangeConfig(FaultKind aKind) -> void
+{
+  ++operator_.version_;
+  if (aKind == FaultKind::NewRoute) {
+    operator_.route_ = "/new-" + std::to_string(++routes_) + "/";
+    operator_.routeSince_ = Now();
+  } else {
+    operator_.oldKey_ = operator_.key_ == "key1" ? "" : operator_.key_;
+    operator_.key_ = "key-of-" + std::to_string(++keys_);
+    operator_.oldKeySince_ = Now();
+    operator_.keySince_ = Now();
+  }
+  fleet_.Platform().PutConfig(operator_.version_, operator_.route_,
+                              { "key1", operator_.key_ });
+}
+
+auto FaultInjector::Watch() -> Task<void>
+{
+  while (!stops_) {
+    for (std::size_t i = 0; i < fleet_.Hosts().size(); ++i) {
+      auto& host = fleet_.Hosts()[i];
+      if (!host.down_ && !host.process_.IsRunning()) {
+        problems_.push_back("host " + std::to_string(i) +
+                            " ended by itself, code " +
+                            std::to_string(host.process_.ExitCode()));
+        fleet_.Start(i);
+      }
+    }
+    co_await Sleep(context_, kLook);
+  }
+}
+
+} // namespace soak
--- /dev/null
+++ b/test/soak/SoakCaller.cpp
@@ -0,0 +1,173 @@
+#include "SoakCaller.h"
+
+#include <boost/beast/core/tcp_stream.hpp>
+
+namespace soak {
+
+using namespace goldcrestcroft;
+
+namespace {
+
+constexpr auto kConnectTime = std::chrono::milliseconds{ 1000 };
+/** Longer than the rules give a host after a deadline, to see what it does. */
+constexpr auto kPatience = std::chrono::milliseconds{ 5000 };
+constexpr auto kBackOff = std::chrono::milliseconds{ 50 };
+constexpr int kThinkMs = 60;
+constexpr int kMostCallsOfConnection = 40;
+constexpr int kEvents = 6;
+constexpr int kPercent = 100;
+constexpr int kGiveUpPercent = 2;
+
+auto Sleep(asio::io_context& aContext, Duration aTime) -> Task<void>
+{
+  asio::steady_timer timer(aContext, aTime);
+  co_await timer.async_wait(kAsTuple);
+}
+
+auto IsWholeStream(const std::string& aBody, const std::string& aId) -> bool
+{
+  std::string expected;
+  for (auto i = 1; i <= kEvents; ++i) {
+    expected += "id: " + std::to_string(i) + "\ndata: " + aId + "\n\n";
+  }
+  return aBody == expected;
+}
+
+} // namespace
+
+SoakCaller::SoakCaller(asio::io_context& aContext, SoakFleet& aFleet,
+                       const OperatorState& aOperator,
+                       std::vector<CallRecord>& aRecords, std::uint64_t aSeed)
+  : context_(aContext)
+  , fleet_(aFleet)
+  , operator_(aOperator)
+  , records_(aRecords)
+  , random_(aSeed)
+  , name_("caller-" + std::to_string(aSeed))
+{
+}
+
+auto SoakCaller::Pick(int aBelow) -> int
+{
+  return std::uniform_int_distribution<int>(0, aBelow - 1)(random_);
+}
+
+auto SoakCaller::Run() -> Task<void>
+{
+  while (!stops_) {
+    const auto hosts = static_cast<int>(fleet_.Hosts().size());
+    co_await UseConnection(static_cast<std::size_t>(Pick(hosts)));
+    co_await Sleep(context_, kBackOff);
+  }
+}
+
+auto SoakCaller::MakeCall(CallRecord& aRecord) -> HttpCall
+{
+  struct Form
+  {
+    CallKind kind_;
+    std::string target_;
+    std::string key_;
+    TimePoint since_;
+  };
+  std::vector<Form> forms;
+  for (auto i = 0; i < 4; ++i) {
+    forms.push_back({ CallKind::Safe, "/safe/x", "key1", {} });
+    forms.push_back({ CallKind::Unsafe, "/unsafe/x", "key1", {} });
+    forms.push_back({ CallKind::Stream, "/stream/x", "key1", {} });
+  }
+  const auto& now = operator_;
+  if (!now.route_.empty()) {
+    forms.push_back(
+      { CallKind::NewRoute, now.route_ + "x", "key1", now.routeSince_ });
+  }
+  forms.push_back({ CallKind::NewKey, "/safe/x", now.key_, now.keySince_ });
+  if (!now.oldKey_.empty()) {
+    forms.push_back(
+      { CallKind::OldKey, "/safe/x", now.oldKey_, now.oldKeySince_ });
+  }
+  const auto& form =
+    forms[static_cast<std::size_t>(Pick(static_cast<int>(forms.size())))];
+  aRecord.id_ = name_ + "-" + std::to_string(++calls_);
+  aRecord.kind_ = form.kind_;
+  aRecord.changedAt_ = form.since_;
+  const auto posts = form.kind_ == CallKind::Unsafe;
+  HttpCall call(posts ? http::verb::post : http::verb::get, form.target_, 11);
+  call.set("Host", "try.example");
+  call.set("X-Api-Key", form.key_);
+  call.set("Goldcrestcroft-Request-Id", aRecord.id_);
+  call.set("Goldcrestcroft-Deadline-Ms", std::to_string(kTimeLeft.count()));
+  call.set("Goldcrestcroft-Pieces", "2,3");
+  call.set("Goldcrestcroft-Piece-Key", aRecord.id_);
+  call.body() = posts ? "body of " + aRecord.id_ : "";
+  call.prepare_payload();
+  return call;
+}
+
+auto SoakCaller::Judge(const http::response<http::string_body>& aAnswer,
+                       const HttpCall& aCall, CallRecord& aRecord) const -> void
+{
+  const auto isSigned = aAnswer.count("Goldcrestcroft-Server-Seal") > 0;
+  const auto status = aAnswer.result_int();
+  if (isSigned && status != 200 && status != 500) {
+    aRecord.problem_ = "a signed answer has another status than the engine's";
+  }
+  if (!aRecord.IsServed()) {
+    return;
+  }
+  const auto expected = "answer to " + aRecord.id_ + " " + aCall.body();
+  const auto same = aRecord.kind_ == CallKind::Stream
+                      ? IsWholeStream(aAnswer.body(), aRecord.id_)
+                      : aAnswer.body() == expected;
+  if (!isSigned) {
+    aRecord.problem_ = "a success without the engine's signature";
+  } else if (!same) {
+    aRecord.problem_ = "a success with another body: " + aAnswer.body();
+  }
+}
+
+auto SoakCaller::UseConnection(std::size_t aHost) -> Task<void>
+{
+  const SuspendAwareClock clock;
+  beast::tcp_stream stream(context_);
+  stream.expires_after(kConnectTime);
+  const auto address = ParseTcpEndpoint(fleet_.CallerAddress(aHost));
+  const auto [connectError] = co_await stream.async_connect(address, kAsTuple);
+  if (connectError) {
+    co_return;
+  }
+  beast::flat_buffer buffer;
+  for (auto left = kMostCallsOfConnection; left > 0 && !stops_; --left) {
+    CallRecord record{ .host_ = aHost, .life_ = fleet_.Hosts()[aHost].life_ };
+    const auto call = MakeCall(record);
+    record.gaveUp_ = Pick(kPercent) < kGiveUpPercent;
+    const auto patience = record.gaveUp_
+                            ? std::chrono::milliseconds{ 1 + Pick(kThinkMs) }
+                            : kPatience;
+    stream.expires_after(patience);
+    record.sentAt_ = clock.Now();
+    co_await http::async_write(stream, call, kAsTuple);
+    http::response_parser<http::string_body> parser;
+    auto [error, size] =
+      co_await http::async_read_header(stream, buffer, parser, kAsTuple);
+    if (!error) {
+      record.status_ = static_cast<int>(parser.get().result_int());
+      std::tie(error, size) =
+        co_await http::async_read(stream, buffer, parser, kAsTuple);
+    }
+    record.endedAt_ = clock.Now();
+    record.whole_ = !error && parser.is_done();
+    record.gaveUp_ = record.gaveUp_ && error == beast::error::timeout;
+    const auto keeps = record.whole_ && parser.get().keep_alive();
+    if (record.status_ != 0) {
+      Judge(parser.get(), call, record);
+    }
+    records_.push_back(std::move(record));
+    if (!keeps) {
+      co_return;
+    }
+    co_await Sleep(context_, std::chrono::milliseconds{ Pick(kThinkMs) });
+  }
+}
+
+} // namespace soak
--- /dev/null
+++ b/test/soak/SoakFleet.cpp
@@ -0,0 +1,102 @@
+#include "SoakFleet.h"
+
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+
+namespace soak {
+
+namespace {
+
+constexpr std::uint16_t kPlatformPort = 7500;
+constexpr std::uint16_t kPublishedOffset = 100;
+constexpr std::uint16_t kHostPort = 8500;
+constexpr std::uint16_t kPortsOfHost = 10;
+constexpr std::uint16_t kCallerLinkPort = 9000;
+constexpr std::uint16_t kStoreLinkPort = 9100;
+
+auto HostPort(std::size_t aHost, std::size_t aUse) -> std::size_t
+{
+  return kHostPort + aHost * kPortsOfHost + aUse;
+}
+
+} // namespace
+
+SoakFleet::SoakFleet(asio::io_context& aContext, Options aOptions)
+  : options_(std::move(aOptions))
+  , platform_({ .ip_ = options_.ip_,
+                .firstPort_ = kPlatformPort,
+                .enginesOfEach_ = options_.enginesOfEach_,
+                .publishedOffset_ = kPublishedOffset })
+{
+  std::size_t port = kPlatformPort;
+  for (const auto* service : { "desk", "model", "cutter", "ranker" }) {
+    for (const auto& engine : platform_.Engines(service)) {
+      ++port;
+      engines_.push_back({ .standin_ = engine.get(), .service_ = service });
+      engineLinks_.push_back(std::make_unique<LoopbackProxy>(
+        aContext, Local(port + kPublishedOffset), Local(port)));
+    }
+  }
+  for (std::size_t host = 0; host < options_.hosts_; ++host) {
+    callerLinks_.push_back(std::make_unique<LoopbackProxy>(
+      aContext, CallerAddress(host), Local(HostPort(host, 0))));
+    storeLinks_.push_back(std::make_unique<LoopbackProxy>(
+      aContext, Local(kStoreLinkPort + host), platform_.StoreAddress()));
+    WriteSettings(host);
+    hosts_.push_back({ .process_ = testing::Process() });
+    Start(host);
+  }
+}
+
+auto SoakFleet::Local(std::size_t aPort) const -> std::string
+{
+  return options_.ip_ + ":" + std::to_string(aPort);
+}
+
+auto SoakFleet::CallerAddress(std::size_t aHost) const -> std::string
+{
+  return Local(kCallerLinkPort + aHost);
+}
+
+auto SoakFleet::ReadinessAddress(std::size_t aHost) const -> std::string
+{
+  return Local(HostPort(aHost, 1));
+}
+
+auto SoakFleet::SettingsFile(std::size_t aHost) const -> std::string
+{
+  return options_.folder_ + "/host-" + std::to_string(aHost) + ".json";
+}
+
+auto SoakFleet::WriteSettings(std::size_t aHost) const -> void
+{
+  const nlohmann::json settings{ { "host", "h" + std::to_string(aHost) },
+                                 { "availability_zone", "z1" },
+                                 { "ip", options_.ip_ },
+                                 { "callers", Local(HostPort(aHost, 0)) },
+                                 { "readiness", ReadinessAddress(aHost) },
+                                 { "directory", Local(HostPort(aHost, 2)) },
+                                 { "metrics", Local(HostPort(aHost, 3)) },
+                                 { "peer_port", HostPort(aHost, 5) },
+                                 { "store", Local(kStoreLinkPort + aHost) },
+                                 { "grace_s", kGrace.count() },
+                                 { "repeat_ratio", kRepeatRatio },
+                                 { "repeat_slack", kRepeatSlack },
+                                 { "repeat_window_s", kRepeatWindow.count() },
+                                 { "directory_keep_s", 0.3 } };
+  std::ofstream(SettingsFile(aHost)) << settings.dump(2);
+}
+
+auto SoakFleet::Start(std::size_t aHost) -> void
+{
+  auto& host = hosts_[aHost];
+  host.process_ =
+    testing::Process(options_.program_, { "entry", SettingsFile(aHost) },
+                     options_.folder_ + "/log-" + std::to_string(aHost));
+  host.down_ = false;
+  ++host.life_;
+  host.startedAt_ = goldcrestcroft::SuspendAwareClock{}.Now();
+}
+
+} // namespace soak
--- /dev/null
+++ b/test/soak/SoakPlan.cpp
@@ -0,0 +1,116 @@
+#include "SoakPlan.h"
+
+#include <algorithm>
+#include <array>
+#include <random>
+
+namespace soak {
+
+namespace {
+
+using Kinds = std::vector<FaultKind>;
+
+constexpr Millis kPhase{ 8000 };
+/** Between faults of a phase, on average. */
+constexpr Millis kGap{ 700 };
+constexpr Millis kPlannedGap{ 1500 };
+constexpr Millis kShortest{ 100 };
+constexpr Millis kLongest{ 4000 };
+constexpr std::size_t kVariants = 64;
+
+const std::array<Kinds, 4> kFamilies = {
+  Kinds{ FaultKind::HostPause, FaultKind::HostKill, FaultKind::HostStop,
+         FaultKind::HostReload },
+  Kinds{ FaultKind::EngineLink, FaultKind::EngineTrouble, FaultKind::EngineSlow,
+         FaultKind::EngineRestart },
+  Kinds{ FaultKind::StoreLink, FaultKind::StoreBusy,
+         FaultKind::StoreLosesAnswers, FaultKind::StoreForgets },
+  Kinds{ FaultKind::CallerLink }
+};
+const Kinds kPlanned = { FaultKind::EngineDrain, FaultKind::NewRoute,
+                         FaultKind::KeyRevoked };
+
+class Planner
+{
+public:
+  Planner(std::uint64_t aSeed, std::size_t aHosts, std::size_t aEngines)
+    : random_(aSeed)
+    , hosts_(aHosts)
+    , engines_(aEngines)
+  {
+  }
+
+  auto Fill(Millis aFrom, Millis aTo, const Kinds& aKinds, Millis aGap) -> void
+  {
+    std::exponential_distribution<double> gap(
+      1.0 / static_cast<double>(aGap.count()));
+    auto at = aFrom;
+    for (;;) {
+      at += Millis(static_cast<Millis::rep>(gap(random_)));
+      if (at >= aTo) {
+        return;
+      }
+      faults_.push_back(Make(at, aTo, aKinds[Pick(aKinds.size())]));
+    }
+  }
+  auto Pick(std::size_t aCount) -> std::size_t
+  {
+    return std::uniform_int_distribution<std::size_t>(0, aCount - 1)(random_);
+  }
+  auto Take() -> std::vector<Fault>
+  {
+    std::sort(faults_.begin(), faults_.end());
+    return std::move(faults_);
+  }
+
+private:
+  auto Make(Millis aAt, Millis aTo, FaultKind aKind) -> Fault
+  {
+    std::uniform_int_distribution<Millis::rep> length(kShortest.count(),
+                                                      kLongest.count());
+    const auto onEngine =
+      aKind == FaultKind::EngineLink || aKind == FaultKind::EngineTrouble ||
+      aKind == FaultKind::EngineSlow || aKind == FaultKind::EngineRestart ||
+      aKind == FaultKind::EngineDrain;
+    return { .at_ = aAt,
+             .for_ = std::min(Millis(length(random_)), aTo - aAt),
+             .kind_ = aKind,
+             .target_ = Pick(onEngine ? engines_ : hosts_),
+             .variant_ = Pick(kVariants) };
+  }
+
+  std::mt19937_64 random_;
+  std::size_t hosts_;
+  std::size_t engines_;
+  std::vector<Fault> faults_;
+};
+
+} // namespace
+
+auto ToString(FaultKind aKind) -> std::string
+{
+  constexpr std::array kNames = {
+    "host_pause",  "host_kill",      "host_stop",           "host_reload",
+    "engine_link", "engine_trouble", "engine_slow",         "engine_restart",
+    "store_link",  "store_busy",     "store_loses_answers", "store_forgets",
+    "caller_link", "engine_drain",   "new_route",           "key_revoked"
+  };
+  return kNames.at(static_cast<std::size_t>(aKind));
+}
+
+auto MakeSoakPlan(std::uint64_t aSeed, Millis aLength, std::size_t aHosts,
+                  std::size_t aEngines) -> std::vector<Fault>
+{
+  Planner planner(aSeed, aHosts, aEngines);
+  planner.Fill(Millis{ 0 }, aLength, kPlanned, kPlannedGap);
+  for (Millis from{ 0 }; from < aLength; from += kPhase) {
+    const auto to = std::min(from + kPhase, aLength);
+    const auto first = planner.Pick(kFamilies.size());
+    const auto second = planner.Pick(kFamilies.size());
+    planner.Fill(from, to, kFamilies[first], kGap);
+    planner.Fill(from, to, kFamilies[second], kGap);
+  }
+  return planner.Take();
+}
+
+} // namespace soak
--- /dev/null
+++ b/test/soak/main.cpp
@@ -0,0 +1,213 @@
+#include "../process/EntryFleet.h"
+#include "../process/TempFolder.h"
+#include "SoakChecker.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+
+#include <fstream>
+#include <iostream>
+
+ABSL_FLAG(std::uint64_t, seed, 1, "picks faults and calls");
+ABSL_FLAG(double, seconds, 20.0, "how long faults are brought about");
+ABSL_FLAG(std::string, ip, "127.0.0.1",
+          "loopback address of the run; another for each run at a time");
+ABSL_FLAG(std::size_t, hosts, 4, "entry hosts");
+ABSL_FLAG(std::size_t, callers, 24, "callers, with one request each at a time");
+
+namespace soak {
+
+using namespace goldcrestcroft;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** After the last fault all hosts serve again within this. */
+constexpr Duration kRecover = 15s;
+constexpr Duration kCalm = 3s;
+/** Requests under way at the end are answered within this. */
+constexpr Duration kLastAnswers = 2s;
+constexpr auto kLook = std::chrono::milliseconds{ 200 };
+/** Part of the share served before the faults that must be served after. */
+constexpr auto kShareOfBefore = 0.9;
+/** Memory that a host may use, in MB. */
+constexpr auto kMostMegabytes = 64.0;
+
+struct Shares
+{
+  double before_ = 0.0;
+  double after_ = 0.0;
+  bool allReady_ = false;
+};
+
+auto Sleep(asio::io_context& aContext, Duration aTime) -> Task<void>
+{
+  asio::steady_timer timer(aContext, aTime);
+  co_await timer.async_wait(kAsTuple);
+}
+
+auto ShareServed(const std::vector<CallRecord>& aCalls, std::size_t aFrom)
+  -> double
+{
+  auto served = 0.0;
+  auto asked = 0.0;
+  for (auto i = aFrom; i < aCalls.size(); ++i) {
+    const auto owed = !aCalls[i].gaveUp_ && aCalls[i].kind_ != CallKind::OldKey;
+    asked += owed ? 1.0 : 0.0;
+    served += owed && aCalls[i].IsServed() ? 1.0 : 0.0;
+  }
+  return asked > 0.0 ? served / asked : 0.0;
+}
+
+auto MegabytesOf(pid_t aProcess) -> double
+{
+  std::ifstream file("/proc/" + std::to_string(aProcess) + "/statm");
+  auto total = 0.0;
+  auto resident = 0.0;
+  constexpr auto kPage = 4096.0;
+  file >> total >> resident;
+  return resident * kPage / 1e6;
+}
+
+auto IsReady(SoakFleet& aFleet, std::size_t aHost) -> bool
+{
+  return testing::SendCall(aFleet.ReadinessAddress(aHost),
+                           { .target_ = "/readyz" })
+           .status_ == 200;
+}
+
+auto AwaitAllReady(asio::io_context& aContext, SoakFleet& aFleet) -> Task<bool>
+{
+  const auto until = SuspendAwareClock{}.Now() + kRecover;
+  for (;;) {
+    auto ready = true;
+    for (std::size_t i = 0; i < aFleet.Hosts().size(); ++i) {
+      ready = ready && IsReady(aFleet, i);
+    }
+    if (ready || SuspendAwareClock{}.Now() > until) {
+      co_return ready;
+    }
+    co_await Sleep(aContext, kLook);
+  }
+}
+
+/** Calm, faults, recovery, calm. */
+auto Play(asio::io_context& aContext, SoakFleet& aFleet,
+          FaultInjector& aInjector, std::vector<Fault> aPlan,
+          std::vector<std::unique_ptr<SoakCaller>>& aCallers,
+          const std::vector<CallRecord>& aCalls, Shares& aShares) -> Task<void>
+{
+  co_await Sleep(aContext, kCalm);
+  aShares.before_ = ShareServed(aCalls, 0);
+  co_await aInjector.Run(std::move(aPlan));
+  const auto recovery = SuspendAwareClock{}.Now() + kRecover;
+  aShares.allReady_ = co_await AwaitAllReady(aContext, aFleet);
+  co_await Sleep(aContext, recovery - SuspendAwareClock{}.Now());
+  const auto from = aCalls.size();
+  co_await Sleep(aContext, kCalm);
+  aShares.after_ = ShareServed(aCalls, from);
+  aInjector.Stop();
+  for (const auto& caller : aCallers) {
+    caller->Stop();
+  }
+  co_await Sleep(aContext, kLastAnswers);
+  aContext.stop();
+}
+
+auto Evidence(SoakFleet& aFleet, const FaultInjector& aInjector,
+              const std::vector<CallRecord>& aCalls) -> SoakEvidence
+{
+  SoakEvidence evidence{ .calls_ = aCalls,
+                         .harm_ = aInjector.Harm(),
+                         .drains_ = aInjector.Drains() };
+  for (const auto& engine : aFleet.Engines()) {
+    evidence.arrivals_[engine.standin_->Id()] = engine.standin_->Arrivals();
+    evidence.serviceOfEngine_[engine.standin_->Id()] = engine.service_;
+  }
+  return evidence;
+}
+
+auto Summarise(const std::vector<CallRecord>& aCalls, const Shares& aShares)
+  -> void
+{
+  std::map<int, int> byStatus;
+  for (const auto& call : aCalls) {
+    ++byStatus[call.status_];
+  }
+  std::cout << aCalls.size() << " requests;";
+  for (const auto& [status, count] : byStatus) {
+    std::cout << " " << status << ": " << count;
+  }
+  std::cout << "; served before " << aShares.before_ << ", after "
+            << aShares.after_ << std::endl;
+}
+
+auto RunSoak() -> int
+{
+  const auto seed = absl::GetFlag(FLAGS_seed);
+  const auto folder = testing::MakeTempFolder();
+  std::cout << "seed " << seed << ", logs in " << folder << std::endl;
+  asio::io_context context;
+  SoakFleet fleet(context, { .program_ = std::string(BUILD_FOLDER) +
+                                         "/goldcrestcroft/goldcrestcroft",
+                             .folder_ = folder,
+                             .ip_ = absl::GetFlag(FLAGS_ip),
+                             .hosts_ = absl::GetFlag(FLAGS_hosts) });
+  FaultInjector injector(context, fleet);
+  std::vector<CallRecord> calls;
+  std::vector<std::unique_ptr<SoakCaller>> callers;
+  for (std::size_t i = 0; i < absl::GetFlag(FLAGS_callers); ++i) {
+    callers.push_back(std::make_unique<SoakCaller>(
+      context, fleet, injector.Operator(), calls, seed * 1000 + i));
+  }
+  const Millis length(
+    static_cast<Millis::rep>(absl::GetFlag(FLAGS_seconds) * 1000.0));
+  auto plan =
+    MakeSoakPlan(seed, length, fleet.Hosts().size(), fleet.Engines().size());
+  Shares shares;
+  const auto begin = [&]() -> Task<void> {
+    const auto ready = co_await AwaitAllReady(context, fleet);
+    if (!ready) {
+      std::cout << "the hosts do not get ready" << std::endl;
+    }
+    for (const auto& caller : callers) {
+      asio::co_spawn(context, caller->Run(), asio::detached);
+    }
+    asio::co_spawn(context, injector.Watch(), asio::detached);
+    co_await Play(context, fleet, injector, std::move(plan), callers, calls,
+                  shares);
+  };
+  asio::co_spawn(context, begin(), asio::detached);
+  context.run();
+
+  Summarise(calls, shares);
+  auto broken = FindBrokenPromises(Evidence(fleet, injector, calls));
+  for (const auto& problem : injector.Problems()) {
+    broken.push_back("process: " + problem);
+  }
+  if (!shares.allReady_ || shares.after_ < kShareOfBefore * shares.before_) {
+    broken.emplace_back("recover: the fleet does not serve as before");
+  }
+  for (const auto& host : fleet.Hosts()) {
+    const auto used = MegabytesOf(host.process_.Pid());
+    if (used > kMostMegabytes) {
+      broken.push_back("memory: a host uses " + std::to_string(used) + " MB");
+    }
+  }
+  for (const auto& line : broken) {
+    std::cout << "BROKEN " << line << std::endl;
+  }
+  std::cout << (broken.empty() ? "no promise broken" : "seed is red")
+            << std::endl;
+  return broken.empty() ? 0 : 1;
+}
+
+} // namespace
+
+} // namespace soak
+
+auto main(int aCount, char** aWords) -> int
+{
+  absl::ParseCommandLine(aCount, aWords);
+  return soak::RunSoak();
+}
