Forgive a request the losses of engines once it has run to its end

A request is told by path, workspace and body; one that many callers send is under way on nearly every engine that breaks off, so three lost engines held it back. Ruled out: counting only engines that ran it alone, since a poison beside others would never be found; a shorter hold, since each end of it costs an engine. Change: a run to the end forgives the losses so far, at this host and by news at the others; news that peers told is forgotten after it is no longer repeated, where its table filled up for good before. Conclusion: poison is still held back, since it never ends.

--- a/goldcrestcroft/src/Engines/CrashSuspects.h
+++ b/goldcrestcroft/src/Engines/CrashSuspects.h
@@ -11,7 +11,7 @@
  *
  * A request is told by its path, workspace and body, so that it is known again
  * under another id and at another host. After it has been seen on enough
- * engines that broke off, it is held back. */
+ * engines that broke off, and on none to its end since, it is held back. */
 class CrashSuspects
 {
 public:
@@ -32,6 +32,9 @@
   /** \brief Returns whether this was not known before. */
   auto OnCrash(std::uint64_t aFingerprint, std::uint64_t aEngine,
                TimePoint aNow) -> bool;
+  /** \brief An engine ran it to its end, so it was not the cause of the losses
+   * so far. Returns whether any were counted. */
+  auto OnCompleted(std::uint64_t aFingerprint) -> bool;
   [[nodiscard]] auto IsHeldBack(std::uint64_t aFingerprint,
                                 TimePoint aNow) const -> bool;
 
@@ -39,6 +42,8 @@
   struct Entry
   {
     std::set<std::uint64_t> engines_;
+    /** So many of them do not count. */
+    std::size_t forgiven_ = 0;
     TimePoint until_;
   };
 
--- a/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
@@ -80,6 +80,9 @@
       crashTimes_.erase(crashTimes_.begin());
       crashes_.erase(crashes_.begin());
     }
+    std::erase_if(knownCrashes_, [&](const auto& aItem) {
+      return now - aItem.second > kRepeatCrashes;
+    });
     if (engines_.Tick(now)) {
       PublishEngines();
     }
@@ -127,8 +130,11 @@
     peers_.OnRecord(record, now);
   }
   for (const auto& news : aBeat.crashes_) {
-    if (knownCrashes_.size() < kMostKnownCrashes &&
-        knownCrashes_.insert(news).second) {
+    const auto known = knownCrashes_.find(news);
+    if (known != knownCrashes_.end()) {
+      known->second = now;
+    } else if (knownCrashes_.size() < kMostKnownCrashes) {
+      knownCrashes_.emplace(news, now);
       listener_.onCrash_(news);
     }
   }
--- a/goldcrestcroft/src/Gateway/PeerFrames.cpp
+++ b/goldcrestcroft/src/Gateway/PeerFrames.cpp
@@ -170,7 +170,7 @@
   aArchive(aHeartbeat.configurationRow_, aHeartbeat.engineRows_);
   internal::ArchiveItems(aArchive, aHeartbeat.passedOn_);
   ArchiveMany(aArchive, aHeartbeat.crashes_, [](auto& aEach, auto& aNews) {
-    aEach(aNews.request_, aNews.engine_);
+    aEach(aNews.request_, aNews.engine_, aNews.completed_);
   });
 }
 
--- a/goldcrestcroft/src/Gateway/PeerFrames.h
+++ b/goldcrestcroft/src/Gateway/PeerFrames.h
@@ -9,11 +9,13 @@
 
 namespace goldcrestcroft {
 
-/** \brief A request that was running on an engine that broke off. */
+/** \brief A request that was running on an engine that broke off, or that has
+ * run to its end on one after such losses. */
 struct CrashNews
 {
   std::uint64_t request_ = 0;
   std::uint64_t engine_ = 0;
+  bool completed_ = false;
 
   auto operator<=>(const CrashNews&) const = default;
 };
--- a/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
@@ -157,8 +157,12 @@
   switch (result) {
     case AttemptEnd::Delivered:
       health.OnSuccess();
+      traffic_.NoteCompleted(fingerprint_);
       break;
     case AttemptEnd::FailureAnswer:
+      traffic_.NoteCompleted(fingerprint_);
+      health.OnFailure(traffic_.Now());
+      break;
     case AttemptEnd::Rejected:
       health.OnFailure(traffic_.Now());
       break;
--- a/test/unit/GatewayPartsTest.cpp
+++ b/test/unit/GatewayPartsTest.cpp
@@ -113,7 +113,9 @@
   CHECK(roundTrip(backlog) == backlog);
   const FleetHeartbeat beat{ .sender_ = { .host_ = { "h" } },
                              .engineRows_ = 5,
-                             .crashes_ = { { .request_ = 1, .engine_ = 2 } } };
+                             .crashes_ = {
+                               { .request_ = 1, .engine_ = 2 },
+                               { .request_ = 3, .completed_ = true } } };
   CHECK(Handle([&] { return DecodeHeartbeat(EncodeHeartbeat(beat)); },
                [](const Error&) { return FleetHeartbeat{}; }) == beat);
 }
