Ask suspended engines that serve some before a request is refused

Ruled out: shorter suspensions, which would send more requests into engines that fail. Change: where no engine of a service is well, those that can be reached and fail less than four fifths of their requests are candidates. Conclusion: suspension no longer empties a pool that serves.

--- a/goldcrestcroft/src/Engines/EngineHealth.cpp
+++ b/goldcrestcroft/src/Engines/EngineHealth.cpp
@@ -8,11 +8,13 @@
 {
   consecutive_ = 0;
   suspensions_ = 0;
+  unreachable_ = false;
   failureShare_ *= 1.0 - options_.newShare_;
 }
 
 auto EngineHealth::OnFailure(TimePoint aNow) -> void
 {
+  unreachable_ = false;
   failureShare_ += (1.0 - failureShare_) * options_.newShare_;
   ++consecutive_;
   if (consecutive_ >= options_.failuresToSuspend_ || suspensions_ > 0) {
@@ -22,6 +24,7 @@
 
 auto EngineHealth::OnUnreachable(TimePoint aNow) -> void
 {
+  unreachable_ = true;
   Suspend(aNow);
 }
 
--- a/goldcrestcroft/src/Engines/EngineHealth.h
+++ b/goldcrestcroft/src/Engines/EngineHealth.h
@@ -18,6 +18,9 @@
     std::uint32_t failuresToSuspend_ = 3;
     Duration firstSuspension_ = std::chrono::milliseconds{ 1000 };
     Duration longestSuspension_ = std::chrono::seconds{ 8 };
+    /** Where all engines are suspended, those whose share of failures is less
+     * than this are asked before a request is refused. */
+    double lastResortShare_ = 0.8;
     /** Share of the newest answer in the running share of failures. */
     double newShare_ = 0.2;
   };
@@ -41,6 +44,12 @@
   {
     return aNow >= suspendedUntil_;
   }
+  /** \brief Whether it is worth a request although it is suspended, if no
+   * other engine is left: it can be reached and still serves some. */
+  [[nodiscard]] auto IsLastResort() const -> bool
+  {
+    return !unreachable_ && failureShare_ < options_.lastResortShare_;
+  }
   /** \brief Whether the next request would be its first after a
    * suspension. */
   [[nodiscard]] auto IsOnTrial() const -> bool { return suspensions_ > 0; }
@@ -54,6 +63,7 @@
   std::uint32_t consecutive_ = 0;
   std::uint32_t suspensions_ = 0;
   double failureShare_ = 0.0;
+  bool unreachable_ = false;
   TimePoint suspendedUntil_{};
 };
 
--- a/goldcrestcroft/src/Gateway/RequestRun.h
+++ b/goldcrestcroft/src/Gateway/RequestRun.h
@@ -65,6 +65,10 @@
   // Attempts.
   auto Candidates(std::vector<EngineEntry>& aEntries)
     -> std::vector<EngineCandidate>;
+  /** \brief Those that are well, or with aLastResort those that are suspended
+   * and may still serve. */
+  auto CandidatesOf(std::vector<EngineEntry>& aEntries, bool aLastResort)
+    -> std::vector<EngineCandidate>;
   auto ChooseEngine() -> std::shared_ptr<EngineState>;
   auto PlanHome() -> void;
   /** \brief Part of the stages' engines that is in each zone. */
--- a/goldcrestcroft/src/Gateway/RequestRunChoice.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunChoice.cpp
@@ -6,6 +6,15 @@
 
 auto RequestRun::Candidates(std::vector<EngineEntry>& aEntries)
   -> std::vector<EngineCandidate>
+{
+  auto candidates = CandidatesOf(aEntries, false);
+  // Suspensions never empty a pool: engines that fail some requests serve the
+  // others, and a refusal would serve none.
+  return candidates.empty() ? CandidatesOf(aEntries, true) : candidates;
+}
+
+auto RequestRun::CandidatesOf(std::vector<EngineEntry>& aEntries,
+                              bool aLastResort) -> std::vector<EngineCandidate>
 {
   auto& pool = traffic_.Pool();
   const auto now = traffic_.Now();
@@ -17,9 +26,11 @@
   for (const auto& entry : pool.Engines().Of(service_)) {
     const auto state = pool.StateOf(entry);
     const auto full = state->openConnections_ >= share && state->kept_.empty();
-    const auto onTrial = state->health_.IsOnTrial() && state->ownRequests_ > 0;
-    if (tried_.contains(entry.id_) || full || onTrial ||
-        !state->health_.IsUsable(now)) {
+    const auto& health = state->health_;
+    const auto onTrial = health.IsOnTrial() && state->ownRequests_ > 0;
+    const auto fits =
+      aLastResort ? health.IsLastResort() : health.IsUsable(now) && !onTrial;
+    if (tried_.contains(entry.id_) || full || !fits) {
       continue;
     }
     aEntries.push_back(entry);
--- a/test/unit/EnginesTest.cpp
+++ b/test/unit/EnginesTest.cpp
@@ -135,6 +135,25 @@
   CHECK_FALSE(suspects.IsHeldBack(7, kNow + std::chrono::minutes{ 5 }));
 }
 
+TEST_CASE("a suspended engine is a last resort while it serves some")
+{
+  EngineHealth health;
+  for (auto i = 0; i < 3; ++i) {
+    health.OnFailure(kNow);
+  }
+  CHECK_FALSE(health.IsUsable(kNow));
+  CHECK(health.IsLastResort());
+  for (auto i = 0; i < 10; ++i) {
+    health.OnFailure(kNow);
+  }
+  CHECK_FALSE(health.IsLastResort());
+  EngineHealth away;
+  away.OnUnreachable(kNow);
+  CHECK_FALSE(away.IsLastResort());
+  away.OnSuccess();
+  CHECK(away.IsLastResort());
+}
+
 TEST_CASE("a request that ran to its end is not blamed for earlier losses")
 {
   // A popular request is under way on nearly every engine that breaks off.
