Take changed settings while running, and hold signals back from the first line

And a reload read and logged the settings, but applied them at the next start; a change without a signal was not seen. Ruled out: ignoring SIGHUP until the handler is there, since the change would be lost. Change: main blocks the signals first, and they are let through once they are handled; the settings file is read at SIGHUP and when it has changed (looked at each second); seeds, log level, times and budgets apply at once, and the log names what has to wait for the next start. Conclusion: only a signal before the program's own code runs still ends it.

--- a/goldcrestcroft/src/Cli/ServeCommand.cpp
+++ b/goldcrestcroft/src/Cli/ServeCommand.cpp
@@ -1,3 +1,4 @@
+#include "../Core/Signals.h"
 #include "../Gateway/NodeSettings.h"
 #include "../Observability/Log.h"
 #include "../Server/EntryHost.h"
@@ -6,7 +7,6 @@
 
 #include <absl/flags/flag.h>
 
-#include <csignal>
 #include <cstdio>
 
 ABSL_FLAG(std::string, settings, "", "settings file, for serve");
@@ -58,22 +58,20 @@
   return options;
 }
 
-auto WaitForStopSignal(const sigset_t& aSignals) -> void
+/** Returns at SIGTERM or SIGINT; nothing is read again at SIGHUP. */
+auto WaitForStopSignal() -> void
 {
-  auto received = 0;
-  sigwait(&aSignals, &received);
+  const auto signals = HandledSignals();
+  auto received = SIGHUP;
+  while (received == SIGHUP) {
+    sigwait(&signals, &received);
+  }
 }
 
 } // namespace
 
 auto RunServe(const std::vector<std::string>&) -> int
 {
-  // Blocked before any thread starts, so that only this one takes them.
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  sigprocmask(SIG_BLOCK, &signals, nullptr);
   return Handle(
     [&]() -> Result<int> {
       BOOST_LEAF_AUTO(options, ReadOptions());
@@ -81,7 +79,7 @@
                        .level_ = options.settings_.logLevel_,
                        .host_ = options.settings_.host_ });
       BOOST_LEAF_AUTO(host, EntryHost::Start(std::move(options)));
-      WaitForStopSignal(signals);
+      WaitForStopSignal();
       host->StopGracefully();
       return 0;
     },
--- a/goldcrestcroft/src/Cli/main.cpp
+++ b/goldcrestcroft/src/Cli/main.cpp
@@ -1,3 +1,4 @@
+#include "../Core/Signals.h"
 #include "Command.h"
 
 #include <absl/flags/parse.h>
@@ -23,11 +24,14 @@
 {
   const char* name_;
   int (*run_)(const std::vector<std::string>&);
+  /** It runs until a signal stops it, and handles signals itself. */
+  bool serves_ = false;
 };
 
 constexpr Command kCommands[] = {
-  { "entry", RunEntry },   { "serve", RunServe }, { "check", RunCheck },
-  { "config", RunConfig }, { "hosts", RunHosts }, { "status", RunStatus },
+  { "entry", RunEntry, true }, { "serve", RunServe, true },
+  { "check", RunCheck },       { "config", RunConfig },
+  { "hosts", RunHosts },       { "status", RunStatus },
   { "load", RunLoad },
 };
 
@@ -44,6 +48,9 @@
 auto main(int aCount, char** aWords) -> int
 {
   using namespace goldcrestcroft;
+  // A signal during the start waits until it can be handled, instead of ending
+  // the process.
+  BlockSignals();
   absl::SetProgramUsageMessage(kUsage);
   const auto words = absl::ParseCommandLine(aCount, aWords);
   if (words.size() < 2) {
@@ -53,6 +60,9 @@
   const std::vector<std::string> rest(words.begin() + 2, words.end());
   for (const auto& command : kCommands) {
     if (std::string(words[1]) == command.name_) {
+      if (!command.serves_) {
+        UnblockSignals();
+      }
       return command.run_(rest);
     }
   }
--- a/goldcrestcroft/src/Engines/RepeatWindow.h
+++ b/goldcrestcroft/src/Engines/RepeatWindow.h
@@ -31,6 +31,12 @@
   {
   }
 
+  /** \brief Changes the allowance; what was counted stays. */
+  auto SetBudget(double aRatio, double aSlack) -> void
+  {
+    options_.ratio_ = aRatio;
+    options_.slack_ = aSlack;
+  }
   auto OnRequest(TimePoint aNow) -> void;
   /** \brief Takes one repeat if aHosts hosts may afford it. */
   auto TryTake(std::size_t aHosts, TimePoint aNow) -> bool;
--- a/goldcrestcroft/src/Gateway/ControlPlane.h
+++ b/goldcrestcroft/src/Gateway/ControlPlane.h
@@ -57,9 +57,15 @@
 
   /** \brief Opens the peers' port and begins. Fails with Unavailable. */
   auto Start() -> Result<void>;
+  /** \brief Other hosts to ask first, from changed settings. */
+  auto SetSeeds(const std::vector<std::string>& aSeeds) -> void
+  {
+    options_.settings_.seeds_ = aSeeds;
+  }
   /** \brief Tells everybody that this host leaves. */
   auto Leave() -> void;
-  /** \brief Tells the peers of a request that was on a lost engine. */
+  /** \brief Tells the peers of a request that was on a lost engine, or that
+   * was not to blame. */
   auto SpreadCrash(const CrashNews& aNews) -> void;
 
 private:
@@ -117,7 +123,8 @@
   TimePoint fetchStartedAt_;
   std::vector<CrashNews> crashes_;
   std::vector<TimePoint> crashTimes_;
-  std::set<CrashNews> knownCrashes_;
+  /** What peers told, and when they told it last. */
+  std::map<CrashNews, TimePoint> knownCrashes_;
   FleetView published_;
   TimePoint lastBeat_;
   bool leaving_ = false;
--- a/goldcrestcroft/src/Gateway/EntryGateway.cpp
+++ b/goldcrestcroft/src/Gateway/EntryGateway.cpp
@@ -1,10 +1,12 @@
 #include "EntryGateway.h"
 
+#include "../Core/Signals.h"
 #include "../Observability/Log.h"
 
 #include <boost/asio/signal_set.hpp>
 
 #include <csignal>
+#include <filesystem>
 
 namespace goldcrestcroft {
 
@@ -15,6 +17,8 @@
 constexpr auto kKeepAnswers = 3;
 /** What is left of the grace period for the end of the process itself. */
 constexpr auto kExitMargin = std::chrono::milliseconds{ 700 };
+/** How soon a settings file that changed without a signal is read. */
+constexpr auto kLookAtSettings = std::chrono::seconds{ 1 };
 constexpr auto kLookForIdle = std::chrono::milliseconds{ 50 };
 
 } // namespace
@@ -108,6 +112,7 @@
                { "callers", options_.settings_.callers_ },
                { "store", options_.settings_.store_ } });
   asio::co_spawn(trafficContext_, AwaitSignals(), asio::detached);
+  asio::co_spawn(trafficContext_, WatchSettings(), asio::detached);
   std::thread traffic([this] { trafficContext_.run(); });
   controlContext_.run();
   traffic.join();
@@ -118,6 +123,7 @@
 auto EntryGateway::AwaitSignals() -> Task<void>
 {
   asio::signal_set signals(trafficContext_, SIGTERM, SIGINT, SIGHUP);
+  UnblockSignals();
   for (;;) {
     const auto [error, signal] = co_await signals.async_wait(kAsTuple);
     if (error) {
@@ -126,25 +132,53 @@
     if (signal != SIGHUP) {
       break;
     }
-    // Addresses stay for the life of a process; the rest comes at its next
-    // start. A file that cannot be read is told now.
-    Handle(
-      [&]() -> Result<void> {
-        BOOST_LEAF_AUTO(settings, LoadNodeSettings(options_.settingsFile_));
-        Log::Write(
-          LogLevel::Info, "settings_reloaded",
-          { { "same", settings == options_.settings_ ? "true" : "false" } });
-        return {};
-      },
-      [&](const Error& aError) {
-        Log::Write(
-          LogLevel::Error, "settings_unreadable",
-          { { "reason", aError.message_ }, { "remedy", aError.remedy_ } });
-      });
+    Reload();
   }
   co_await StopGracefully();
 }
 
+auto EntryGateway::WatchSettings() -> Task<void>
+{
+  asio::steady_timer timer(trafficContext_);
+  const auto read = [this] {
+    std::error_code ignored; // A file that is away for a moment is no change.
+    return std::filesystem::last_write_time(options_.settingsFile_, ignored);
+  };
+  for (auto last = read();;) {
+    timer.expires_after(kLookAtSettings);
+    co_await timer.async_wait(kAsTuple);
+    const auto now = read();
+    if (now != last && now != std::filesystem::file_time_type::min()) {
+      last = now;
+      Reload();
+    }
+  }
+}
+
+auto EntryGateway::Reload() -> void
+{
+  Handle(
+    [&]() -> Result<void> {
+      BOOST_LEAF_AUTO(changed, LoadNodeSettings(options_.settingsFile_));
+      const auto reload = ApplyReload(options_.settings_, changed);
+      Log::Write(LogLevel::Info, "settings_reloaded",
+                 { { "same", changed == options_.settings_ ? "true" : "false" },
+                   { "at_next_start", reload.atNextStart_ } });
+      options_.settings_ = reload.settings_;
+      Log::SetLevel(reload.settings_.logLevel_);
+      traffic_.SetSettings(reload.settings_);
+      asio::post(controlContext_, [this, seeds = reload.settings_.seeds_] {
+        control_.SetSeeds(seeds);
+      });
+      return {};
+    },
+    [&](const Error& aError) {
+      Log::Write(
+        LogLevel::Error, "settings_unreadable",
+        { { "reason", aError.message_ }, { "remedy", aError.remedy_ } });
+    });
+}
+
 auto EntryGateway::StopGracefully() -> Task<void>
 {
   const auto startedAt = traffic_.Now();
--- a/goldcrestcroft/src/Gateway/EntryGateway.h
+++ b/goldcrestcroft/src/Gateway/EntryGateway.h
@@ -34,6 +34,9 @@
   auto Listener() -> ControlListener;
   auto StartSmallServers() -> Result<void>;
   auto AwaitSignals() -> Task<void>;
+  /** \brief Reads the settings again when their file changes. */
+  auto WatchSettings() -> Task<void>;
+  auto Reload() -> void;
   auto StopGracefully() -> Task<void>;
   auto Directory(const std::string& aTarget) const -> SmallServer::Answer;
   auto Ready() const -> SmallServer::Answer;
--- a/goldcrestcroft/src/Gateway/NodeSettings.cpp
+++ b/goldcrestcroft/src/Gateway/NodeSettings.cpp
@@ -104,4 +104,28 @@
     });
 }
 
+auto ApplyReload(const NodeSettings& aRunning, const NodeSettings& aChanged)
+  -> SettingsReload
+{
+  SettingsReload reload{ .settings_ = aChanged };
+  const auto stay = [&](const char* aName, auto aMember) {
+    if (aRunning.*aMember != aChanged.*aMember) {
+      reload.settings_.*aMember = aRunning.*aMember;
+      reload.atNextStart_ += reload.atNextStart_.empty() ? "" : " ";
+      reload.atNextStart_ += aName;
+    }
+  };
+  stay("host", &NodeSettings::host_);
+  stay("availability_zone", &NodeSettings::zone_);
+  stay("ip", &NodeSettings::ip_);
+  stay("callers", &NodeSettings::callers_);
+  stay("readiness", &NodeSettings::readiness_);
+  stay("directory", &NodeSettings::directory_);
+  stay("metrics", &NodeSettings::metrics_);
+  stay("peer_port", &NodeSettings::peerPort_);
+  stay("store", &NodeSettings::store_);
+  stay("repeat_window_s", &NodeSettings::repeatWindow_);
+  return reload;
+}
+
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/NodeSettings.h
+++ b/goldcrestcroft/src/Gateway/NodeSettings.h
@@ -45,6 +45,22 @@
   }
 };
 
+/** \brief Changed settings, as a running host can take them. */
+struct SettingsReload
+{
+  NodeSettings settings_;
+  /** Names of those that change only when the process starts again, separated
+   * by blanks. */
+  std::string atNextStart_;
+
+  auto operator<=>(const SettingsReload&) const = default;
+};
+
+/** \brief Takes seeds, log level, times and budgets from aChanged; identity and
+ * addresses stay those of aRunning. */
+auto ApplyReload(const NodeSettings& aRunning, const NodeSettings& aChanged)
+  -> SettingsReload;
+
 /** \brief Reads JSON with comments. Fails with InvalidSettings, naming the key
  * and the remedy. */
 auto ParseNodeSettings(const std::string& aText) -> Result<NodeSettings>;
--- a/goldcrestcroft/src/Gateway/Traffic.cpp
+++ b/goldcrestcroft/src/Gateway/Traffic.cpp
@@ -93,7 +93,19 @@
 
 auto Traffic::OnCrash(const CrashNews& aNews) -> void
 {
-  suspects_.OnCrash(aNews.request_, aNews.engine_, Now());
+  if (aNews.completed_) {
+    suspects_.OnCompleted(aNews.request_);
+  } else {
+    suspects_.OnCrash(aNews.request_, aNews.engine_, Now());
+  }
+}
+
+auto Traffic::SetSettings(const NodeSettings& aSettings) -> void
+{
+  options_.settings_ = aSettings;
+  for (auto& [service, window] : windows_) {
+    window.SetBudget(aSettings.repeatRatio_, aSettings.repeatSlack_);
+  }
 }
 
 auto Traffic::Stop() -> void
@@ -180,4 +192,11 @@
   }
 }
 
+auto Traffic::NoteCompleted(std::uint64_t aFingerprint) -> void
+{
+  if (suspects_.OnCompleted(aFingerprint)) {
+    spreadCrash_({ .request_ = aFingerprint, .completed_ = true });
+  }
+}
+
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/Traffic.h
+++ b/goldcrestcroft/src/Gateway/Traffic.h
@@ -48,6 +48,8 @@
   auto SetEngines(std::shared_ptr<const EngineList> aEngines) -> void;
   auto SetFleet(std::shared_ptr<const FleetView> aFleet) -> void;
   auto OnCrash(const CrashNews& aNews) -> void;
+  /** \brief Takes the budget for repeats from changed settings. */
+  auto SetSettings(const NodeSettings& aSettings) -> void;
   /** \brief Announces the end of each connection from now on. */
   auto Stop() -> void;
   /** \brief Closes connections without a request. */
@@ -96,6 +98,8 @@
   /** \brief The engine broke off while it ran the request. */
   auto NoteCrash(std::uint64_t aFingerprint, const EngineEntry& aEngine)
     -> void;
+  /** \brief An engine ran the request to its end. */
+  auto NoteCompleted(std::uint64_t aFingerprint) -> void;
 
 private:
   auto Accept() -> Task<void>;
--- a/goldcrestcroft/src/Observability/Log.cpp
+++ b/goldcrestcroft/src/Observability/Log.cpp
@@ -71,8 +71,13 @@
   logger->set_pattern(aOptions.json_
                         ? R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l",%v})"
                         : "%Y-%m-%d %H:%M:%S.%e %l %v");
-  logger->set_level(spdlog::level::from_str(aOptions.level_));
   spdlog::set_default_logger(std::move(logger));
+  SetLevel(aOptions.level_);
+}
+
+auto Log::SetLevel(const std::string& aLevel) -> void
+{
+  spdlog::set_level(spdlog::level::from_str(aLevel));
 }
 
 auto Log::Write(LogLevel aLevel, std::string_view aEvent,
--- a/goldcrestcroft/src/Observability/Log.h
+++ b/goldcrestcroft/src/Observability/Log.h
@@ -40,6 +40,9 @@
   /** \brief Set once at the start, before other threads run. */
   static auto Configure(const Options& aOptions) -> void;
 
+  /** \brief "debug", "info", "warning" or "error", at any time. */
+  static auto SetLevel(const std::string& aLevel) -> void;
+
   /** \brief aEvent is a fixed phrase; what varies goes into fields. */
   static auto Write(LogLevel aLevel, std::string_view aEvent,
                     std::initializer_list<LogField> aFields = {}) -> void;
--- a/test/process/EntryFleet.cpp
+++ b/test/process/EntryFleet.cpp
@@ -153,4 +153,15 @@
   return text.str();
 }
 
+auto EntryFleet::ChangeSettings(std::size_t aHost, const std::string& aOld,
+                                const std::string& aNew) const -> void
+{
+  const auto file = folder_ + "/host-" + std::to_string(aHost) + ".json";
+  std::ostringstream text;
+  text << std::ifstream(file).rdbuf();
+  auto settings = text.str();
+  settings.replace(settings.find(aOld), aOld.size(), aNew);
+  std::ofstream(file) << settings;
+}
+
 } // namespace testing
--- a/test/process/EntryFleet.h
+++ b/test/process/EntryFleet.h
@@ -61,6 +61,9 @@
   [[nodiscard]] auto LastId() const -> std::string;
   auto Directory(std::size_t aHost) -> CallerAnswer;
   [[nodiscard]] auto Log(std::size_t aHost) const -> std::string;
+  /** \brief Replaces text in the host's settings file. */
+  auto ChangeSettings(std::size_t aHost, const std::string& aOld,
+                      const std::string& aNew) const -> void;
 
 private:
   auto Port(std::size_t aHost, unsigned aUse) const -> std::string;
--- a/test/process/EntryTest.cpp
+++ b/test/process/EntryTest.cpp
@@ -145,6 +145,37 @@
   }
 }
 
+TEST_CASE("engines that fail at times are asked before a request is refused")
+{
+  EntryFleet fleet(1);
+  REQUIRE(fleet.AwaitReady(0));
+  fleet.Platform().SetTrouble("desk", Trouble::Fails);
+  for (auto i = 0; i < 6; ++i) {
+    CHECK(
+      fleet.Call(0, { .method_ = "POST", .target_ = "/unsafe/x" }).status_ ==
+      500);
+  }
+  fleet.Platform().SetTrouble("desk", Trouble::None);
+  CHECK(fleet.Call(0, { .method_ = "POST", .target_ = "/unsafe/x" }).status_ ==
+        200);
+}
+
+TEST_CASE("settings that change are taken with a signal and without")
+{
+  EntryFleet fleet(1);
+  REQUIRE(fleet.AwaitReady(0));
+  fleet.ChangeSettings(0, "\"directory_keep_s\": 0.3",
+                       "\"directory_keep_s\": 1.5");
+  CHECK(EntryFleet::Await(
+    [&] { return fleet.Directory(0).body_.find("1.5") != std::string::npos; }));
+  fleet.ChangeSettings(0, "\"host\": \"h0\"", "\"host\": \"other\"");
+  fleet.ProcessOf(0).Signal(SIGHUP);
+  CHECK(EntryFleet::Await([&] {
+    return fleet.Log(0).find("\"at_next_start\":\"host\"") != std::string::npos;
+  }));
+  CHECK(fleet.Get(0, "/safe/x").status_ == 200);
+}
+
 TEST_CASE("a refusal says when to come back and is true")
 {
   EntryFleet fleet(1);
