Let due times decide until some order is late, and shed by the route's rank

Change: orders go by due time while all can be in time, by the workspace's rank once some cannot; a request is admitted by its route's rank, in StageAdmission, a pure decision. request_ended names the rank.

--- a/goldcrestcroft/Staging.h
+++ b/goldcrestcroft/Staging.h
@@ -11,6 +11,7 @@
 #include "src/Staging/PieceTicket.h"
 #include "src/Staging/ResultRoom.h"
 #include "src/Staging/ServiceRate.h"
+#include "src/Staging/StageAdmission.h"
 #include "src/Staging/StageBacklog.h"
 #include "src/Staging/StageGraph.h"
 #include "src/Staging/StageOrder.h"
--- a/goldcrestcroft/src/Gateway/RequestRun.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRun.cpp
@@ -193,6 +193,7 @@
       { "route", route_ == nullptr ? "" : route_->name_ },
       { "configuration", std::to_string(routing_->Version()) },
       { "workspace", workspace_ },
+      { "rank", std::to_string(rank_) },
       { "engine", lastEngine_ },
       { "took_ms", since(now) },
       { "stages_ms", since(stagesDoneAt_) },
--- a/goldcrestcroft/src/Gateway/RequestRunStages.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunStages.cpp
@@ -11,16 +11,8 @@
 
 /** What one stage takes from order to result on a calm day, for due times. */
 constexpr auto kUsualStageTime = std::chrono::milliseconds{ 420 };
-/** What a model engine takes to its first event, for due times. */
-constexpr auto kUsualFirstEvent = std::chrono::milliseconds{ 250 };
 /** Stages that move less than this, in bytes, are made in any zone. */
 constexpr auto kBytesWorthAZone = 100'000.0;
-/** Part of the spare time that each rank after the second may wait less than
- * the one before, and the part that every rank may wait. */
-constexpr auto kSparePerRank = 0.25;
-constexpr auto kLeastSpare = 0.25;
-/** Waits below this are no overload; nothing is refused for them. */
-constexpr auto kCalmWait = std::chrono::milliseconds{ 150 };
 
 } // namespace
 
@@ -37,15 +29,9 @@
     ForecastChain(*route_, aPieces, *routing_, [&](const auto& aService) {
       return traffic_.Broker().WaitAt(aService, rank_);
     });
-  // Less urgent ranks give way first: they may wait for a smaller part of the
-  // time that their objective leaves.
-  const auto spare = route_->objective_ - kUsualFirstEvent -
-                     (forecast.total_ - forecast.waiting_);
-  const auto allowed = Duration(static_cast<Duration::rep>(
-    static_cast<double>(spare.count()) *
-    std::max(1.0 - kSparePerRank * std::max(rank_ - 1, 0), kLeastSpare)));
-  const auto late = forecast.waiting_ > std::max<Duration>(allowed, kCalmWait);
-  if (!late) {
+  // By the rank of the route: that of the workspace decides the order, and
+  // would refuse a kind of request more often than a less urgent one.
+  if (StageAdmission{}.Admits(forecast, route_->objective_, route_->rank_)) {
     return std::nullopt;
   }
   return OwnAnswer{ .reason_ = "overloaded",
@@ -128,7 +114,7 @@
 auto RequestRun::DueOf(std::size_t aStage) const -> TimePoint
 {
   const auto after = static_cast<Duration::rep>(graph_->DepthFrom(aStage)) - 1;
-  return arrivedAt_ + route_->objective_ - kUsualFirstEvent -
+  return arrivedAt_ + route_->objective_ - StageAdmission{}.firstEvent_ -
          kUsualStageTime * after;
 }
 
--- /dev/null
+++ b/goldcrestcroft/src/Staging/StageAdmission.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "ChainForecast.h"
+
+namespace goldcrestcroft {
+
+/** \brief How long a request may wait for its stages before it is refused.
+ *
+ * Answers bursts beyond what stage services can make: a request that would be
+ * late is refused at once, so that its caller may come back and its pieces do
+ * not delay others. Less urgent routes give way first. */
+struct StageAdmission
+{
+  /** What a model engine takes to its first event. */
+  Duration firstEvent_ = std::chrono::milliseconds{ 250 };
+  /** Part of the spare time that each rank after the second may wait less than
+   * the one before, and the part that every rank may wait. */
+  double sparePerRank_ = 0.25;
+  double leastSpare_ = 0.25;
+  /** Waits below this are no overload; nothing is refused for them. */
+  Duration calmWait_ = std::chrono::milliseconds{ 150 };
+
+  /** \brief aObjective is the route's, aRank its rank, 0 for the most urgent.
+   */
+  [[nodiscard]] auto Admits(const ChainForecast& aForecast, Duration aObjective,
+                            int aRank) const -> bool;
+};
+
+} // namespace goldcrestcroft
--- a/goldcrestcroft/src/Staging/StageQueue.cpp
+++ b/goldcrestcroft/src/Staging/StageQueue.cpp
@@ -64,7 +64,7 @@
       continue;
     }
     const auto& order = entry.order_;
-    auto due = EffectiveDue(order.rank_, order.dueAt_);
+    auto due = order.dueAt_;
     const auto elsewhere =
       order.zone_ != aEngine.zone_ &&
       std::find(aZones.begin(), aZones.end(), order.zone_) != aZones.end();
@@ -80,6 +80,15 @@
                         .due_ = due,
                         .entry_ = &entry });
   }
+  // Due times alone decide while all can be in time; ranks once some cannot.
+  const auto overloaded =
+    std::any_of(choices.begin(), choices.end(),
+                [](const Choice& aChoice) { return aChoice.late_; });
+  if (overloaded) {
+    for (auto& choice : choices) {
+      choice.due_ = EffectiveDue(choice.entry_->order_.rank_, choice.due_);
+    }
+  }
   std::stable_sort(choices.begin(), choices.end(),
                    [](const Choice& aLeft, const Choice& aRight) {
                      return std::tie(aLeft.late_, aLeft.fresh_, aLeft.due_) <
