Show without the bench that a caller who leaves frees its engine, and that idle makes room

Cause: docs/PROMISES.md had no test without the bench for GONE and for a ready host that takes new connections at its limit of callers; the limit could not be set. Ruled out: a test with 3,000 connections, which needs more descriptors than some machines allow.

--- a/goldcrestcroft/src/Gateway/NodeSettings.cpp
+++ b/goldcrestcroft/src/Gateway/NodeSettings.cpp
@@ -15,6 +15,7 @@
 
 constexpr unsigned kMaxPort = 65'534;
 constexpr double kMostRepeats = 1e6;
+constexpr std::size_t kMostCallers = 1'000'000;
 
 auto ReadAddress(ObjectReader& aReader, const std::string& aKey) -> std::string
 {
@@ -61,6 +62,8 @@
     reader.InRange<double>("repeat_ratio", settings.repeatRatio_, 0.0, 1.0);
   settings.repeatSlack_ = reader.InRange<double>(
     "repeat_slack", settings.repeatSlack_, 0.0, kMostRepeats);
+  settings.mostCallers_ = reader.InRange<std::size_t>(
+    "most_callers", settings.mostCallers_, 1, kMostCallers);
   reader.RejectUnknown();
   if (settings.callers_.empty()) {
     reader.Reject("callers", "is missing", "add the address for callers");
--- a/goldcrestcroft/src/Gateway/NodeSettings.h
+++ b/goldcrestcroft/src/Gateway/NodeSettings.h
@@ -30,6 +30,9 @@
   double repeatRatio_ = 0.2;
   double repeatSlack_ = 50.0;
   Duration repeatWindow_ = std::chrono::seconds{ 10 };
+  /** Connections of callers at a time; beyond, an idle one makes room. Hosts
+   * have 4,100 descriptors or more. */
+  std::size_t mostCallers_ = 3000;
   /** Longest time that callers keep an answer of the directory. */
   Duration directoryKeep_ = std::chrono::seconds{ 2 };
 
--- a/goldcrestcroft/src/Gateway/Traffic.cpp
+++ b/goldcrestcroft/src/Gateway/Traffic.cpp
@@ -40,7 +40,8 @@
     if (error == asio::error::operation_aborted) {
       co_return;
     }
-    if (error || (callers_.size() >= options_.maxCallers_ && !DropIdle())) {
+    if (error ||
+        (callers_.size() >= options_.settings_.mostCallers_ && !DropIdle())) {
       metrics_.Count("callers_turned_away");
       asio::steady_timer timer(context_, kPauseWithoutDescriptors);
       co_await timer.async_wait(kAsTuple);
--- a/goldcrestcroft/src/Gateway/Traffic.h
+++ b/goldcrestcroft/src/Gateway/Traffic.h
@@ -19,8 +19,6 @@
   Duration retryAfter_ = std::chrono::milliseconds{ 400 };
   /** Whole answers up to this are held until they are complete, in bytes. */
   std::size_t maxAnswerBytes_ = 16U << 20U;
-  /** Callers' connections at once; the descriptors of a host bound them. */
-  std::size_t maxCallers_ = 3000;
   /** Part of the time left that the first engine of a repeatable request may
    * use without an answer. */
   double firstAttemptShare_ = 0.45;
--- a/test/platform/EngineStandin.h
+++ b/test/platform/EngineStandin.h
@@ -56,6 +56,11 @@
   [[nodiscard]] auto Arrivals() -> std::vector<Arrival>;
   /** \brief A header of the last request that ran. */
   [[nodiscard]] auto LastHeader(const std::string& aName) -> std::string;
+  /** \brief Requests whose sender left while they ran. */
+  [[nodiscard]] auto Abandoned() const -> std::size_t
+  {
+    return server_.Abandoned();
+  }
   [[nodiscard]] auto PiecesRun() -> std::size_t;
   [[nodiscard]] auto CallsRun() -> std::size_t;
   [[nodiscard]] auto ResultsHeld() -> std::size_t;
--- a/test/platform/HttpServer.cpp
+++ b/test/platform/HttpServer.cpp
@@ -81,6 +81,10 @@
     }
     const auto reaction = co_await handler_(std::move(request));
     co_await Sleep(context_, reaction.delay_);
+    if (ProbeIdle(socket) == IdleState::Closed) {
+      ++abandoned_;
+      co_return;
+    }
     if (reaction.drops_) {
       co_return;
     }
--- a/test/platform/HttpServer.h
+++ b/test/platform/HttpServer.h
@@ -2,6 +2,7 @@
 
 #include <goldcrestcroft/src/Gateway/Net.h>
 
+#include <atomic>
 #include <functional>
 #include <optional>
 
@@ -38,6 +39,9 @@
   HttpServer(goldcrestcroft::asio::io_context& aContext,
              const std::string& aAddress, Handler aHandler);
 
+  /** \brief Callers that left before their answer. */
+  [[nodiscard]] auto Abandoned() const -> std::size_t { return abandoned_; }
+
 private:
   auto Accept() -> goldcrestcroft::Task<void>;
   auto Serve(goldcrestcroft::Tcp::socket aSocket) -> goldcrestcroft::Task<void>;
@@ -45,6 +49,7 @@
   goldcrestcroft::asio::io_context& context_;
   Handler handler_;
   goldcrestcroft::Tcp::acceptor acceptor_;
+  std::atomic<std::size_t> abandoned_ = 0;
 };
 
 } // namespace standins
--- a/test/process/EntryFleet.cpp
+++ b/test/process/EntryFleet.cpp
@@ -118,19 +118,55 @@
   return "request-" + std::to_string(calls_);
 }
 
-auto EntryFleet::Call(std::size_t aHost, CallerCall aCall) -> CallerAnswer
+auto EntryFleet::Complete(CallerCall aCall) -> CallerCall
 {
-  ++calls_;
   const auto add = [&](const std::string& aName, const std::string& aValue) {
     aCall.headers_.emplace(aName, aValue);
   };
   add("Host", "try.example");
   add("X-Api-Key", "key1");
-  add("Goldcrestcroft-Request-Id", LastId());
+  add("Goldcrestcroft-Request-Id", "request-" + std::to_string(++calls_));
   add("Goldcrestcroft-Deadline-Ms", "2500");
   add("Goldcrestcroft-Pieces", "2,3");
   add("Goldcrestcroft-Piece-Key", "abc");
-  return SendCall(Port(aHost, 0), aCall);
+  return aCall;
+}
+
+auto EntryFleet::MakeCall(const std::string& aTarget) -> CallerCall
+{
+  return Complete({ .target_ = aTarget });
+}
+
+auto EntryFleet::Call(std::size_t aHost, CallerCall aCall) -> CallerAnswer
+{
+  return SendCall(Port(aHost, 0), Complete(std::move(aCall)));
+}
+
+auto EntryFleet::OpenConnections(std::size_t aHost, std::size_t aCount)
+  -> std::vector<std::unique_ptr<Tcp::socket>>
+{
+  std::vector<std::unique_ptr<Tcp::socket>> sockets;
+  for (; aCount > 0; --aCount) {
+    sockets.push_back(std::make_unique<Tcp::socket>(context_));
+    sockets.back()->connect(ParseTcpEndpoint(Port(aHost, 0)));
+  }
+  return sockets;
+}
+
+auto EntryFleet::Leave(std::size_t aHost, CallerCall aCall) -> std::string
+{
+  constexpr auto kStay = std::chrono::milliseconds{ 150 };
+  const auto call = Complete(std::move(aCall));
+  const auto sockets = OpenConnections(aHost, 1);
+  http::request<http::string_body> request(http::string_to_verb(call.method_),
+                                           call.target_, 11, call.body_);
+  for (const auto& [name, value] : call.headers_) {
+    request.set(name, value);
+  }
+  request.prepare_payload();
+  http::write(*sockets[0], request);
+  std::this_thread::sleep_for(kStay);
+  return call.headers_.at("Goldcrestcroft-Request-Id");
 }
 
 auto EntryFleet::Get(std::size_t aHost, const std::string& aTarget)
--- a/test/process/EntryFleet.h
+++ b/test/process/EntryFleet.h
@@ -3,6 +3,7 @@
 #include "../platform/PlatformStandin.h"
 #include "Process.h"
 
+#include <atomic>
 #include <optional>
 
 namespace testing {
@@ -56,6 +57,18 @@
 
   /** \brief Adds host, key, id and time to the call and sends it. */
   auto Call(std::size_t aHost, CallerCall aCall) -> CallerAnswer;
+  /** \brief Adds what every call has and an id of its own; for any thread. */
+  auto MakeCall(const std::string& aTarget) -> CallerCall;
+  [[nodiscard]] auto CallerAddress(std::size_t aHost) const -> std::string
+  {
+    return Port(aHost, 0);
+  }
+  /** \brief Sends the call and closes the connection soon after. Returns its
+   * id. */
+  auto Leave(std::size_t aHost, CallerCall aCall) -> std::string;
+  /** \brief Connections that say nothing, open until the sockets go. */
+  auto OpenConnections(std::size_t aHost, std::size_t aCount)
+    -> std::vector<std::unique_ptr<goldcrestcroft::Tcp::socket>>;
   auto Get(std::size_t aHost, const std::string& aTarget) -> CallerAnswer;
   /** \brief The id of the last call. */
   [[nodiscard]] auto LastId() const -> std::string;
@@ -66,12 +79,14 @@
                       const std::string& aNew) const -> void;
 
 private:
+  auto Complete(CallerCall aCall) -> CallerCall;
   auto Port(std::size_t aHost, unsigned aUse) const -> std::string;
 
   standins::PlatformStandin platform_;
   std::string folder_;
   std::vector<Process> processes_;
-  unsigned calls_ = 0;
+  goldcrestcroft::asio::io_context context_;
+  std::atomic<unsigned> calls_ = 0;
 };
 
 /** \brief Sends a call and reads the answer to its end, or gives up after some
--- a/test/process/EntryTest.cpp
+++ b/test/process/EntryTest.cpp
@@ -176,6 +176,57 @@
   CHECK(fleet.Get(0, "/safe/x").status_ == 200);
 }
 
+TEST_CASE("when a caller leaves, its engine is let go and no other is asked")
+{
+  EntryFleet fleet(1);
+  REQUIRE(fleet.AwaitReady(0));
+  for (const auto& engine : fleet.Platform().Engines("desk")) {
+    engine->delayMs_ = 600;
+  }
+  for (const auto* target : { "/safe/x", "/unsafe/x" }) {
+    CAPTURE(target);
+    const auto abandoned = [&] {
+      std::size_t count = 0;
+      for (const auto& engine : fleet.Platform().Engines("desk")) {
+        count += engine->Abandoned();
+      }
+      return count;
+    };
+    const auto before = abandoned();
+    const auto left = fleet.Leave(0, { .target_ = target });
+    CHECK(EntryFleet::Await([&] { return abandoned() == before + 1; }));
+    CHECK(RunsOf(fleet, "desk", left) == 1);
+  }
+}
+
+TEST_CASE("an idle connection makes room for a new one, a busy one does not")
+{
+  EntryFleet fleet(1);
+  fleet.ChangeSettings(0, "\"grace_s\": 5",
+                       "\"grace_s\": 5, \"most_callers\": 3");
+  fleet.ProcessOf(0).Kill();
+  fleet.Start(0);
+  REQUIRE(fleet.AwaitReady(0));
+  const auto idle = fleet.OpenConnections(0, 6);
+  CHECK(fleet.Get(0, "/safe/x").status_ == 200);
+  for (const auto& engine : fleet.Platform().Engines("desk")) {
+    engine->delayMs_ = 500;
+  }
+  std::vector<CallerAnswer> answers(3);
+  std::vector<std::thread> callers;
+  for (auto& answer : answers) {
+    callers.emplace_back([&] {
+      answer = SendCall(fleet.CallerAddress(0), fleet.MakeCall("/unsafe/x"));
+    });
+  }
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  for (const auto& answer : answers) {
+    CHECK(answer.status_ == 200);
+  }
+}
+
 TEST_CASE("a refusal says when to come back and is true")
 {
   EntryFleet fleet(1);
