Split the soak's injector by what it harms, and keep one wait for all its parts

Change: faults of hosts, and those of engines, store and operator, in a source each; the wait is in LoopbackProxy.h. Ruled out: a class for each kind of fault, since they share the record of what was harmed.

--- /dev/null
+++ b/test/soak/FaultInjectorPlatform.cpp
@@ -0,0 +1,132 @@
+#include "FaultInjector.h"
+
+namespace soak {
+
+using namespace goldcrestcroft;
+using Trouble = standins::EngineStandin::Trouble;
+
+namespace {
+
+constexpr auto kLongestDrain = std::chrono::milliseconds{ 6000 };
+
+auto LinkFaultOf(const Fault& aFault) -> LinkFault
+{
+  constexpr std::array kFaults = {
+    LinkFault::Delayed, LinkFault::Reset,     LinkFault::Held,
+    LinkFault::Mute,    LinkFault::NoAnswers, LinkFault::NoRequests
+  };
+  return kFaults.at(aFault.variant_ % kFaults.size());
+}
+
+} // namespace
+
+auto FaultInjector::HarmLink(LoopbackProxy& aLink, std::string aPart,
+                             Fault aFault) -> Task<void>
+{
+  const auto harm = harm_.Begin(aPart, Now());
+  ++active_[aPart];
+  aLink.Set(LinkFaultOf(aFault), aFault.for_ / 4);
+  co_await Sleep(context_, aFault.for_);
+  if (--active_[aPart] == 0) {
+    aLink.Set(LinkFault::None);
+  }
+  harm_.End(harm, Now());
+}
+
+auto FaultInjector::HarmEngine(Fault aFault) -> Task<void>
+{
+  constexpr std::array kTroubles = { Trouble::Drops, Trouble::Cuts,
+                                     Trouble::Stray, Trouble::Full,
+                                     Trouble::Fails, Trouble::Unsigned };
+  constexpr auto kSlowest = 2000;
+  auto& engine = *fleet_.Engines()[aFault.target_].standin_;
+  const auto part = EnginePart(engine.Id());
+  const auto harm = harm_.Begin(part, Now());
+  ++active_[part];
+  if (aFault.kind_ == FaultKind::EngineSlow) {
+    engine.delayMs_ = static_cast<int>(aFault.variant_ * 100 % kSlowest);
+  } else {
+    engine.trouble_ = kTroubles.at(aFault.variant_ % kTroubles.size());
+  }
+  co_await Sleep(context_, aFault.for_);
+  if (--active_[part] == 0) {
+    engine.trouble_ = Trouble::None;
+    engine.delayMs_ = 0;
+    fleet_.EngineLink(aFault.target_).Set(LinkFault::None);
+  }
+  harm_.End(harm, Now());
+}
+
+auto FaultInjector::RestartEngine(Fault aFault) -> Task<void>
+{
+  auto& engine = fleet_.Engines()[aFault.target_];
+  const auto part = EnginePart(engine.standin_->Id());
+  const auto harm = harm_.Begin(part, Now());
+  ++active_[part];
+  fleet_.EngineLink(aFault.target_).Set(LinkFault::Reset);
+  co_await Sleep(context_, aFault.for_);
+  if (--active_[part] == 0) {
+    fleet_.EngineLink(aFault.target_).Set(LinkFault::None);
+  }
+  engine.standin_->Restart();
+  fleet_.Platform().Store().Put(
+    "servers", engine.standin_->Id(),
+    engine.standin_->Entry(engine.service_,
+                           engine.draining_ ? "draining" : "ready"));
+  harm_.End(harm, Now());
+}
+
+auto FaultInjector::Drain(Fault aFault) -> Task<void>
+{
+  auto& engine = fleet_.Engines()[aFault.target_];
+  for (const auto& other : fleet_.Engines()) {
+    if (other.service_ == engine.service_ && other.draining_) {
+      co_return; // The service would be left with too few.
+    }
+  }
+  auto& store = fleet_.Platform().Store();
+  const auto& id = engine.standin_->Id();
+  engine.draining_ = true;
+  store.Put("servers", id, engine.standin_->Entry(engine.service_, "draining"));
+  const auto drain = drains_.size();
+  drains_.push_back({ .engine_ = id, .from_ = Now() });
+  co_await Sleep(context_, kLongestDrain);
+  engine.draining_ = false;
+  drains_[drain].to_ = Now();
+  store.Put("servers", id, engine.standin_->Entry(engine.service_, "ready"));
+}
+
+auto FaultInjector::HarmStore(Fault aFault) -> Task<void>
+{
+  auto& store = fleet_.Platform().Store();
+  auto& flag = aFault.kind_ == FaultKind::StoreBusy      ? store.busy_
+               : aFault.kind_ == FaultKind::StoreForgets ? store.forgets_
+                                                         : store.losesAnswers_;
+  const auto name = ToString(aFault.kind_);
+  const auto harm = harm_.Begin(kStorePart, Now());
+  ++active_[name];
+  flag = true;
+  co_await Sleep(context_, aFault.for_);
+  if (--active_[name] == 0) {
+    flag = false;
+  }
+  harm_.End(harm, Now());
+}
+
+auto FaultInjector::ChangeConfig(FaultKind aKind) -> void
+{
+  ++operator_.version_;
+  if (aKind == FaultKind::NewRoute) {
+    operator_.route_ = "/new-" + std::to_string(++routes_) + "/";
+    operator_.routeSince_ = Now();
+  } else {
+    operator_.oldKey_ = operator_.key_ == "key1" ? "" : operator_.key_;
+    operator_.key_ = "key-of-" + std::to_string(++keys_);
+    operator_.oldKeySince_ = Now();
+    operator_.keySince_ = Now();
+  }
+  fleet_.Platform().PutConfig(operator_.version_, operator_.route_,
+                              { "key1", operator_.key_ });
+}
+
+} // namespace soak
--- a/test/soak/LoopbackProxy.cpp
+++ b/test/soak/LoopbackProxy.cpp
@@ -10,13 +10,6 @@
 constexpr auto kLook = std::chrono::milliseconds{ 10 };
 constexpr std::size_t kBlock = 16384;
 
-auto Sleep(asio::io_context& aContext, std::chrono::milliseconds aTime)
-  -> Task<void>
-{
-  asio::steady_timer timer(aContext, aTime);
-  co_await timer.async_wait(kAsTuple);
-}
-
 auto ResetSocket(Tcp::socket& aSocket) -> void
 {
   boost::system::error_code ignored;
--- a/test/soak/LoopbackProxy.h
+++ b/test/soak/LoopbackProxy.h
@@ -10,6 +10,14 @@
 template<typename T>
 using Task = goldcrestcroft::Task<T>;
 
+/** \brief Waits for a while, not at all for a time that has passed. */
+inline auto Sleep(asio::io_context& aContext, goldcrestcroft::Duration aTime)
+  -> Task<void>
+{
+  asio::steady_timer timer(aContext, aTime);
+  co_await timer.async_wait(goldcrestcroft::kAsTuple);
+}
+
 /** \brief What a proxy does to the connections through it. */
 enum class LinkFault
 {
--- a/test/soak/SoakCaller.cpp
+++ b/test/soak/SoakCaller.cpp
@@ -18,12 +18,6 @@
 constexpr int kPercent = 100;
 constexpr int kGiveUpPercent = 2;
 
-auto Sleep(asio::io_context& aContext, Duration aTime) -> Task<void>
-{
-  asio::steady_timer timer(aContext, aTime);
-  co_await timer.async_wait(kAsTuple);
-}
-
 auto IsWholeStream(const std::string& aBody, const std::string& aId) -> bool
 {
   std::string expected;
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -40,12 +40,6 @@
   bool allReady_ = false;
 };
 
-auto Sleep(asio::io_context& aContext, Duration aTime) -> Task<void>
-{
-  asio::steady_timer timer(aContext, aTime);
-  co_await timer.async_wait(kAsTuple);
-}
-
 auto ShareServed(const std::vector<CallRecord>& aCalls, std::size_t aFrom)
   -> double
 {
