--- a/goldcrestcroft/src/Core/Signals.h
+++ b/goldcrestcroft/src/Core/Signals.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <csignal>
+#include <initializer_list>
 
 namespace goldcrestcroft {
 
--- a/test/process/EntryTest.cpp
+++ b/test/process/EntryTest.cpp
@@ -214,6 +214,7 @@
   }
   std::vector<CallerAnswer> answers(3);
   std::vector<std::thread> callers;
+  callers.reserve(answers.size());
   for (auto& answer : answers) {
     callers.emplace_back([&] {
       answer = SendCall(fleet.CallerAddress(0), fleet.MakeCall("/unsafe/x"));
