Split three measuring programs into a type or a subject a file

Change: the table of figures is a class that is handed on; configuration, membership, detection, heartbeat and request path are measured in a source each; the once bench has scenario, fake table, run and outcome apart; attempts of the fleet run stand apart from its clock's events. Ruled out: leaving them as they compile seldom, since they are read beside the pages that they write. Conclusion: no behaviour changed.

--- /dev/null
+++ b/bench/capacity/Measure.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string>
+
+namespace bench {
+
+/** \brief One figure of one role at one size. */
+struct Measure
+{
+  std::string role_;
+  std::string size_;
+  std::string what_;
+  double value_ = 0.0;
+  std::string unit_;
+};
+
+} // namespace bench
--- /dev/null
+++ b/bench/once/FakeTable.cpp
@@ -0,0 +1,36 @@
+#include "FakeTable.h"
+
+#include <algorithm>
+
+namespace bench {
+
+using namespace goldcrestcroft;
+
+auto FakeTable::Transact(std::vector<RowWrite> aWrites,
+                         std::function<void(const TransactReply&)> aReply)
+  -> void
+{
+  constexpr Duration kWay = std::chrono::milliseconds{ 1 };
+  constexpr Duration kTimeout = std::chrono::milliseconds{ 800 };
+  if (platform_ == PlatformState::Down) {
+    events_.After(
+      2 * kWay, [aReply] { aReply({ .status_ = TableStatus::Unavailable }); });
+    return;
+  }
+  ++transactions_;
+  rows_ += aWrites.size();
+  const auto service = platform_ == PlatformState::Slow
+                         ? Duration(std::chrono::milliseconds{ 20 })
+                         : Duration(2500); // 400 transactions a second
+  busyUntil_ = std::max(busyUntil_, events_.Now() + kWay) + service;
+  if (busyUntil_ - events_.Now() > kTimeout) {
+    busyUntil_ -= service; // refuses what it cannot answer in time
+    events_.After(
+      2 * kWay, [aReply] { aReply({ .status_ = TableStatus::Unavailable }); });
+    return;
+  }
+  events_.At(busyUntil_ + kWay,
+             [this, aWrites, aReply] { aReply(table_.Transact(aWrites)); });
+}
+
+} // namespace bench
--- a/bench/policy/FleetRun.h
+++ b/bench/policy/FleetRun.h
@@ -99,5 +99,6 @@
 
 } // namespace bench
 
+#include "FleetRunAttempts.h"
 #include "FleetRunEvents.h"
 #include "FleetRunSetup.h"
