--- /dev/null
+++ b/test/process/EntryAttemptsTest.cpp
@@ -0,0 +1,102 @@
+#include "EntryFleet.h"
+
+#include <doctest/doctest.h>
+
+namespace testing {
+
+namespace {
+
+using Trouble = standins::EngineStandin::Trouble;
+
+} // namespace
+
+TEST_CASE("what may have run is not run again unless it is idempotent")
+{
+  EntryFleet fleet(1);
+  REQUIRE(fleet.AwaitReady(0));
+  for (const auto trouble :
+       { Trouble::Drops, Trouble::Cuts, Trouble::Unsigned }) {
+    CAPTURE(static_cast<int>(trouble));
+    fleet.Platform().SetTrouble("desk", trouble);
+    const auto lost =
+      fleet.Call(0, { .method_ = "POST", .target_ = "/unsafe/x" });
+    CHECK(lost.status_ == 502);
+    CHECK(fleet.RunsOf("desk", fleet.LastId()) == 1);
+    const auto repeated = fleet.Get(0, "/safe/x");
+    CHECK(repeated.status_ == 502);
+    CHECK(fleet.RunsOf("desk", fleet.LastId()) == 2);
+    // Failures in a row suspend engines; a success clears them.
+    fleet.Platform().SetTrouble("desk", Trouble::None);
+    CHECK(EntryFleet::Await(
+      [&] { return fleet.Get(0, "/safe/x").status_ == 200; }));
+    CHECK(EntryFleet::Await(
+      [&] { return fleet.Get(0, "/safe/x").status_ == 200; }));
+  }
+}
+
+TEST_CASE("engines that fail at times are asked before a request is refused")
+{
+  EntryFleet fleet(1);
+  REQUIRE(fleet.AwaitReady(0));
+  fleet.Platform().SetTrouble("desk", Trouble::Fails);
+  for (auto i = 0; i < 6; ++i) {
+    CHECK(
+      fleet.Call(0, { .method_ = "POST", .target_ = "/unsafe/x" }).status_ ==
+      500);
+  }
+  fleet.Platform().SetTrouble("desk", Trouble::None);
+  CHECK(fleet.Call(0, { .method_ = "POST", .target_ = "/unsafe/x" }).status_ ==
+        200);
+}
+
+TEST_CASE("a refusal says when to come back and is true")
+{
+  EntryFleet fleet(1);
+  REQUIRE(fleet.AwaitReady(0));
+  fleet.Platform().SetTrouble("desk", Trouble::Full);
+  const auto refused =
+    fleet.Call(0, { .method_ = "POST", .target_ = "/unsafe/x" });
+  CHECK(refused.status_ == 503);
+  CHECK(refused.headers_.contains("Retry-After"));
+  CHECK(fleet.RunsOf("desk", fleet.LastId()) == 0);
+}
+
+TEST_CASE("answers to others and engines' own failures are told apart")
+{
+  EntryFleet fleet(1);
+  REQUIRE(fleet.AwaitReady(0));
+  fleet.Platform().SetTrouble("desk", Trouble::Stray);
+  const auto own = fleet.Get(0, "/safe/x");
+  CHECK(own.body_ == "answer to " + fleet.LastId() + " ");
+  fleet.Platform().SetTrouble("desk", Trouble::Fails);
+  const auto failed =
+    fleet.Call(0, { .method_ = "POST", .target_ = "/unsafe/x" });
+  CHECK(failed.status_ == 500);
+  CHECK(failed.headers_.contains("Goldcrestcroft-Server-Seal"));
+}
+
+TEST_CASE("a broken stream goes on elsewhere only where it may be resumed")
+{
+  EntryFleet fleet(1);
+  REQUIRE(fleet.AwaitReady(0));
+  auto& engines = fleet.Platform().Engines("model");
+  engines[0]->trouble_ = Trouble::Cuts;
+  auto resumed = 0;
+  for (auto i = 0; i < 8; ++i) {
+    const auto stream =
+      fleet.Call(0, { .target_ = "/stream/x",
+                      .headers_ = { { "Goldcrestcroft-Prefix-Hash",
+                                      std::to_string(i) + ":10,f:5" } } });
+    CHECK(stream.whole_);
+    CHECK(CountOf(stream.body_, "id: ") == 6);
+    CHECK(CountOf(stream.body_, "data: " + fleet.LastId()) == 6);
+    resumed += fleet.RunsOf("model", fleet.LastId()) == 2 ? 1 : 0;
+  }
+  CHECK(resumed > 0);
+  fleet.Platform().SetTrouble("model", Trouble::Cuts);
+  const auto broken = fleet.Get(0, "/once/stream/x");
+  CHECK_FALSE(broken.whole_);
+  CHECK(fleet.RunsOf("model", fleet.LastId()) == 1);
+}
+
+} // namespace testing
--- /dev/null
+++ b/test/process/EntryControlTest.cpp
@@ -0,0 +1,96 @@
+#include "EntryFleet.h"
+
+#include <doctest/doctest.h>
+
+#include <csignal>
+
+namespace testing {
+
+TEST_CASE("settings that change are taken with a signal and without")
+{
+  EntryFleet fleet(1);
+  REQUIRE(fleet.AwaitReady(0));
+  fleet.ChangeSettings(0, "\"directory_keep_s\": 0.3",
+                       "\"directory_keep_s\": 1.5");
+  CHECK(EntryFleet::Await(
+    [&] { return fleet.Directory(0).body_.find("1.5") != std::string::npos; }));
+  fleet.ChangeSettings(0, "\"host\": \"h0\"", "\"host\": \"other\"");
+  fleet.ProcessOf(0).Signal(SIGHUP);
+  CHECK(EntryFleet::Await([&] {
+    return fleet.Log(0).find("\"at_next_start\":\"host\"") != std::string::npos;
+  }));
+  CHECK(fleet.Get(0, "/safe/x").status_ == 200);
+}
+
+TEST_CASE("configuration spreads, and an engine that drains gets nothing more")
+{
+  EntryFleet fleet(2);
+  REQUIRE(fleet.AwaitReady(0));
+  REQUIRE(fleet.AwaitReady(1));
+  CHECK(fleet.Get(1, "/new/x").status_ == 404);
+  fleet.Platform().PutConfig(2, "/new/");
+  CHECK(
+    EntryFleet::Await([&] { return fleet.Get(1, "/new/x").status_ == 200; }));
+  // An older version does not come back.
+  fleet.Platform().PutConfig(1);
+  std::this_thread::sleep_for(std::chrono::milliseconds{ 300 });
+  CHECK(fleet.Get(0, "/new/x").status_ == 200);
+
+  auto& leaving = *fleet.Platform().Engines("desk")[0];
+  fleet.Platform().Store().Put("servers", leaving.Id(),
+                               leaving.Entry("desk", "draining"));
+  std::this_thread::sleep_for(std::chrono::milliseconds{ 500 });
+  const auto before = leaving.Runs().size();
+  for (auto i = 0; i < 10; ++i) {
+    CHECK(fleet.Get(0, "/safe/x").status_ == 200);
+  }
+  CHECK(leaving.Runs().size() == before);
+}
+
+TEST_CASE("hosts serve on without the store, and one that starts asks a peer")
+{
+  EntryFleet fleet(2);
+  REQUIRE(fleet.AwaitReady(0));
+  REQUIRE(fleet.AwaitReady(1));
+  fleet.Platform().Store().busy_ = true;
+  CHECK(fleet.Get(0, "/safe/x").status_ == 200);
+  // Without the store it finds the other by the beats that it is sent.
+  fleet.ProcessOf(1).Kill();
+  fleet.Start(1);
+  CHECK(fleet.AwaitReady(1));
+  CHECK(fleet.Get(1, "/safe/x").status_ == 200);
+  CHECK(fleet.Log(1).find("state_from_peer") != std::string::npos);
+  fleet.Platform().Store().busy_ = false;
+  fleet.Platform().Store().forgets_ = true;
+  std::this_thread::sleep_for(std::chrono::milliseconds{ 200 });
+  fleet.Platform().Store().forgets_ = false;
+  fleet.Platform().PutConfig(3, "/late/");
+  CHECK(
+    EntryFleet::Await([&] { return fleet.Get(0, "/late/x").status_ == 200; }));
+}
+
+TEST_CASE("a planned stop cuts nothing and leaves the directory at once")
+{
+  EntryFleet fleet(2);
+  REQUIRE(fleet.AwaitReady(0));
+  REQUIRE(fleet.AwaitReady(1));
+  REQUIRE(EntryFleet::Await(
+    [&] { return CountOf(fleet.Directory(0).body_, "127.0.0.1") == 2; }));
+  for (const auto& engine : fleet.Platform().Engines("desk")) {
+    engine->delayMs_ = 800;
+  }
+  CallerAnswer answer;
+  std::thread caller([&] { answer = fleet.Get(1, "/unsafe/x"); });
+  std::this_thread::sleep_for(std::chrono::milliseconds{ 200 });
+  fleet.ProcessOf(1).Signal(SIGTERM);
+  CHECK(EntryFleet::Await(
+    [&] { return CountOf(fleet.Directory(0).body_, "127.0.0.1") == 1; }));
+  caller.join();
+  CHECK(answer.status_ == 200);
+  CHECK(answer.whole_);
+  CHECK(fleet.ProcessOf(1).Wait() == 0);
+  CHECK(EntryFleet::Await(
+    [&] { return !fleet.Platform().Store().Has("hosts", "h1"); }));
+}
+
+} // namespace testing
--- a/test/process/EntryFleet.cpp
+++ b/test/process/EntryFleet.cpp
@@ -41,6 +41,16 @@
 
 } // namespace
 
+auto CountOf(const std::string& aText, const std::string& aPart) -> int
+{
+  auto count = 0;
+  for (auto at = aText.find(aPart); at != std::string::npos;
+       at = aText.find(aPart, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
 auto SendCall(const std::string& aAddress, const CallerCall& aCall)
   -> CallerAnswer
 {
@@ -200,4 +210,14 @@
   std::ofstream(file) << settings;
 }
 
+auto EntryFleet::RunsOf(const std::string& aService, const std::string& aId)
+  -> int
+{
+  auto runs = 0;
+  for (const auto& engine : platform_.Engines(aService)) {
+    runs += engine->Runs()[aId];
+  }
+  return runs;
+}
+
 } // namespace testing
--- a/test/process/EntryFleet.h
+++ b/test/process/EntryFleet.h
@@ -57,6 +57,8 @@
 
   /** \brief Adds host, key, id and time to the call and sends it. */
   auto Call(std::size_t aHost, CallerCall aCall) -> CallerAnswer;
+  /** \brief How often the request ran at engines of the service. */
+  auto RunsOf(const std::string& aService, const std::string& aId) -> int;
   /** \brief Adds what every call has and an id of its own; for any thread. */
   auto MakeCall(const std::string& aTarget) -> CallerCall;
   [[nodiscard]] auto CallerAddress(std::size_t aHost) const -> std::string
@@ -89,6 +91,9 @@
   std::atomic<unsigned> calls_ = 0;
 };
 
+/** \brief How often the part stands in the text. */
+auto CountOf(const std::string& aText, const std::string& aPart) -> int;
+
 /** \brief Sends a call and reads the answer to its end, or gives up after some
  * seconds. */
 auto SendCall(const std::string& aAddress, const CallerCall& aCall)
