Let the connection that was idle for longest make room for a new one

The room was made by the first idle connection of a set ordered by address, and a connection whose request has not arrived yet counts as idle: of callers who connect at the same moment, one could be closed for the next. Ruled out: a limit that is too low (the three callers and no others fit), a request that had begun to come (those are kept). Change: connections know since when they are idle; the longest idle makes room.

--- a/goldcrestcroft/src/Gateway/CallerConnection.cpp
+++ b/goldcrestcroft/src/Gateway/CallerConnection.cpp
@@ -54,6 +54,7 @@
   : socket_(std::move(aSocket))
   , timer_(socket_.get_executor())
   , traffic_(aTraffic)
+  , idleSince_(aTraffic.Now())
 {
   SetSocketOptions(socket_);
 }
@@ -79,7 +80,7 @@
 
 auto CallerConnection::IsIdle() -> bool
 {
-  return idle_ && buffer_.size() == 0 &&
+  return idleSince_ && buffer_.size() == 0 &&
          ProbeIdle(socket_) != IdleState::HasBytes;
 }
 
@@ -102,7 +103,7 @@
       co_return Intake::Ended;
     }
   }
-  idle_ = false;
+  idleSince_.reset();
   CloseAfter(limits.headerTimeout_);
   http::request_parser<http::string_body> parser;
   parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes_));
@@ -185,7 +186,7 @@
   const auto self = shared_from_this();
   for (;;) {
     CallerRequest request;
-    idle_ = true;
+    idleSince_ = traffic_.Now();
     if (stopping_ && buffer_.size() == 0) {
       break;
     }
--- a/goldcrestcroft/src/Gateway/CallerConnection.h
+++ b/goldcrestcroft/src/Gateway/CallerConnection.h
@@ -22,6 +22,12 @@
   auto CloseWhenIdle() -> void;
   /** \brief Whether no request is under way and none has begun to come. */
   [[nodiscard]] auto IsIdle() -> bool;
+  /** \brief Since when no request is under way, as far as is known without
+   * asking the socket; none while one is. */
+  [[nodiscard]] auto IdleSince() const -> std::optional<TimePoint>
+  {
+    return idleSince_;
+  }
   /** \brief Breaks off whatever is under way. */
   auto Abort() -> void;
 
@@ -52,7 +58,7 @@
   asio::steady_timer timer_;
   beast::flat_buffer buffer_;
   Traffic& traffic_;
-  bool idle_ = true;
+  std::optional<TimePoint> idleSince_;
   bool stopping_ = false;
   bool timedOut_ = false;
   std::uint64_t watch_ = 0;
--- a/goldcrestcroft/src/Gateway/Traffic.cpp
+++ b/goldcrestcroft/src/Gateway/Traffic.cpp
@@ -56,16 +56,25 @@
 
 auto Traffic::DropIdle() -> bool
 {
-  const auto idle =
-    std::find_if(callers_.begin(), callers_.end(),
-                 [](const auto& aCaller) { return aCaller->IsIdle(); });
-  if (idle == callers_.end()) {
-    return false;
+  // The longest idle first: a connection that has just been opened is about to
+  // bring its request.
+  std::map<TimePoint, std::vector<std::shared_ptr<CallerConnection>>> idle;
+  for (const auto& caller : callers_) {
+    if (const auto since = caller->IdleSince()) {
+      idle[*since].push_back(caller);
+    }
+  }
+  for (const auto& [since, callers] : idle) {
+    for (const auto& caller : callers) {
+      if (caller->IsIdle()) {
+        caller->Abort();
+        callers_.erase(caller);
+        metrics_.Count("idle_callers_dropped");
+        return true;
+      }
+    }
   }
-  (*idle)->Abort();
-  callers_.erase(idle);
-  metrics_.Count("idle_callers_dropped");
-  return true;
+  return false;
 }
 
 auto Traffic::OnCallerEnd(const std::shared_ptr<CallerConnection>& aCaller)
--- a/test/process/EntryServingTest.cpp
+++ b/test/process/EntryServingTest.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 namespace testing {
 
 TEST_CASE("entry hosts serve plain requests and streams with stages")
@@ -120,6 +122,30 @@
   }
 }
 
+TEST_CASE("the connection that was idle for longest makes room")
+{
+  EntryFleet fleet(1);
+  fleet.ChangeSettings(0, "\"grace_s\": 5",
+                       "\"grace_s\": 5, \"most_callers\": 8");
+  fleet.ProcessOf(0).Kill();
+  fleet.Start(0);
+  REQUIRE(fleet.AwaitReady(0));
+  const auto old = fleet.OpenConnections(0, 8);
+  // Each new connection finds the limit reached and has sent nothing yet when
+  // the next one comes.
+  const auto fresh = fleet.OpenConnections(0, 8);
+  REQUIRE(EntryFleet::Await([&] {
+    return std::all_of(old.begin(), old.end(), [](const auto& aSocket) {
+      return goldcrestcroft::ProbeIdle(*aSocket) ==
+             goldcrestcroft::IdleState::Closed;
+    });
+  }));
+  for (const auto& socket : fresh) {
+    CHECK(goldcrestcroft::ProbeIdle(*socket) ==
+          goldcrestcroft::IdleState::Quiet);
+  }
+}
+
 TEST_CASE("an idle connection makes room for a new one, a busy one does not")
 {
   EntryFleet fleet(1);
