Pause a stage engine that is full, and keep its pieces waiting

Engines run one call and queue two, so the rest got 503 and not run; each counted as a failure of the engine (14 of 14 suspended) and as a try of the piece, of which three end a request (136 ended 'stage_failed' in two seconds). Besides, pieces of a call that had been refused were told as begun after 60 ms if its connection was kept, so that their inputs were released before any engine had them. Change: a full engine is paused for 50 ms, doubled up to 800, its pieces go back in their place; begun is told only while the call is at work. One log line for each pause.

--- a/goldcrestcroft/src/Gateway/RequestRunStages.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunStages.cpp
@@ -197,6 +197,7 @@
         break;
       case PieceEnd::Late:
       case PieceEnd::NoRoom:
+      case PieceEnd::EngineFull:
       case PieceEnd::Failed:
       case PieceEnd::Moved:
         stageProblem_ =
--- a/goldcrestcroft/src/Gateway/StageCallPiece.h
+++ b/goldcrestcroft/src/Gateway/StageCallPiece.h
@@ -31,6 +31,8 @@
   InputsGone,
   /** The engine has no memory for the result. */
   NoRoom,
+  /** The engine has no place for the call, and did not run it. */
+  EngineFull,
   Failed,
   /** The collector has no time for it before its deadline. */
   Refused,
--- a/goldcrestcroft/src/Gateway/StageDesk.h
+++ b/goldcrestcroft/src/Gateway/StageDesk.h
@@ -26,6 +26,11 @@
     Duration callSlack_ = std::chrono::milliseconds{ 400 };
     /** Pause of an engine that said it has no memory for results. */
     Duration roomPause_ = std::chrono::milliseconds{ 120 };
+    /** Pause of an engine that had no place for a call, doubled each time in a
+     * row up to the longest: other hosts collect for the service as well, for
+     * as long as lists of hosts differ. */
+    Duration fullPause_ = std::chrono::milliseconds{ 50 };
+    Duration longestFullPause_ = std::chrono::milliseconds{ 800 };
     std::size_t mostTries_ = 3;
     /** Part of an engine's memory for results that is planned with. */
     double roomShare_ = 0.9;
@@ -68,6 +73,8 @@
     ResultRoom room_;
     bool busy_ = false;
     TimePoint pausedUntil_;
+    /** Calls in a row that it had no place for. */
+    std::uint32_t timesFull_ = 0;
     std::vector<std::string> toRelease_;
     bool releasing_ = false;
     Duration lastCall_{};
@@ -105,9 +112,14 @@
                Call aCall) -> Task<void>;
   auto Exchange(const StageProfile& aProfile, Engine& aEngine,
                 const Call& aCall) -> Task<std::vector<PieceResult>>;
+  /** \brief Pauses an engine that had no place for a call. */
+  auto OnFull(Engine& aEngine) -> void;
   auto Settle(Service& aService, Engine& aEngine, const Call& aCall,
               const std::vector<PieceResult>& aResults) -> void;
-  auto TellBegun(std::shared_ptr<EngineConnection> aConnection,
+  /** \brief Lives until the engine has answered a call. */
+  struct AtWork
+  {};
+  auto TellBegun(std::weak_ptr<const AtWork> aCall,
                  std::vector<PieceTicket> aTickets) -> Task<void>;
   auto SendReleases(std::shared_ptr<Engine> aEngine) -> Task<void>;
   auto Report(std::uint64_t aOrder, std::vector<PieceResult> aResults) -> void;
--- a/goldcrestcroft/src/Gateway/StageDeskCalls.cpp
+++ b/goldcrestcroft/src/Gateway/StageDeskCalls.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+/** Status of an engine without a place for the call, which has not run. */
+constexpr auto kEngineFull = 503;
 /** Answers about a call's pieces are far smaller. */
 constexpr std::size_t kMaxAnswerBytes = 1U << 20U;
 
@@ -79,8 +81,8 @@
   const auto startedAt = clock_.Now();
   const auto call = codec_.MakeStageCall(aCall.pieces_);
   const auto written = co_await WriteCall(lease, call, timeout);
-  asio::co_spawn(context_, TellBegun(lease.connection_, aCall.tickets_),
-                 asio::detached);
+  const auto atWork = std::make_shared<const AtWork>();
+  asio::co_spawn(context_, TellBegun(atWork, aCall.tickets_), asio::detached);
   std::string body;
   auto status = 0;
   if (written) {
@@ -88,6 +90,12 @@
   } else {
     pool_.Drop(lease);
   }
+  if (status == kEngineFull) {
+    OnFull(aEngine);
+    co_return std::vector<PieceResult>(aCall.pieces_.size(),
+                                       { .end_ = PieceEnd::EngineFull });
+  }
+  aEngine.timesFull_ = 0;
   auto& health = aEngine.state_->health_;
   auto results =
     status != 200
@@ -117,12 +125,27 @@
   co_return results;
 }
 
-auto StageDesk::TellBegun(std::shared_ptr<EngineConnection> aConnection,
+auto StageDesk::OnFull(Engine& aEngine) -> void
+{
+  auto pause = options_.fullPause_;
+  for (std::uint32_t i = 0;
+       i < aEngine.timesFull_ && pause < options_.longestFullPause_; ++i) {
+    pause *= 2;
+  }
+  ++aEngine.timesFull_;
+  aEngine.pausedUntil_ = clock_.Now() + pause;
+  Log::Write(LogLevel::Info, "stage_engine_full",
+             { { "engine", aEngine.state_->entry_.id_ },
+               { "times", std::to_string(aEngine.timesFull_) },
+               { "pause_ms", std::to_string(ToMilliseconds(pause)) } });
+}
+
+auto StageDesk::TellBegun(std::weak_ptr<const AtWork> aCall,
                           std::vector<PieceTicket> aTickets) -> Task<void>
 {
   asio::steady_timer timer(context_, options_.fetchTime_);
   co_await timer.async_wait(kAsTuple);
-  if (!aConnection->IsOpen()) {
+  if (aCall.expired()) {
     co_return;
   }
   std::map<std::uint64_t, std::vector<PieceResult>> byOrder;
@@ -143,7 +166,7 @@
   const auto results = co_await Exchange(profile, *aEngine, aCall);
   aEngine->busy_ = false;
   if (auto* service = Find(aService)) {
-    if (!results.empty()) {
+    if (!results.empty() && results.front().end_ != PieceEnd::EngineFull) {
       service->rate_.OnCall(results.size(), aEngine->lastCall_,
                             RatePlan(*service));
     }
@@ -178,6 +201,10 @@
     if (listener == listeners_.end()) {
       continue;
     }
+    if (result.end_ == PieceEnd::EngineFull) {
+      aService.queue_.Return(ticket);
+      continue;
+    }
     if (result.end_ == PieceEnd::NoRoom) {
       aEngine.pausedUntil_ = now + options_.roomPause_;
       noRoom = true;
--- a/test/platform/EngineStandin.cpp
+++ b/test/platform/EngineStandin.cpp
@@ -106,6 +106,9 @@
 
 auto EngineStandin::RunPieces(const Request& aRequest) -> Reaction
 {
+  if (trouble_ == Trouble::Full) {
+    return { .status_ = 503, .headers_ = { { kNotRun, "1" } } };
+  }
   const auto call = json::parse(aRequest.body());
   auto items = json::array();
   ++calls_;
--- a/test/process/EntryAttemptsTest.cpp
+++ b/test/process/EntryAttemptsTest.cpp
@@ -99,4 +99,23 @@
   CHECK(fleet.RunsOf("model", fleet.LastId()) == 1);
 }
 
+TEST_CASE("pieces wait for stage engines that are full, and do not fail")
+{
+  EntryFleet fleet(1);
+  REQUIRE(fleet.AwaitReady(0));
+  // As after a restart of all hosts, when several collect for a service.
+  fleet.Platform().SetTrouble("cutter", Trouble::Full);
+  fleet.Platform().SetTrouble("ranker", Trouble::Full);
+  std::thread relief([&] {
+    std::this_thread::sleep_for(std::chrono::milliseconds{ 400 });
+    fleet.Platform().SetTrouble("cutter", Trouble::None);
+    fleet.Platform().SetTrouble("ranker", Trouble::None);
+  });
+  const auto stream = fleet.Get(0, "/stream/x");
+  relief.join();
+  CAPTURE(fleet.Log(0));
+  CHECK(stream.status_ == 200);
+  CHECK(stream.whole_);
+}
+
 } // namespace testing
