Start a short branch of stages when the longer ones have as few left

Cause: gig-tagging makes results of 800 KB in a branch of one stage beside a chain of three; they lay in the memory of their engines for the 1.5 to 2.5 s of the chain, and that memory binds the calls of that service in bursts. Change: StageGraph starts a stage only once no other has more stages to its end; the collector counts it as work to come until then.

--- a/goldcrestcroft/src/Gateway/RequestRunStages.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunStages.cpp
@@ -121,7 +121,7 @@
 auto RequestRun::PlanStages() -> void
 {
   for (std::size_t i = 0; i < route_->stages_.size(); ++i) {
-    if (graph_->StartsFromKey(i) || graph_->PiecesOf(i) == 0) {
+    if (!graph_->IsToCome(i)) {
       continue;
     }
     plans_[i] = traffic_.Broker().Plan(
--- a/goldcrestcroft/src/Staging/StageGraph.cpp
+++ b/goldcrestcroft/src/Staging/StageGraph.cpp
@@ -36,18 +36,41 @@
   }
 }
 
+auto StageGraph::IsEarly(std::size_t aStage) const -> bool
+{
+  // The result of a short branch would only take up its engine's memory while
+  // the longer ones are made.
+  const auto depth = DepthFrom(aStage);
+  for (std::size_t i = 0; i < stages_.size(); ++i) {
+    if (!stages_[i].IsMade() && DepthFrom(i) > depth) {
+      return true;
+    }
+  }
+  return false;
+}
+
+auto StageGraph::IsReady(std::size_t aStage) const -> bool
+{
+  const auto& stage = stages_[aStage];
+  return !stage.started_ && !stage.handles_.empty() &&
+         std::all_of(
+           stage.after_.begin(), stage.after_.end(),
+           [&](std::size_t aBefore) { return stages_[aBefore].IsMade(); }) &&
+         !IsEarly(aStage);
+}
+
+auto StageGraph::IsToCome(std::size_t aStage) const -> bool
+{
+  const auto& stage = stages_[aStage];
+  return !stage.started_ && !stage.handles_.empty() && !IsReady(aStage);
+}
+
 auto StageGraph::TakeReady() -> std::vector<std::size_t>
 {
   std::vector<std::size_t> ready;
   for (std::size_t i = 0; i < stages_.size(); ++i) {
-    auto& stage = stages_[i];
-    if (stage.started_ || stage.handles_.empty()) {
-      continue;
-    }
-    if (std::all_of(
-          stage.after_.begin(), stage.after_.end(),
-          [&](std::size_t aBefore) { return stages_[aBefore].IsMade(); })) {
-      stage.started_ = true;
+    if (IsReady(i)) {
+      stages_[i].started_ = true;
       ready.push_back(i);
     }
   }
--- a/goldcrestcroft/src/Staging/StageGraph.h
+++ b/goldcrestcroft/src/Staging/StageGraph.h
@@ -19,7 +19,8 @@
   StageGraph(const std::vector<RouteStage>& aStages,
              const std::vector<std::uint32_t>& aPieceCounts);
 
-  /** \brief Stages whose inputs are all made; each is returned once. */
+  /** \brief Stages to start now: their inputs are made, and so is every stage
+   * with more stages in a row to the end. Each is returned once. */
   auto TakeReady() -> std::vector<std::size_t>;
   /** \brief Pieces of the stage that have no result yet. */
   [[nodiscard]] auto MissingPieces(std::size_t aStage) const
@@ -31,6 +32,8 @@
   /** \brief Handles of all pieces of all stages that aStage needs. */
   [[nodiscard]] auto InputsOf(std::size_t aStage) const
     -> std::vector<std::string>;
+  /** \brief Whether the stage has pieces and has to wait for others. */
+  [[nodiscard]] auto IsToCome(std::size_t aStage) const -> bool;
   /** \brief Whether the stage is made from the request's key. */
   [[nodiscard]] auto StartsFromKey(std::size_t aStage) const -> bool
   {
@@ -80,6 +83,8 @@
     }
   };
 
+  [[nodiscard]] auto IsReady(std::size_t aStage) const -> bool;
+  [[nodiscard]] auto IsEarly(std::size_t aStage) const -> bool;
   auto Reset(std::size_t aStage) -> void;
   auto TakeHandles(std::size_t aStage,
                    std::vector<std::pair<std::size_t, std::string>>& aInto)
