Let readers of the store behind the first one pause between calls

Ruled out: fewer readers, since a third of the hosts may be turned away at once. Change: each reader pauses 200 ms longer than the one ahead of it, 800 ms at most, and asks only for what peers have not told it; half a second before a host's first call for changes, and between calls for rows of hosts, whose beats come sooner.

--- a/goldcrestcroft/src/Gateway/ControlPlane.h
+++ b/goldcrestcroft/src/Gateway/ControlPlane.h
@@ -47,6 +47,14 @@
     std::size_t smallFleet_ = 12;
     std::size_t fanOut_ = 4;
     std::size_t readers_ = 6;
+    /** Each reader but the first pauses this much longer than the one ahead of
+     * it before it asks the store for changes again: the first one tells the
+     * others, and changes that come together cost them one call. */
+    Duration readerPause_ = std::chrono::milliseconds{ 200 };
+    Duration longestReaderPause_ = std::chrono::milliseconds{ 800 };
+    /** Before a host's first call for changes, in which it learns who else
+     * reads; and before each for other hosts, whose beats come sooner. */
+    Duration calmPause_ = std::chrono::milliseconds{ 500 };
     /** A pause of the process beyond this makes what it knows doubtful. */
     Duration doubtfulPause_ = std::chrono::milliseconds{ 1500 };
   };
@@ -79,7 +87,10 @@
   auto DecodeEngine(const std::string& aId, const std::string& aText) const
     -> Result<EngineEntry>;
   auto Follow(StoreTable aTable) -> Task<void>;
+  /** \brief Hosts that come before this one as readers of the table. */
+  auto ReadersAhead(StoreTable aTable) const -> std::size_t;
   auto IsReader(StoreTable aTable) const -> bool;
+  auto PauseOfReader(StoreTable aTable) const -> Duration;
   auto OnStoreReply(StoreTable aTable, Followed& aFollowed, bool aWhole,
                     const StoreReply& aReply) -> void;
   auto Announce() -> Task<void>;
--- a/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
@@ -29,21 +29,32 @@
   co_await timer.async_wait(kAsTuple);
 }
 
-auto ControlPlane::IsReader(StoreTable aTable) const -> bool
+auto ControlPlane::ReadersAhead(StoreTable aTable) const -> std::size_t
 {
-  if (published_.hosts_.size() <= options_.smallFleet_) {
-    return true;
-  }
-  // The hosts of largest weight, alike on all hosts.
+  // By weight, alike on all hosts.
   const auto weight = [&](const std::string& aHost) {
     return RendezvousWeight(Name(aTable), aHost);
   };
   const auto own = weight(options_.settings_.host_);
-  const auto ahead = std::count_if(
+  return static_cast<std::size_t>(std::count_if(
     published_.hosts_.begin(), published_.hosts_.end(), [&](const auto& aHost) {
       return !aHost.leaving_ && weight(aHost.id_) > own;
-    });
-  return static_cast<std::size_t>(ahead) < options_.readers_;
+    }));
+}
+
+auto ControlPlane::IsReader(StoreTable aTable) const -> bool
+{
+  return published_.hosts_.size() <= options_.smallFleet_ ||
+         ReadersAhead(aTable) < options_.readers_;
+}
+
+auto ControlPlane::PauseOfReader(StoreTable aTable) const -> Duration
+{
+  const auto pause = std::min(
+    options_.readerPause_ * static_cast<Duration::rep>(ReadersAhead(aTable)),
+    options_.longestReaderPause_);
+  return aTable == StoreTable::Hosts ? std::max(pause, options_.calmPause_)
+                                     : pause;
 }
 
 auto ControlPlane::Follow(StoreTable aTable) -> Task<void>
@@ -54,10 +65,6 @@
   for (;;) {
     if (followed.known_ && !IsReader(aTable)) {
       co_await Pause(kCheckRole);
-      // What peers told is skipped when this host reads again.
-      followed.version_ = aTable == StoreTable::Engines
-                            ? std::max(followed.version_, engines_.Version())
-                            : followed.version_;
       continue;
     }
     const auto whole = !followed.known_;
@@ -65,12 +72,20 @@
     if (whole) {
       reply = co_await store_.ReadAll(aTable);
     } else {
+      // What peers told meanwhile is not asked for again.
+      if (aTable == StoreTable::Engines) {
+        followed.version_ = std::max(followed.version_, engines_.Version());
+      } else if (aTable == StoreTable::Configuration) {
+        followed.version_ =
+          std::max(followed.version_, configuration_.version_);
+      }
       reply =
         co_await store_.Follow(aTable, followed.version_, options_.followWait_);
     }
     OnStoreReply(aTable, followed, whole, reply);
     if (reply.end_ == StoreEnd::Done) {
       pause = options_.leastPause_;
+      co_await Pause(whole ? options_.calmPause_ : PauseOfReader(aTable));
     } else if (reply.end_ != StoreEnd::HistoryDropped) {
       co_await Pause(pause);
       pause = std::min(pause * 2, options_.mostPause_);
