Send a plain request on a new connection only once the engine would have reset it

Each had taken 1 to 4 ms. Ruled out: engines that crashed (all three of the service, and they served on kept connections), our own time-outs (timed_out=false). Change: a new connection for a plain request is watched for 5 ms and handed out if it was not reset; a reset, also one seen by the connect itself, is an engine that was not reached, and does not suspend it. Conclusion: refusals are true where they can be.

--- a/goldcrestcroft/src/Gateway/EngineConnection.cpp
+++ b/goldcrestcroft/src/Gateway/EngineConnection.cpp
@@ -42,19 +42,22 @@
 }
 
 auto EngineConnection::Connect(const std::string& aAddress, Duration aTimeout)
-  -> Task<bool>
+  -> Task<boost::system::error_code>
 {
   const auto self = shared_from_this();
   CloseAfter(aTimeout);
-  const auto [error] =
+  auto [error] =
     co_await socket_.async_connect(ParseTcpEndpoint(aAddress), kAsTuple);
   Disarm();
-  if (error || !socket_.is_open()) {
+  if (!error && !socket_.is_open()) {
+    error = asio::error::timed_out;
+  }
+  if (error) {
     Close();
-    co_return false;
+  } else {
+    SetSocketOptions(socket_);
   }
-  SetSocketOptions(socket_);
-  co_return true;
+  co_return error;
 }
 
 auto EngineConnection::BeginWrite(std::string aBytes) -> Task<bool>
--- a/goldcrestcroft/src/Gateway/EngineConnection.h
+++ b/goldcrestcroft/src/Gateway/EngineConnection.h
@@ -24,7 +24,9 @@
   /** \brief Whether it was closed because its time was over. */
   [[nodiscard]] auto TimedOut() const -> bool { return timedOut_; }
 
-  auto Connect(const std::string& aAddress, Duration aTimeout) -> Task<bool>;
+  /** \brief The error code is zero on success. */
+  auto Connect(const std::string& aAddress, Duration aTimeout)
+    -> Task<boost::system::error_code>;
   /** \brief Starts writing a request. Large ones are written while the answer
    * is awaited, since an engine may answer before it has read all. */
   auto BeginWrite(std::string aBytes) -> Task<bool>;
--- a/goldcrestcroft/src/Gateway/EnginePool.cpp
+++ b/goldcrestcroft/src/Gateway/EnginePool.cpp
@@ -75,7 +75,16 @@
   return nullptr;
 }
 
-auto EnginePool::Open(std::shared_ptr<EngineState> aEngine) -> Task<EngineLease>
+auto EnginePool::IsSettled(EngineConnection& aConnection) -> Task<bool>
+{
+  asio::steady_timer timer(context_, options_.settleTime_);
+  co_await timer.async_wait(kAsTuple);
+  co_return aConnection.IsOpen() &&
+    ProbeIdle(aConnection.Socket()) == IdleState::Quiet;
+}
+
+auto EnginePool::Open(std::shared_ptr<EngineState> aEngine, bool aSettles)
+  -> Task<EngineLease>
 {
   auto connection = TakeKept(*aEngine);
   if (connection) {
@@ -84,14 +93,25 @@
   }
   connection = std::make_shared<EngineConnection>(context_);
   ++aEngine->openConnections_;
-  const auto connected = co_await connection->Connect(aEngine->entry_.address_,
-                                                      options_.connectTimeout_);
-  if (!connected) {
+  const auto error = co_await connection->Connect(aEngine->entry_.address_,
+                                                  options_.connectTimeout_);
+  auto reset = error == asio::error::connection_reset;
+  if (!error && aSettles) {
+    const auto settled = co_await IsSettled(*connection);
+    reset = !settled;
+  }
+  if (error || reset) {
+    connection->Close();
     --aEngine->openConnections_;
-    aEngine->health_.OnUnreachable(clock_.Now());
-    Log::Write(LogLevel::Info, "engine_unreachable",
+    // One that resets serves on the connections that it has.
+    if (!reset) {
+      aEngine->health_.OnUnreachable(clock_.Now());
+    }
+    Log::Write(LogLevel::Info,
+               reset ? "engine_connection_reset" : "engine_unreachable",
                { { "engine", aEngine->entry_.id_ },
-                 { "address", aEngine->entry_.address_ } });
+                 { "address", aEngine->entry_.address_ },
+                 { "reason", error.message() } });
     co_return EngineLease{ .engine_ = aEngine };
   }
   co_return EngineLease{ .engine_ = aEngine, .connection_ = connection };
--- a/goldcrestcroft/src/Gateway/EnginePool.h
+++ b/goldcrestcroft/src/Gateway/EnginePool.h
@@ -46,6 +46,9 @@
   struct Options
   {
     Duration connectTimeout_ = std::chrono::milliseconds{ 400 };
+    /** An engine that has all the connections that it takes resets a new one
+     * within this; two ways between zones and the time of a handshake. */
+    Duration settleTime_ = std::chrono::milliseconds{ 5 };
     /** Where an engine does not say how long it keeps a connection. */
     Duration defaultKeep_ = std::chrono::seconds{ 4 };
     /** Given up this much before the engine would close it, so that no
@@ -66,14 +69,18 @@
   /** \brief State of an engine of the list. */
   auto StateOf(const EngineEntry& aEntry) -> std::shared_ptr<EngineState>;
 
-  /** \brief A kept connection or a new one; none if it cannot be opened. */
-  auto Open(std::shared_ptr<EngineState> aEngine) -> Task<EngineLease>;
+  /** \brief A kept connection or a new one; none if it cannot be opened. With
+   * aSettles a new one is handed out only once the engine would have reset
+   * it, for what must not be sent in vain. */
+  auto Open(std::shared_ptr<EngineState> aEngine, bool aSettles = false)
+    -> Task<EngineLease>;
   /** \brief Keeps the connection for aKeepFor, zero for the usual. */
   auto Keep(const EngineLease& aLease, Duration aKeepFor) -> void;
   /** \brief Closes the connection. */
   auto Drop(const EngineLease& aLease) -> void;
 
 private:
+  auto IsSettled(EngineConnection& aConnection) -> Task<bool>;
   auto TakeKept(EngineState& aEngine) -> std::shared_ptr<EngineConnection>;
 
   asio::io_context& context_;
--- a/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
@@ -36,7 +36,10 @@
 {
   const auto& entry = aEngine->entry_;
   tried_.insert(entry.id_);
-  const auto lease = co_await traffic_.Pool().Open(aEngine);
+  // Plain services take few connections from all hosts together; engines of
+  // streams have far more places for connections than hosts use.
+  const auto isStream = route_->kind_ == RouteKind::Streaming;
+  const auto lease = co_await traffic_.Pool().Open(aEngine, !isStream);
   if (!lease.connection_) {
     co_return AttemptEnd::Unreachable;
   }
--- a/test/platform/EngineStandin.h
+++ b/test/platform/EngineStandin.h
@@ -61,6 +61,10 @@
   {
     return server_.Abandoned();
   }
+  auto SetMostConnections(std::size_t aMost) -> void
+  {
+    server_.mostConnections_ = aMost;
+  }
   [[nodiscard]] auto PiecesRun() -> std::size_t;
   [[nodiscard]] auto CallsRun() -> std::size_t;
   [[nodiscard]] auto ResultsHeld() -> std::size_t;
--- a/test/platform/HttpServer.cpp
+++ b/test/platform/HttpServer.cpp
@@ -64,7 +64,14 @@
     if (error) {
       co_return;
     }
-    asio::co_spawn(context_, Serve(std::move(socket)), asio::detached);
+    if (connections_ >= mostConnections_) {
+      socket.set_option(asio::socket_base::linger(true, 0));
+      socket.close();
+      continue;
+    }
+    ++connections_;
+    asio::co_spawn(context_, Serve(std::move(socket)),
+                   [this](const auto&) { --connections_; });
   }
 }
 
--- a/test/platform/HttpServer.h
+++ b/test/platform/HttpServer.h
@@ -42,6 +42,9 @@
   /** \brief Callers that left before their answer. */
   [[nodiscard]] auto Abandoned() const -> std::size_t { return abandoned_; }
 
+  /** Callers beyond it are reset as soon as they have connected. */
+  std::atomic<std::size_t> mostConnections_ = 1000;
+
 private:
   auto Accept() -> goldcrestcroft::Task<void>;
   auto Serve(goldcrestcroft::Tcp::socket aSocket) -> goldcrestcroft::Task<void>;
@@ -49,6 +52,7 @@
   goldcrestcroft::asio::io_context& context_;
   Handler handler_;
   goldcrestcroft::Tcp::acceptor acceptor_;
+  std::size_t connections_ = 0;
   std::atomic<std::size_t> abandoned_ = 0;
 };
 
--- a/test/process/EntryAttemptsTest.cpp
+++ b/test/process/EntryAttemptsTest.cpp
@@ -99,6 +99,26 @@
   CHECK(fleet.RunsOf("model", fleet.LastId()) == 1);
 }
 
+TEST_CASE("an engine that takes no more connections has not got the request")
+{
+  EntryFleet fleet(1);
+  REQUIRE(fleet.AwaitReady(0));
+  for (const auto& engine : fleet.Platform().Engines("desk")) {
+    engine->SetMostConnections(0);
+  }
+  const auto refused =
+    fleet.Call(0, { .method_ = "POST", .target_ = "/unsafe/x" });
+  CHECK(refused.status_ == 503);
+  CHECK(refused.headers_.contains("Retry-After"));
+  CHECK(fleet.RunsOf("desk", fleet.LastId()) == 0);
+  for (const auto& engine : fleet.Platform().Engines("desk")) {
+    engine->SetMostConnections(1);
+  }
+  // It was not suspended for that.
+  CHECK(fleet.Call(0, { .method_ = "POST", .target_ = "/unsafe/x" }).status_ ==
+        200);
+}
+
 TEST_CASE("pieces wait for stage engines that are full, and do not fail")
 {
   EntryFleet fleet(1);
