Share one doubling of pauses, and find the longest idle caller without a tree

Cause: reading the change again: StageDesk wrote the doubling of EngineHealth a second time; at the limit of callers each new connection built a map of vectors over all of them; two tests restarted a host by the same lines. Change: Doubled in Core serves both; the idle callers go into one heap; EntryFleet::RestartWith. Ruled out: one type for the pauses of the store's readers as well, which keep theirs between calls.

--- a/goldcrestcroft/Core.h
+++ b/goldcrestcroft/Core.h
@@ -2,6 +2,7 @@
 
 /** \brief Identifiers, clocks, errors with remedies, hashing and randomness. */
 
+#include "src/Core/Backoff.h"
 #include "src/Core/Clock.h"
 #include "src/Core/Error.h"
 #include "src/Core/Hash.h"
--- a/goldcrestcroft/src/Engines/EngineHealth.cpp
+++ b/goldcrestcroft/src/Engines/EngineHealth.cpp
@@ -30,13 +30,8 @@
 
 auto EngineHealth::Suspend(TimePoint aNow) -> void
 {
-  auto length = options_.firstSuspension_;
-  for (std::uint32_t i = 0;
-       i < suspensions_ && length < options_.longestSuspension_; ++i) {
-    length *= 2;
-  }
-  suspendedUntil_ = aNow + std::min(length, options_.longestSuspension_);
-  ++suspensions_;
+  suspendedUntil_ = aNow + Doubled(options_.firstSuspension_, suspensions_++,
+                                   options_.longestSuspension_);
   consecutive_ = 0;
 }
 
--- a/goldcrestcroft/src/Gateway/StageDeskCalls.cpp
+++ b/goldcrestcroft/src/Gateway/StageDeskCalls.cpp
@@ -127,12 +127,8 @@
 
 auto StageDesk::OnFull(Engine& aEngine) -> void
 {
-  auto pause = options_.fullPause_;
-  for (std::uint32_t i = 0;
-       i < aEngine.timesFull_ && pause < options_.longestFullPause_; ++i) {
-    pause *= 2;
-  }
-  ++aEngine.timesFull_;
+  const auto pause = Doubled(options_.fullPause_, aEngine.timesFull_++,
+                             options_.longestFullPause_);
   aEngine.pausedUntil_ = clock_.Now() + pause;
   Log::Write(LogLevel::Info, "stage_engine_full",
              { { "engine", aEngine.state_->entry_.id_ },
--- a/goldcrestcroft/src/Gateway/Traffic.cpp
+++ b/goldcrestcroft/src/Gateway/Traffic.cpp
@@ -58,20 +58,22 @@
 {
   // The longest idle first: a connection that has just been opened is about to
   // bring its request.
-  std::map<TimePoint, std::vector<std::shared_ptr<CallerConnection>>> idle;
-  for (const auto& caller : callers_) {
-    if (const auto since = caller->IdleSince()) {
-      idle[*since].push_back(caller);
-    }
-  }
-  for (const auto& [since, callers] : idle) {
-    for (const auto& caller : callers) {
-      if (caller->IsIdle()) {
-        caller->Abort();
-        callers_.erase(caller);
-        metrics_.Count("idle_callers_dropped");
-        return true;
-      }
+  std::vector<std::shared_ptr<CallerConnection>> idle;
+  std::copy_if(callers_.begin(), callers_.end(), std::back_inserter(idle),
+               [](const auto& aCaller) { return aCaller->IdleSince(); });
+  const auto later = [](const auto& aLeft, const auto& aRight) {
+    return aLeft->IdleSince() > aRight->IdleSince();
+  };
+  std::make_heap(idle.begin(), idle.end(), later);
+  while (!idle.empty()) {
+    std::pop_heap(idle.begin(), idle.end(), later);
+    const auto longest = std::move(idle.back());
+    idle.pop_back();
+    if (longest->IsIdle()) {
+      longest->Abort();
+      callers_.erase(longest);
+      metrics_.Count("idle_callers_dropped");
+      return true;
     }
   }
   return false;
--- a/test/process/EntryFleet.cpp
+++ b/test/process/EntryFleet.cpp
@@ -210,6 +210,14 @@
   std::ofstream(file) << settings;
 }
 
+auto EntryFleet::RestartWith(std::size_t aHost, const std::string& aOld,
+                             const std::string& aNew) -> void
+{
+  ChangeSettings(aHost, aOld, aNew);
+  ProcessOf(aHost).Kill();
+  Start(aHost);
+}
+
 auto EntryFleet::RunsOf(const std::string& aService, const std::string& aId)
   -> int
 {
--- a/test/process/EntryFleet.h
+++ b/test/process/EntryFleet.h
@@ -76,6 +76,9 @@
   [[nodiscard]] auto LastId() const -> std::string;
   auto Directory(std::size_t aHost) -> CallerAnswer;
   [[nodiscard]] auto Log(std::size_t aHost) const -> std::string;
+  /** \brief Kills the host and starts it with its settings changed. */
+  auto RestartWith(std::size_t aHost, const std::string& aOld,
+                   const std::string& aNew) -> void;
   /** \brief Replaces text in the host's settings file. */
   auto ChangeSettings(std::size_t aHost, const std::string& aOld,
                       const std::string& aNew) const -> void;
--- a/test/process/EntryServingTest.cpp
+++ b/test/process/EntryServingTest.cpp
@@ -125,10 +125,7 @@
 TEST_CASE("the connection that was idle for longest makes room")
 {
   EntryFleet fleet(1);
-  fleet.ChangeSettings(0, "\"grace_s\": 5",
-                       "\"grace_s\": 5, \"most_callers\": 8");
-  fleet.ProcessOf(0).Kill();
-  fleet.Start(0);
+  fleet.RestartWith(0, "\"grace_s\": 5", "\"grace_s\": 5, \"most_callers\": 8");
   REQUIRE(fleet.AwaitReady(0));
   const auto old = fleet.OpenConnections(0, 8);
   // Each new connection finds the limit reached and has sent nothing yet when
@@ -149,10 +146,7 @@
 TEST_CASE("an idle connection makes room for a new one, a busy one does not")
 {
   EntryFleet fleet(1);
-  fleet.ChangeSettings(0, "\"grace_s\": 5",
-                       "\"grace_s\": 5, \"most_callers\": 3");
-  fleet.ProcessOf(0).Kill();
-  fleet.Start(0);
+  fleet.RestartWith(0, "\"grace_s\": 5", "\"grace_s\": 5, \"most_callers\": 3");
   REQUIRE(fleet.AwaitReady(0));
   const auto idle = fleet.OpenConnections(0, 6);
   CHECK(fleet.Get(0, "/safe/x").status_ == 200);
