Say in a refusal's line what it was decided by, and test three promises that had no test

Cause: reading a refused request's line again: since the wait allowed depends on the route's rank and on a learned time, 'the stages would take 1906 ms, 1056 of them waiting' does not tell why it was refused; lines of a stage that failed named neither stage nor end. Three promises had no test of their own: a host without a configuration refuses, an engine is told the time that is left, an engine that took another's address does not run a request. Change: the line names the wait allowed, the rank and the time to the first event, or the stage and its end; three process tests. Ruled out: service names in these messages, which callers see as well. Conclusion: behaviour is as it was but for the texts.

--- a/goldcrestcroft/src/Gateway/RequestRunStages.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunStages.cpp
@@ -34,16 +34,23 @@
   const StageAdmission admission{
     .firstEvent_ = traffic_.FirstEventOf(route_->name_).Usual()
   };
-  if (admission.Admits(forecast, route_->objective_, route_->rank_)) {
+  const auto allowed =
+    admission.AllowedWait(forecast, route_->objective_, route_->rank_);
+  if (forecast.waiting_ <= allowed) {
     return std::nullopt;
   }
-  return OwnAnswer{ .reason_ = "overloaded",
-                    .message_ = fmt::format(
-                      "the stages would take {:.0f} ms, {:.0f} of them waiting",
-                      ToMilliseconds(forecast.total_),
-                      ToMilliseconds(forecast.waiting_)),
-                    .retryAfter_ = std::max<Duration>(
-                      forecast.waiting_, traffic_.Options().retryAfter_) };
+  return OwnAnswer{
+    .reason_ = "overloaded",
+    .message_ =
+      fmt::format("the stages would take {:.0f} ms, {:.0f} of them waiting "
+                  "where {:.0f} are allowed to rank {}, with {:.0f} ms "
+                  "from there to the first event",
+                  ToMilliseconds(forecast.total_),
+                  ToMilliseconds(forecast.waiting_), ToMilliseconds(allowed),
+                  route_->rank_, ToMilliseconds(admission.firstEvent_)),
+    .retryAfter_ =
+      std::max<Duration>(forecast.waiting_, traffic_.Options().retryAfter_)
+  };
 }
 
 auto RequestRun::MakeStages() -> Task<StageEnd>
@@ -194,8 +201,9 @@
       case PieceEnd::Refused:
         stageProblem_ =
           OwnAnswer{ .reason_ = "stage_overloaded",
-                     .message_ = "a stage has no time for it before its "
-                                 "deadline",
+                     .message_ = fmt::format(
+                       "stage {} kept it waiting until long after it was due",
+                       stage),
                      .retryAfter_ = result.retryAfter_ };
         break;
       case PieceEnd::Late:
@@ -205,7 +213,8 @@
       case PieceEnd::Moved:
         stageProblem_ =
           OwnAnswer{ .reason_ = "stage_failed",
-                     .message_ = "a stage cannot be made",
+                     .message_ = fmt::format("stage {} ended as {}", stage,
+                                             ToString(result.end_)),
                      .retryAfter_ = traffic_.Options().retryAfter_ };
         break;
     }
@@ -216,9 +225,11 @@
     orders_.erase(found);
     graph_->OnInputsGone(stage);
   } else if (again) {
-    stageProblem_ = OwnAnswer{ .reason_ = "stage_inputs_gone",
-                               .message_ = "results of a stage were lost",
-                               .retryAfter_ = traffic_.Options().retryAfter_ };
+    stageProblem_ =
+      OwnAnswer{ .reason_ = "stage_inputs_gone",
+                 .message_ = fmt::format(
+                   "results that stage {} needs were lost again", stage),
+                 .retryAfter_ = traffic_.Options().retryAfter_ };
   } else if (graph_->MissingPieces(stage).empty()) {
     traffic_.Broker().Cancel(aOrder);
     orders_.erase(found);
--- a/goldcrestcroft/src/Gateway/StageCallPiece.h
+++ b/goldcrestcroft/src/Gateway/StageCallPiece.h
@@ -42,6 +42,9 @@
   Begun
 };
 
+/** \brief The end as a stable lower-case word, for logs. */
+auto ToString(PieceEnd aEnd) -> std::string;
+
 /** \brief The answer about one piece. */
 struct PieceResult
 {
--- a/goldcrestcroft/src/Staging/StageAdmission.cpp
+++ b/goldcrestcroft/src/Staging/StageAdmission.cpp
@@ -4,8 +4,9 @@
 
 namespace goldcrestcroft {
 
-auto StageAdmission::Admits(const ChainForecast& aForecast, Duration aObjective,
-                            int aRank) const -> bool
+auto StageAdmission::AllowedWait(const ChainForecast& aForecast,
+                                 Duration aObjective, int aRank) const
+  -> Duration
 {
   const auto spare =
     aObjective - firstEvent_ - (aForecast.total_ - aForecast.waiting_);
@@ -13,7 +14,7 @@
     std::max(mostSpare_ - sparePerRank_ * std::max(aRank - 1, 0), leastSpare_);
   const auto allowed = Duration(
     static_cast<Duration::rep>(static_cast<double>(spare.count()) * part));
-  return aForecast.waiting_ <= std::max(allowed, calmWait_);
+  return std::max(allowed, calmWait_);
 }
 
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Staging/StageAdmission.h
+++ b/goldcrestcroft/src/Staging/StageAdmission.h
@@ -24,10 +24,16 @@
   /** Waits below this are no overload; nothing is refused for them. */
   Duration calmWait_ = std::chrono::milliseconds{ 150 };
 
-  /** \brief aObjective is the route's, aRank its rank, 0 for the most urgent.
-   */
+  /** \brief The longest wait with which a request is admitted. aObjective is
+   * the route's, aRank its rank, 0 for the most urgent. */
+  [[nodiscard]] auto AllowedWait(const ChainForecast& aForecast,
+                                 Duration aObjective, int aRank) const
+    -> Duration;
   [[nodiscard]] auto Admits(const ChainForecast& aForecast, Duration aObjective,
-                            int aRank) const -> bool;
+                            int aRank) const -> bool
+  {
+    return aForecast.waiting_ <= AllowedWait(aForecast, aObjective, aRank);
+  }
 };
 
 } // namespace goldcrestcroft
--- a/test/platform/EngineStandin.h
+++ b/test/platform/EngineStandin.h
@@ -51,6 +51,12 @@
   /** \brief Starts again under its id: it holds nothing of before. */
   auto Restart() -> void;
   [[nodiscard]] auto Id() const -> const std::string& { return id_; }
+  /** \brief Another engine has its address from now on. */
+  auto Replace(const std::string& aId) -> void
+  {
+    const std::lock_guard lock(mutex_);
+    id_ = aId;
+  }
   /** \brief How often each request ran, by its id. */
   [[nodiscard]] auto Runs() -> std::map<std::string, int>;
   [[nodiscard]] auto Arrivals() -> std::vector<Arrival>;
--- a/test/process/EntryAttemptsTest.cpp
+++ b/test/process/EntryAttemptsTest.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 namespace testing {
 
 namespace {
@@ -61,6 +63,44 @@
   CHECK(fleet.RunsOf("desk", fleet.LastId()) == 0);
 }
 
+TEST_CASE("an engine that took another's address does not run the request")
+{
+  EntryFleet fleet(1);
+  REQUIRE(fleet.AwaitReady(0));
+  auto& replaced = *fleet.Platform().Engines("desk")[0];
+  replaced.Replace("i-another");
+  // Not run there for certain, so that even these go to the other engine.
+  for (auto i = 0; i < 4; ++i) {
+    CHECK(
+      fleet.Call(0, { .method_ = "POST", .target_ = "/unsafe/x" }).status_ ==
+      200);
+    CHECK(fleet.RunsOf("desk", fleet.LastId()) == 1);
+  }
+  CHECK(replaced.Runs().empty());
+}
+
+TEST_CASE("an engine is told the time that the caller has left")
+{
+  EntryFleet fleet(1);
+  REQUIRE(fleet.AwaitReady(0));
+  constexpr auto kDelay = 300;
+  constexpr auto kAll = 2500;
+  for (const auto& engine : fleet.Platform().Engines("desk")) {
+    engine->delayMs_ = kDelay;
+  }
+  fleet.Platform().SetTrouble("desk", Trouble::Drops);
+  fleet.Get(0, "/safe/x");
+  std::vector<int> told;
+  for (const auto& engine : fleet.Platform().Engines("desk")) {
+    const auto text = engine->LastHeader("Goldcrestcroft-Deadline-Ms");
+    REQUIRE_FALSE(text.empty());
+    told.push_back(std::stoi(text));
+  }
+  std::sort(told.begin(), told.end());
+  CHECK(told[1] <= kAll);
+  CHECK(told[0] <= kAll - kDelay);
+}
+
 TEST_CASE("answers to others and engines' own failures are told apart")
 {
   EntryFleet fleet(1);
--- a/test/process/EntryControlTest.cpp
+++ b/test/process/EntryControlTest.cpp
@@ -69,6 +69,26 @@
     EntryFleet::Await([&] { return fleet.Get(0, "/late/x").status_ == 200; }));
 }
 
+TEST_CASE("a host that knows no configuration refuses, and is not ready")
+{
+  EntryFleet fleet(1);
+  REQUIRE(fleet.AwaitReady(0));
+  fleet.Platform().Store().busy_ = true;
+  fleet.ProcessOf(0).Kill();
+  fleet.Start(0);
+  CallerAnswer refused;
+  REQUIRE(EntryFleet::Await([&] {
+    refused = fleet.Get(0, "/safe/x");
+    return refused.status_ != 0;
+  }));
+  CHECK(refused.status_ == 503);
+  CHECK(refused.headers_.contains("Retry-After"));
+  CHECK_FALSE(fleet.IsReady(0));
+  fleet.Platform().Store().busy_ = false;
+  CHECK(fleet.AwaitReady(0));
+  CHECK(fleet.Get(0, "/safe/x").status_ == 200);
+}
+
 TEST_CASE("a planned stop cuts nothing and leaves the directory at once")
 {
   EntryFleet fleet(2);
--- a/test/process/EntryFleet.cpp
+++ b/test/process/EntryFleet.cpp
@@ -118,9 +118,12 @@
 
 auto EntryFleet::AwaitReady(std::size_t aHost) -> bool
 {
-  return Await([&] {
-    return SendCall(Port(aHost, 1), { .target_ = "/readyz" }).status_ == 200;
-  });
+  return Await([&] { return IsReady(aHost); });
+}
+
+auto EntryFleet::IsReady(std::size_t aHost) const -> bool
+{
+  return SendCall(Port(aHost, 1), { .target_ = "/readyz" }).status_ == 200;
 }
 
 auto EntryFleet::LastId() const -> std::string
--- a/test/process/EntryFleet.h
+++ b/test/process/EntryFleet.h
@@ -38,6 +38,7 @@
 
   auto Platform() -> standins::PlatformStandin& { return platform_; }
   auto Start(std::size_t aHost) -> void;
+  [[nodiscard]] auto IsReady(std::size_t aHost) const -> bool;
   auto ProcessOf(std::size_t aHost) -> Process& { return processes_[aHost]; }
   /** \brief Whether the host says within some seconds that it is ready. */
   auto AwaitReady(std::size_t aHost) -> bool;
