Let stages of a stream that goes on elsewhere be due anew, and log why no engine was tried again

Their engines had crashed; the results of their stages had been released at the first event, so the next engine refused them as gone and the stages were ordered again, with due times that had passed seconds before. What is late goes behind all that can be in time, and was given up 1.5 s later. The line of the end did not tell why no other engine was tried. Ruled out, by the new field `no_more`: the budget for repeats, the attempts, no engine (all 4 had another attempt, remade 1).

Change: StageDue counts from the moment at which a begun stream lost its engine.

Not weighed here: keeping the results until the stream has ended, which holds the memory that binds in bursts.

--- a/goldcrestcroft/Staging.h
+++ b/goldcrestcroft/Staging.h
@@ -14,6 +14,7 @@
 #include "src/Staging/ServiceRate.h"
 #include "src/Staging/StageAdmission.h"
 #include "src/Staging/StageBacklog.h"
+#include "src/Staging/StageDue.h"
 #include "src/Staging/StageGraph.h"
 #include "src/Staging/StageOrder.h"
 #include "src/Staging/StagePlan.h"
--- a/goldcrestcroft/src/Gateway/RequestRun.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRun.cpp
@@ -202,6 +202,7 @@
       { "left_ms", deadline_ == arrivedAt_
                      ? "-"
                      : fmt::format("{:.0f}", ToMilliseconds(TimeLeft())) },
+      { "no_more", noMore_ },
       { "ran", std::to_string(attempts_.ran_) },
       { "rejected", std::to_string(attempts_.rejected_) },
       { "unreachable", std::to_string(attempts_.unreachable_) },
@@ -222,6 +223,7 @@
       co_return co_await Answer(std::move(*refusal));
     }
     graph_.emplace(route_->stages_, pieces);
+    stageDue_.emplace(arrivedAt_, route_->objective_);
     PlanStages();
   }
   for (;;) {
@@ -234,6 +236,7 @@
     }
     const auto engine = ChooseEngine();
     if (!engine) {
+      noMore_ = "no_engine";
       co_return co_await Conclude(AttemptEnd::Unreachable);
     }
     const auto end = co_await Attempt(engine);
@@ -248,10 +251,18 @@
                         : NextStep::Stop;
     if (next == NextStep::RemakeInputs && graph_) {
       graph_->OnFinalInputsGone();
+      if (streamBegun_) {
+        stageDue_->OnResumed(traffic_.Now());
+      }
+    }
+    if (next == NextStep::Stop) {
+      noMore_ = aborted_ != Aborted::No  ? "aborted"
+                : route_->IsIdempotent() ? "attempts_used"
+                                         : "not_idempotent";
+      co_return co_await Conclude(end);
     }
-    const auto needsBudget = end != AttemptEnd::Unreachable;
-    if (next == NextStep::Stop ||
-        (needsBudget && !traffic_.TryRepeat(service_))) {
+    if (end != AttemptEnd::Unreachable && !traffic_.TryRepeat(service_)) {
+      noMore_ = "budget_used";
       co_return co_await Conclude(end);
     }
   }
--- a/goldcrestcroft/src/Gateway/RequestRun.h
+++ b/goldcrestcroft/src/Gateway/RequestRun.h
@@ -106,6 +106,7 @@
   std::shared_ptr<EngineConnection> current_;
 
   std::optional<StageGraph> graph_;
+  std::optional<StageDue> stageDue_;
   /** Stages by the orders placed for them. */
   std::map<std::uint64_t, std::size_t> orders_;
   /** Plans by stage. */
@@ -117,6 +118,8 @@
   std::string home_;
 
   AttemptRecord attempts_;
+  /** Why no further engine was tried, as a word for the log. */
+  std::string noMore_;
   std::set<std::string> tried_;
   std::optional<EngineAnswerHead> failureHead_;
   std::string failureBody_;
--- a/goldcrestcroft/src/Gateway/RequestRunStages.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunStages.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-/** What one stage takes from order to result on a calm day, for due times. */
-constexpr auto kUsualStageTime = std::chrono::milliseconds{ 420 };
 /** Stages that move less than this, in bytes, are made in any zone. */
 constexpr auto kBytesWorthAZone = 100'000.0;
 
@@ -123,9 +121,8 @@
 
 auto RequestRun::DueOf(std::size_t aStage) const -> TimePoint
 {
-  const auto after = static_cast<Duration::rep>(graph_->DepthFrom(aStage)) - 1;
-  return arrivedAt_ + route_->objective_ -
-         traffic_.FirstEventOf(route_->name_).Usual() - kUsualStageTime * after;
+  return stageDue_->Of(graph_->DepthFrom(aStage),
+                       traffic_.FirstEventOf(route_->name_).Usual());
 }
 
 auto RequestRun::PlanStages() -> void
--- a/test/unit/StageQueueTest.cpp
+++ b/test/unit/StageQueueTest.cpp
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 #include <goldcrestcroft/Staging.h>
 
+#include <algorithm>
 #include <numeric>
 
 namespace testing {
@@ -139,6 +140,25 @@
   CHECK(queue.Find(1) == nullptr);
 }
 
+TEST_CASE("stages of a stream that goes on elsewhere do not wait behind all "
+          "others")
+{
+  StageQueue queue({});
+  // It arrived five seconds ago, and its engine has just broken off.
+  StageDue due(kNow - std::chrono::seconds{ 5 }, milliseconds{ 1300 });
+  CHECK(due.Of(1, milliseconds{ 200 }) == kNow - milliseconds{ 3900 });
+  CHECK(due.Of(3, milliseconds{ 200 }) < due.Of(2, milliseconds{ 200 }));
+  due.OnResumed(kNow);
+  auto resumed = Order(1, 1, Duration{});
+  resumed.dueAt_ = due.Of(2, milliseconds{ 200 });
+  queue.Add(resumed, kNow);
+  for (auto i = 2; i < 12; ++i) {
+    queue.Add(Order(i, 1, milliseconds{ 900 }), kNow);
+  }
+  const auto first = Orders(queue.TakeCall(kEngine, kZones, kNow));
+  CHECK(std::find(first.begin(), first.end(), 1) != first.end());
+}
+
 TEST_CASE("a returned piece waits again, that of a cancelled order does not")
 {
   StageQueue queue({});
