See the promises of serve fail once, and test one transaction at a time

Cause: four rows of docs/PROMISES.md had never been seen red. Each mechanism was taken out of a scratch copy and its test was run. Found: nothing tested that a host has one transaction at a time under way when the table service is slow; the property always answered at once. The new case is red without the rule (4 checks) and green with it. Found: "connections that go silent" is green without the bound on silence as long as hedges go out, and green without hedges; red without both (4 of 30 requests failed). Red at once: leaving servers without the news of peers (2 of 60) and without the list (32 of 60), planned stops without their waits (2 of 2), the batcher without its queue's bound, its period, or one write a row.

--- a/test/property/TableBatcherTest.cpp
+++ b/test/property/TableBatcherTest.cpp
@@ -75,4 +75,22 @@
   CHECK(transactions <= 51); // one second at one in 20 ms
 }
 
+TEST_CASE(
+  "table batcher: a slow service has one transaction of a host at a time")
+{
+  TableBatcher batcher({ .period_ = std::chrono::milliseconds{ 20 },
+                         .maxBatch_ = 8,
+                         .maxQueue_ = 64 });
+  VirtualClock clock;
+  for (auto i = 0; i < 32; ++i) {
+    batcher.Add({ .key_ = { "t", std::to_string(i) } });
+  }
+  REQUIRE(batcher.NextBatch(clock.Now()).has_value());
+  clock.Advance(std::chrono::seconds{ 1 });
+  CHECK_FALSE(batcher.NextDue().has_value());
+  CHECK_FALSE(batcher.NextBatch(clock.Now()).has_value());
+  CHECK(batcher.OnReply({ .status_ = TableStatus::Done }).size() == 8);
+  CHECK(batcher.NextBatch(clock.Now()).has_value());
+}
+
 } // namespace testing
