Ask again for a turn whose taking was not answered, if only to give it back

A host that asked for the turn and got no answer may have it. When its suspects ended before the next try, it never asked again, and the turn lapsed after 20 s; all suspects of other hosts waited longer than their deadlines. Ruled out as a mend: giving back without asking, as the row's version is not known; a shorter life of the row, as a host that dies with the turn has it. Change: SoloQueue knows four ends of a try (ours, others', refused, unknown) and asks again after an unknown one until it is told, with or without suspects; a refusal does not clear an earlier unknown. Before: the property with lost answers is red at its 1st schedule without the memory of an unknown try, and at its 5th when refusals clear it.

--- a/goldcrestcroft/src/Policy/SoloQueue.cpp
+++ b/goldcrestcroft/src/Policy/SoloQueue.cpp
@@ -33,7 +33,9 @@
   const auto done = queue_.empty() || expired;
   switch (step_) {
     case Step::Idle:
-      return queue_.empty() || aNow < nextTry_ ? Step::Idle : Step::TakeTurn;
+      return (queue_.empty() && !mayHoldTurn_) || aNow < nextTry_
+               ? Step::Idle
+               : Step::TakeTurn;
     case Step::Reserve:
     case Step::Drain:
     case Step::Start:
@@ -51,10 +53,14 @@
   }
 }
 
-auto SoloQueue::OnTurn(bool aTaken, TimePoint aNow) -> void
+auto SoloQueue::OnTurn(Turn aTurn, TimePoint aNow) -> void
 {
   nextTry_ = aNow + options_.retry_;
-  if (aTaken) {
+  // A refusal says nothing of an earlier try that had no answer.
+  if (aTurn != Turn::Refused) {
+    mayHoldTurn_ = aTurn == Turn::Unknown;
+  }
+  if (aTurn == Turn::Ours) {
     step_ = Step::Reserve;
     heldSince_ = aNow;
   }
--- a/goldcrestcroft/src/Policy/SoloQueue.h
+++ b/goldcrestcroft/src/Policy/SoloQueue.h
@@ -34,6 +34,18 @@
     Release
   };
 
+  /** \brief What came of a try to take the turn. */
+  enum class Turn
+  {
+    Ours,
+    /** Another host has it. */
+    Others,
+    /** The try was refused; nothing was written by it. */
+    Refused,
+    /** No answer: asked for again, if only to give it back. */
+    Unknown
+  };
+
   struct Options
   {
     /** Reservation and peers' answers to it spread within this time. */
@@ -87,7 +99,7 @@
     return step_ == Step::Running && running_ == aAttempt;
   }
 
-  auto OnTurn(bool aTaken, TimePoint aNow) -> void;
+  auto OnTurn(Turn aTurn, TimePoint aNow) -> void;
   /** \brief None: the pool has no server to spare. */
   auto OnReserved(const std::optional<ServerId>& aServer, TimePoint aNow)
     -> void;
@@ -111,6 +123,7 @@
   TimePoint heldSince_{};
   TimePoint reservedAt_{};
   TimePoint nextTry_{};
+  bool mayHoldTurn_ = false;
 };
 
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Server/Traffic/SoloTurn.cpp
+++ b/goldcrestcroft/src/Server/Traffic/SoloTurn.cpp
@@ -36,25 +36,36 @@
   queue_.OnEnded(aAttempt, aServerLost, aNow);
 }
 
-auto SoloTurn::TakeTurn(TimePoint aNow) -> void
+auto SoloTurn::ReadTurn(const TransactReply& aReply) -> SoloQueue::Turn
+{
+  switch (aReply.status_) {
+    case TableStatus::Done:
+      turnVersion_ = aReply.versions_.front();
+      return SoloQueue::Turn::Ours;
+    case TableStatus::Conflict:
+      // Ours if an earlier try was heard and its answer was lost.
+      turnVersion_ = aReply.conflicts_.front().version_;
+      return aReply.conflicts_.front().value_ == self_
+               ? SoloQueue::Turn::Ours
+               : SoloQueue::Turn::Others;
+    case TableStatus::Unavailable:
+      return SoloQueue::Turn::Refused;
+    case TableStatus::Lost:
+      break;
+  }
+  return SoloQueue::Turn::Unknown;
+}
+
+auto SoloTurn::TakeTurn() -> void
 {
   tableBusy_ = true;
-  queue_.OnTurn(false, aNow);
   table_.Transact({ { .key_ = TurnRow(),
                       .value_ = self_,
                       .expected_ = 0,
                       .expiresAfterSeconds_ = kTurnSeconds } },
                   [this](const TransactReply& aReply) {
-                    const auto now = SteadyClock{}.Now();
                     tableBusy_ = false;
-                    if (aReply.status_ == TableStatus::Done) {
-                      turnVersion_ = aReply.versions_.front();
-                      queue_.OnTurn(true, now);
-                    } else if (aReply.status_ == TableStatus::Conflict &&
-                               aReply.conflicts_.front().value_ == self_) {
-                      turnVersion_ = aReply.conflicts_.front().version_;
-                      queue_.OnTurn(true, now);
-                    }
+                    queue_.OnTurn(ReadTurn(aReply), SteadyClock{}.Now());
                   });
 }
 
@@ -90,7 +101,7 @@
   }
   switch (queue_.Next(aNow)) {
     case SoloQueue::Step::TakeTurn:
-      TakeTurn(aNow);
+      TakeTurn();
       break;
     case SoloQueue::Step::Reserve: {
       const auto server = handlers_.pickServer_(queue_.PoolOfHead());
--- a/goldcrestcroft/src/Server/Traffic/SoloTurn.h
+++ b/goldcrestcroft/src/Server/Traffic/SoloTurn.h
@@ -52,7 +52,8 @@
   auto Tick(TimePoint aNow) -> void;
 
 private:
-  auto TakeTurn(TimePoint aNow) -> void;
+  auto ReadTurn(const TransactReply& aReply) -> SoloQueue::Turn;
+  auto TakeTurn() -> void;
   auto GiveTurnBack() -> void;
 
   SoloQueue queue_;
--- a/test/property/QuarantineTest.cpp
+++ b/test/property/QuarantineTest.cpp
@@ -151,6 +151,7 @@
     auto running = 0;
     auto ended = 0;
     auto turns = 0;
+    auto lostTurn = false;
     TimePoint reservedAt;
     auto givenBackAt = clock.Now() - std::chrono::hours{ 1 };
     for (const auto choice : *Schedule(300)) {
@@ -164,8 +165,19 @@
       switch (queue.Next(now)) {
         case SoloQueue::Step::TakeTurn:
           RC_ASSERT(now - givenBackAt >= std::chrono::milliseconds{ 200 });
-          queue.OnTurn(choice % 3 == 0, now);
-          turns += choice % 3 == 0 ? 1 : 0;
+          if (choice % 11 == 0) {
+            // Taken, but nobody says so until it is asked for again.
+            queue.OnTurn(SoloQueue::Turn::Unknown, now);
+            lostTurn = true;
+          } else if (choice % 11 == 1) {
+            queue.OnTurn(SoloQueue::Turn::Refused, now);
+          } else {
+            const auto taken = lostTurn || choice % 3 == 0;
+            queue.OnTurn(
+              taken ? SoloQueue::Turn::Ours : SoloQueue::Turn::Others, now);
+            turns += taken ? 1 : 0;
+            lostTurn = false;
+          }
           break;
         case SoloQueue::Step::Reserve:
           queue.OnReserved(choice % 7 == 0 ? std::nullopt
@@ -208,14 +220,21 @@
       queue.Remove({ "a" + std::to_string(i) });
       queue.OnEnded({ "a" + std::to_string(i) }, false, clock.Now());
     }
-    for (auto i = 0; i < 3; ++i) {
+    for (auto i = 0; i < 5; ++i) {
       clock.Advance(std::chrono::milliseconds{ 200 });
-      if (queue.Next(clock.Now()) == SoloQueue::Step::Release) {
+      const auto step = queue.Next(clock.Now());
+      if (step == SoloQueue::Step::TakeTurn) {
+        RC_ASSERT(lostTurn);
+        queue.OnTurn(SoloQueue::Turn::Ours, clock.Now());
+        turns = 1;
+        lostTurn = false;
+      } else if (step == SoloQueue::Step::Release) {
         queue.OnReleased(true, clock.Now());
         turns = 0;
       }
     }
     RC_ASSERT(turns == 0);
+    RC_ASSERT(!lostTurn);
   });
 }
 
