Make sure that the hosts of a test know each other before the store goes down

In a logged trial the red runs are those in which neither host's directory named the other when the store went down: both had read the list before the other was in it, and read again 0.5 s later (the pause of readers). The host was killed and started before that, so nobody knew it, it knew nobody, and it has no seeds: it could ask nobody. Ruled out: load (red on a calm machine), a peer that does not answer (none was asked; `state_from_peer` is missing). Change: the premise is waited for; the checks are as they were.

--- a/test/process/EntryControlTest.cpp
+++ b/test/process/EntryControlTest.cpp
@@ -52,6 +52,8 @@
   EntryFleet fleet(2);
   REQUIRE(fleet.AwaitReady(0));
   REQUIRE(fleet.AwaitReady(1));
+  // A host that nobody has met, and without seeds, could ask nobody.
+  REQUIRE(fleet.AwaitAcquainted());
   fleet.Platform().Store().busy_ = true;
   CHECK(fleet.Get(0, "/safe/x").status_ == 200);
   // Without the store it finds the other by the beats that it is sent.
--- a/test/process/EntryFleet.cpp
+++ b/test/process/EntryFleet.cpp
@@ -121,6 +121,21 @@
   return Await([&] { return IsReady(aHost); });
 }
 
+auto EntryFleet::AwaitAcquainted() -> bool
+{
+  return Await([&] {
+    for (std::size_t i = 0; i < processes_.size(); ++i) {
+      const auto known = Directory(i).body_;
+      for (std::size_t other = 0; other < processes_.size(); ++other) {
+        if (known.find('"' + Port(other, 0) + '"') == std::string::npos) {
+          return false;
+        }
+      }
+    }
+    return true;
+  });
+}
+
 auto EntryFleet::IsReady(std::size_t aHost) const -> bool
 {
   return SendCall(Port(aHost, 1), { .target_ = "/readyz" }).status_ == 200;
--- a/test/process/EntryFleet.h
+++ b/test/process/EntryFleet.h
@@ -42,6 +42,9 @@
   auto ProcessOf(std::size_t aHost) -> Process& { return processes_[aHost]; }
   /** \brief Whether the host says within some seconds that it is ready. */
   auto AwaitReady(std::size_t aHost) -> bool;
+  /** \brief Whether within some seconds all hosts know each other: two that
+   * start together meet at their next look at the store. */
+  auto AwaitAcquainted() -> bool;
   /** \brief Whether the condition holds within some seconds. */
   template<typename Condition>
   static auto Await(Condition aCondition) -> bool
