Remove the folders of the tests of entry as those of serve are

Fleet removed its own in a destructor that nothing else needed. Change: TempFolder removes itself; both fleets hold one, and Fleet's destructor goes.

--- a/test/process/EntryFleet.cpp
+++ b/test/process/EntryFleet.cpp
@@ -1,7 +1,5 @@
 #include "EntryFleet.h"
 
-#include "TempFolder.h"
-
 #include <sys/socket.h>
 
 #include <cstdlib>
@@ -81,9 +79,8 @@
 EntryFleet::EntryFleet(std::size_t aHosts)
   : platform_({})
 {
-  folder_ = MakeTempFolder();
   for (std::size_t i = 0; i < aHosts; ++i) {
-    std::ofstream file(folder_ + "/host-" + std::to_string(i) + ".json");
+    std::ofstream file(folder_.Path() + "/host-" + std::to_string(i) + ".json");
     file << R"({"host": "h)" << i << R"(", "availability_zone": "z1",)"
          << R"("ip": "127.0.0.1", "callers": ")" << Port(i, 0)
          << R"(", "readiness": ")" << Port(i, 1) << R"(", "directory": ")"
@@ -96,18 +93,18 @@
   for (std::size_t i = 0; i < aHosts; ++i) {
     processes_.emplace_back(
       std::string(BUILD_FOLDER) + "/goldcrestcroft/goldcrestcroft",
-      std::vector<std::string>{ "entry", folder_ + "/host-" +
+      std::vector<std::string>{ "entry", folder_.Path() + "/host-" +
                                            std::to_string(i) + ".json" },
-      folder_ + "/log-" + std::to_string(i));
+      folder_.Path() + "/log-" + std::to_string(i));
   }
 }
 
 auto EntryFleet::Start(std::size_t aHost) -> void
 {
-  processes_[aHost] =
-    Process(std::string(BUILD_FOLDER) + "/goldcrestcroft/goldcrestcroft",
-            { "entry", folder_ + "/host-" + std::to_string(aHost) + ".json" },
-            folder_ + "/log-" + std::to_string(aHost));
+  processes_[aHost] = Process(
+    std::string(BUILD_FOLDER) + "/goldcrestcroft/goldcrestcroft",
+    { "entry", folder_.Path() + "/host-" + std::to_string(aHost) + ".json" },
+    folder_.Path() + "/log-" + std::to_string(aHost));
 }
 
 auto EntryFleet::Port(std::size_t aHost, unsigned aUse) const -> std::string
@@ -211,7 +208,7 @@
 
 auto EntryFleet::Log(std::size_t aHost) const -> std::string
 {
-  std::ifstream file(folder_ + "/log-" + std::to_string(aHost));
+  std::ifstream file(folder_.Path() + "/log-" + std::to_string(aHost));
   std::ostringstream text;
   text << file.rdbuf();
   return text.str();
@@ -220,7 +217,7 @@
 auto EntryFleet::ChangeSettings(std::size_t aHost, const std::string& aOld,
                                 const std::string& aNew) const -> void
 {
-  const auto file = folder_ + "/host-" + std::to_string(aHost) + ".json";
+  const auto file = folder_.Path() + "/host-" + std::to_string(aHost) + ".json";
   std::ostringstream text;
   text << std::ifstream(file).rdbuf();
   auto settings = text.str();
--- a/test/process/EntryFleet.h
+++ b/test/process/EntryFleet.h
@@ -2,6 +2,7 @@
 
 #include "../platform/PlatformStandin.h"
 #include "Process.h"
+#include "TempFolder.h"
 
 #include <atomic>
 #include <optional>
@@ -92,7 +93,7 @@
   auto Port(std::size_t aHost, unsigned aUse) const -> std::string;
 
   standins::PlatformStandin platform_;
-  std::string folder_;
+  TempFolder folder_;
   std::vector<Process> processes_;
   goldcrestcroft::asio::io_context context_;
   std::atomic<unsigned> calls_ = 0;
--- a/test/process/Fleet.cpp
+++ b/test/process/Fleet.cpp
@@ -1,13 +1,10 @@
 #include "Fleet.h"
 
-#include "TempFolder.h"
-
 #include <arpa/inet.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <chrono>
-#include <filesystem>
 #include <fstream>
 #include <thread>
 
@@ -36,7 +33,6 @@
 Fleet::Fleet(Options aOptions)
   : options_(aOptions)
 {
-  folder_ = MakeTempFolder();
   const auto step = std::to_string(options_.engineStepMicroseconds_);
   for (const auto* kind : { "table", "objects", "members", "collector" }) {
     AddStandin(kind, kind, {});
@@ -77,14 +73,6 @@
   }
 }
 
-Fleet::~Fleet()
-{
-  hosts_.clear();
-  standins_.clear();
-  std::error_code ignored;
-  std::filesystem::remove_all(folder_, ignored);
-}
-
 // Not one that the system hands out: those are taken by connections that open
 // before the process that is to listen there has started.
 auto Fleet::PickPort() -> int
@@ -125,9 +113,9 @@
 
 auto Fleet::StartStandin(const std::string& aName) -> void
 {
-  standins_.insert_or_assign(aName, Process(Program("test/standin"),
-                                            standinWords_.at(aName),
-                                            folder_ + "/" + aName + ".log"));
+  standins_.insert_or_assign(
+    aName, Process(Program("test/standin"), standinWords_.at(aName),
+                   folder_.Path() + "/" + aName + ".log"));
   Await(aName + " answers", [this, &aName] {
     return Get(Address(aName), "/healthz").status_ == 200;
   });
@@ -162,12 +150,12 @@
         { "head_period_ms", 300 } } },
     { "collector", Address("collector") }
   };
-  const auto file = folder_ + "/" + name + ".json";
+  const auto file = folder_.Path() + "/" + name + ".json";
   std::ofstream(file) << settings.dump();
   hosts_.insert_or_assign(aHost,
                           Process(Program("goldcrestcroft/goldcrestcroft"),
                                   { "serve", "--settings=" + file },
-                                  folder_ + "/" + name + ".log"));
+                                  folder_.Path() + "/" + name + ".log"));
   Await(name + " answers", [this, aHost] {
     return Get(HostAddress(aHost), "/healthz").status_ == 200;
   });
--- a/test/process/Fleet.h
+++ b/test/process/Fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Process.h"
+#include "TempFolder.h"
 
 #include <doctest/doctest.h>
 #include <goldcrestcroft/src/Server/Http/SimpleHttp.h>
@@ -45,7 +46,7 @@
   };
 
   explicit Fleet(Options aOptions);
-  ~Fleet();
+  ~Fleet() = default;
   Fleet(const Fleet&) = delete;
   auto operator=(const Fleet&) -> Fleet& = delete;
 
@@ -95,7 +96,7 @@
   [[nodiscard]] auto Configuration() const -> json;
 
   Options options_;
-  std::string folder_;
+  TempFolder folder_;
   std::vector<int> callerPorts_;
   std::vector<int> peerPorts_;
   std::map<std::string, int> standinPorts_;
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -139,12 +139,12 @@
 auto RunSoak() -> int
 {
   const auto seed = absl::GetFlag(FLAGS_seed);
-  const auto folder = testing::MakeTempFolder();
-  std::cout << "seed " << seed << ", logs in " << folder << std::endl;
+  testing::TempFolder folder;
+  std::cout << "seed " << seed << ", logs in " << folder.Path() << std::endl;
   asio::io_context context;
   SoakFleet fleet(context, { .program_ = std::string(BUILD_FOLDER) +
                                          "/goldcrestcroft/goldcrestcroft",
-                             .folder_ = folder,
+                             .folder_ = folder.Path(),
                              .ip_ = absl::GetFlag(FLAGS_ip),
                              .hosts_ = absl::GetFlag(FLAGS_hosts) });
   FaultInjector injector(context, fleet);
@@ -193,6 +193,9 @@
   }
   std::cout << (broken.empty() ? "no promise broken" : "seed is red")
             << std::endl;
+  if (!broken.empty()) {
+    folder.Keep();
+  }
   return broken.empty() ? 0 : 1;
 }
 
