--- a/test/process/EntryAttemptsTest.cpp
+++ b/test/process/EntryAttemptsTest.cpp
@@ -10,6 +10,17 @@
 
 using Trouble = standins::EngineStandin::Trouble;
 
+/** \brief The final answer says that nothing ran and when to come back, and it
+ * is true. */
+auto CheckRefusedUnrun(EntryFleet& aFleet) -> void
+{
+  const auto refused =
+    aFleet.Call(0, { .method_ = "POST", .target_ = "/unsafe/x" });
+  CHECK(refused.status_ == 503);
+  CHECK(refused.headers_.contains("Retry-After"));
+  CHECK(aFleet.RunsOf("desk", aFleet.LastId()) == 0);
+}
+
 } // namespace
 
 TEST_CASE("what may have run is not run again unless it is idempotent")
@@ -56,11 +67,7 @@
   EntryFleet fleet(1);
   REQUIRE(fleet.AwaitReady(0));
   fleet.Platform().SetTrouble("desk", Trouble::Full);
-  const auto refused =
-    fleet.Call(0, { .method_ = "POST", .target_ = "/unsafe/x" });
-  CHECK(refused.status_ == 503);
-  CHECK(refused.headers_.contains("Retry-After"));
-  CHECK(fleet.RunsOf("desk", fleet.LastId()) == 0);
+  CheckRefusedUnrun(fleet);
 }
 
 TEST_CASE("an engine that took another's address does not run the request")
@@ -146,11 +153,7 @@
   for (const auto& engine : fleet.Platform().Engines("desk")) {
     engine->SetMostConnections(0);
   }
-  const auto refused =
-    fleet.Call(0, { .method_ = "POST", .target_ = "/unsafe/x" });
-  CHECK(refused.status_ == 503);
-  CHECK(refused.headers_.contains("Retry-After"));
-  CHECK(fleet.RunsOf("desk", fleet.LastId()) == 0);
+  CheckRefusedUnrun(fleet);
   for (const auto& engine : fleet.Platform().Engines("desk")) {
     engine->SetMostConnections(1);
   }
--- a/test/process/ServerFaultsTest.cpp
+++ b/test/process/ServerFaultsTest.cpp
@@ -42,6 +42,26 @@
             .status_ == 200);
 }
 
+constexpr Fleet::Options kSlowEngines{ .engineStepMicroseconds_ = 5000,
+                                       .engines_ = 4 };
+
+auto CrashOnPoison(Fleet& aFleet) -> void
+{
+  for (auto i = 0; i < kSlowEngines.engines_; ++i) {
+    aFleet.SetFaults("engine-" + std::to_string(i),
+                     { { "crash_on", "POISON" } });
+  }
+}
+
+auto DeadEngines(Fleet& aFleet) -> int
+{
+  auto dead = 0;
+  for (auto i = 0; i < kSlowEngines.engines_; ++i) {
+    dead += aFleet.Standin("engine-" + std::to_string(i)).IsRunning() ? 0 : 1;
+  }
+  return dead;
+}
+
 } // namespace
 
 TEST_CASE("servers: one that leaves gets nothing new, whoever says so first")
@@ -120,11 +140,8 @@
 TEST_CASE("servers: a request that crashes its servers is stopped after two, "
           "and its neighbours complete")
 {
-  Fleet fleet({ .engineStepMicroseconds_ = 5000, .engines_ = 4 });
-  for (auto i = 0; i < 4; ++i) {
-    fleet.SetFaults("engine-" + std::to_string(i),
-                    { { "crash_on", "POISON" } });
-  }
+  Fleet fleet(kSlowEngines);
+  CrashOnPoison(fleet);
   std::vector<std::function<HttpReply()>> neighbours;
   neighbours.reserve(24);
   for (auto i = 0; i < 24; ++i) {
@@ -137,11 +154,7 @@
     CHECK(OutcomeOf(reply) != "completed");
     CHECK(OutcomeOf(reply).find("no answer") == std::string::npos);
   }
-  auto dead = 0;
-  for (auto i = 0; i < 4; ++i) {
-    dead += fleet.Standin("engine-" + std::to_string(i)).IsRunning() ? 0 : 1;
-  }
-  CHECK(dead <= 2);
+  CHECK(DeadEngines(fleet) <= 2);
   for (auto i = 0; i < 24; ++i) {
     const auto reply = neighbours[i]();
     CAPTURE(reply.body_);
@@ -162,11 +175,8 @@
 TEST_CASE("servers: copies of a poison that wait at other hosts end with its "
           "quarantine")
 {
-  Fleet fleet({ .engineStepMicroseconds_ = 5000, .engines_ = 4 });
-  for (auto i = 0; i < 4; ++i) {
-    fleet.SetFaults("engine-" + std::to_string(i),
-                    { { "crash_on", "POISON" } });
-  }
+  Fleet fleet(kSlowEngines);
+  CrashOnPoison(fleet);
   auto first = fleet.SendLater(0, { .input_ = "POISON" });
   // The others learn that it is a suspect before they have it.
   std::this_thread::sleep_for(std::chrono::milliseconds{ 150 });
@@ -179,11 +189,7 @@
   for (auto& copy : copies) {
     CHECK(copy().status_ == 403);
   }
-  auto dead = 0;
-  for (auto i = 0; i < 4; ++i) {
-    dead += fleet.Standin("engine-" + std::to_string(i)).IsRunning() ? 0 : 1;
-  }
-  CHECK(dead <= 2);
+  CHECK(DeadEngines(fleet) <= 2);
 }
 
 } // namespace testing
