--- a/goldcrestcroft/src/Engines/AttemptPolicy.cpp
+++ b/goldcrestcroft/src/Engines/AttemptPolicy.cpp
@@ -71,4 +71,12 @@
   return NextStep::Stop;
 }
 
+auto WhyStopped(const Route& aRoute, AttemptEnd aEnd) -> std::string
+{
+  const auto mayHaveRun =
+    aEnd == AttemptEnd::FailureAnswer || aEnd == AttemptEnd::Lost;
+  return mayHaveRun && !aRoute.IsIdempotent() ? "not_idempotent"
+                                              : "attempts_used";
+}
+
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Engines/AttemptPolicy.h
+++ b/goldcrestcroft/src/Engines/AttemptPolicy.h
@@ -69,4 +69,7 @@
 auto DecideNext(const Route& aRoute, const AttemptRecord& aRecord,
                 AttemptEnd aEnd, const AttemptLimits& aLimits = {}) -> NextStep;
 
+/** \brief Why DecideNext stopped after this end, as a word for the log. */
+auto WhyStopped(const Route& aRoute, AttemptEnd aEnd) -> std::string;
+
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Policy/SoloQueue.h
+++ b/goldcrestcroft/src/Policy/SoloQueue.h
@@ -22,7 +22,7 @@
     Idle,
     /** Take the fleet's turn; report OnTurn. */
     TakeTurn,
-    /** Reserve a server of Pool() and report OnReserved. */
+    /** Reserve a server of PoolOfHead() and report OnReserved. */
     Reserve,
     /** Report OnEmpty once Server() has no requests of anybody. */
     Drain,
--- a/test/unit/EnginesTest.cpp
+++ b/test/unit/EnginesTest.cpp
@@ -47,6 +47,8 @@
   }
   record = After(AttemptEnd::Rejected, record);
   CHECK(DecideNext(unsafe, record, AttemptEnd::Rejected) == NextStep::Stop);
+  CHECK(WhyStopped(unsafe, AttemptEnd::Rejected) == "attempts_used");
+  CHECK(WhyStopped(unsafe, AttemptEnd::Lost) == "not_idempotent");
   CHECK(DecideNext(unsafe, After(AttemptEnd::Unreachable),
                    AttemptEnd::Unreachable) == NextStep::TryAnother);
   CHECK(DecideNext(unsafe, After(AttemptEnd::InputsGone),
