--- a/goldcrestcroft/src/Wire/MessageArchive.h
+++ b/goldcrestcroft/src/Wire/MessageArchive.h
@@ -45,7 +45,7 @@
   Archive(aArchive, aRecord.zone_);
   auto caller = Bounded(aRecord.callerAddress_);
   auto peer = Bounded(aRecord.peerAddress_);
-  aArchive(caller, peer, aRecord.leaving_);
+  aArchive(caller, peer, aRecord.power_, aRecord.leaving_);
 }
 
 template<typename Ar>
