--- a/goldcrestcroft/src/Gateway/ControlPlane.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlane.cpp
@@ -14,11 +14,12 @@
   , codec_(aCodec)
   , store_(aStore)
   , listener_(std::move(aListener))
-  , random_(Fingerprint(options_.settings_.host_, options_.incarnation_))
   , peers_({ .self_ = { .host_ = { options_.settings_.host_ },
                         .incarnation_ = options_.incarnation_,
                         .zone_ = { options_.settings_.zone_ },
-                        .peerAddress_ = options_.settings_.PeerAddress() } },
+                        .peerAddress_ = options_.settings_.PeerAddress(),
+                        .power_ = options_.settings_.Power() } },
+           Fingerprint(options_.settings_.host_, options_.incarnation_),
            clock_.Now())
   , engines_({ .decode_ =
                  [this](const std::string& aId, const std::string& aText) {
@@ -26,7 +27,9 @@
                  } })
   , beats_(aContext)
   , lastBeat_(clock_.Now())
+  , startedAt_(lastBeat_)
 {
+  UpdateAddresses();
 }
 
 auto ControlPlane::DecodeEngine(const std::string& aId,
@@ -103,24 +106,31 @@
   listener_.onEngines_(std::make_shared<const EngineList>(engines));
 }
 
+auto ControlPlane::IsSettled(TimePoint aNow) const -> bool
+{
+  const auto metMany = hostsRead_ && peers_.Size() * 2 > hostRows_.size();
+  return metMany || aNow - startedAt_ >= options_.settleWithin_;
+}
+
 auto ControlPlane::PublishFleet() -> void
 {
   const auto now = clock_.Now();
   FleetView view{ .self_ = options_.settings_.host_,
-                  .zone_ = options_.settings_.zone_ };
-  const auto add = [&](const PeerRecord& aRecord) {
-    view.hosts_.push_back({ .id_ = aRecord.host_.value_,
-                            .zone_ = aRecord.zone_.value_,
-                            .callerAddress_ = aRecord.callerAddress_,
-                            .peerAddress_ = aRecord.peerAddress_,
-                            .leaving_ = aRecord.leaving_ });
+                  .zone_ = options_.settings_.zone_,
+                  .settled_ = settled_ };
+  const auto add = [&](const PeerNews& aNews) {
+    const auto& record = aNews.record_;
+    view.hosts_.push_back({ .id_ = record.host_.value_,
+                            .zone_ = record.zone_.value_,
+                            .callerAddress_ = record.callerAddress_,
+                            .peerAddress_ = record.peerAddress_,
+                            .leaving_ = record.leaving_,
+                            .suspected_ = aNews.state_ == PeerState::Suspected,
+                            .power_ = record.power_ });
   };
-  add(peers_.Self());
-  for (const auto& record : peers_.Peers(now)) {
-    const auto state = peers_.StateOf(record.host_, now);
-    if (state == PeerState::Live || state == PeerState::Leaving) {
-      add(record);
-    }
+  add({ .record_ = peers_.Self() });
+  for (const auto& news : peers_.Peers(now)) {
+    add(news);
   }
   if (view != published_) {
     published_ = view;
@@ -133,7 +143,7 @@
   leaving_ = true;
   peers_.SetLeaving();
   PublishFleet();
-  BeatTo(PeerAddresses());
+  BeatToSome();
   asio::co_spawn(
     context_,
     [this]() -> Task<void> {
--- a/goldcrestcroft/src/Gateway/ControlPlane.h
+++ b/goldcrestcroft/src/Gateway/ControlPlane.h
@@ -6,6 +6,7 @@
 #include "NodeSettings.h"
 #include "PeerLink.h"
 #include "PlatformCodec.h"
+#include "RepeatedNews.h"
 
 #include <functional>
 #include <memory>
@@ -21,6 +22,7 @@
   std::function<void(std::shared_ptr<const EngineList>)> onEngines_;
   std::function<void(std::shared_ptr<const FleetView>)> onFleet_;
   std::function<void(const CrashNews&)> onCrash_;
+  std::function<void(const LeavingEngine&)> onLeaving_;
 };
 
 /** \brief Owns the control state: configuration, engines and entry hosts.
@@ -35,17 +37,16 @@
   {
     NodeSettings settings_;
     Incarnation incarnation_ = 1;
-    /** Pause between two words to the peers. */
-    Duration beat_ = std::chrono::milliseconds{ 300 };
+    /** How often the failure detector and held entries are looked at; half of
+     * its period. */
+    Duration tick_ = std::chrono::milliseconds{ 100 };
     /** How long one call for changes waits at the store. */
     Duration followWait_ = std::chrono::seconds{ 4 };
     /** Pauses between tries while the store gives no answer. */
     Duration leastPause_ = std::chrono::milliseconds{ 100 };
     Duration mostPause_ = std::chrono::milliseconds{ 1000 };
-    /** Up to this many hosts everyone talks to everyone and reads the store;
-     * beyond, a word goes to some and some read. */
+    /** Up to this many hosts everyone reads the store; beyond, some read. */
     std::size_t smallFleet_ = 12;
-    std::size_t fanOut_ = 4;
     std::size_t readers_ = 6;
     /** Each reader but the first pauses this much longer than the one ahead of
      * it before it asks the store for changes again: the first one tells the
@@ -55,6 +56,9 @@
     /** Before a host's first call for changes, in which it learns who else
      * reads; and before each for other hosts, whose beats come sooner. */
     Duration calmPause_ = std::chrono::milliseconds{ 500 };
+    /** A host that has not met half of the hosts that the store names goes by
+     * those that it has met after this: the others are dead. */
+    Duration settleWithin_ = std::chrono::milliseconds{ 2000 };
     /** A pause of the process beyond this makes what it knows doubtful. */
     Duration doubtfulPause_ = std::chrono::milliseconds{ 1500 };
   };
@@ -69,12 +73,15 @@
   auto SetSeeds(const std::vector<std::string>& aSeeds) -> void
   {
     options_.settings_.seeds_ = aSeeds;
+    UpdateAddresses();
   }
   /** \brief Tells everybody that this host leaves. */
   auto Leave() -> void;
   /** \brief Tells the peers of a request that was on a lost engine, or that
    * was not to blame. */
   auto SpreadCrash(const CrashNews& aNews) -> void;
+  /** \brief Tells the peers of an engine that said that it leaves. */
+  auto SpreadLeaving(const LeavingEngine& aEngine) -> void;
 
 private:
   struct Followed
@@ -104,15 +111,20 @@
   auto AdoptHosts(const std::vector<StoreRow>& aRows) -> void;
   auto PublishEngines() -> void;
   auto PublishFleet() -> void;
+  /** \brief Whether enough hosts of those that the store names are met. */
+  [[nodiscard]] auto IsSettled(TimePoint aNow) const -> bool;
 
   auto Beat() -> Task<void>;
-  auto BeatTo(const std::vector<std::string>& aAddresses) -> void;
+  auto Send(std::vector<FailureDetector::Outgoing> aOut) -> void;
   auto BeatToSome() -> void;
-  auto PeerAddresses() const -> std::vector<std::string>;
+  /** \brief Addresses at which hosts may be, by the store and the settings. */
+  auto UpdateAddresses() -> void;
+  /** \brief Logs what has changed among the hosts; whether anything has. */
+  auto LogFleetChanges() -> bool;
   auto ReceiveBeats() -> Task<void>;
   auto OnBeat(const FleetHeartbeat& aBeat) -> void;
   auto AcceptPeers() -> Task<void>;
-  auto FetchFrom(const std::string& aAddress) -> void;
+  auto FetchFrom(const std::string& aAddress, bool aWholeFleet) -> void;
   auto OnFrame(const std::shared_ptr<PeerLink>& aLink, const PeerFrame& aFrame)
     -> void;
   auto MakeLink(Tcp::socket aSocket) -> std::shared_ptr<PeerLink>;
@@ -123,8 +135,7 @@
   MetadataStore& store_;
   ControlListener listener_;
   SuspendAwareClock clock_;
-  RandomEngine random_;
-  PeerTable peers_;
+  FailureDetector peers_;
   EngineRegistry engines_;
   /** What was last said of each engine, for the log. */
   std::map<std::string, std::string> engineStates_;
@@ -133,16 +144,19 @@
   VersionNumber configurationVersion_ = 0;
   /** Peers' addresses by host, from the store. */
   std::map<std::string, std::string> hostRows_;
+  std::vector<std::string> addresses_;
   Udp::socket beats_;
   std::optional<Tcp::acceptor> acceptor_;
   std::shared_ptr<PeerLink> fetch_;
   TimePoint fetchStartedAt_;
-  std::vector<CrashNews> crashes_;
-  std::vector<TimePoint> crashTimes_;
-  /** What peers told, and when they told it last. */
-  std::map<CrashNews, TimePoint> knownCrashes_;
+  RepeatedNews<CrashNews> crashes_;
+  RepeatedNews<LeavingEngine> leavingEngines_;
   FleetView published_;
   TimePoint lastBeat_;
+  bool alone_ = false;
+  TimePoint startedAt_;
+  bool hostsRead_ = false;
+  bool settled_ = false;
   bool leaving_ = false;
 };
 
--- a/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
@@ -8,23 +8,29 @@
 
 namespace {
 
-constexpr auto kRepeatCrashes = std::chrono::seconds{ 2 };
-constexpr std::size_t kMostCrashes = 64;
-constexpr std::size_t kMostKnownCrashes = 4096;
-/** Records passed on in one beat; with the fan-out each host is mentioned to
- * each other about every second among a hundred. */
-constexpr std::size_t kDigest = 16;
 constexpr auto kFetchTimeout = std::chrono::milliseconds{ 800 };
 constexpr std::size_t kMaxBeatBytes = 60'000;
 
+auto ToText(const std::optional<PeerState>& aState) -> std::string
+{
+  if (!aState) {
+    return "unknown";
+  }
+  switch (*aState) {
+    case PeerState::Suspected:
+      return "suspected";
+    case PeerState::Gone:
+      return "gone";
+    default:
+      return "live";
+  }
+}
+
 } // namespace
 
-auto ControlPlane::PeerAddresses() const -> std::vector<std::string>
+auto ControlPlane::UpdateAddresses() -> void
 {
   std::set<std::string> addresses;
-  for (const auto& record : peers_.Peers(clock_.Now())) {
-    addresses.insert(record.peerAddress_);
-  }
   for (const auto& [host, address] : hostRows_) {
     addresses.insert(address);
   }
@@ -33,21 +39,23 @@
     addresses.insert(seed.substr(0, seed.find(':')) + ":" + port);
   }
   addresses.erase(options_.settings_.PeerAddress());
-  return { addresses.begin(), addresses.end() };
+  addresses_ = { addresses.begin(), addresses.end() };
 }
 
-auto ControlPlane::BeatTo(const std::vector<std::string>& aAddresses) -> void
+auto ControlPlane::Send(std::vector<FailureDetector::Outgoing> aOut) -> void
 {
   const auto now = clock_.Now();
-  FleetHeartbeat beat{ .sender_ = peers_.Beat(),
-                       .configurationRow_ = configuration_.version_,
+  FleetHeartbeat beat{ .configurationRow_ = configuration_.version_,
                        .engineRows_ = engines_.Version() };
-  beat.passedOn_ = peers_.TakeDigest(kDigest, now);
-  beat.crashes_ = crashes_;
-  const auto bytes = EncodeHeartbeat(beat);
-  for (const auto& address : aAddresses) {
+  if (!aOut.empty()) {
+    beat.crashes_ = crashes_.Told(now);
+    beat.leavingEngines_ = leavingEngines_.Told(now);
+  }
+  for (auto& [address, message] : aOut) {
+    beat.probe_ = std::move(message);
+    const auto bytes = EncodeHeartbeat(beat);
     const auto endpoint = ParseTcpEndpoint(address);
-    boost::system::error_code ignored; // A lost beat is followed by the next.
+    boost::system::error_code ignored; // A lost datagram is made up for.
     beats_.send_to(asio::buffer(bytes),
                    Udp::endpoint(endpoint.address(), endpoint.port()), 0,
                    ignored);
@@ -56,12 +64,36 @@
 
 auto ControlPlane::BeatToSome() -> void
 {
-  auto addresses = PeerAddresses();
-  if (addresses.size() > options_.smallFleet_) {
-    std::shuffle(addresses.begin(), addresses.end(), random_);
-    addresses.resize(options_.fanOut_);
+  Send(peers_.Push());
+}
+
+auto ControlPlane::LogFleetChanges() -> bool
+{
+  const auto changes = peers_.TakeChanges();
+  std::size_t found = 0;
+  const auto isNoted = [](const std::optional<PeerState>& aState) {
+    return aState && *aState != PeerState::Live;
+  };
+  for (const auto& change : changes) {
+    const auto isSelf = change.host_ == peers_.Self().host_;
+    if (!isNoted(change.from_) && !isNoted(change.to_)) {
+      found += change.from_ ? 0 : 1;
+      continue;
+    }
+    Log::Write(LogLevel::Info, isSelf ? "suspicion_refuted" : "peer_state",
+               { { "peer", change.host_.value_ },
+                 { "from", ToText(change.from_) },
+                 { "to", ToText(change.to_) },
+                 { "reason", change.reason_ },
+                 { "hosts", std::to_string(peers_.Size()) } });
   }
-  BeatTo(addresses);
+  if (found > 0) {
+    // In one line: whole fleets start at the same moment.
+    Log::Write(LogLevel::Info, "peers_found",
+               { { "count", std::to_string(found) },
+                 { "hosts", std::to_string(peers_.Size()) } });
+  }
+  return !changes.empty();
 }
 
 auto ControlPlane::Beat() -> Task<void>
@@ -74,22 +106,26 @@
         { { "pause_ms", std::to_string(ToMilliseconds(now - lastBeat_)) } });
     }
     lastBeat_ = now;
-    for (const auto& gone : peers_.Tick(now)) {
-      Log::Write(LogLevel::Info, "peer_gone", { { "peer", gone.value_ } });
-    }
-    while (!crashTimes_.empty() && now - crashTimes_.front() > kRepeatCrashes) {
-      crashTimes_.erase(crashTimes_.begin());
-      crashes_.erase(crashes_.begin());
-    }
-    std::erase_if(knownCrashes_, [&](const auto& aItem) {
-      return now - aItem.second > kRepeatCrashes;
-    });
+    crashes_.Expire(now);
+    leavingEngines_.Expire(now);
     if (engines_.Tick(now)) {
       PublishEngines();
     }
-    BeatToSome();
-    PublishFleet();
-    co_await Pause(options_.beat_);
+    Send(peers_.Tick(addresses_, now));
+    const auto alone = peers_.IsAlone(now);
+    const auto changed = LogFleetChanges();
+    const auto settles = !settled_ && IsSettled(now);
+    settled_ |= settles;
+    if (settles) {
+      Log::Write(LogLevel::Info, "fleet_settled",
+                 { { "hosts", std::to_string(peers_.Size()) },
+                   { "named", std::to_string(hostRows_.size()) } });
+    }
+    if (changed || alone != alone_ || settles) {
+      alone_ = alone;
+      PublishFleet();
+    }
+    co_await Pause(options_.tick_);
   }
 }
 
@@ -123,35 +159,35 @@
 auto ControlPlane::OnBeat(const FleetHeartbeat& aBeat) -> void
 {
   const auto now = clock_.Now();
-  peers_.OnRecord(aBeat.sender_, now);
-  for (const auto& record : aBeat.passedOn_) {
-    if (record.host_ == peers_.Self().host_) {
-      peers_.Outlive(record.incarnation_);
-    }
-    peers_.OnRecord(record, now);
-  }
+  Send(peers_.OnMessage(aBeat.probe_, now));
   for (const auto& news : aBeat.crashes_) {
-    const auto known = knownCrashes_.find(news);
-    if (known != knownCrashes_.end()) {
-      known->second = now;
-    } else if (knownCrashes_.size() < kMostKnownCrashes) {
-      knownCrashes_.emplace(news, now);
+    if (crashes_.Add(news, now)) {
       listener_.onCrash_(news);
     }
   }
+  for (const auto& engine : aBeat.leavingEngines_) {
+    if (leavingEngines_.Add(engine, now)) {
+      listener_.onLeaving_(engine);
+    }
+  }
   const auto behind = aBeat.configurationRow_ > configuration_.version_ ||
                       aBeat.engineRows_ > engines_.Version();
-  if (behind) {
-    FetchFrom(aBeat.sender_.peerAddress_);
+  const auto fewHosts = peers_.IsFarBehind(aBeat.probe_);
+  if (behind || fewHosts) {
+    FetchFrom(aBeat.probe_.sender_.peerAddress_, fewHosts);
   }
-  PublishFleet();
 }
 
 auto ControlPlane::SpreadCrash(const CrashNews& aNews) -> void
 {
-  if (crashes_.size() < kMostCrashes) {
-    crashes_.push_back(aNews);
-    crashTimes_.push_back(clock_.Now());
+  if (crashes_.Add(aNews, clock_.Now())) {
+    BeatToSome();
+  }
+}
+
+auto ControlPlane::SpreadLeaving(const LeavingEngine& aEngine) -> void
+{
+  if (leavingEngines_.Add(aEngine, clock_.Now())) {
     BeatToSome();
   }
 }
@@ -180,7 +216,8 @@
   }
 }
 
-auto ControlPlane::FetchFrom(const std::string& aAddress) -> void
+auto ControlPlane::FetchFrom(const std::string& aAddress, bool aWholeFleet)
+  -> void
 {
   const auto now = clock_.Now();
   if (fetch_ && fetch_->IsOpen() && now - fetchStartedAt_ < kFetchTimeout) {
@@ -193,7 +230,8 @@
   fetch_ = MakeLink(Tcp::socket(context_));
   fetch_->StartTo(aAddress);
   fetch_->Send(StateRequest{ .configurationRow_ = configuration_.version_,
-                             .engineRows_ = engines_.Version() });
+                             .engineRows_ = engines_.Version(),
+                             .wholeFleet_ = aWholeFleet });
 }
 
 auto ControlPlane::AdoptPacked(const StoreRow& aRow) -> bool
@@ -220,6 +258,10 @@
     if (configuration_.version_ > request->configurationRow_) {
       reply.configuration_.push_back(configuration_);
     }
+    if (request->wholeFleet_) {
+      reply.hosts_ = peers_.WholeList();
+      reply.hosts_.push_back({ .record_ = peers_.Self() });
+    }
     aLink->Send(reply);
     return;
   }
@@ -228,6 +270,7 @@
     Log::Write(LogLevel::Warning, "peer_frame_unexpected");
     return;
   }
+  peers_.Learn(reply->hosts_, clock_.Now());
   auto news = false;
   for (const auto& row : reply->configuration_) {
     news |= AdoptPacked(row);
--- a/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
@@ -202,6 +202,8 @@
       hostRows_[row.key_] = address;
     }
   }
+  hostsRead_ = true;
+  UpdateAddresses();
 }
 
 auto ControlPlane::Announce() -> Task<void>
--- a/goldcrestcroft/src/Gateway/EngineExchange.cpp
+++ b/goldcrestcroft/src/Gateway/EngineExchange.cpp
@@ -1,5 +1,6 @@
 #include "EngineExchange.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace goldcrestcroft {
@@ -26,6 +27,22 @@
   return std::chrono::seconds{ seconds };
 }
 
+/** The seconds of a Retry-After header; zero without a number. */
+auto ReadRetryAfter(std::string_view aHeader) -> Duration
+{
+  constexpr auto kMostSeconds = 86'400.0;
+  auto seconds = 0.0;
+  std::from_chars(aHeader.data(), aHeader.data() + aHeader.size(), seconds);
+  const auto bounded = std::clamp(seconds, 0.0, kMostSeconds);
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(bounded));
+}
+
+auto IsSet(std::string_view aFlag) -> bool
+{
+  return !aFlag.empty() && aFlag != "0";
+}
+
 } // namespace
 
 auto EngineExchange::TakeHead() -> void
@@ -37,6 +54,8 @@
   head_.notRun_ = fields.count(names_.notRun_) > 0 || head_.status_ == 421;
   head_.signed_ = fields.count(names_.signature_) > 0;
   head_.keepAlive_ = parser_->keep_alive();
+  head_.leaving_ = IsSet(fields[names_.engineLeaving_]);
+  head_.retryAfter_ = ReadRetryAfter(fields[http::field::retry_after]);
   const auto keep = fields["Keep-Alive"];
   head_.keepFor_ = ReadKeepFor({ keep.data(), keep.size() });
   if (const auto length = parser_->content_length()) {
--- a/goldcrestcroft/src/Gateway/EngineExchange.h
+++ b/goldcrestcroft/src/Gateway/EngineExchange.h
@@ -14,6 +14,10 @@
   bool notRun_ = false;
   bool signed_ = false;
   bool keepAlive_ = false;
+  /** The engine says that it is about to leave. */
+  bool leaving_ = false;
+  /** How long it wants no requests; zero where it does not say. */
+  Duration retryAfter_{};
   /** Zero where the engine does not say. */
   Duration keepFor_{};
   std::optional<std::uint64_t> length_;
--- a/goldcrestcroft/src/Gateway/EnginePool.cpp
+++ b/goldcrestcroft/src/Gateway/EnginePool.cpp
@@ -1,6 +1,7 @@
 #include "EnginePool.h"
 
 #include "../Observability/Log.h"
+#include "EngineExchange.h"
 
 namespace goldcrestcroft {
 
@@ -8,6 +9,8 @@
 
 /** An engine's word on its load says little after this. */
 constexpr auto kReportLife = std::chrono::milliseconds{ 1500 };
+/** Status of an answer that may ask for a pause. */
+constexpr auto kRefused = 503;
 
 auto KeyOf(const EngineEntry& aEntry) -> std::string
 {
@@ -36,12 +39,65 @@
     if (engines_->Contains(state->entry_)) {
       return false;
     }
-    for (const auto& kept : state->kept_) {
-      kept.connection_->Close();
-    }
-    state->kept_.clear();
+    CloseKept(*state);
     return true;
   });
+  const auto now = clock_.Now();
+  std::erase_if(leaving_, [&](const auto& aItem) {
+    return now - aItem.second >= options_.rememberLeaving_;
+  });
+}
+
+auto EnginePool::CloseKept(EngineState& aEngine) -> void
+{
+  for (const auto& kept : aEngine.kept_) {
+    kept.connection_->Close();
+    --aEngine.openConnections_;
+  }
+  aEngine.kept_.clear();
+}
+
+auto EnginePool::OnLeaving(const std::string& aId, std::uint64_t aStartedAt)
+  -> void
+{
+  if (!leaving_.emplace(std::pair(aId, aStartedAt), clock_.Now()).second) {
+    return;
+  }
+  for (const auto& [key, state] : states_) {
+    const auto& entry = state->entry_;
+    if (entry.id_ == aId && entry.startedAt_ == aStartedAt) {
+      state->consent_.OnLeaving();
+      CloseKept(*state);
+    }
+  }
+}
+
+auto EnginePool::Heed(const EngineLease& aLease, const EngineAnswerHead& aHead)
+  -> void
+{
+  auto& engine = *aLease.engine_;
+  const auto& entry = engine.entry_;
+  const auto now = clock_.Now();
+  if (aHead.leaving_ && !engine.consent_.IsLeaving()) {
+    Log::Write(LogLevel::Info, "engine_leaving",
+               { { "engine", entry.id_ },
+                 { "service", entry.service_ },
+                 { "started_at", std::to_string(entry.startedAt_) } });
+    engine.consent_.OnLeaving();
+    options_.count_("engines_leaving");
+    OnLeaving(entry.id_, entry.startedAt_);
+    options_.onLeaving_(entry);
+  }
+  if (aHead.status_ == kRefused && aHead.retryAfter_ > Duration{}) {
+    engine.consent_.OnPauseAsked(aHead.retryAfter_, now);
+    options_.count_("engine_pauses_asked");
+    Log::Write(
+      LogLevel::Info, "engine_asks_pause",
+      { { "engine", entry.id_ },
+        { "asked_ms", std::to_string(ToMilliseconds(aHead.retryAfter_)) },
+        { "pause_ms",
+          std::to_string(ToMilliseconds(engine.consent_.PauseLeft(now))) } });
+  }
 }
 
 auto EnginePool::StateOf(const EngineEntry& aEntry)
@@ -51,6 +107,11 @@
   if (!state) {
     state = std::make_shared<EngineState>();
     state->entry_ = aEntry;
+    state->consent_ =
+      EngineConsent({ .longestPause_ = options_.longestPause_ });
+    if (leaving_.contains({ aEntry.id_, aEntry.startedAt_ })) {
+      state->consent_.OnLeaving();
+    }
   }
   return state;
 }
@@ -86,6 +147,10 @@
 auto EnginePool::Open(std::shared_ptr<EngineState> aEngine, bool aSettles)
   -> Task<EngineLease>
 {
+  // The last guard, whoever asks: callers choose among engines that want work.
+  if (!aEngine->consent_.MayReceive(clock_.Now())) {
+    co_return EngineLease{ .engine_ = aEngine };
+  }
   auto connection = TakeKept(*aEngine);
   if (connection) {
     connection->Renew();
@@ -93,17 +158,24 @@
   }
   connection = std::make_shared<EngineConnection>(context_);
   ++aEngine->openConnections_;
-  const auto error = co_await connection->Connect(aEngine->entry_.address_,
-                                                  options_.connectTimeout_);
-  auto reset = error == asio::error::connection_reset;
+  auto error = co_await connection->Connect(aEngine->entry_.address_,
+                                            options_.connectTimeout_);
   if (!error && aSettles) {
     const auto settled = co_await IsSettled(*connection);
-    reset = !settled;
+    if (!settled) {
+      error = asio::error::connection_reset;
+    }
+  }
+  if (!error && !aEngine->consent_.MayReceive(clock_.Now())) {
+    connection->Close();
+    --aEngine->openConnections_;
+    co_return EngineLease{ .engine_ = aEngine };
   }
-  if (error || reset) {
+  if (error) {
     connection->Close();
     --aEngine->openConnections_;
     // One that resets serves on the connections that it has.
+    const auto reset = error == asio::error::connection_reset;
     if (!reset) {
       aEngine->health_.OnUnreachable(clock_.Now());
     }
@@ -124,7 +196,8 @@
   const auto keepFor = asked - options_.keepMargin_;
   const auto clean = aLease.connection_->Buffer().size() == 0 &&
                      aLease.connection_->WriteDone() &&
-                     engines_->Contains(engine.entry_);
+                     engines_->Contains(engine.entry_) &&
+                     !engine.consent_.IsLeaving();
   if (!clean || keepFor <= Duration{} ||
       engine.kept_.size() >= options_.mostKept_) {
     Drop(aLease);
--- a/goldcrestcroft/src/Gateway/EnginePool.h
+++ b/goldcrestcroft/src/Gateway/EnginePool.h
@@ -5,6 +5,7 @@
 #include "EngineLoadReport.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 
@@ -15,6 +16,7 @@
 {
   EngineEntry entry_;
   EngineHealth health_;
+  EngineConsent consent_;
   /** Requests of this host that it works on. */
   std::size_t ownRequests_ = 0;
   std::size_t openConnections_ = 0;
@@ -32,6 +34,8 @@
   [[nodiscard]] auto ReportedRequests(TimePoint aNow) const -> double;
 };
 
+struct EngineAnswerHead;
+
 /** \brief A connection in use, with its engine. */
 struct EngineLease
 {
@@ -55,11 +59,21 @@
      * request meets the close. */
     Duration keepMargin_ = std::chrono::milliseconds{ 1000 };
     std::size_t mostKept_ = 8;
+    /** Longest pause that an engine may ask for. */
+    Duration longestPause_ = std::chrono::seconds{ 60 };
+    /** Starts of engines that leave are remembered for this long, whatever
+     * entries say; far longer than an engine takes to leave. */
+    Duration rememberLeaving_ = std::chrono::minutes{ 10 };
+    /** Told once for each start of an engine that says that it leaves. */
+    std::function<void(const EngineEntry&)> onLeaving_ =
+      [](const EngineEntry&) {};
+    /** Counts an event by its name. */
+    std::function<void(const std::string&)> count_ = [](const std::string&) {};
   };
 
   EnginePool(asio::io_context& aContext, Options aOptions)
     : context_(aContext)
-    , options_(aOptions)
+    , options_(std::move(aOptions))
   {
   }
 
@@ -78,9 +92,15 @@
   auto Keep(const EngineLease& aLease, Duration aKeepFor) -> void;
   /** \brief Closes the connection. */
   auto Drop(const EngineLease& aLease) -> void;
+  /** \brief Takes what the engine says of itself in an answer: that it leaves,
+   * or that it wants nothing for a while. */
+  auto Heed(const EngineLease& aLease, const EngineAnswerHead& aHead) -> void;
+  /** \brief Another host was told that this start of an engine leaves. */
+  auto OnLeaving(const std::string& aId, std::uint64_t aStartedAt) -> void;
 
 private:
   auto IsSettled(EngineConnection& aConnection) -> Task<bool>;
+  auto CloseKept(EngineState& aEngine) -> void;
   auto TakeKept(EngineState& aEngine) -> std::shared_ptr<EngineConnection>;
 
   asio::io_context& context_;
@@ -89,6 +109,8 @@
   std::shared_ptr<const EngineList> engines_ =
     std::make_shared<const EngineList>();
   std::map<std::string, std::shared_ptr<EngineState>> states_;
+  /** By id and start, with when it was heard. */
+  std::map<std::pair<std::string, std::uint64_t>, TimePoint> leaving_;
 };
 
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/EntryGateway.cpp
+++ b/goldcrestcroft/src/Gateway/EntryGateway.cpp
@@ -16,7 +16,7 @@
  * still find this host. */
 constexpr auto kKeepAnswers = 3;
 /** What is left of the grace period for the end of the process itself. */
-constexpr auto kExitMargin = std::chrono::milliseconds{ 700 };
+constexpr auto kExitMargin = std::chrono::milliseconds{ 800 };
 /** How soon a settings file that changed without a signal is read. */
 constexpr auto kLookAtSettings = std::chrono::seconds{ 1 };
 constexpr auto kLookForIdle = std::chrono::milliseconds{ 50 };
@@ -30,10 +30,17 @@
   , store_(aMakeStore(controlContext_))
   , traffic_(trafficContext_, { .settings_ = options_.settings_ }, aCodec,
              metrics_,
-             [this](const CrashNews& aNews) {
-               asio::post(controlContext_,
-                          [this, aNews] { control_.SpreadCrash(aNews); });
-             })
+             { .crash_ =
+                 [this](const CrashNews& aNews) {
+                   asio::post(controlContext_,
+                              [this, aNews] { control_.SpreadCrash(aNews); });
+                 },
+               .leaving_ =
+                 [this](const LeavingEngine& aEngine) {
+                   asio::post(controlContext_, [this, aEngine] {
+                     control_.SpreadLeaving(aEngine);
+                   });
+                 } })
   , control_(controlContext_,
              { .settings_ = options_.settings_,
                .incarnation_ = options_.incarnation_ },
@@ -60,7 +67,8 @@
   return { .onRouting_ = toTraffic(&Traffic::SetRouting),
            .onEngines_ = toTraffic(&Traffic::SetEngines),
            .onFleet_ = toTraffic(&Traffic::SetFleet),
-           .onCrash_ = toTraffic(&Traffic::OnCrash) };
+           .onCrash_ = toTraffic(&Traffic::OnCrash),
+           .onLeaving_ = toTraffic(&Traffic::OnLeaving) };
 }
 
 auto EntryGateway::Ready() const -> SmallServer::Answer
@@ -190,11 +198,15 @@
     std::min<Duration>(options_.settings_.directoryKeep_ * kKeepAnswers,
                        options_.settings_.grace_ - std::chrono::seconds{ 2 });
   const auto last = startedAt + options_.settings_.grace_ - kExitMargin;
+  const auto endAnswers = startedAt + options_.settings_.grace_ - kEndMargin;
   asio::steady_timer timer(trafficContext_);
   for (;;) {
     timer.expires_after(kLookForIdle);
     co_await timer.async_wait(kAsTuple);
     const auto now = traffic_.Now();
+    if (now >= endAnswers) {
+      traffic_.EndRequests();
+    }
     if (now - startedAt >= serveUntil) {
       traffic_.CloseIdle();
       if (traffic_.Running() == 0 || now >= last) {
--- a/goldcrestcroft/src/Gateway/FleetView.cpp
+++ b/goldcrestcroft/src/Gateway/FleetView.cpp
@@ -1,19 +1,37 @@
 #include "FleetView.h"
 
+#include <algorithm>
+
 namespace goldcrestcroft {
 
 namespace {
 
 /** Callers use no more addresses of one answer than this. */
 constexpr std::size_t kMostAddresses = 64;
+/** Collectors are measured by the host of this place in the order of power, so
+ * that one or two strong hosts do not collect everything. */
+constexpr std::size_t kStrongest = 3;
+/** Part of its power that a collector has at least. */
+constexpr auto kLeastPower = 0.5;
 
 } // namespace
 
-auto FleetView::Staying() const -> std::vector<std::string>
+auto FleetView::Collectors() const -> std::vector<std::string>
 {
-  std::vector<std::string> ids;
+  std::vector<double> powers;
   for (const auto& host : hosts_) {
     if (!host.leaving_) {
+      powers.push_back(host.power_);
+    }
+  }
+  std::sort(powers.rbegin(), powers.rend());
+  const auto least =
+    powers.empty()
+      ? 0.0
+      : powers[std::min(powers.size(), kStrongest) - 1] * kLeastPower;
+  std::vector<std::string> ids;
+  for (const auto& host : hosts_) {
+    if (!host.leaving_ && host.power_ >= least) {
       ids.push_back(host.id_);
     }
   }
@@ -36,7 +54,8 @@
   std::vector<std::string> near;
   std::vector<std::string> far;
   for (const auto& host : aView.hosts_) {
-    if (!host.leaving_ && !host.callerAddress_.empty()) {
+    const auto serves = !host.leaving_ && !host.suspected_;
+    if (serves && !host.callerAddress_.empty()) {
       (host.zone_ == aZone ? near : far).push_back(host.callerAddress_);
     }
   }
--- a/goldcrestcroft/src/Gateway/FleetView.h
+++ b/goldcrestcroft/src/Gateway/FleetView.h
@@ -17,6 +17,10 @@
   /** "IP:PORT" of its datagrams; TCP of the same port carries state. */
   std::string peerAddress_;
   bool leaving_ = false;
+  /** It does not answer; kept in its offices until that is sure. */
+  bool suspected_ = false;
+  /** What it can carry, relative to others. */
+  double power_ = 1.0;
 
   auto operator<=>(const FleetHost&) const = default;
 };
@@ -27,11 +31,15 @@
   std::string self_;
   std::string zone_;
   std::vector<FleetHost> hosts_;
+  /** Whether this host has met enough of the others to say who does what; not
+   * in its first moments. */
+  bool settled_ = true;
 
   auto operator<=>(const FleetView&) const = default;
 
-  /** \brief Hosts that take new work. */
-  [[nodiscard]] auto Staying() const -> std::vector<std::string>;
+  /** \brief Hosts that may collect pieces: those that stay, with half of the
+   * power of the third strongest of them or more. */
+  [[nodiscard]] auto Collectors() const -> std::vector<std::string>;
   [[nodiscard]] auto Find(const std::string& aId) const -> const FleetHost*;
 };
 
--- a/goldcrestcroft/src/Gateway/HeaderNames.h
+++ b/goldcrestcroft/src/Gateway/HeaderNames.h
@@ -18,6 +18,8 @@
   std::string expectEngine_;
   std::string engineId_;
   std::string engineLoad_;
+  /** In all answers of an engine that is about to leave. */
+  std::string engineLeaving_;
   std::string workspace_;
   std::string apiKey_;
   std::string pieceCounts_;
--- a/goldcrestcroft/src/Gateway/NodeSettings.cpp
+++ b/goldcrestcroft/src/Gateway/NodeSettings.cpp
@@ -15,6 +15,8 @@
 
 constexpr unsigned kMaxPort = 65'534;
 constexpr double kMostRepeats = 1e6;
+constexpr double kMostCores = 1e4;
+constexpr double kMostMbps = 1e7;
 constexpr std::size_t kMostCallers = 1'000'000;
 
 auto ReadAddress(ObjectReader& aReader, const std::string& aKey) -> std::string
@@ -62,6 +64,12 @@
     reader.InRange<double>("repeat_ratio", settings.repeatRatio_, 0.0, 1.0);
   settings.repeatSlack_ = reader.InRange<double>(
     "repeat_slack", settings.repeatSlack_, 0.0, kMostRepeats);
+  settings.cores_ =
+    reader.InRange<double>("cores", settings.cores_, 0.0, kMostCores);
+  settings.linkMbps_ =
+    reader.InRange<double>("link_mbps", settings.linkMbps_, 0.0, kMostMbps);
+  settings.longestEnginePause_ =
+    ReadSeconds(reader, "longest_engine_pause_s", settings.longestEnginePause_);
   settings.mostCallers_ = reader.InRange<std::size_t>(
     "most_callers", settings.mostCallers_, 1, kMostCallers);
   reader.RejectUnknown();
@@ -127,6 +135,8 @@
   stay("metrics", &NodeSettings::metrics_);
   stay("peer_port", &NodeSettings::peerPort_);
   stay("store", &NodeSettings::store_);
+  stay("cores", &NodeSettings::cores_);
+  stay("link_mbps", &NodeSettings::linkMbps_);
   stay("repeat_window_s", &NodeSettings::repeatWindow_);
   return reload;
 }
--- a/goldcrestcroft/src/Gateway/NodeSettings.h
+++ b/goldcrestcroft/src/Gateway/NodeSettings.h
@@ -2,6 +2,7 @@
 
 #include "../../Core.h"
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,12 @@
   double repeatRatio_ = 0.2;
   double repeatSlack_ = 50.0;
   Duration repeatWindow_ = std::chrono::seconds{ 10 };
+  /** Part of a core and link, in Mbit/s, that the host has; the strongest hosts
+   * collect pieces of stages. */
+  double cores_ = 1.0;
+  double linkMbps_ = 1000.0;
+  /** Longest time that an engine is left alone because it asks for it. */
+  Duration longestEnginePause_ = std::chrono::seconds{ 60 };
   /** Connections of callers at a time; beyond, an idle one makes room. Hosts
    * have 4,100 descriptors or more. */
   std::size_t mostCallers_ = 3000;
@@ -42,6 +49,12 @@
   {
     return ip_ + ":" + std::to_string(peerPort_);
   }
+  /** \brief What the host can carry besides its callers, relative to a host
+   * of a tenth of a core and 10 Mbit/s. */
+  [[nodiscard]] auto Power() const -> double
+  {
+    return std::min(cores_ / 0.1, linkMbps_ / 10.0);
+  }
   [[nodiscard]] auto StageAddress() const -> std::string
   {
     return ip_ + ":" + std::to_string(peerPort_ + 1);
--- a/goldcrestcroft/src/Gateway/PeerFrames.cpp
+++ b/goldcrestcroft/src/Gateway/PeerFrames.cpp
@@ -80,10 +80,24 @@
   });
 }
 
+template<typename Ar>
+auto ArchiveNews(Ar& aArchive, std::vector<PeerNews>& aNews) -> void
+{
+  ArchiveMany(aArchive, aNews, [](auto& aEach, PeerNews& aOne) {
+    Archive(aEach, aOne.record_);
+    auto state = static_cast<std::uint8_t>(aOne.state_);
+    aEach(state);
+    if (state > static_cast<std::uint8_t>(PeerState::Gone)) {
+      throw std::out_of_range("state of a host");
+    }
+    aOne.state_ = static_cast<PeerState>(state);
+  });
+}
+
 template<typename Ar>
 auto ArchiveFrame(Ar& aArchive, StateRequest& aFrame) -> void
 {
-  aArchive(aFrame.configurationRow_, aFrame.engineRows_);
+  aArchive(aFrame.configurationRow_, aFrame.engineRows_, aFrame.wholeFleet_);
 }
 
 template<typename Ar>
@@ -91,6 +105,7 @@
 {
   ArchiveRows(aArchive, aFrame.configuration_);
   ArchiveRows(aArchive, aFrame.engines_);
+  ArchiveNews(aArchive, aFrame.hosts_);
 }
 
 template<typename Ar>
@@ -166,12 +181,25 @@
 template<typename Ar>
 auto ArchiveHeartbeat(Ar& aArchive, FleetHeartbeat& aHeartbeat) -> void
 {
-  Archive(aArchive, aHeartbeat.sender_);
+  auto& probe = aHeartbeat.probe_;
+  Archive(aArchive, probe.sender_);
+  auto kind = static_cast<std::uint8_t>(probe.kind_);
+  auto subject = Bounded(probe.subject_);
+  aArchive(kind, probe.probe_, subject, probe.hosts_);
+  if (kind > static_cast<std::uint8_t>(ProbeKind::AskPing)) {
+    throw std::out_of_range("kind of probe");
+  }
+  probe.kind_ = static_cast<ProbeKind>(kind);
+  ArchiveNews(aArchive, probe.news_);
   aArchive(aHeartbeat.configurationRow_, aHeartbeat.engineRows_);
-  internal::ArchiveItems(aArchive, aHeartbeat.passedOn_);
   ArchiveMany(aArchive, aHeartbeat.crashes_, [](auto& aEach, auto& aNews) {
     aEach(aNews.request_, aNews.engine_, aNews.completed_);
   });
+  ArchiveMany(aArchive, aHeartbeat.leavingEngines_,
+              [](auto& aEach, LeavingEngine& aEngine) {
+                auto id = Bounded(aEngine.id_);
+                aEach(id, aEngine.startedAt_);
+              });
 }
 
 template<std::size_t Index = 0>
--- a/goldcrestcroft/src/Gateway/PeerFrames.h
+++ b/goldcrestcroft/src/Gateway/PeerFrames.h
@@ -20,15 +20,25 @@
   auto operator<=>(const CrashNews&) const = default;
 };
 
+/** \brief A start of an engine that said that it leaves. */
+struct LeavingEngine
+{
+  std::string id_;
+  /** Unix milliseconds, 0 where it does not tell. */
+  std::uint64_t startedAt_ = 0;
+
+  auto operator<=>(const LeavingEngine&) const = default;
+};
+
 /** \brief The regular datagram from host to host. */
 struct FleetHeartbeat
 {
-  PeerRecord sender_;
+  ProbeMessage probe_;
   /** Store versions of what the sender has in force. */
   std::uint64_t configurationRow_ = 0;
   std::uint64_t engineRows_ = 0;
-  std::vector<PeerRecord> passedOn_;
   std::vector<CrashNews> crashes_;
+  std::vector<LeavingEngine> leavingEngines_;
 
   auto operator<=>(const FleetHeartbeat&) const = default;
 };
@@ -38,6 +48,8 @@
 {
   std::uint64_t configurationRow_ = 0;
   std::uint64_t engineRows_ = 0;
+  /** The asker knows far fewer hosts than this peer. */
+  bool wholeFleet_ = false;
 
   auto operator<=>(const StateRequest&) const = default;
 };
@@ -48,6 +60,7 @@
   /** Its value is packed. */
   std::vector<StoreRow> configuration_;
   std::vector<StoreRow> engines_;
+  std::vector<PeerNews> hosts_;
 
   auto operator<=>(const StateReply&) const = default;
 };
--- a/goldcrestcroft/src/Gateway/PeerLink.cpp
+++ b/goldcrestcroft/src/Gateway/PeerLink.cpp
@@ -52,13 +52,13 @@
   timer_.async_wait([weak = weak_from_this()](auto aError) {
     const auto link = weak.lock();
     if (!aError && link) {
-      link->Close();
+      link->Close("no answer to the connection");
     }
   });
   const auto [error] = co_await socket_.async_connect(aEndpoint, kAsTuple);
   timer_.cancel();
   if (error || !open_) {
-    Close();
+    Close("not connected: " + error.message());
     co_return;
   }
   Start();
@@ -77,13 +77,19 @@
     const auto [headError, headSize] =
       co_await asio::async_read(socket_, asio::buffer(head), kAsTuple);
     const auto length = ReadLength(head);
-    if (headError || length > kMaxFrameBytes) {
+    if (headError) {
+      Close(headError.message());
+      break;
+    }
+    if (length > kMaxFrameBytes) {
+      Close("a frame of " + std::to_string(length) + " bytes");
       break;
     }
     contents.resize(length);
     const auto [error, size] =
       co_await asio::async_read(socket_, asio::buffer(contents), kAsTuple);
     if (error) {
+      Close(error.message());
       break;
     }
     const auto valid = Handle(
@@ -92,12 +98,14 @@
         options_.onFrame_(self, std::move(frame));
         return true;
       },
-      [](const Error&) { return false; });
+      [&](const Error& aError) {
+        Close(aError.message_);
+        return false;
+      });
     if (!valid) {
       break;
     }
   }
-  Close();
 }
 
 auto PeerLink::Send(const PeerFrame& aFrame) -> void
@@ -108,7 +116,8 @@
   queue_.push_back(EncodeFrame(aFrame));
   queuedBytes_ += queue_.back().size();
   if (queuedBytes_ > options_.maxQueuedBytes_) {
-    Close();
+    Close("the other end takes nothing: " + std::to_string(queuedBytes_) +
+          " bytes unsent");
     return;
   }
   if (connected_ && !writing_) {
@@ -133,18 +142,19 @@
     const auto [error, size] =
       co_await asio::async_write(socket_, asio::buffer(bytes), kAsTuple);
     if (error) {
-      Close();
+      Close(error.message());
     }
   }
   writing_ = false;
 }
 
-auto PeerLink::Close() -> void
+auto PeerLink::Close(const std::string& aReason) -> void
 {
   if (!open_) {
     return;
   }
   open_ = false;
+  why_ = aReason;
   boost::system::error_code ignored;
   socket_.close(ignored);
   timer_.cancel();
--- a/goldcrestcroft/src/Gateway/PeerLink.h
+++ b/goldcrestcroft/src/Gateway/PeerLink.h
@@ -33,8 +33,13 @@
   /** \brief Connects first; frames sent meanwhile wait. */
   auto StartTo(const std::string& aAddress) -> void;
   auto Send(const PeerFrame& aFrame) -> void;
-  auto Close() -> void;
+  /** \brief Ends the connection; the first reason counts. */
+  auto Close(const std::string& aReason = "closed here") -> void;
   [[nodiscard]] auto IsOpen() const -> bool { return open_; }
+  /** \brief Whether the other end was ever reached. */
+  [[nodiscard]] auto WasConnected() const -> bool { return connected_; }
+  /** \brief Why it ended, for the log. */
+  [[nodiscard]] auto WhyEnded() const -> const std::string& { return why_; }
 
 private:
   auto Connect(Tcp::endpoint aEndpoint) -> Task<void>;
@@ -46,6 +51,7 @@
   Options options_;
   std::deque<std::string> queue_;
   std::size_t queuedBytes_ = 0;
+  std::string why_;
   bool open_ = true;
   bool connected_ = false;
   bool writing_ = false;
--- a/goldcrestcroft/src/Gateway/RequestRun.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRun.cpp
@@ -49,12 +49,12 @@
   , deadlineTimer_(aTraffic.Context())
   , wake_(aTraffic.Context())
 {
-  traffic_.OnRequestBegin();
+  traffic_.OnRequestBegin(this);
 }
 
 RequestRun::~RequestRun()
 {
-  traffic_.OnRequestEnd();
+  traffic_.OnRequestEnd(this);
 }
 
 auto RequestRun::Admit() -> std::optional<OwnAnswer>
@@ -98,6 +98,11 @@
                         "engines broke off whenever this request ran" };
   }
   ReadTimes();
+  if (!traffic_.Takes(route_->name_, TimeLeft())) {
+    return OwnAnswer{ .reason_ = "stopping",
+                      .message_ = "this host ends before the request would",
+                      .retryAfter_ = traffic_.Options().leastRetryAfter_ };
+  }
   return std::nullopt;
 }
 
@@ -123,6 +128,11 @@
   return deadline_ - traffic_.Now();
 }
 
+auto RequestRun::OnHostEnds() -> void
+{
+  Abort(Aborted::HostEnds);
+}
+
 auto RequestRun::OnCallerGone() -> void
 {
   Abort(Aborted::CallerGone);
@@ -230,6 +240,7 @@
     if (graph_) {
       const auto made = co_await MakeStages();
       if (made != StageEnd::Made) {
+        noMore_ = made == StageEnd::Refused ? "stages_refused" : "aborted";
         co_return co_await Conclude(AttemptEnd::Abandoned);
       }
       stagesDoneAt_ = traffic_.Now();
@@ -243,6 +254,7 @@
     traffic_.Metrics().CountAttempt(service_, ToString(end));
     attempts_ = Count(attempts_, end);
     if (end == AttemptEnd::Delivered) {
+      traffic_.NoteAnswerTime(route_->name_, traffic_.Now() - arrivedAt_);
       Finish("ok");
       co_return !traffic_.IsStopping();
     }
@@ -256,9 +268,7 @@
       }
     }
     if (next == NextStep::Stop) {
-      noMore_ = aborted_ != Aborted::No  ? "aborted"
-                : route_->IsIdempotent() ? "attempts_used"
-                                         : "not_idempotent";
+      noMore_ = aborted_ != Aborted::No ? "aborted" : WhyStopped(*route_, end);
       co_return co_await Conclude(end);
     }
     if (end != AttemptEnd::Unreachable && !traffic_.TryRepeat(service_)) {
--- a/goldcrestcroft/src/Gateway/RequestRun.h
+++ b/goldcrestcroft/src/Gateway/RequestRun.h
@@ -20,13 +20,16 @@
   /** \brief Whether the connection may carry another request. */
   auto Serve() -> Task<bool>;
   auto OnCallerGone() -> void;
+  auto OnHostEnds() -> void;
 
 private:
   enum class Aborted
   {
     No,
     CallerGone,
-    TimeOver
+    TimeOver,
+    /** This host ends. */
+    HostEnds
   };
   enum class StageEnd
   {
@@ -45,12 +48,17 @@
 
   auto Execute() -> Task<bool>;
   auto Conclude(AttemptEnd aEnd) -> Task<bool>;
+  /** \brief When an engine wants requests again, if none does now. */
+  [[nodiscard]] auto ComeBackAfter() const -> Duration;
   [[nodiscard]] auto ConcludingAnswer(AttemptEnd aEnd) const -> OwnAnswer;
 
   // Stages.
   auto RefuseByForecast(const std::vector<std::uint32_t>& aPieces) const
     -> std::optional<OwnAnswer>;
   auto MakeStages() -> Task<StageEnd>;
+  /** \brief Time at which the stages must go on, since the caller would be
+   * gone before the first event otherwise. */
+  [[nodiscard]] auto LatestForStages() const -> TimePoint;
   auto PlaceStage(std::size_t aStage) -> void;
   /** \brief Tells the collectors of the stages that cannot start yet. */
   auto PlanStages() -> void;
@@ -60,7 +68,7 @@
   auto CancelOrders() -> void;
   auto ReleaseResults(
     const std::vector<std::pair<std::size_t, std::string>>& aResults) -> void;
-  auto Wait() -> Task<void>;
+  auto WaitUntil(TimePoint aLatest) -> Task<void>;
 
   // Attempts.
   auto Candidates(std::vector<EngineEntry>& aEntries)
--- a/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
@@ -15,6 +15,7 @@
     const auto name = field.name_string();
     const auto dropped = IsHopByHop(field.name()) ||
                          beast::iequals(name, aNames.engineLoad_) ||
+                         beast::iequals(name, aNames.engineLeaving_) ||
                          beast::iequals(name, aNames.notRun_);
     if (!dropped) {
       aAnswer.insert(name, field.value());
@@ -140,7 +141,10 @@
   }
   if (streamBegun_) {
     // The caller must see that the answer is not whole.
-    Finish(aborted_ == Aborted::TimeOver ? "timeout" : "stream_broken");
+    Finish(aborted_ == Aborted::TimeOver   ? "timeout"
+           : aborted_ == Aborted::HostEnds ? "host_ends_streaming"
+                                           : "stream_broken",
+           stageProblem_ ? stageProblem_->message_ : "");
     caller_->Abort();
     co_return false;
   }
@@ -169,6 +173,18 @@
              .message_ = "it did not run in time",
              .retryAfter_ = soon };
   }
+  if (aborted_ == Aborted::HostEnds) {
+    return mayHaveRun
+             ? OwnAnswer{ .status_ = 502,
+                          .reason_ = "host_ends_running",
+                          .message_ =
+                            "this host ends; the request may have run",
+                          .closes_ = true }
+             : OwnAnswer{ .reason_ = "host_ends",
+                          .message_ = "this host ends; it has not run",
+                          .retryAfter_ = traffic_.Options().leastRetryAfter_,
+                          .closes_ = true };
+  }
   if (mayHaveRun) {
     return { .status_ = 502,
              .reason_ = "engine_lost",
@@ -180,7 +196,7 @@
   return { .reason_ =
              aEnd == AttemptEnd::Unreachable ? "no_engine" : "engines_full",
            .message_ = "no engine takes the request now",
-           .retryAfter_ = soon };
+           .retryAfter_ = std::max(soon, ComeBackAfter()) };
 }
 
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
@@ -144,6 +144,7 @@
     co_return AttemptEnd::Lost;
   }
   const auto& head = exchange.Head();
+  pool.Heed(aLease, head);
   const auto loadText = head.fields_[traffic_.Codec().Headers().engineLoad_];
   if (const auto load =
         traffic_.Codec().ReadLoad({ loadText.data(), loadText.size() })) {
@@ -167,7 +168,10 @@
       health.OnFailure(traffic_.Now());
       break;
     case AttemptEnd::Rejected:
-      health.OnFailure(traffic_.Now());
+      // One that asks for a pause is well, and gets one.
+      if (aLease.engine_->consent_.MayReceive(traffic_.Now())) {
+        health.OnFailure(traffic_.Now());
+      }
       break;
     case AttemptEnd::Lost:
       NoteLoss(aLease);
--- a/goldcrestcroft/src/Gateway/RequestRunChoice.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunChoice.cpp
@@ -30,7 +30,8 @@
     const auto onTrial = health.IsOnTrial() && state->ownRequests_ > 0;
     const auto fits =
       aLastResort ? health.IsLastResort() : health.IsUsable(now) && !onTrial;
-    if (tried_.contains(entry.id_) || full || !fits) {
+    const auto wants = state->consent_.MayReceive(now);
+    if (tried_.contains(entry.id_) || full || !fits || !wants) {
       continue;
     }
     aEntries.push_back(entry);
@@ -45,6 +46,23 @@
   return candidates;
 }
 
+auto RequestRun::ComeBackAfter() const -> Duration
+{
+  const auto now = traffic_.Now();
+  std::optional<Duration> least;
+  for (const auto& entry : traffic_.Pool().Engines().Of(service_)) {
+    const auto& consent = traffic_.Pool().StateOf(entry)->consent_;
+    if (consent.MayReceive(now)) {
+      return {};
+    }
+    if (!consent.IsLeaving()) {
+      const auto left = consent.PauseLeft(now);
+      least = least ? std::min(*least, left) : left;
+    }
+  }
+  return least.value_or(Duration{});
+}
+
 auto RequestRun::PlanHome() -> void
 {
   zone_ = traffic_.Fleet().zone_;
--- a/goldcrestcroft/src/Gateway/RequestRunStages.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunStages.cpp
@@ -14,12 +14,22 @@
 
 } // namespace
 
-auto RequestRun::Wait() -> Task<void>
+auto RequestRun::WaitUntil(TimePoint aLatest) -> Task<void>
 {
-  wake_.expires_at(std::chrono::steady_clock::time_point::max());
+  wake_.expires_after(std::max<Duration>(aLatest - traffic_.Now(), {}));
   co_await wake_.async_wait(kAsTuple);
 }
 
+auto RequestRun::LatestForStages() const -> TimePoint
+{
+  if (streamBegun_) {
+    return deadline_;
+  }
+  const auto patience = CallerPatience{}.FirstEventWithin(*route_);
+  return std::min(deadline_, arrivedAt_ + patience) -
+         RestOfStages(*route_, *graph_, *routing_);
+}
+
 auto RequestRun::RefuseByForecast(
   const std::vector<std::uint32_t>& aPieces) const -> std::optional<OwnAnswer>
 {
@@ -32,20 +42,20 @@
   const StageAdmission admission{
     .firstEvent_ = traffic_.FirstEventOf(route_->name_).Usual()
   };
-  const auto allowed =
-    admission.AllowedWait(forecast, route_->objective_, route_->rank_);
-  if (forecast.waiting_ <= allowed) {
+  const auto rank = admission.RankOf(route_->rank_, Fingerprint(requestId_));
+  if (admission.Admits(forecast, route_->objective_, rank)) {
     return std::nullopt;
   }
+  const auto allowed =
+    admission.AllowedWait(forecast, route_->objective_, rank);
   return OwnAnswer{
     .reason_ = "overloaded",
-    .message_ =
-      fmt::format("the stages would take {:.0f} ms, {:.0f} of them waiting "
-                  "where {:.0f} are allowed to rank {}, with {:.0f} ms "
-                  "from there to the first event",
-                  ToMilliseconds(forecast.total_),
-                  ToMilliseconds(forecast.waiting_), ToMilliseconds(allowed),
-                  route_->rank_, ToMilliseconds(admission.firstEvent_)),
+    .message_ = fmt::format(
+      "the stages would take {:.0f} ms, {:.0f} of them waiting "
+      "where {:.0f} are allowed to rank {}, with {:.0f} ms "
+      "from there to the first event",
+      ToMilliseconds(forecast.total_), ToMilliseconds(forecast.waiting_),
+      ToMilliseconds(allowed), rank, ToMilliseconds(admission.firstEvent_)),
     .retryAfter_ =
       std::max<Duration>(forecast.waiting_, traffic_.Options().retryAfter_)
   };
@@ -70,7 +80,16 @@
     if (graph_->IsDone()) {
       co_return StageEnd::Made;
     }
-    co_await Wait();
+    const auto latest = LatestForStages();
+    if (traffic_.Now() >= latest) {
+      stageProblem_ =
+        OwnAnswer{ .reason_ = "stages_too_late",
+                   .message_ = "the stages that are left cannot be made before "
+                               "the caller is gone",
+                   .retryAfter_ = traffic_.Options().retryAfter_ };
+      continue;
+    }
+    co_await WaitUntil(latest);
   }
 }
 
--- a/goldcrestcroft/src/Gateway/StageBroker.cpp
+++ b/goldcrestcroft/src/Gateway/StageBroker.cpp
@@ -8,6 +8,13 @@
 
 /** How long a collector's word on its backlog counts. */
 constexpr auto kBacklogLife = std::chrono::milliseconds{ 500 };
+/** A collector that could not be reached is passed over for this long; by then
+ * the fleet knows whether it lives. */
+constexpr auto kPassOver = std::chrono::milliseconds{ 2500 };
+/** A host that reaches none of so many others is cut off itself. */
+constexpr std::size_t kMostPassedOver = 3;
+/** An order that was sent so often without a result is made here. */
+constexpr std::size_t kMostMoves = 4;
 
 /** The port for orders is the one after that for state. */
 auto StageAddressOf(const FleetHost& aHost) -> std::string
@@ -36,12 +43,64 @@
   return {};
 }
 
+auto StageBroker::CollectorOf(const std::string& aService) -> const std::string&
+{
+  const auto [found, isNew] = collectors_.try_emplace(aService);
+  if (isNew && passedOver_.size() < kMostPassedOver) {
+    auto hosts = fleet_->Collectors();
+    std::erase_if(
+      hosts, [this](const auto& aHost) { return passedOver_.contains(aHost); });
+    found->second = ChooseCollector(aService, hosts);
+  }
+  if (found->second.empty()) {
+    found->second = fleet_->self_;
+  }
+  return found->second;
+}
+
+auto StageBroker::PassOver(const std::string& aHost) -> void
+{
+  passedOver_[aHost] = clock_.Now() + kPassOver;
+  ReviewOffices(std::exchange(collectors_, {}));
+}
+
+auto StageBroker::ForgetPassedOver() -> void
+{
+  const auto now = clock_.Now();
+  const auto over = std::erase_if(
+    passedOver_, [&](const auto& aItem) { return aItem.second <= now; });
+  if (over > 0) {
+    ReviewOffices(std::exchange(collectors_, {}));
+  }
+}
+
+auto StageBroker::ReviewOffices(
+  const std::map<std::string, std::string>& aBefore) -> void
+{
+  for (const auto& [service, before] : aBefore) {
+    const auto& after = CollectorOf(service);
+    if (after == before) {
+      continue;
+    }
+    Log::Write(LogLevel::Info, "collector_changed",
+               { { "service", service },
+                 { "from", before },
+                 { "to", after },
+                 { "hosts", std::to_string(fleet_->hosts_.size()) },
+                 { "passed_over", std::to_string(passedOver_.size()) } });
+    if (after == fleet_->self_) {
+      desk_.OnOtherCallers(service);
+    } else if (before == fleet_->self_) {
+      desk_.HandBack(service);
+    }
+  }
+}
+
 auto StageBroker::LinkToCollector(const std::string& aService)
   -> std::shared_ptr<PeerLink>
 {
-  const auto collector = ChooseCollector(aService, fleet_->Staying());
-  return collector.empty() || collector == fleet_->self_ ? nullptr
-                                                         : LinkTo(collector);
+  const auto collector = CollectorOf(aService);
+  return collector == fleet_->self_ ? nullptr : LinkTo(collector);
 }
 
 auto StageBroker::SetFleet(std::shared_ptr<const FleetView> aFleet) -> void
@@ -50,10 +109,18 @@
   for (auto link = links_.begin(); link != links_.end();) {
     const auto gone = fleet_->Find(link->first) == nullptr;
     if (gone) {
-      link->second->Close();
+      link->second->Close("the host is gone");
     }
     link = gone ? links_.erase(link) : std::next(link);
   }
+  ReviewOffices(std::exchange(collectors_, {}));
+  if (fleet_->settled_) {
+    for (const auto number : std::exchange(unsent_, {})) {
+      if (outstanding_.contains(number)) {
+        Send(number);
+      }
+    }
+  }
   const auto* self = fleet_->Find(fleet_->self_);
   if (self != nullptr && self->leaving_) {
     desk_.Leave();
@@ -94,6 +161,9 @@
   const auto number = nextNumber_++;
   auto& outstanding = outstanding_[number];
   outstanding.order_.service_ = aService;
+  if (!fleet_->settled_) {
+    return number; // Forecasts do without it.
+  }
   const auto link = LinkToCollector(aService);
   outstanding.link_ = link;
   if (link) {
@@ -123,6 +193,11 @@
 
 auto StageBroker::Send(std::uint64_t aNumber) -> void
 {
+  if (!fleet_->settled_) {
+    // Hosts that start together would all make their own calls.
+    unsent_.push_back(aNumber);
+    return;
+  }
   auto& outstanding = outstanding_.at(aNumber);
   const auto link = LinkToCollector(outstanding.order_.service_);
   if (!link) {
@@ -141,6 +216,10 @@
 {
   auto& outstanding = outstanding_.at(aNumber);
   outstanding.link_ = nullptr;
+  const auto& service = outstanding.order_.service_;
+  if (CollectorOf(service) != fleet_->self_) {
+    desk_.OnOtherCallers(service);
+  }
   outstanding.deskOrder_ = desk_.Place(
     outstanding.order_, [this, aNumber](std::vector<PieceResult> aResults) {
       OnTell(aNumber, std::move(aResults));
@@ -161,11 +240,7 @@
   if (moved) {
     // Pieces in a call of the old collector are told as well; the first
     // result of each counts.
-    asio::post(context_, [this, aNumber] {
-      if (outstanding_.contains(aNumber)) {
-        Send(aNumber);
-      }
-    });
+    asio::post(context_, [this, aNumber] { SendAgain({ aNumber }); });
     return;
   }
   const auto tell = found->second.tell_;
@@ -175,21 +250,49 @@
 auto StageBroker::OnLinkEnd(const std::shared_ptr<PeerLink>& aLink) -> void
 {
   std::vector<std::uint64_t> orphans;
+  std::set<std::string> services;
   for (const auto& [number, outstanding] : outstanding_) {
     if (outstanding.link_ == aLink && outstanding.tell_) {
       orphans.push_back(number);
+      services.insert(outstanding.order_.service_);
     }
   }
-  std::erase_if(links_,
-                [&](const auto& aItem) { return aItem.second == aLink; });
-  if (orphans.empty()) {
-    return;
+  std::string host;
+  for (auto link = links_.begin(); link != links_.end();) {
+    const auto ended = link->second == aLink;
+    host = ended ? link->first : host;
+    link = ended ? links_.erase(link) : std::next(link);
+  }
+  std::string named;
+  for (const auto& service : services) {
+    named += (named.empty() ? "" : " ") + service;
   }
   Log::Write(LogLevel::Info, "collector_lost",
-             { { "orders", std::to_string(orphans.size()) } });
-  // Until the fleet names another collector, calls of the own desk serve.
-  for (const auto number : orphans) {
-    PlaceHere(number);
+             { { "collector", host },
+               { "services", named },
+               { "orders", std::to_string(orphans.size()) },
+               { "reached", aLink->WasConnected() ? "true" : "false" },
+               { "reason", aLink->WhyEnded() } });
+  // A connection that broke is made again; where nobody takes it, the next
+  // host in the order of collectors has the orders.
+  if (!aLink->WasConnected() && !host.empty()) {
+    PassOver(host);
+  }
+  SendAgain(orphans);
+}
+
+auto StageBroker::SendAgain(const std::vector<std::uint64_t>& aNumbers) -> void
+{
+  for (const auto number : aNumbers) {
+    const auto found = outstanding_.find(number);
+    if (found == outstanding_.end()) {
+      continue;
+    }
+    if (++found->second.moves_ < kMostMoves) {
+      Send(number);
+    } else {
+      PlaceHere(number);
+    }
   }
 }
 
--- a/goldcrestcroft/src/Gateway/StageBroker.h
+++ b/goldcrestcroft/src/Gateway/StageBroker.h
@@ -9,8 +9,11 @@
 /** \brief Sends orders for pieces to the host that collects for their service,
  * and serves those of other hosts where this one collects.
  *
- * An order whose collector is lost goes to the next one; where that cannot be
- * reached either, this host makes the calls itself. Traffic thread only. */
+ * A collector keeps its office while it is only suspected. A connection that
+ * breaks is made again; a collector that cannot be reached is passed over for a
+ * moment, and its orders go to the next in the order that all hosts know. Only
+ * a host that reaches none of several makes the calls itself. Traffic thread
+ * only. */
 class StageBroker
 {
 public:
@@ -46,6 +49,8 @@
     /** Null while the order lies at the own desk, as deskOrder_. */
     std::shared_ptr<PeerLink> link_;
     std::uint64_t deskOrder_ = 0;
+    /** How often it had to be sent anew. */
+    std::size_t moves_ = 0;
   };
   /** Orders that another host placed here. */
   struct Served
@@ -54,6 +59,14 @@
     std::map<std::uint64_t, std::pair<std::string, std::uint64_t>> orders_;
   };
 
+  /** \brief The host that collects for the service, as seen from here. */
+  auto CollectorOf(const std::string& aService) -> const std::string&;
+  auto PassOver(const std::string& aHost) -> void;
+  auto ForgetPassedOver() -> void;
+  /** \brief Gives up offices that have passed to another host, and notes those
+   * that have come here. */
+  auto ReviewOffices(const std::map<std::string, std::string>& aBefore) -> void;
+  auto SendAgain(const std::vector<std::uint64_t>& aNumbers) -> void;
   /** \brief The connection to the collector; null where this host collects. */
   auto LinkToCollector(const std::string& aService)
     -> std::shared_ptr<PeerLink>;
@@ -73,8 +86,15 @@
   StageDesk& desk_;
   SuspendAwareClock clock_;
   std::optional<Tcp::acceptor> acceptor_;
-  std::shared_ptr<const FleetView> fleet_ = std::make_shared<FleetView>();
+  std::shared_ptr<const FleetView> fleet_ =
+    std::make_shared<const FleetView>(FleetView{ .settled_ = false });
   std::map<std::string, std::shared_ptr<PeerLink>> links_;
+  /** Collectors by service; found anew when hosts change. */
+  std::map<std::string, std::string> collectors_;
+  /** Hosts that could not be reached, and until when they are passed over. */
+  std::map<std::string, TimePoint> passedOver_;
+  /** Orders that wait until the fleet is known. */
+  std::vector<std::uint64_t> unsent_;
   std::map<std::uint64_t, Outstanding> outstanding_;
   std::map<PeerLink*, Served> served_;
   std::uint64_t nextNumber_ = 1;
--- a/goldcrestcroft/src/Gateway/StageBrokerServing.cpp
+++ b/goldcrestcroft/src/Gateway/StageBrokerServing.cpp
@@ -1,3 +1,4 @@
+#include "../Observability/Log.h"
 #include "StageBroker.h"
 
 #include <algorithm>
@@ -19,6 +20,7 @@
   for (;;) {
     timer.expires_after(kTellBacklog);
     co_await timer.async_wait(kAsTuple);
+    ForgetPassedOver();
     for (const auto& backlog : desk_.Backlogs()) {
       const auto waits = std::any_of(
         backlog.waits_.begin(), backlog.waits_.end(),
@@ -47,22 +49,26 @@
     }
     const auto link = std::make_shared<PeerLink>(
       std::move(socket),
-      PeerLink::Options{ .onFrame_ =
-                           [this](const auto& aLink, PeerFrame aFrame) {
-                             OnServedFrame(aLink, std::move(aFrame));
-                           },
-                         .onEnd_ =
-                           [this](const auto& aLink) {
-                             const auto served = served_.find(aLink.get());
-                             if (served == served_.end()) {
-                               return;
-                             }
-                             for (const auto& [number, order] :
-                                  served->second.orders_) {
-                               desk_.Cancel(order.first, order.second);
-                             }
-                             served_.erase(served);
-                           } });
+      PeerLink::Options{
+        .onFrame_ =
+          [this](const auto& aLink, PeerFrame aFrame) {
+            OnServedFrame(aLink, std::move(aFrame));
+          },
+        .onEnd_ =
+          [this](const auto& aLink) {
+            const auto served = served_.find(aLink.get());
+            if (served == served_.end()) {
+              return;
+            }
+            Log::Write(
+              LogLevel::Info, "asking_host_lost",
+              { { "orders", std::to_string(served->second.orders_.size()) },
+                { "reason", aLink->WhyEnded() } });
+            for (const auto& [number, order] : served->second.orders_) {
+              desk_.Cancel(order.first, order.second);
+            }
+            served_.erase(served);
+          } });
     served_[link.get()] = { .link_ = link };
     link->Start();
   }
@@ -75,6 +81,10 @@
   auto order = std::move(aAsk.order_);
   const auto number = order.id_;
   const auto service = order.service_;
+  if (CollectorOf(service) != fleet_->self_) {
+    // Hosts differ on who collects; another may call the engines too.
+    desk_.OnOtherCallers(service);
+  }
   order.deadline_ = now + aAsk.timeLeft_;
   order.dueAt_ = now + aAsk.dueIn_;
   const auto deskOrder =
--- a/goldcrestcroft/src/Gateway/StageDesk.cpp
+++ b/goldcrestcroft/src/Gateway/StageDesk.cpp
@@ -63,10 +63,11 @@
         continue;
       }
       const auto bytes = service.profile_.headroomBytes_ * options_.roomShare_;
-      engines[entry.id_] = std::make_shared<Engine>(Engine{
-        .state_ = state,
-        .room_ = ResultRoom(
-          { .bytes_ = bytes, .keepFor_ = service.profile_.keepFor_ }) });
+      engines[entry.id_] = std::make_shared<Engine>(
+        Engine{ .state_ = state,
+                .room_ = ResultRoom(
+                  { .bytes_ = bytes, .keepFor_ = service.profile_.keepFor_ }),
+                .sole_ = SoleUse(clock_.Now()) });
     }
     service.engines_ = std::move(engines);
     Kick(service);
@@ -131,7 +132,8 @@
   const auto now = clock_.Now();
   const auto usable = std::count_if(
     aService.engines_.begin(), aService.engines_.end(), [&](const auto& aItem) {
-      return aItem.second->state_->health_.IsUsable(now);
+      const auto& state = *aItem.second->state_;
+      return state.health_.IsUsable(now) && state.consent_.MayReceive(now);
     });
   return { .engines_ = static_cast<std::size_t>(usable),
            .batch_ = aService.profile_.batch_,
@@ -161,18 +163,50 @@
 auto StageDesk::Leave() -> void
 {
   for (auto& [name, service] : services_) {
-    for (const auto id : service.queue_.Orders()) {
-      const auto* order = service.queue_.Find(id);
-      std::vector<PieceResult> results;
-      for (const auto piece : order->pieces_) {
-        results.push_back({ .piece_ = piece, .end_ = PieceEnd::Moved });
-      }
-      service.queue_.Cancel(id);
-      Report(id, std::move(results));
+    HandBack(service);
+  }
+}
+
+auto StageDesk::HandBack(const std::string& aService) -> void
+{
+  const auto service = services_.find(aService);
+  if (service != services_.end()) {
+    HandBack(service->second);
+  }
+}
+
+auto StageDesk::HandBack(Service& aService) -> void
+{
+  for (const auto id : aService.queue_.Orders()) {
+    const auto* order = aService.queue_.Find(id);
+    std::vector<PieceResult> results;
+    for (const auto piece : order->pieces_) {
+      results.push_back({ .piece_ = piece, .end_ = PieceEnd::Moved });
     }
+    aService.queue_.Cancel(id);
+    Report(id, std::move(results));
   }
 }
 
+auto StageDesk::OnOtherCallers(const std::string& aService) -> void
+{
+  const auto service = services_.find(aService);
+  if (service == services_.end()) {
+    return;
+  }
+  for (auto& [id, engine] : service->second.engines_) {
+    engine->sole_.OnDoubt(clock_.Now());
+  }
+}
+
+auto StageDesk::IsOpenTo(const Engine& aEngine) const -> bool
+{
+  const auto now = clock_.Now();
+  const auto& state = *aEngine.state_;
+  return !aEngine.busy_ && now >= aEngine.pausedUntil_ &&
+         state.health_.IsUsable(now) && state.consent_.MayReceive(now);
+}
+
 auto StageDesk::Kick(Service& aService) -> void
 {
   const auto now = clock_.Now();
@@ -191,9 +225,7 @@
     }
   }
   for (const auto& [id, engine] : aService.engines_) {
-    const auto usable = !engine->busy_ && now >= engine->pausedUntil_ &&
-                        engine->state_->health_.IsUsable(now);
-    if (!usable) {
+    if (!IsOpenTo(*engine)) {
       continue;
     }
     engine->room_.Expire(now);
@@ -242,10 +274,13 @@
   const auto now = clock_.Now();
   std::string engines;
   for (const auto& [id, engine] : aService.engines_) {
-    const auto* state = !engine->state_->health_.IsUsable(now) ? "suspended"
-                        : engine->busy_                        ? "busy"
-                        : now < engine->pausedUntil_           ? "paused"
-                                                               : "free";
+    const auto& consent = engine->state_->consent_;
+    const auto* state = consent.IsLeaving()                      ? "leaving"
+                        : !consent.MayReceive(now)               ? "asks_pause"
+                        : !engine->state_->health_.IsUsable(now) ? "suspended"
+                        : engine->busy_                          ? "busy"
+                        : now < engine->pausedUntil_             ? "paused"
+                                                                 : "free";
     engines += fmt::format("{}{}:{}:{:.1f}MB", engines.empty() ? "" : " ", id,
                            state, engine->room_.Free() / 1e6);
   }
--- a/goldcrestcroft/src/Gateway/StageDesk.h
+++ b/goldcrestcroft/src/Gateway/StageDesk.h
@@ -60,8 +60,12 @@
   auto Cancel(const std::string& aService, std::uint64_t aOrder) -> void;
   auto Release(const std::string& aService,
                const std::vector<std::string>& aHandles) -> void;
-  /** \brief Gives waiting orders back, for a successor. */
+  /** \brief Gives waiting orders of all services back, for a successor. */
   auto Leave() -> void;
+  /** \brief Gives waiting orders of the service back. */
+  auto HandBack(const std::string& aService) -> void;
+  /** \brief Another host may be calling the service's engines as well. */
+  auto OnOtherCallers(const std::string& aService) -> void;
 
   /** \brief How long fresh orders would wait, for each service here. */
   [[nodiscard]] auto Backlogs() -> std::vector<StageBacklog>;
@@ -71,6 +75,7 @@
   {
     std::shared_ptr<EngineState> state_;
     ResultRoom room_;
+    SoleUse sole_;
     bool busy_ = false;
     TimePoint pausedUntil_;
     /** Calls in a row that it had no place for. */
@@ -102,6 +107,9 @@
   };
 
   auto Find(const std::string& aService) -> Service*;
+  auto HandBack(Service& aService) -> void;
+  /** \brief Whether the engine may get a call now. */
+  [[nodiscard]] auto IsOpenTo(const Engine& aEngine) const -> bool;
   auto RatePlan(const Service& aService) const -> ServiceRate::Plan;
   auto Kick(Service& aService) -> void;
   auto LookAgain() -> Task<void>;
--- a/goldcrestcroft/src/Gateway/StageDeskCalls.cpp
+++ b/goldcrestcroft/src/Gateway/StageDeskCalls.cpp
@@ -54,6 +54,7 @@
   EngineExchange exchange(aLease, codec_.Headers());
   auto end = co_await exchange.ReadHead("", false);
   if (end == ReadEnd::Done) {
+    pool_.Heed(aLease, exchange.Head());
     end = co_await exchange.ReadAll(aBody, kMaxAnswerBytes);
   }
   if (end == ReadEnd::Done && exchange.IsReusable()) {
@@ -82,7 +83,9 @@
   const auto call = codec_.MakeStageCall(aCall.pieces_);
   const auto written = co_await WriteCall(lease, call, timeout);
   const auto atWork = std::make_shared<const AtWork>();
-  asio::co_spawn(context_, TellBegun(atWork, aCall.tickets_), asio::detached);
+  if (aEngine.sole_.IsProved(startedAt)) {
+    asio::co_spawn(context_, TellBegun(atWork, aCall.tickets_), asio::detached);
+  }
   std::string body;
   auto status = 0;
   if (written) {
@@ -121,6 +124,7 @@
   } else {
     health.OnSuccess();
     aEngine.lastCall_ = clock_.Now() - startedAt;
+    aEngine.sole_.OnCall(aEngine.lastCall_, expected, clock_.Now());
   }
   co_return results;
 }
@@ -130,6 +134,7 @@
   const auto pause = Doubled(options_.fullPause_, aEngine.timesFull_++,
                              options_.longestFullPause_);
   aEngine.pausedUntil_ = clock_.Now() + pause;
+  aEngine.sole_.OnDoubt(clock_.Now());
   Log::Write(LogLevel::Info, "stage_engine_full",
              { { "engine", aEngine.state_->entry_.id_ },
                { "times", std::to_string(aEngine.timesFull_) },
@@ -252,7 +257,9 @@
 auto StageDesk::SendReleases(std::shared_ptr<Engine> aEngine) -> Task<void>
 {
   constexpr auto kTimeout = std::chrono::milliseconds{ 1000 };
-  asio::steady_timer timer(context_, options_.releaseDelay_);
+  const auto pause = aEngine->state_->consent_.PauseLeft(clock_.Now());
+  asio::steady_timer timer(context_,
+                           std::max<Duration>(options_.releaseDelay_, pause));
   co_await timer.async_wait(kAsTuple);
   const auto handles = std::exchange(aEngine->toRelease_, {});
   aEngine->releasing_ = false;
--- a/goldcrestcroft/src/Gateway/Traffic.cpp
+++ b/goldcrestcroft/src/Gateway/Traffic.cpp
@@ -1,6 +1,7 @@
 #include "Traffic.h"
 
 #include "../Observability/Log.h"
+#include "RequestRun.h"
 
 #include <spdlog/fmt/fmt.h>
 
@@ -10,13 +11,21 @@
 
 Traffic::Traffic(asio::io_context& aContext, TrafficOptions aOptions,
                  const PlatformCodec& aCodec, GatewayMetrics& aMetrics,
-                 std::function<void(const CrashNews&)> aSpreadCrash)
+                 Spread aSpread)
   : context_(aContext)
   , options_(std::move(aOptions))
   , codec_(aCodec)
   , metrics_(aMetrics)
-  , spreadCrash_(std::move(aSpreadCrash))
-  , pool_(aContext, {})
+  , spread_(std::move(aSpread))
+  , pool_(aContext,
+          { .longestPause_ = options_.settings_.longestEnginePause_,
+            .onLeaving_ =
+              [this](const EngineEntry& aEngine) {
+                spread_.leaving_(
+                  { .id_ = aEngine.id_, .startedAt_ = aEngine.startedAt_ });
+              },
+            .count_ =
+              [this](const std::string& aEvent) { metrics_.Count(aEvent); } })
   , desk_(aContext, {}, pool_, aCodec)
   , broker_(aContext, options_.settings_.StageAddress(), desk_)
   , suspects_({ .crashesToHold_ = 3 })
@@ -92,9 +101,11 @@
   for (const auto& route : routing_->Routes()) {
     names.insert(route.name_);
   }
-  std::erase_if(firstEvents_, [&](const auto& aItem) {
+  const auto unknown = [&](const auto& aItem) {
     return !names.contains(aItem.first);
-  });
+  };
+  std::erase_if(firstEvents_, unknown);
+  std::erase_if(answerTimes_, unknown);
   desk_.SetRouting(routing_);
 }
 
@@ -119,6 +130,14 @@
   }
 }
 
+auto Traffic::OnLeaving(const LeavingEngine& aEngine) -> void
+{
+  Log::Write(LogLevel::Info, "engine_leaving_elsewhere",
+             { { "engine", aEngine.id_ },
+               { "started_at", std::to_string(aEngine.startedAt_) } });
+  pool_.OnLeaving(aEngine.id_, aEngine.startedAt_);
+}
+
 auto Traffic::SetSettings(const NodeSettings& aSettings) -> void
 {
   options_.settings_ = aSettings;
@@ -130,6 +149,26 @@
 auto Traffic::Stop() -> void
 {
   stopping_ = true;
+  stopAdmission_.emplace(Now(), Now() + options_.settings_.grace_ - kEndMargin);
+}
+
+auto Traffic::Takes(const std::string& aRoute, Duration aLeft) const -> bool
+{
+  if (!stopAdmission_) {
+    return true;
+  }
+  const auto known = answerTimes_.find(aRoute);
+  const auto usual =
+    known == answerTimes_.end() ? std::nullopt : known->second.Usual();
+  return stopAdmission_->Takes(usual.value_or(aLeft), aLeft, Now());
+}
+
+auto Traffic::EndRequests() -> void
+{
+  const auto runs = runs_;
+  for (auto* run : runs) {
+    run->OnHostEnds();
+  }
 }
 
 auto Traffic::CloseIdle() -> void
@@ -207,14 +246,14 @@
                         .engine_ =
                           Fingerprint(aEngine.id_, aEngine.startedAt_) };
   if (suspects_.OnCrash(news.request_, news.engine_, Now())) {
-    spreadCrash_(news);
+    spread_.crash_(news);
   }
 }
 
 auto Traffic::NoteCompleted(std::uint64_t aFingerprint) -> void
 {
   if (suspects_.OnCompleted(aFingerprint)) {
-    spreadCrash_({ .request_ = aFingerprint, .completed_ = true });
+    spread_.crash_({ .request_ = aFingerprint, .completed_ = true });
   }
 }
 
--- a/goldcrestcroft/src/Gateway/Traffic.h
+++ b/goldcrestcroft/src/Gateway/Traffic.h
@@ -17,6 +17,8 @@
   NodeSettings settings_;
   /** When to come back where no forecast says more. */
   Duration retryAfter_ = std::chrono::milliseconds{ 400 };
+  /** When to come back where another host serves at once. */
+  Duration leastRetryAfter_ = std::chrono::milliseconds{ 50 };
   /** Whole answers up to this are held until they are complete, in bytes. */
   std::size_t maxAnswerBytes_ = 16U << 20U;
   /** Part of the time left that the first engine of a repeatable request may
@@ -32,13 +34,25 @@
   Duration leastFirst_ = std::chrono::milliseconds{ 2000 };
 };
 
+/** \brief How long before the end of its grace period a host gives what still
+ * runs its answer: the platform excuses what an engine works on in the last
+ * sixth of it. */
+inline constexpr Duration kEndMargin = std::chrono::milliseconds{ 1000 };
+
 /** \brief All that the traffic thread shares between requests. */
 class Traffic
 {
 public:
+  /** \brief Tells other hosts; called on the traffic thread. */
+  struct Spread
+  {
+    std::function<void(const CrashNews&)> crash_;
+    std::function<void(const LeavingEngine&)> leaving_;
+  };
+
   Traffic(asio::io_context& aContext, TrafficOptions aOptions,
           const PlatformCodec& aCodec, GatewayMetrics& aMetrics,
-          std::function<void(const CrashNews&)> aSpreadCrash);
+          Spread aSpread);
 
   /** \brief Opens the ports. Fails with Unavailable. */
   auto Start() -> Result<void>;
@@ -46,10 +60,14 @@
   auto SetEngines(std::shared_ptr<const EngineList> aEngines) -> void;
   auto SetFleet(std::shared_ptr<const FleetView> aFleet) -> void;
   auto OnCrash(const CrashNews& aNews) -> void;
+  /** \brief Another host was told by an engine that it leaves. */
+  auto OnLeaving(const LeavingEngine& aEngine) -> void;
   /** \brief Takes the budget for repeats from changed settings. */
   auto SetSettings(const NodeSettings& aSettings) -> void;
   /** \brief Announces the end of each connection from now on. */
   auto Stop() -> void;
+  /** \brief The host ends now: what has no answer yet gets one. */
+  auto EndRequests() -> void;
   /** \brief Closes connections without a request. */
   auto CloseIdle() -> void;
 
@@ -68,7 +86,16 @@
   }
   [[nodiscard]] auto Fleet() const -> const FleetView& { return *fleet_; }
   [[nodiscard]] auto IsStopping() const -> bool { return stopping_; }
-  [[nodiscard]] auto Running() const -> std::size_t { return running_; }
+  [[nodiscard]] auto Running() const -> std::size_t { return runs_.size(); }
+  /** \brief Whether a request of the route that comes now, with so much time
+   * left, ends before this host does. */
+  [[nodiscard]] auto Takes(const std::string& aRoute, Duration aLeft) const
+    -> bool;
+  /** \brief A request of the route was answered. */
+  auto NoteAnswerTime(const std::string& aRoute, Duration aTook) -> void
+  {
+    answerTimes_[aRoute].OnTime(aTook);
+  }
   [[nodiscard]] auto Options() const -> const TrafficOptions&
   {
     return options_;
@@ -80,8 +107,8 @@
   auto Broker() -> StageBroker& { return broker_; }
   auto Metrics() -> GatewayMetrics& { return metrics_; }
 
-  auto OnRequestBegin() -> void { ++running_; }
-  auto OnRequestEnd() -> void { --running_; }
+  auto OnRequestBegin(RequestRun* aRun) -> void { runs_.insert(aRun); }
+  auto OnRequestEnd(RequestRun* aRun) -> void { runs_.erase(aRun); }
   auto OnCallerEnd(const std::shared_ptr<CallerConnection>& aCaller) -> void;
   /** \brief Counts and logs a request that was answered while it was read. */
   auto NoteRejected(const OwnAnswer& aAnswer) -> void;
@@ -114,7 +141,7 @@
   TrafficOptions options_;
   const PlatformCodec& codec_;
   GatewayMetrics& metrics_;
-  std::function<void(const CrashNews&)> spreadCrash_;
+  Spread spread_;
   SuspendAwareClock clock_;
   std::shared_ptr<const RoutingTable> routing_ =
     std::make_shared<const RoutingTable>();
@@ -127,8 +154,10 @@
   std::map<std::string, FirstEventTime> firstEvents_;
   std::optional<Tcp::acceptor> acceptor_;
   std::set<std::shared_ptr<CallerConnection>> callers_;
-  std::size_t running_ = 0;
+  std::map<std::string, UsualTime> answerTimes_;
+  std::set<RequestRun*> runs_;
   bool stopping_ = false;
+  std::optional<StopAdmission> stopAdmission_;
 };
 
 } // namespace goldcrestcroft
--- a/test/platform/EngineStandin.cpp
+++ b/test/platform/EngineStandin.cpp
@@ -132,6 +132,19 @@
 }
 
 auto EngineStandin::Handle(const Request& aRequest) -> Reaction
+{
+  ++reached_;
+  auto reaction = React(aRequest);
+  if (leaving_) {
+    reaction.headers_.emplace_back("Goldcrestcroft-Server-Leaving", "1");
+  }
+  if (reaction.status_ == 503 && retryAfterS_ > 0) {
+    reaction.headers_.emplace_back("Retry-After", std::to_string(retryAfterS_));
+  }
+  return reaction;
+}
+
+auto EngineStandin::React(const Request& aRequest) -> Reaction
 {
   const std::lock_guard lock(mutex_);
   const auto expected = Header(aRequest, "Goldcrestcroft-Expect-Instance");
--- a/test/platform/EngineStandin.h
+++ b/test/platform/EngineStandin.h
@@ -74,12 +74,19 @@
   [[nodiscard]] auto PiecesRun() -> std::size_t;
   [[nodiscard]] auto CallsRun() -> std::size_t;
   [[nodiscard]] auto ResultsHeld() -> std::size_t;
+  /** \brief Calls and requests of every kind that came, run or not. */
+  [[nodiscard]] auto Reached() const -> std::size_t { return reached_; }
 
   std::atomic<Trouble> trouble_ = Trouble::None;
   std::atomic<int> delayMs_ = 0;
+  /** All its answers say that it leaves. */
+  std::atomic<bool> leaving_ = false;
+  /** Seconds that it asks for in a refusal; none at 0. */
+  std::atomic<int> retryAfterS_ = 0;
 
 private:
   auto Handle(const Request& aRequest) -> Reaction;
+  auto React(const Request& aRequest) -> Reaction;
   auto RunPieces(const Request& aRequest) -> Reaction;
   auto Release(const Request& aRequest) -> Reaction;
 
@@ -92,6 +99,7 @@
   std::vector<Arrival> arrivals_;
   goldcrestcroft::http::fields lastHeaders_;
   std::set<std::string> results_;
+  std::atomic<std::size_t> reached_ = 0;
   std::size_t pieces_ = 0;
   std::size_t calls_ = 0;
   std::uint64_t nextResult_ = 1;
--- a/test/process/EntryControlTest.cpp
+++ b/test/process/EntryControlTest.cpp
@@ -138,6 +138,36 @@
     [&] { return !fleet.Platform().Store().Has("hosts", "h1"); }));
 }
 
+TEST_CASE("a stopping host refuses what would not end before it does, and "
+          "answers what still waits at its end")
+{
+  EntryFleet fleet(1);
+  REQUIRE(fleet.AwaitReady(0));
+  // It ends what runs 2 s after SIGTERM.
+  fleet.RestartWith(0, "\"grace_s\": 5", "\"grace_s\": 3");
+  REQUIRE(fleet.AwaitReady(0));
+  for (const auto& engine : fleet.Platform().Engines("desk")) {
+    engine->delayMs_ = 8000;
+  }
+  const auto call = [&](const std::string& aTarget) {
+    return fleet.Call(
+      0, { .target_ = aTarget,
+           .headers_ = { { "Goldcrestcroft-Deadline-Ms", "9000" } } });
+  };
+  fleet.ProcessOf(0).Signal(SIGTERM);
+  CallerAnswer early;
+  std::thread caller([&] { early = call("/unsafe/early"); });
+  std::this_thread::sleep_for(std::chrono::milliseconds{ 1300 });
+  const auto late = call("/unsafe/late");
+  CHECK(late.status_ == 503);
+  CHECK(late.headers_.contains("Retry-After"));
+  CHECK(fleet.RunsOf("desk", fleet.LastId()) == 0);
+  caller.join();
+  CHECK(early.status_ == 502);
+  CHECK(early.whole_);
+  CHECK(fleet.ProcessOf(0).Wait() == 0);
+}
+
 TEST_CASE("a host that stops leaves the directory at once and serves on")
 {
   EntryFleet fleet(2);
