Read the word of a leaving engine in either spelling

Before: an engine of the bare spelling would not be heeded. After: the process cases of EngineWords pass with both.

--- a/goldcrestcroft/src/Gateway/EngineExchange.cpp
+++ b/goldcrestcroft/src/Gateway/EngineExchange.cpp
@@ -54,7 +54,9 @@
   head_.notRun_ = fields.count(names_.notRun_) > 0 || head_.status_ == 421;
   head_.signed_ = fields.count(names_.signature_) > 0;
   head_.keepAlive_ = parser_->keep_alive();
-  head_.leaving_ = IsSet(fields[names_.engineLeaving_]);
+  head_.leaving_ =
+    std::any_of(names_.engineLeaving_.begin(), names_.engineLeaving_.end(),
+                [&](const auto& aName) { return IsSet(fields[aName]); });
   head_.retryAfter_ = ReadRetryAfter(fields[http::field::retry_after]);
   const auto keep = fields["Keep-Alive"];
   head_.keepFor_ = ReadKeepFor({ keep.data(), keep.size() });
--- a/goldcrestcroft/src/Gateway/HeaderNames.h
+++ b/goldcrestcroft/src/Gateway/HeaderNames.h
@@ -18,8 +18,9 @@
   std::string expectEngine_;
   std::string engineId_;
   std::string engineLoad_;
-  /** In all answers of an engine that is about to leave. */
-  std::string engineLeaving_;
+  /** In all answers of an engine that is about to leave; any of them says
+   * so. */
+  std::vector<std::string> engineLeaving_;
   std::string workspace_;
   std::string apiKey_;
   std::string pieceCounts_;
--- a/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
@@ -15,7 +15,7 @@
     const auto name = field.name_string();
     const auto dropped = IsHopByHop(field.name()) ||
                          beast::iequals(name, aNames.engineLoad_) ||
-                         beast::iequals(name, aNames.engineLeaving_) ||
+                         IsNamed(aNames.engineLeaving_, name) ||
                          beast::iequals(name, aNames.notRun_);
     if (!dropped) {
       aAnswer.insert(name, field.value());
