--- a/test/property/FailureDetectorTest.cpp
+++ b/test/property/FailureDetectorTest.cpp
@@ -127,7 +127,6 @@
   auto Dropped() const -> std::size_t { return dropped_; }
   auto Suspicions() const -> std::size_t { return suspicions_; }
   auto Datagrams() const -> std::size_t { return datagrams_; }
-  auto News() const -> std::size_t { return news_; }
 
 private:
   /** Asks the sender for all hosts that it knows, as hosts do. */
@@ -144,7 +143,6 @@
     std::uniform_real_distribution<double> unit;
     for (auto& [address, message] : aOut) {
       ++datagrams_;
-      news_ += message.news_.size();
       const auto to = index_.at(address);
       const auto cut = side_.contains(aFrom) != side_.contains(to);
       if (!cut && unit(random_) >= options_.loss_) {
@@ -172,7 +170,6 @@
   std::size_t dropped_ = 0;
   std::size_t suspicions_ = 0;
   std::size_t datagrams_ = 0;
-  std::size_t news_ = 0;
 };
 
 /** Within this every host has to know of a death. */
