Log why connections to callers end, how late the loop is, and which lost runs count

What callers saw: a request without an answer beside a change of the configuration, and a request that crashes engines sent on and on. No line or metric told the hypotheses apart.

Now a time-out that closes a caller's connection says its phase, how late it was found, whether bytes were waiting and which request it cut; the loop's lag is a histogram, with a line from 200 ms on; a configuration says how long its decoding and its adoption took and which limits it sets; each lost run says whether it counts against its request, and why not.

No decision is changed. Process tests of serving, control and attempts, and the unit tests, pass as before.

--- a/goldcrestcroft/src/Gateway/CallerConnection.cpp
+++ b/goldcrestcroft/src/Gateway/CallerConnection.cpp
@@ -1,5 +1,6 @@
 #include "CallerConnection.h"
 
+#include "../Observability/Log.h"
 #include "RequestRun.h"
 #include "Traffic.h"
 
@@ -13,6 +14,12 @@
 constexpr auto kLinger = std::chrono::milliseconds{ 300 };
 /** A caller that takes no bytes for this long is given up. */
 constexpr auto kWriteTimeout = std::chrono::seconds{ 20 };
+/** What a connection's time is for. */
+constexpr std::string_view kIdle = "idle";
+constexpr std::string_view kHeader = "header";
+constexpr std::string_view kBody = "body";
+constexpr std::string_view kAnswer = "answer";
+constexpr std::string_view kLastBytes = "last_bytes";
 
 auto MalformedRequest(const std::string& aProblem) -> OwnAnswer
 {
@@ -59,18 +66,37 @@
   SetSocketOptions(socket_);
 }
 
-auto CallerConnection::CloseAfter(Duration aTime) -> void
+auto CallerConnection::CloseAfter(Duration aTime, std::string_view aPhase)
+  -> void
 {
   timer_.expires_after(aTime);
-  timer_.async_wait([weak = weak_from_this()](auto aError) {
+  const auto due = traffic_.Now() + aTime;
+  timer_.async_wait([weak = weak_from_this(), due, aPhase](auto aError) {
     const auto self = weak.lock();
     if (!aError && self) {
-      self->timedOut_ = true;
-      self->Abort();
+      self->OnTimeOver(due, aPhase);
     }
   });
 }
 
+auto CallerConnection::OnTimeOver(TimePoint aDue, std::string_view aPhase)
+  -> void
+{
+  const auto unread =
+    socket_.is_open() && ProbeIdle(socket_) == IdleState::HasBytes;
+  if (aPhase != kIdle || unread || !serving_.empty()) {
+    Log::Write(
+      LogLevel::Warning, "caller_timed_out",
+      { { "phase", std::string(aPhase) },
+        { "late_ms", std::to_string(ToMilliseconds(traffic_.Now() - aDue)) },
+        { "unread", unread ? "true" : "false" },
+        { "request", serving_ } });
+  }
+  traffic_.Metrics().Count("caller_timed_out_" + std::string(aPhase));
+  timedOut_ = true;
+  Abort();
+}
+
 auto CallerConnection::Abort() -> void
 {
   boost::system::error_code ignored;
@@ -96,7 +122,7 @@
 {
   const auto limits = traffic_.Routing().Limits();
   if (buffer_.size() == 0) {
-    CloseAfter(limits.idleTimeout_);
+    CloseAfter(limits.idleTimeout_, kIdle);
     const auto [error] =
       co_await socket_.async_wait(Tcp::socket::wait_read, kAsTuple);
     if (error) {
@@ -104,7 +130,7 @@
     }
   }
   idleSince_.reset();
-  CloseAfter(limits.headerTimeout_);
+  CloseAfter(limits.headerTimeout_, kHeader);
   http::request_parser<http::string_body> parser;
   parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes_));
   parser.body_limit(limits.maxBodyBytes_);
@@ -122,7 +148,7 @@
   }
   while (!parser.is_done()) {
     // Each part of the body may take as long as a connection may be idle.
-    CloseAfter(limits.idleTimeout_);
+    CloseAfter(limits.idleTimeout_, kBody);
     std::tie(error, size) =
       co_await http::async_read_some(socket_, buffer_, parser, kAsTuple);
     if (error && IsProtocolError(error)) {
@@ -150,7 +176,7 @@
 {
   boost::system::error_code ignored;
   socket_.shutdown(Tcp::socket::shutdown_send, ignored);
-  CloseAfter(kLinger);
+  CloseAfter(kLinger, kLastBytes);
   char bytes[4096];
   for (std::size_t total = 0; total < kMaxLingerBytes;) {
     const auto [error, size] =
@@ -197,8 +223,10 @@
     const auto callerKeeps = request.keep_alive();
     const auto run =
       std::make_shared<RequestRun>(traffic_, self, std::move(request));
+    serving_ = run->Id();
     WatchForClose(run);
     const auto answered = co_await run->Serve();
+    serving_.clear();
     ++watch_;
     if (!answered || !callerKeeps || !socket_.is_open() ||
         traffic_.IsStopping()) {
@@ -219,7 +247,7 @@
   -> Task<bool>
 {
   const auto self = shared_from_this();
-  CloseAfter(kWriteTimeout);
+  CloseAfter(kWriteTimeout, kAnswer);
   const auto [error, size] =
     co_await http::async_write(socket_, aAnswer, kAsTuple);
   timer_.cancel();
@@ -231,7 +259,7 @@
 {
   const auto self = shared_from_this();
   http::response_serializer<http::empty_body> serializer(aAnswer);
-  CloseAfter(kWriteTimeout);
+  CloseAfter(kWriteTimeout, kAnswer);
   const auto [error, size] =
     co_await http::async_write_header(socket_, serializer, kAsTuple);
   timer_.cancel();
--- a/goldcrestcroft/src/Gateway/CallerConnection.h
+++ b/goldcrestcroft/src/Gateway/CallerConnection.h
@@ -51,7 +51,9 @@
   auto ReadRequest(CallerRequest& aRequest) -> Task<Intake>;
   auto Reject(OwnAnswer aAnswer) -> Task<Intake>;
   auto WatchForClose(std::shared_ptr<RequestRun> aRun) -> void;
-  auto CloseAfter(Duration aTime) -> void;
+  /** \brief aPhase says in the log what the time was for. */
+  auto CloseAfter(Duration aTime, std::string_view aPhase) -> void;
+  auto OnTimeOver(TimePoint aDue, std::string_view aPhase) -> void;
   auto Linger() -> Task<void>;
 
   Tcp::socket socket_;
@@ -61,6 +63,8 @@
   std::optional<TimePoint> idleSince_;
   bool stopping_ = false;
   bool timedOut_ = false;
+  /** Id of the request under way, for the log. */
+  std::string serving_;
   std::uint64_t watch_ = 0;
 };
 
--- a/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
@@ -151,6 +151,7 @@
   }
   return Handle(
     [&]() -> Result<bool> {
+      const auto startedAt = clock_.Now();
       BOOST_LEAF_AUTO(routing, codec_.DecodeRouting(aRow.value_));
       if (routing.Version() <= configurationVersion_) {
         return false;
@@ -158,12 +159,13 @@
       configuration_ = aRow;
       configuration_.value_ = aPacked ? *aPacked : Pack(aRow.value_);
       configurationVersion_ = routing.Version();
-      Log::Write(
-        LogLevel::Info, "configuration_adopted",
-        { { "version", std::to_string(configurationVersion_) },
-          { "row", std::to_string(aRow.version_) },
-          { "bytes", std::to_string(aRow.value_.size()) },
-          { "packed", std::to_string(configuration_.value_.size()) } });
+      Log::Write(LogLevel::Info, "configuration_adopted",
+                 { { "version", std::to_string(configurationVersion_) },
+                   { "row", std::to_string(aRow.version_) },
+                   { "bytes", std::to_string(aRow.value_.size()) },
+                   { "packed", std::to_string(configuration_.value_.size()) },
+                   { "took_ms", std::to_string(ToMilliseconds(clock_.Now() -
+                                                              startedAt)) } });
       listener_.onRouting_(
         std::make_shared<const RoutingTable>(std::move(routing)));
       peers_.SetCallerAddress(options_.settings_.callers_);
--- a/goldcrestcroft/src/Gateway/GatewayMetrics.cpp
+++ b/goldcrestcroft/src/Gateway/GatewayMetrics.cpp
@@ -12,6 +12,9 @@
 const prometheus::Histogram::BucketBoundaries kSeconds{ 0.01, 0.03, 0.1, 0.3,
                                                         0.6,  1.2,  2.4, 5.0,
                                                         10.0, 20.0 };
+const prometheus::Histogram::BucketBoundaries kLagSeconds{
+  0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0
+};
 
 } // namespace
 
@@ -39,6 +42,11 @@
       .Name("goldcrestcroft_answer_seconds")
       .Help("Time from the whole request to the end of its answer")
       .Register(registry_);
+  prometheus::Family<prometheus::Histogram>& lags_ =
+    prometheus::BuildHistogram()
+      .Name("goldcrestcroft_loop_late_seconds")
+      .Help("How late timers fire, by thread; connections wait as long")
+      .Register(registry_);
 };
 
 GatewayMetrics::GatewayMetrics()
@@ -70,6 +78,13 @@
   impl_->events_.Add({ { "event", aEvent } }).Increment();
 }
 
+auto GatewayMetrics::ObserveLag(const std::string& aThread, Duration aLate)
+  -> void
+{
+  impl_->lags_.Add({ { "thread", aThread } }, kLagSeconds)
+    .Observe(std::chrono::duration<double>(aLate).count());
+}
+
 auto GatewayMetrics::Expose() const -> std::string
 {
   return prometheus::TextSerializer().Serialize(impl_->registry_.Collect());
--- a/goldcrestcroft/src/Gateway/GatewayMetrics.h
+++ b/goldcrestcroft/src/Gateway/GatewayMetrics.h
@@ -24,6 +24,8 @@
     -> void;
   /** \brief Any other event, by a fixed name. */
   auto Count(const std::string& aEvent) -> void;
+  /** \brief A timer of the thread's loop fired so much after its time. */
+  auto ObserveLag(const std::string& aThread, Duration aLate) -> void;
 
   /** \brief All of it in the text format of Prometheus. */
   [[nodiscard]] auto Expose() const -> std::string;
--- a/goldcrestcroft/src/Gateway/RequestRun.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRun.cpp
@@ -57,10 +57,15 @@
   traffic_.OnRequestEnd(this);
 }
 
+auto RequestRun::Id() const -> std::string
+{
+  return Text(request_, traffic_.Codec().Headers().requestId_);
+}
+
 auto RequestRun::Admit() -> std::optional<OwnAnswer>
 {
   const auto& names = traffic_.Codec().Headers();
-  requestId_ = Text(request_, names.requestId_);
+  requestId_ = Id();
   if (!traffic_.IsConfigured()) {
     return OwnAnswer{ .reason_ = "not_configured",
                       .message_ = "this host knows no configuration yet",
--- a/goldcrestcroft/src/Gateway/RequestRun.h
+++ b/goldcrestcroft/src/Gateway/RequestRun.h
@@ -21,6 +21,8 @@
   auto Serve() -> Task<bool>;
   auto OnCallerGone() -> void;
   auto OnHostEnds() -> void;
+  /** \brief The caller's id of the request, as it was sent. */
+  [[nodiscard]] auto Id() const -> std::string;
 
 private:
   enum class Aborted
--- a/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
@@ -119,10 +119,26 @@
 
 auto RequestRun::NoteLoss(const EngineLease& aLease) -> void
 {
+  const auto& entry = aLease.engine_->entry_;
   aLease.engine_->health_.OnFailure(traffic_.Now());
-  if (aborted_ == Aborted::No && !aLease.connection_->TimedOut()) {
-    traffic_.NoteCrash(fingerprint_, aLease.engine_->entry_);
-  }
+  std::string verdict;
+  if (aborted_ != Aborted::No) {
+    verdict = "aborted";
+  } else if (aLease.connection_->TimedOut()) {
+    verdict = "timed_out";
+  } else {
+    verdict =
+      traffic_.NoteCrash(fingerprint_, entry) ? "counted" : "not_counted";
+  }
+  traffic_.Metrics().Count("runs_lost_" + verdict);
+  Log::Write(
+    LogLevel::Info, "run_lost",
+    { { "request", requestId_ },
+      { "fingerprint", ToHex(fingerprint_) },
+      { "engine", entry.id_ },
+      { "started_at", std::to_string(entry.startedAt_) },
+      { "verdict", verdict },
+      { "held_back", traffic_.IsHeldBack(fingerprint_) ? "true" : "false" } });
 }
 
 auto RequestRun::TalkTo(const EngineLease& aLease) -> Task<AttemptEnd>
--- a/goldcrestcroft/src/Gateway/Traffic.cpp
+++ b/goldcrestcroft/src/Gateway/Traffic.cpp
@@ -38,9 +38,31 @@
   BOOST_LEAF_AUTO(acceptor, Listen(context_, options_.settings_.callers_));
   acceptor_.emplace(std::move(acceptor));
   asio::co_spawn(context_, Accept(), asio::detached);
+  asio::co_spawn(context_, WatchLoop(), asio::detached);
   return {};
 }
 
+auto Traffic::WatchLoop() -> Task<void>
+{
+  constexpr auto kPeriod = std::chrono::milliseconds{ 250 };
+  // Shorter ones are usual where a host has a tenth of a core.
+  constexpr auto kWorthALine = std::chrono::milliseconds{ 200 };
+  asio::steady_timer timer(context_);
+  for (;;) {
+    const auto due = Now() + kPeriod;
+    timer.expires_after(kPeriod);
+    co_await timer.async_wait(kAsTuple);
+    const auto late = std::max(Now() - due, Duration{});
+    metrics_.ObserveLag("traffic", late);
+    if (late >= kWorthALine) {
+      Log::Write(LogLevel::Warning, "loop_late",
+                 { { "late_ms", std::to_string(ToMilliseconds(late)) },
+                   { "requests", std::to_string(runs_.size()) },
+                   { "configuration", std::to_string(routing_->Version()) } });
+    }
+  }
+}
+
 auto Traffic::Accept() -> Task<void>
 {
   constexpr auto kPauseWithoutDescriptors = std::chrono::milliseconds{ 20 };
@@ -96,6 +118,7 @@
 
 auto Traffic::SetRouting(std::shared_ptr<const RoutingTable> aRouting) -> void
 {
+  const auto startedAt = Now();
   routing_ = std::move(aRouting);
   std::set<std::string> names;
   for (const auto& route : routing_->Routes()) {
@@ -107,6 +130,15 @@
   std::erase_if(firstEvents_, unknown);
   std::erase_if(answerTimes_, unknown);
   desk_.SetRouting(routing_);
+  const auto& limits = routing_->Limits();
+  Log::Write(
+    LogLevel::Info, "configuration_in_force",
+    { { "version", std::to_string(routing_->Version()) },
+      { "routes", std::to_string(routing_->Routes().size()) },
+      { "took_ms", std::to_string(ToMilliseconds(Now() - startedAt)) },
+      { "requests", std::to_string(runs_.size()) },
+      { "idle_ms", std::to_string(ToMilliseconds(limits.idleTimeout_)) },
+      { "header_ms", std::to_string(ToMilliseconds(limits.headerTimeout_)) } });
 }
 
 auto Traffic::SetEngines(std::shared_ptr<const EngineList> aEngines) -> void
@@ -240,14 +272,16 @@
 }
 
 auto Traffic::NoteCrash(std::uint64_t aFingerprint, const EngineEntry& aEngine)
-  -> void
+  -> bool
 {
   const CrashNews news{ .request_ = aFingerprint,
                         .engine_ =
                           Fingerprint(aEngine.id_, aEngine.startedAt_) };
-  if (suspects_.OnCrash(news.request_, news.engine_, Now())) {
+  const auto counted = suspects_.OnCrash(news.request_, news.engine_, Now());
+  if (counted) {
     spread_.crash_(news);
   }
+  return counted;
 }
 
 auto Traffic::NoteCompleted(std::uint64_t aFingerprint) -> void
--- a/goldcrestcroft/src/Gateway/Traffic.h
+++ b/goldcrestcroft/src/Gateway/Traffic.h
@@ -125,14 +125,17 @@
   /** \brief Takes a repeat out of the budget that all hosts share. */
   auto TryRepeat(const std::string& aService) -> bool;
   [[nodiscard]] auto IsHeldBack(std::uint64_t aFingerprint) const -> bool;
-  /** \brief The engine broke off while it ran the request. */
+  /** \brief The engine broke off while it ran the request. Returns whether it
+   * counts against the request. */
   auto NoteCrash(std::uint64_t aFingerprint, const EngineEntry& aEngine)
-    -> void;
+    -> bool;
   /** \brief An engine ran the request to its end. */
   auto NoteCompleted(std::uint64_t aFingerprint) -> void;
 
 private:
   auto Accept() -> Task<void>;
+  /** \brief Measures how late the loop of this thread is. */
+  auto WatchLoop() -> Task<void>;
   /** \brief Closes an idle connection to make room for a new one. */
   auto DropIdle() -> bool;
   auto WindowOf(const std::string& aService) -> RepeatWindow&;
