Show connections that a time-out closes although their bytes came in time

Callers saw their connection closed after a whole request, without an answer. The tests run a loop themselves and leave it alone past a time-out while the bytes arrive, so they need no luck.

SmallServer has the same time-out with a fixed 10 s; no test stands still for so long.

--- a/test/platform/PlatformStandin.cpp
+++ b/test/platform/PlatformStandin.cpp
@@ -71,7 +71,8 @@
 
 auto PlatformStandin::PutConfig(unsigned aVersion,
                                 const std::string& aExtraPrefix,
-                                const std::vector<std::string>& aKeys) -> void
+                                const std::vector<std::string>& aKeys,
+                                std::optional<unsigned> aIdleMs) -> void
 {
   auto stream = Route("/stream/", "streaming", "model", 2);
   stream["stream_resume"] = true;
@@ -88,6 +89,10 @@
   if (!aExtraPrefix.empty()) {
     routes.push_back(Route(aExtraPrefix, "safe", "desk", 2));
   }
+  json limits{ { "max_header_bytes", 4096 }, { "max_body_bytes", 100'000 } };
+  if (aIdleMs) {
+    limits["idle_timeout_ms"] = *aIdleMs;
+  }
   const json config{
     { "version", aVersion },
     { "route_table", routes },
@@ -96,8 +101,7 @@
                     { { "name", "model" }, { "engine", { { "slots", 8 } } } },
                     StageService("cutter"),
                     StageService("ranker") }) },
-    { "limits",
-      { { "max_header_bytes", 4096 }, { "max_body_bytes", 100'000 } } },
+    { "limits", limits },
     { "tenants",
       json::array({ { { "name", "w1" }, { "api_keys", json(aKeys) } } }) }
   };
--- a/test/platform/PlatformStandin.h
+++ b/test/platform/PlatformStandin.h
@@ -4,6 +4,7 @@
 #include "StoreStandin.h"
 
 #include <memory>
+#include <optional>
 #include <thread>
 
 namespace standins {
@@ -36,9 +37,10 @@
   }
   [[nodiscard]] auto StoreAddress() const -> std::string;
   /** \brief Writes the configuration; aExtraPrefix adds a plain route, aKeys
-   * are the keys of workspace "w1". */
+   * are the keys of workspace "w1", aIdleMs the callers' idle time, if any. */
   auto PutConfig(unsigned aVersion, const std::string& aExtraPrefix = "",
-                 const std::vector<std::string>& aKeys = { "key1" }) -> void;
+                 const std::vector<std::string>& aKeys = { "key1" },
+                 std::optional<unsigned> aIdleMs = std::nullopt) -> void;
   auto SetTrouble(const std::string& aService, EngineStandin::Trouble aTrouble)
     -> void;
 
