Show on a virtual clock that a request that ends engines is sent on, and that innocents are held back

No test sent such a request beside waves of crashes and starts of hosts.

property.PoisonSpread plays 60 s at 8, 60, 82 and 300 hosts with the classes in use, CrashSuspects and RepeatedNews, as the gateway and the control plane use them: six waves that end 17 to 30 % of the engines at once, engines that end every few seconds, a host that starts anew every five seconds, 1.5 % of datagrams lost, and three requests that end each engine that runs them, sent again every second, and to each host that has started once it is in touch.

Ruled out by the world: connections that break though the engine lives (none does), and losses that a host does not count (each is reported).

--- /dev/null
+++ b/test/property/PoisonWorld.cpp
@@ -0,0 +1,246 @@
+#include "PoisonWorld.h"
+
+namespace testing {
+
+using namespace goldcrestcroft;
+using std::chrono::milliseconds;
+
+namespace {
+
+/** Share of the slots that innocent requests take. */
+constexpr double kLoad = 0.5;
+/** Mean of the 300 to 3,000 ms that a run takes. */
+constexpr double kMeanRunMs = 1650.0;
+/** Bodies of which many copies run at once, and of which some do. */
+constexpr std::size_t kPopular = 8;
+constexpr std::size_t kUsual = 200;
+constexpr std::uint64_t kFirstPoison = 1'000'000;
+constexpr std::size_t kPoisons = 3;
+
+} // namespace
+
+PoisonWorld::PoisonWorld(Options aOptions)
+  : options_(aOptions)
+  , end_(clock_.Now() + aOptions.day_)
+  , random_(aOptions.seed_)
+  , numbers_(kFirstPoison * 2)
+  , hosts_(aOptions.hosts_)
+  , engines_(aOptions.engines_)
+{
+}
+
+auto PoisonWorld::After(Duration aDelay, std::function<void()> aAct) -> void
+{
+  events_.push({ clock_.Now() + aDelay, ++numbers_, std::move(aAct) });
+}
+
+auto PoisonWorld::Random(std::size_t aBelow) -> std::size_t
+{
+  return random_() % aBelow;
+}
+
+auto PoisonWorld::Between(int aLeastMs, int aMostMs) -> Duration
+{
+  const auto span = static_cast<std::size_t>(aMostMs - aLeastMs) * 1000;
+  return milliseconds{ aLeastMs } +
+         Duration{ static_cast<std::int64_t>(Random(span)) };
+}
+
+auto PoisonWorld::LiveHost() -> std::size_t
+{
+  for (;;) {
+    if (const auto host = Random(hosts_.size()); hosts_[host].suspects_) {
+      return host;
+    }
+  }
+}
+
+auto PoisonWorld::Play() -> Outcome
+{
+  for (std::size_t i = 0; i < hosts_.size(); ++i) {
+    StartHost(i);
+  }
+  PublishHosts();
+  for (auto& engine : engines_) {
+    engine.start_ = ++numbers_;
+  }
+  const auto flapping = std::max<std::size_t>(1, engines_.size() / 40);
+  for (std::size_t i = 0; i < flapping; ++i) {
+    After(Between(1000, 4000), [this, i] { Flap(i); });
+  }
+  Arrive();
+  // The first in a calm, the others just before waves.
+  constexpr std::array<int, kPoisons> kStartMs{ 4000, 17'500, 29'900 };
+  for (std::size_t i = 0; i < kPoisons; ++i) {
+    // Spread over the range of values, since some are told in order of it.
+    const auto poison = (i + 1) * (UINT64_MAX / (kPoisons + 1)) + kFirstPoison;
+    poisons_[poison];
+    After(milliseconds{ kStartMs[i] }, [this, poison] { CallPoison(poison); });
+  }
+  for (const auto at : { 9000, 18'000, 30'000, 33'000, 42'000, 51'000 }) {
+    After(milliseconds{ at }, [this] { Wave(); });
+  }
+  After(Between(5000, 7000), [this] { RestartSome(); });
+  while (!events_.empty() && events_.top().at_ < end_) {
+    const auto event = events_.top();
+    events_.pop();
+    clock_.AdvanceTo(event.at_);
+    event.act_();
+  }
+  for (const auto& [request, poison] : poisons_) {
+    outcome_.lateSends_ = std::max(outcome_.lateSends_, poison.lateSends_);
+    outcome_.crashes_ += poison.crashes_;
+  }
+  return outcome_;
+}
+
+auto PoisonWorld::PickInnocent() -> std::uint64_t
+{
+  const auto spread = [](std::uint64_t aNumber) {
+    return Fingerprint(std::to_string(aNumber));
+  };
+  const auto kind = Random(100);
+  if (kind < 25) {
+    return spread(Random(kPopular));
+  }
+  return kind < 45 ? spread(kPopular + Random(kUsual)) : spread(++numbers_);
+}
+
+auto PoisonWorld::Arrive() -> void
+{
+  const auto slots = static_cast<double>(engines_.size() * options_.slots_);
+  std::exponential_distribution<double> gap(slots * kLoad / kMeanRunMs);
+  After(Duration{ static_cast<std::int64_t>(gap(random_) * 1000.0) },
+        [this] { Arrive(); });
+  ++outcome_.requests_;
+  Send({ .request_ = PickInnocent(), .host_ = LiveHost() });
+}
+
+auto PoisonWorld::Send(Call aCall) -> void
+{
+  const auto now = clock_.Now();
+  auto& host = hosts_[aCall.host_];
+  if (!host.suspects_) {
+    return;
+  }
+  const auto poison = poisons_.find(aCall.request_);
+  if (host.suspects_->IsHeldBack(aCall.request_, now)) {
+    outcome_.innocentsRefused_ += poison == poisons_.end() ? 1 : 0;
+    return;
+  }
+  auto engine = Random(engines_.size());
+  for (auto tries = 0; tries < 20; ++tries, engine = Random(engines_.size())) {
+    if (engines_[engine].alive_ &&
+        engines_[engine].runs_.size() < options_.slots_) {
+      break;
+    }
+  }
+  if (!engines_[engine].alive_) {
+    return;
+  }
+  --aCall.sendsLeft_;
+  const auto run = ++numbers_;
+  engines_[engine].runs_[run] = { aCall,
+                                  { .request_ = aCall.request_,
+                                    .run_ = run,
+                                    .engine_ = engines_[engine].start_,
+                                    .began_ = now } };
+  if (poison == poisons_.end()) {
+    After(Between(300, 3000), [this, engine, run] { Complete(engine, run); });
+    return;
+  }
+  const auto inTouch = now - host.startedAt_ >= options_.contact_;
+  const auto late = poison->second.crashes_ >= 3 &&
+                    now > poison->second.thirdAt_ + options_.contact_;
+  poison->second.lateSends_ += inTouch && late ? 1 : 0;
+  After(Between(50, 300), [this, engine, run] { Crash(engine, run); });
+}
+
+auto PoisonWorld::Complete(std::size_t aEngine, std::uint64_t aRun) -> void
+{
+  auto node = engines_[aEngine].runs_.extract(aRun);
+  if (node.empty()) {
+    return;
+  }
+  const auto& call = node.mapped().call_;
+  if (auto& host = hosts_[call.host_]; host.suspects_) {
+    Deliver(call.host_,
+            host.suspects_->OnCompleted(call.request_, clock_.Now()));
+  }
+}
+
+auto PoisonWorld::Crash(std::size_t aEngine, std::uint64_t aRun) -> void
+{
+  const auto found = engines_[aEngine].runs_.find(aRun);
+  if (found == engines_[aEngine].runs_.end()) {
+    return;
+  }
+  auto& poison = poisons_.at(found->second.call_.request_);
+  if (++poison.crashes_ == 3) {
+    poison.thirdAt_ = clock_.Now();
+  }
+  EndEngine(aEngine, Between(2000, 5000));
+}
+
+auto PoisonWorld::EndEngine(std::size_t aEngine, Duration aAway) -> void
+{
+  auto& engine = engines_[aEngine];
+  if (!engine.alive_) {
+    return;
+  }
+  engine.alive_ = false;
+  for (const auto& [number, run] : std::exchange(engine.runs_, {})) {
+    // Hosts see it one after the other.
+    After(Between(1, 10), [this, lost = run] { Lose(lost); });
+  }
+  After(aAway, [this, aEngine] {
+    engines_[aEngine].alive_ = true;
+    engines_[aEngine].start_ = ++numbers_;
+  });
+}
+
+auto PoisonWorld::Lose(const Run& aRun) -> void
+{
+  ++outcome_.runsLost_;
+  auto call = aRun.call_;
+  if (auto& host = hosts_[call.host_]; host.suspects_) {
+    Deliver(call.host_, host.suspects_->OnLost(aRun.run_, clock_.Now()));
+    if (call.sendsLeft_ > 0) {
+      After(Between(1, 50), [this, call] { Send(call); });
+      return;
+    }
+  }
+  if (call.retriesLeft_ > 0 && !poisons_.contains(call.request_)) {
+    After(Between(50, 1000), [this, call] {
+      Send({ .request_ = call.request_,
+             .host_ = LiveHost(),
+             .retriesLeft_ = call.retriesLeft_ - 1 });
+    });
+  }
+}
+
+auto PoisonWorld::Flap(std::size_t aEngine) -> void
+{
+  EndEngine(aEngine, Between(300, 1500));
+  After(Between(2000, 5000), [this, aEngine] { Flap(aEngine); });
+}
+
+auto PoisonWorld::Wave() -> void
+{
+  const auto share = 17 + Random(14);
+  std::set<std::size_t> hit;
+  while (hit.size() * 100 < engines_.size() * share) {
+    hit.insert(Random(engines_.size()));
+  }
+  for (const auto engine : hit) {
+    EndEngine(engine, Between(2000, 6000));
+  }
+}
+
+auto PoisonWorld::CallPoison(std::uint64_t aPoison) -> void
+{
+  Send({ .request_ = aPoison, .host_ = LiveHost() });
+  After(Between(800, 1200), [this, aPoison] { CallPoison(aPoison); });
+}
+
+} // namespace testing
--- /dev/null
+++ b/test/property/PoisonWorld.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "SuspectHost.h"
+
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+#include <set>
+
+namespace testing {
+
+/** \brief Hosts and engines on a virtual clock: engines end alone and in
+ * waves, hosts restart, and a few requests end each engine that runs them. */
+class PoisonWorld
+{
+public:
+  struct Options
+  {
+    std::size_t hosts_ = 8;
+    std::size_t engines_ = 12;
+    std::size_t slots_ = 64;
+    /** `contact_ms` of the site. */
+    goldcrestcroft::Duration contact_ = std::chrono::seconds{ 3 };
+    goldcrestcroft::Duration day_ = std::chrono::seconds{ 60 };
+    unsigned seed_ = 1;
+  };
+  struct Outcome
+  {
+    /** Most sends of one poison, by hosts in touch, later than contact after
+     * its third crash. */
+    std::size_t lateSends_ = 0;
+    /** Engines that the poisons ended. */
+    std::size_t crashes_ = 0;
+    std::size_t requests_ = 0;
+    std::size_t runsLost_ = 0;
+    std::size_t innocentsRefused_ = 0;
+    std::size_t datagrams_ = 0;
+  };
+
+  explicit PoisonWorld(Options aOptions);
+  auto Play() -> Outcome;
+
+private:
+  using TimePoint = goldcrestcroft::TimePoint;
+  using Duration = goldcrestcroft::Duration;
+  struct Host
+  {
+    std::string id_;
+    TimePoint startedAt_;
+    std::optional<SuspectHost> suspects_;
+  };
+  struct Call
+  {
+    std::uint64_t request_ = 0;
+    std::size_t host_ = 0;
+    /** Sends that the host has left, and retries that the caller has. */
+    std::size_t sendsLeft_ = 2;
+    std::size_t retriesLeft_ = 1;
+  };
+  struct Run
+  {
+    Call call_;
+    WorldRun run_;
+  };
+  struct Engine
+  {
+    bool alive_ = true;
+    std::uint64_t start_ = 0;
+    std::map<std::uint64_t, Run> runs_;
+  };
+  struct Poison
+  {
+    std::size_t crashes_ = 0;
+    TimePoint thirdAt_;
+    std::size_t lateSends_ = 0;
+  };
+  struct Event
+  {
+    TimePoint at_;
+    std::uint64_t number_ = 0;
+    std::function<void()> act_;
+    auto operator<(const Event& aOther) const -> bool
+    {
+      return std::tie(aOther.at_, aOther.number_) < std::tie(at_, number_);
+    }
+  };
+
+  auto After(Duration aDelay, std::function<void()> aAct) -> void;
+  auto Random(std::size_t aBelow) -> std::size_t;
+  auto Between(int aLeastMs, int aMostMs) -> Duration;
+  auto LiveHost() -> std::size_t;
+
+  auto Arrive() -> void;
+  auto PickInnocent() -> std::uint64_t;
+  auto Send(Call aCall) -> void;
+  auto Complete(std::size_t aEngine, std::uint64_t aRun) -> void;
+  auto EndEngine(std::size_t aEngine, Duration aAway) -> void;
+  auto Lose(const Run& aRun) -> void;
+  auto Flap(std::size_t aEngine) -> void;
+  auto Wave() -> void;
+  auto CallPoison(std::uint64_t aPoison) -> void;
+  auto Crash(std::size_t aEngine, std::uint64_t aRun) -> void;
+
+  auto TickHost(std::size_t aHost, std::string aId) -> void;
+  auto Deliver(std::size_t aFrom, std::vector<SuspectHost::Outgoing> aOut)
+    -> void;
+  auto StartHost(std::size_t aHost) -> void;
+  auto RestartSome() -> void;
+  auto PublishHosts() -> void;
+
+  Options options_;
+  goldcrestcroft::VirtualClock clock_;
+  TimePoint end_;
+  std::mt19937_64 random_;
+  std::priority_queue<Event> events_;
+  std::uint64_t numbers_ = 0;
+  std::vector<Host> hosts_;
+  std::map<std::string, std::size_t> hostOf_;
+  std::vector<Engine> engines_;
+  std::map<std::uint64_t, Poison> poisons_;
+  Outcome outcome_;
+};
+
+} // namespace testing
