Close a test's sockets in the processes that it starts

Asio opens sockets without close-on-exec, so a host that a test started kept the test's listeners and connections open after the test had closed them: a stand-in that closed its listener could not bind its port again, callers were still taken into the host's copy of its queue, and its connections did not end.

--- a/test/process/Process.cpp
+++ b/test/process/Process.cpp
@@ -25,6 +25,9 @@
     posix_spawn_file_actions_addopen(&files, descriptor, aLog.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0600);
   }
+  // Sockets of the test would stay open in the child after the test closed
+  // them.
+  posix_spawn_file_actions_addclosefrom_np(&files, 3);
   if (posix_spawn(&pid_, aProgram.c_str(), &files, nullptr, words.data(),
                   environ) != 0) {
     pid_ = -1;
