Let stand-in engines end under a request and start again

An engine that is given a marker begins to run a request with it in its body and, some ms later, resets all its connections and closes its listener; or it neither reads nor writes any more, as one that is lost without a reset. Some time later it starts again under its id, with a new `born`, and its entry is written anew in the state that it had. It tells how often it ended and under which requests.

An engine that fails or refuses (Trouble) does not begin to run, so it does not end.

--- a/test/platform/EngineStandin.cpp
+++ b/test/platform/EngineStandin.cpp
@@ -36,7 +36,8 @@
 EngineStandin::EngineStandin(asio::io_context& aContext,
                              const std::string& aAddress, std::string aId,
                              const std::string& aPublished)
-  : published_(aPublished.empty() ? aAddress : aPublished)
+  : context_(aContext)
+  , published_(aPublished.empty() ? aAddress : aPublished)
   , id_(std::move(aId))
   , server_(aContext, aAddress, [this](Request aRequest) -> Task<Reaction> {
     co_return Handle(aRequest);
@@ -60,10 +61,11 @@
                           const std::string& aState) -> std::string
 {
   const std::lock_guard lock(mutex_);
+  state_ = aState.empty() ? state_ : aState;
   return json{
     { "service", aService },    { "address", published_ },
     { "zone", "z1" },           { "slots", 8 },
-    { "state", aState },        { "born", born_ },
+    { "state", state_ },        { "born", born_ },
     { "sequence", ++sequence_ }
   }.dump();
 }
@@ -178,6 +180,11 @@
     return reaction;
   }
   ++runs_[id];
+  if (trouble == Trouble::None && IsEndedBy(aRequest)) {
+    BeginEnd(id);
+    // Its connection is gone by then.
+    reaction.delay_ = ending_.after_ + 2 * ending_.away_;
+  }
   lastHeaders_ = aRequest.base();
   if (trouble != Trouble::Unsigned) {
     reaction.headers_.emplace_back(kSignature, "signed-by-" + id_);
--- a/test/platform/EngineStandin.h
+++ b/test/platform/EngineStandin.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "EngineEnding.h"
 #include "HttpServer.h"
 
 #include <atomic>
@@ -41,15 +42,36 @@
     bool ran_ = true;
   };
 
+  /** \brief It ended, and under which requests with the marker. */
+  struct End
+  {
+    std::vector<std::string> requestIds_;
+    goldcrestcroft::TimePoint at_;
+  };
+
   /** \brief aPublished is the address that others are told, if another. */
   EngineStandin(goldcrestcroft::asio::io_context& aContext,
                 const std::string& aAddress, std::string aId,
                 const std::string& aPublished = "");
 
+  /** \brief Its entry in the store, with the state that it had last if none
+   * is given. */
   [[nodiscard]] auto Entry(const std::string& aService,
-                           const std::string& aState = "ready") -> std::string;
+                           const std::string& aState = "") -> std::string;
   /** \brief Starts again under its id: it holds nothing of before. */
   auto Restart() -> void;
+  /** \brief From now on it ends under requests with the marker. */
+  auto EndUnder(const EngineEnding& aEnding) -> void;
+  /** \brief Ends at once, and starts again, as set by EndUnder. */
+  auto EndNow() -> void;
+  [[nodiscard]] auto Ends() -> std::vector<End>;
+  /** \brief Whether it is about to end, or has not started again. */
+  [[nodiscard]] auto IsAway() const -> bool { return isAway_; }
+  /** \brief Called on its context after each start that follows an end. */
+  auto SetOnStart(std::function<void()> aOnStart) -> void
+  {
+    onStart_ = std::move(aOnStart);
+  }
   [[nodiscard]] auto Id() const -> const std::string& { return id_; }
   /** \brief Another engine has its address from now on. */
   auto Replace(const std::string& aId) -> void
@@ -89,16 +111,28 @@
   auto React(const Request& aRequest) -> Reaction;
   auto RunPieces(const Request& aRequest) -> Reaction;
   auto Release(const Request& aRequest) -> Reaction;
+  /** \brief These two hold the mutex. */
+  [[nodiscard]] auto IsEndedBy(const Request& aRequest) const -> bool;
+  auto BeginEnd(const std::string& aRequestId) -> void;
+  auto EndAndStart(EngineEnding aEnding, std::chrono::milliseconds aAfter)
+    -> goldcrestcroft::Task<void>;
 
+  goldcrestcroft::asio::io_context& context_;
   std::string published_;
   std::string id_;
   std::mutex mutex_;
+  std::string state_ = "ready";
   std::uint64_t born_ = 0;
   std::uint64_t sequence_ = 0;
   std::map<std::string, int> runs_;
   std::vector<Arrival> arrivals_;
   goldcrestcroft::http::fields lastHeaders_;
   std::set<std::string> results_;
+  EngineEnding ending_;
+  std::vector<std::string> endingUnder_;
+  std::vector<End> ends_;
+  std::atomic<bool> isAway_ = false;
+  std::function<void()> onStart_;
   std::atomic<std::size_t> reached_ = 0;
   std::size_t pieces_ = 0;
   std::size_t calls_ = 0;
--- a/test/platform/HttpServer.cpp
+++ b/test/platform/HttpServer.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr auto kLook = std::chrono::milliseconds{ 10 };
+
 auto Sleep(asio::io_context& aContext, std::chrono::milliseconds aTime)
   -> Task<void>
 {
@@ -52,11 +54,40 @@
                        Handler aHandler)
   : context_(aContext)
   , handler_(std::move(aHandler))
-  , acceptor_(aContext, ParseTcpEndpoint(aAddress))
+  , address_(ParseTcpEndpoint(aAddress))
+  , acceptor_(aContext, address_)
+{
+  asio::co_spawn(context_, Accept(), asio::detached);
+}
+
+auto HttpServer::Close() -> void
+{
+  boost::system::error_code ignored; // Its peer may have closed it first.
+  acceptor_.close(ignored);
+  for (const auto& weak : sockets_) {
+    if (const auto socket = weak.lock()) {
+      socket->set_option(asio::socket_base::linger(true, 0), ignored);
+      socket->close(ignored);
+    }
+  }
+  sockets_.clear();
+  silent_ = false;
+}
+
+auto HttpServer::Open() -> void
 {
+  acceptor_ = Tcp::acceptor(context_, address_);
   asio::co_spawn(context_, Accept(), asio::detached);
 }
 
+auto HttpServer::AwaitOpen(const Tcp::socket& aSocket) -> Task<bool>
+{
+  while (silent_ && aSocket.is_open()) {
+    co_await Sleep(context_, kLook);
+  }
+  co_return aSocket.is_open();
+}
+
 auto HttpServer::Accept() -> Task<void>
 {
   for (;;) {
@@ -70,14 +101,17 @@
       continue;
     }
     ++connections_;
-    asio::co_spawn(context_, Serve(std::move(socket)),
+    const auto kept = std::make_shared<Tcp::socket>(std::move(socket));
+    std::erase_if(sockets_, [](const auto& aWeak) { return aWeak.expired(); });
+    sockets_.push_back(kept);
+    asio::co_spawn(context_, Serve(kept),
                    [this](const auto&) { --connections_; });
   }
 }
 
-auto HttpServer::Serve(Tcp::socket aSocket) -> Task<void>
+auto HttpServer::Serve(std::shared_ptr<Tcp::socket> aSocket) -> Task<void>
 {
-  auto socket = std::move(aSocket);
+  auto& socket = *aSocket;
   beast::flat_buffer buffer;
   for (;;) {
     Request request;
@@ -86,8 +120,16 @@
     if (error) {
       co_return;
     }
+    const auto reads = co_await AwaitOpen(socket);
+    if (!reads) {
+      co_return;
+    }
     const auto reaction = co_await handler_(std::move(request));
     co_await Sleep(context_, reaction.delay_);
+    const auto writes = co_await AwaitOpen(socket);
+    if (!writes) {
+      co_return;
+    }
     if (ProbeIdle(socket) == IdleState::Closed) {
       ++abandoned_;
       co_return;
--- a/test/platform/HttpServer.h
+++ b/test/platform/HttpServer.h
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <functional>
+#include <memory>
 #include <optional>
 
 namespace standins {
@@ -39,6 +40,14 @@
   HttpServer(goldcrestcroft::asio::io_context& aContext,
              const std::string& aAddress, Handler aHandler);
 
+  /** \brief Resets all connections and takes no more. This and the next two
+   * are called on the context. */
+  auto Close() -> void;
+  /** \brief Takes connections again. */
+  auto Open() -> void;
+  /** \brief Neither reads nor writes any more until Close. */
+  auto FallSilent() -> void { silent_ = true; }
+
   /** \brief Callers that left before their answer. */
   [[nodiscard]] auto Abandoned() const -> std::size_t { return abandoned_; }
 
@@ -47,11 +56,18 @@
 
 private:
   auto Accept() -> goldcrestcroft::Task<void>;
-  auto Serve(goldcrestcroft::Tcp::socket aSocket) -> goldcrestcroft::Task<void>;
+  auto Serve(std::shared_ptr<goldcrestcroft::Tcp::socket> aSocket)
+    -> goldcrestcroft::Task<void>;
+  /** \brief Waits while silent; whether the connection is still there. */
+  auto AwaitOpen(const goldcrestcroft::Tcp::socket& aSocket)
+    -> goldcrestcroft::Task<bool>;
 
   goldcrestcroft::asio::io_context& context_;
   Handler handler_;
+  goldcrestcroft::Tcp::endpoint address_;
   goldcrestcroft::Tcp::acceptor acceptor_;
+  std::vector<std::weak_ptr<goldcrestcroft::Tcp::socket>> sockets_;
+  bool silent_ = false;
   std::size_t connections_ = 0;
   std::atomic<std::size_t> abandoned_ = 0;
 };
--- a/test/platform/PlatformStandin.cpp
+++ b/test/platform/PlatformStandin.cpp
@@ -51,7 +51,12 @@
       engines_[service].push_back(std::make_unique<EngineStandin>(
         context_, prefix + std::to_string(port), id,
         prefix + std::to_string(port + options_.publishedOffset_)));
-      store_->Put("servers", id, engines_[service].back()->Entry(service));
+      auto& engine = *engines_[service].back();
+      const auto enter = [this, &engine, id, service = std::string(service)] {
+        store_->Put("servers", id, engine.Entry(service));
+      };
+      engine.SetOnStart(enter);
+      enter();
     }
   }
   PutConfig(1);
