--- a/test/process/EntryFleet.cpp
+++ b/test/process/EntryFleet.cpp
@@ -76,8 +76,9 @@
   return ReadAnswer(socket, aCall.method_ == "HEAD");
 }
 
-EntryFleet::EntryFleet(std::size_t aHosts)
-  : platform_({})
+EntryFleet::EntryFleet(std::size_t aHosts,
+                       standins::PlatformStandin::Options aPlatform)
+  : platform_(std::move(aPlatform))
 {
   for (std::size_t i = 0; i < aHosts; ++i) {
     std::ofstream file(folder_.Path() + "/host-" + std::to_string(i) + ".json");
--- a/test/process/EntryFleet.h
+++ b/test/process/EntryFleet.h
@@ -35,7 +35,8 @@
 class EntryFleet
 {
 public:
-  explicit EntryFleet(std::size_t aHosts);
+  explicit EntryFleet(std::size_t aHosts,
+                      standins::PlatformStandin::Options aPlatform = {});
 
   auto Platform() -> standins::PlatformStandin& { return platform_; }
   auto Start(std::size_t aHost) -> void;
