Show in a test what bytes without end of a backend server cost

Engines in trouble may send bytes that are no answer until the receiver closes, fast or slowly, in a head, a body, an event or an answer to others.

--- a/test/platform/EngineStandin.cpp
+++ b/test/platform/EngineStandin.cpp
@@ -135,6 +135,10 @@
 {
   ++reached_;
   auto reaction = React(aRequest);
+  if (reaction.status_ == 200) {
+    const std::lock_guard lock(mutex_);
+    reaction.endless_ = endless_;
+  }
   if (leaving_) {
     // Either spelling has to do.
     reaction.headers_.emplace_back(
--- a/test/platform/EngineStandin.h
+++ b/test/platform/EngineStandin.h
@@ -67,6 +67,17 @@
   {
     return server_.Abandoned();
   }
+  /** \brief Answers all that it runs with endless bytes from now on. */
+  auto SetEndless(std::optional<EndlessBytes> aBytes) -> void
+  {
+    const std::lock_guard lock(mutex_);
+    endless_ = std::move(aBytes);
+  }
+  /** \brief Endless answers whose receivers have not closed yet. */
+  [[nodiscard]] auto EndlessOpen() const -> std::size_t
+  {
+    return server_.EndlessOpen();
+  }
   auto SetMostConnections(std::size_t aMost) -> void
   {
     server_.mostConnections_ = aMost;
@@ -95,6 +106,7 @@
   std::mutex mutex_;
   std::uint64_t born_ = 0;
   std::uint64_t sequence_ = 0;
+  std::optional<EndlessBytes> endless_;
   std::map<std::string, int> runs_;
   std::vector<Arrival> arrivals_;
   goldcrestcroft::http::fields lastHeaders_;
--- a/test/platform/HttpServer.cpp
+++ b/test/platform/HttpServer.cpp
@@ -86,6 +86,7 @@
     if (error) {
       co_return;
     }
+    const std::string id(request["Goldcrestcroft-Request-Id"]);
     const auto reaction = co_await handler_(std::move(request));
     co_await Sleep(context_, reaction.delay_);
     if (ProbeIdle(socket) == IdleState::Closed) {
@@ -95,6 +96,10 @@
     if (reaction.drops_) {
       co_return;
     }
+    if (reaction.endless_) {
+      co_await endless_.Write(socket, *reaction.endless_, id);
+      co_return;
+    }
     if (reaction.strayId_) {
       Reaction stray{ .body_ = "an answer to another request" };
       auto head = MakeHead(stray);
--- a/test/platform/HttpServer.h
+++ b/test/platform/HttpServer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <goldcrestcroft/src/Gateway/Net.h>
+#include "EndlessStandin.h"
 
 #include <atomic>
 #include <functional>
@@ -27,6 +27,8 @@
   bool cuts_ = false;
   /** An answer to another request is sent before it. */
   std::optional<std::string> strayId_;
+  /** Sent in place of all of the above. */
+  std::optional<EndlessBytes> endless_;
 };
 
 /** \brief An HTTP server for stand-ins, on its owner's context. */
@@ -42,6 +44,12 @@
   /** \brief Callers that left before their answer. */
   [[nodiscard]] auto Abandoned() const -> std::size_t { return abandoned_; }
 
+  /** \brief Endless answers whose callers have not closed yet. */
+  [[nodiscard]] auto EndlessOpen() const -> std::size_t
+  {
+    return endless_.Open();
+  }
+
   /** Callers beyond it are reset as soon as they have connected. */
   std::atomic<std::size_t> mostConnections_ = 1000;
 
@@ -54,6 +62,7 @@
   goldcrestcroft::Tcp::acceptor acceptor_;
   std::size_t connections_ = 0;
   std::atomic<std::size_t> abandoned_ = 0;
+  EndlessStandin endless_;
 };
 
 } // namespace standins
