--- a/test/platform/HttpServer.cpp
+++ b/test/platform/HttpServer.cpp
@@ -124,6 +124,7 @@
     if (!reads) {
       co_return;
     }
+    const std::string id(request["Goldcrestcroft-Request-Id"]);
     const auto reaction = co_await handler_(std::move(request));
     co_await Sleep(context_, reaction.delay_);
     const auto writes = co_await AwaitOpen(socket);
@@ -137,6 +138,10 @@
     if (reaction.drops_) {
       co_return;
     }
+    if (reaction.endless_) {
+      co_await endless_.Write(socket, *reaction.endless_, id);
+      co_return;
+    }
     if (reaction.strayId_) {
       Reaction stray{ .body_ = "an answer to another request" };
       auto head = MakeHead(stray);
