Show callers cut after a rise of the idle time, by a host of its own process

Seen on the code as it is: after a rise from 1.5 s to 5 s, 0 of 12 callers that wait for four fifths of the new limit are served; after a fall, by either limit, and after a rise by the old one, 12 of 12.

--- a/test/process/IdleLimitTest.cpp
+++ b/test/process/IdleLimitTest.cpp
@@ -3,7 +3,7 @@
 #include <doctest/doctest.h>
 #include <sys/socket.h>
 
-#include <optional>
+#include <sstream>
 
 namespace testing {
 
@@ -45,9 +45,15 @@
   constexpr std::size_t kCallers = 12;
   const auto inForce = [&] {
     return EntryFleet::Await([&] {
-      return aFleet.Log(0).find("\"configuration_in_force\",\"version\":\"" +
-                                std::to_string(aVersion) + '"') !=
-             std::string::npos;
+      std::istringstream log(aFleet.Log(0));
+      const auto version = "\"version\":\"" + std::to_string(aVersion) + '"';
+      for (std::string line; std::getline(log, line);) {
+        if (line.find("configuration_in_force") != std::string::npos &&
+            line.find(version) != std::string::npos) {
+          return true;
+        }
+      }
+      return false;
     });
   };
   aFleet.Platform().PutConfig(++aVersion, "", { "key1" }, aChange.fromMs_);
--- a/test/unit/LoopStall.cpp
+++ b/test/unit/LoopStall.cpp
@@ -62,6 +62,15 @@
 {
 }
 
+StalledTraffic::~StalledTraffic()
+{
+  // What the loop still holds refers to the traffic.
+  for (const auto& connection : connections_) {
+    connection->Abort();
+  }
+  loop_.Poll();
+}
+
 auto StalledTraffic::SetLimits(const ClientLimits& aLimits) -> void
 {
   const Route route{ .name_ = "r",
--- a/test/unit/LoopStall.h
+++ b/test/unit/LoopStall.h
@@ -58,6 +58,10 @@
   explicit StalledTraffic(
     LoopStall& aLoop, const goldcrestcroft::PlatformCodec* aCodec = nullptr);
 
+  ~StalledTraffic();
+  StalledTraffic(const StalledTraffic&) = delete;
+  auto operator=(const StalledTraffic&) -> StalledTraffic& = delete;
+
   auto SetLimits(const goldcrestcroft::ClientLimits& aLimits) -> void;
   /** \brief A caller's socket, whose connection waits for a request. */
   auto AddCaller() -> goldcrestcroft::Tcp::socket;
