Let no expiry act that was queued before its time was lifted or set anew

What callers saw: a sound exchange with an engine ended, the engine counted as lost or timed out, and the request was tried elsewhere or answered 502; hosts lost links to each other and to the store that were sound.

Cause: a timer neither recalls a handler that is queued nor tells it of the cancel. Where the loop lags, the expiry and the bytes become ready in one pass, and the handler closes what was read in time. Besides, one pass takes 128 events and all timers, so a timer may even come before the read.

Deadline knows which arming an expiry belongs to. PeerLink now logs why a link ended and what an unreadable frame was.

--- a/goldcrestcroft/src/Gateway/EngineConnection.cpp
+++ b/goldcrestcroft/src/Gateway/EngineConnection.cpp
@@ -12,26 +12,28 @@
 
 auto EngineConnection::CloseAfter(Duration aTime) -> void
 {
-  timer_.expires_after(std::max(aTime, Duration{}));
-  timer_.async_wait([weak = weak_from_this()](auto aError) {
-    const auto self = weak.lock();
-    if (!aError && self) {
-      self->timedOut_ = true;
-      self->Close();
-    }
+  deadline_.Arm(aTime, [this](auto) {
+    timedOut_ = true;
+    Close();
   });
 }
 
+auto EngineConnection::HasUnread() -> bool
+{
+  return socket_.is_open() &&
+         (buffer_.size() > 0 || ProbeIdle(socket_) == IdleState::HasBytes);
+}
+
 auto EngineConnection::Disarm() -> void
 {
-  timer_.cancel();
+  deadline_.Disarm();
 }
 
 auto EngineConnection::Close() -> void
 {
   boost::system::error_code ignored;
   socket_.close(ignored);
-  timer_.cancel();
+  deadline_.Disarm();
 }
 
 auto EngineConnection::Renew() -> void
--- a/goldcrestcroft/src/Gateway/EngineConnection.h
+++ b/goldcrestcroft/src/Gateway/EngineConnection.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Net.h"
+#include "Deadline.h"
 
 #include <string>
 
@@ -12,7 +12,7 @@
 public:
   explicit EngineConnection(asio::io_context& aContext)
     : socket_(aContext)
-    , timer_(aContext)
+    , deadline_(aContext.get_executor(), [this] { return HasUnread(); })
   {
   }
 
@@ -41,9 +41,11 @@
   auto Buffer() -> beast::flat_buffer& { return buffer_; }
 
 private:
+  [[nodiscard]] auto HasUnread() -> bool;
+
   Tcp::socket socket_;
-  asio::steady_timer timer_;
   beast::flat_buffer buffer_;
+  Deadline deadline_;
   std::string outgoing_;
   bool timedOut_ = false;
   bool writeBegun_ = false;
--- a/goldcrestcroft/src/Gateway/PeerLink.cpp
+++ b/goldcrestcroft/src/Gateway/PeerLink.cpp
@@ -1,12 +1,18 @@
 #include "PeerLink.h"
 
+#include "../Observability/Log.h"
+
 #include <boost/asio/read.hpp>
+#include <spdlog/fmt/fmt.h>
 
 namespace goldcrestcroft {
 
 namespace {
 
 constexpr std::size_t kLengthBytes = 4;
+/** Bytes of an unreadable frame that the log shows; the kind of a frame and
+ * the length of its first field are in them. */
+constexpr std::size_t kShownBytes = 16;
 
 auto ReadLength(const unsigned char* aBytes) -> std::size_t
 {
@@ -17,11 +23,20 @@
   return length;
 }
 
+auto PeerOf(const Tcp::socket& aSocket) -> std::string
+{
+  boost::system::error_code error;
+  const auto endpoint = aSocket.remote_endpoint(error);
+  return error ? "unknown: " + error.message()
+               : endpoint.address().to_string() + ":" +
+                   std::to_string(endpoint.port());
+}
+
 } // namespace
 
 PeerLink::PeerLink(Tcp::socket aSocket, Options aOptions)
   : socket_(std::move(aSocket))
-  , timer_(socket_.get_executor())
+  , connecting_(socket_.get_executor())
   , options_(std::move(aOptions))
 {
 }
@@ -29,6 +44,9 @@
 auto PeerLink::Start() -> void
 {
   connected_ = true;
+  if (peer_.empty()) {
+    peer_ = PeerOf(socket_);
+  }
   SetSocketOptions(socket_);
   asio::co_spawn(
     socket_.get_executor(),
@@ -37,6 +55,7 @@
 
 auto PeerLink::StartTo(const std::string& aAddress) -> void
 {
+  peer_ = aAddress;
   asio::co_spawn(
     socket_.get_executor(),
     [self = shared_from_this(), endpoint = ParseTcpEndpoint(aAddress)] {
@@ -48,15 +67,10 @@
 auto PeerLink::Connect(Tcp::endpoint aEndpoint) -> Task<void>
 {
   const auto self = shared_from_this();
-  timer_.expires_after(options_.connectTimeout_);
-  timer_.async_wait([weak = weak_from_this()](auto aError) {
-    const auto link = weak.lock();
-    if (!aError && link) {
-      link->Close("no answer to the connection");
-    }
-  });
+  connecting_.Arm(options_.connectTimeout_,
+                  [this](auto) { Close("no answer to the connection"); });
   const auto [error] = co_await socket_.async_connect(aEndpoint, kAsTuple);
-  timer_.cancel();
+  connecting_.Disarm();
   if (error || !open_) {
     Close("not connected: " + error.message());
     co_return;
@@ -82,7 +96,7 @@
       break;
     }
     if (length > kMaxFrameBytes) {
-      Close("a frame of " + std::to_string(length) + " bytes");
+      Refuse(length, "", "longer than any frame");
       break;
     }
     contents.resize(length);
@@ -99,7 +113,7 @@
         return true;
       },
       [&](const Error& aError) {
-        Close(aError.message_);
+        Refuse(length, contents, aError.message_);
         return false;
       });
     if (!valid) {
@@ -108,6 +122,21 @@
   }
 }
 
+auto PeerLink::Refuse(std::size_t aLength, const std::string& aContents,
+                      const std::string& aProblem) -> void
+{
+  std::string shown;
+  for (const auto byte : aContents.substr(0, kShownBytes)) {
+    shown += fmt::format("{:02x}", static_cast<unsigned char>(byte));
+  }
+  Log::Write(LogLevel::Warning, "peer_frame_unreadable",
+             { { "peer", peer_ },
+               { "bytes", std::to_string(aLength) },
+               { "begins", shown },
+               { "reason", aProblem } });
+  Close("an unreadable frame: " + aProblem);
+}
+
 auto PeerLink::Send(const PeerFrame& aFrame) -> void
 {
   if (!open_) {
@@ -155,9 +184,14 @@
   }
   open_ = false;
   why_ = aReason;
+  Log::Write(LogLevel::Info, "peer_link_ended",
+             { { "peer", peer_ },
+               { "connected", connected_ ? "true" : "false" },
+               { "unsent_bytes", std::to_string(queuedBytes_) },
+               { "reason", aReason } });
   boost::system::error_code ignored;
   socket_.close(ignored);
-  timer_.cancel();
+  connecting_.Disarm();
   // Not from within the caller's own change of state.
   asio::post(socket_.get_executor(), [self = shared_from_this()] {
     if (self->options_.onEnd_) {
--- a/goldcrestcroft/src/Gateway/PeerLink.h
+++ b/goldcrestcroft/src/Gateway/PeerLink.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Net.h"
+#include "Deadline.h"
 #include "PeerFrames.h"
 
 #include <deque>
@@ -45,13 +45,18 @@
   auto Connect(Tcp::endpoint aEndpoint) -> Task<void>;
   auto Read() -> Task<void>;
   auto Write() -> Task<void>;
+  /** \brief Closes the link for bytes that are no frame. */
+  auto Refuse(std::size_t aLength, const std::string& aContents,
+              const std::string& aProblem) -> void;
 
   Tcp::socket socket_;
-  asio::steady_timer timer_;
+  Deadline connecting_;
   Options options_;
   std::deque<std::string> queue_;
   std::size_t queuedBytes_ = 0;
   std::string why_;
+  /** Address of the other end, for the log. */
+  std::string peer_;
   bool open_ = true;
   bool connected_ = false;
   bool writing_ = false;
--- a/goldcrestcroft/src/Gateway/RequestRun.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRun.cpp
@@ -46,7 +46,7 @@
   , arrivedAt_(aTraffic.Now())
   , routing_(aTraffic.RoutingPointer())
   , deadline_(arrivedAt_)
-  , deadlineTimer_(aTraffic.Context())
+  , deadlineTimer_(aTraffic.Context().get_executor())
   , wake_(aTraffic.Context())
 {
   traffic_.OnRequestBegin(this);
@@ -119,13 +119,8 @@
   if (wait) {
     deadline_ = std::min(deadline_, arrivedAt_ + *wait);
   }
-  deadlineTimer_.expires_after(deadline_ - arrivedAt_);
-  deadlineTimer_.async_wait([weak = weak_from_this()](auto aError) {
-    const auto self = weak.lock();
-    if (!aError && self) {
-      self->Abort(Aborted::TimeOver);
-    }
-  });
+  deadlineTimer_.Arm(deadline_ - arrivedAt_,
+                     [this](auto) { Abort(Aborted::TimeOver); });
 }
 
 auto RequestRun::TimeLeft() const -> Duration
@@ -169,7 +164,7 @@
     kept = co_await Execute();
   }
   finished_ = true;
-  deadlineTimer_.cancel();
+  deadlineTimer_.Disarm();
   CancelOrders();
   if (graph_) {
     ReleaseResults(graph_->TakeAll());
--- a/goldcrestcroft/src/Gateway/RequestRun.h
+++ b/goldcrestcroft/src/Gateway/RequestRun.h
@@ -110,7 +110,7 @@
   int rank_ = 0;
   std::uint64_t fingerprint_ = 0;
   TimePoint deadline_;
-  asio::steady_timer deadlineTimer_;
+  Deadline deadlineTimer_;
   asio::steady_timer wake_;
   Aborted aborted_ = Aborted::No;
   std::shared_ptr<EngineConnection> current_;
--- a/goldcrestcroft/src/Gateway/SmallServer.cpp
+++ b/goldcrestcroft/src/Gateway/SmallServer.cpp
@@ -1,5 +1,7 @@
 #include "SmallServer.h"
 
+#include "Deadline.h"
+
 namespace goldcrestcroft {
 
 namespace {
@@ -33,24 +35,22 @@
 
 auto SmallServer::Serve(Tcp::socket aSocket) -> Task<void>
 {
-  const auto socket = std::make_shared<Tcp::socket>(std::move(aSocket));
-  SetSocketOptions(*socket);
+  auto socket = std::move(aSocket);
+  SetSocketOptions(socket);
   beast::flat_buffer buffer;
-  asio::steady_timer timer(context_);
+  Deadline deadline(context_.get_executor(), [&] {
+    return socket.is_open() && ProbeIdle(socket) == IdleState::HasBytes;
+  });
   for (;;) {
-    timer.expires_after(kIdle);
-    timer.async_wait([weak = std::weak_ptr(socket)](auto aError) {
-      const auto open = weak.lock();
-      if (!aError && open) {
-        boost::system::error_code ignored;
-        open->close(ignored);
-      }
+    deadline.Arm(kIdle, [&](auto) {
+      boost::system::error_code ignored;
+      socket.close(ignored);
     });
     http::request_parser<http::string_body> parser;
     parser.header_limit(kMaxHeaderBytes);
     parser.body_limit(kMaxHeaderBytes);
     const auto [error, size] =
-      co_await http::async_read(*socket, buffer, parser, kAsTuple);
+      co_await http::async_read(socket, buffer, parser, kAsTuple);
     if (error) {
       break;
     }
@@ -62,13 +62,13 @@
     answer.keep_alive(request.keep_alive());
     answer.prepare_payload();
     const auto [writeError, written] =
-      co_await http::async_write(*socket, answer, kAsTuple);
+      co_await http::async_write(socket, answer, kAsTuple);
     if (writeError || !answer.keep_alive()) {
       break;
     }
   }
   boost::system::error_code ignored;
-  socket->close(ignored);
+  socket.close(ignored);
 }
 
 } // namespace goldcrestcroft
