Close no caller's connection by a time-out that it cannot know of

What callers saw: a whole request on a kept connection, and the connection closed without an answer or a refusal; around changes of the configuration above all, since these change the idle time and make the loop lag.

Cause: the idle time was armed once with the limit known then. After a rise callers go by the new one, and were cut at the old one as they sent; bodies were bounded by it part by part, and a body within a raised limit was refused. The expiry of the idle time could also be queued when the request was read, and then closed the connection under it.

Connections now use Deadline. Limits are the larger of those at the last answer and those in force, looked up when a time is over: no work over all connections as a configuration comes. A lowered limit cuts nobody who goes by the old one. When a connection ends under a request that was read whole, a line caller_unanswered says why.

Ruled out as a cause of silence, by reading: a stage service or a route that the new version lacks (a request keeps the version that it came under, the desk keeps its services; an order for one it never knew fails at once, and the caller gets a refusal); a wake-up of a request while nothing waits (its loop looks at everything again before it waits).

--- a/goldcrestcroft/src/Gateway/CallerConnection.cpp
+++ b/goldcrestcroft/src/Gateway/CallerConnection.cpp
@@ -12,13 +12,10 @@
  * reset the connection before the caller has read the answer. */
 constexpr std::size_t kMaxLingerBytes = 1U << 20U;
 constexpr auto kLinger = std::chrono::milliseconds{ 300 };
-/** A caller that takes no bytes for this long is given up. */
-constexpr auto kWriteTimeout = std::chrono::seconds{ 20 };
 /** What a connection's time is for. */
 constexpr std::string_view kIdle = "idle";
 constexpr std::string_view kHeader = "header";
 constexpr std::string_view kBody = "body";
-constexpr std::string_view kAnswer = "answer";
 constexpr std::string_view kLastBytes = "last_bytes";
 
 auto MalformedRequest(const std::string& aProblem) -> OwnAnswer
@@ -59,41 +56,60 @@
 
 CallerConnection::CallerConnection(Tcp::socket aSocket, Traffic& aTraffic)
   : socket_(std::move(aSocket))
-  , timer_(socket_.get_executor())
+  , deadline_(socket_.get_executor(), [this] { return HasUnread(); })
   , traffic_(aTraffic)
+  , limits_(aTraffic.Routing().Limits())
   , idleSince_(aTraffic.Now())
 {
   SetSocketOptions(socket_);
 }
 
-auto CallerConnection::CloseAfter(Duration aTime, std::string_view aPhase)
-  -> void
+auto CallerConnection::Limits() const -> ClientLimits
 {
-  timer_.expires_after(aTime);
-  const auto due = traffic_.Now() + aTime;
-  timer_.async_wait([weak = weak_from_this(), due, aPhase](auto aError) {
-    const auto self = weak.lock();
-    if (!aError && self) {
-      self->OnTimeOver(due, aPhase);
-    }
+  const auto& now = traffic_.Routing().Limits();
+  return { .maxHeaderBytes_ =
+             std::max(limits_.maxHeaderBytes_, now.maxHeaderBytes_),
+           .maxBodyBytes_ = std::max(limits_.maxBodyBytes_, now.maxBodyBytes_),
+           .headerTimeout_ =
+             std::max(limits_.headerTimeout_, now.headerTimeout_),
+           .idleTimeout_ = std::max(limits_.idleTimeout_, now.idleTimeout_) };
+}
+
+auto CallerConnection::HasUnread() -> bool
+{
+  return socket_.is_open() && ProbeIdle(socket_) == IdleState::HasBytes;
+}
+
+auto CallerConnection::CloseAfter(Duration aTime, std::string_view aPhase,
+                                  Duration aSpent) -> void
+{
+  deadline_.Arm(aTime - aSpent, [this, aTime, aPhase](auto aLate) {
+    OnTimeOver(aTime, aLate, aPhase);
   });
 }
 
-auto CallerConnection::OnTimeOver(TimePoint aDue, std::string_view aPhase)
-  -> void
+auto CallerConnection::OnTimeOver(Duration aTime, Duration aLate,
+                                  std::string_view aPhase) -> void
 {
-  const auto unread =
-    socket_.is_open() && ProbeIdle(socket_) == IdleState::HasBytes;
+  // Looked up only now: a new configuration must not touch every connection.
+  const auto limits = Limits();
+  const auto allowed = aPhase == kIdle || aPhase == kBody ? limits.idleTimeout_
+                       : aPhase == kHeader ? limits.headerTimeout_
+                                           : Duration{};
+  if (allowed > aTime + aLate) {
+    CloseAfter(allowed, aPhase, aTime + aLate);
+    return;
+  }
+  const auto unread = HasUnread();
   if (aPhase != kIdle || unread || !serving_.empty()) {
-    Log::Write(
-      LogLevel::Warning, "caller_timed_out",
-      { { "phase", std::string(aPhase) },
-        { "late_ms", std::to_string(ToMilliseconds(traffic_.Now() - aDue)) },
-        { "unread", unread ? "true" : "false" },
-        { "request", serving_ } });
+    Log::Write(LogLevel::Warning, "caller_timed_out",
+               { { "phase", std::string(aPhase) },
+                 { "late_ms", std::to_string(ToMilliseconds(aLate)) },
+                 { "unread", unread ? "true" : "false" },
+                 { "request", serving_ } });
   }
   traffic_.Metrics().Count("caller_timed_out_" + std::string(aPhase));
-  timedOut_ = true;
+  whyCut_ = "timed_out_" + std::string(aPhase);
   Abort();
 }
 
@@ -101,7 +117,7 @@
 {
   boost::system::error_code ignored;
   socket_.close(ignored);
-  timer_.cancel();
+  deadline_.Disarm();
 }
 
 auto CallerConnection::IsIdle() -> bool
@@ -120,9 +136,8 @@
 
 auto CallerConnection::ReadRequest(CallerRequest& aRequest) -> Task<Intake>
 {
-  const auto limits = traffic_.Routing().Limits();
   if (buffer_.size() == 0) {
-    CloseAfter(limits.idleTimeout_, kIdle);
+    CloseAfter(Limits().idleTimeout_, kIdle);
     const auto [error] =
       co_await socket_.async_wait(Tcp::socket::wait_read, kAsTuple);
     if (error) {
@@ -130,6 +145,7 @@
     }
   }
   idleSince_.reset();
+  const auto limits = Limits();
   CloseAfter(limits.headerTimeout_, kHeader);
   http::request_parser<http::string_body> parser;
   parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes_));
@@ -148,7 +164,7 @@
   }
   while (!parser.is_done()) {
     // Each part of the body may take as long as a connection may be idle.
-    CloseAfter(limits.idleTimeout_, kBody);
+    CloseAfter(Limits().idleTimeout_, kBody);
     std::tie(error, size) =
       co_await http::async_read_some(socket_, buffer_, parser, kAsTuple);
     if (error && IsProtocolError(error)) {
@@ -158,7 +174,7 @@
       co_return Intake::Ended;
     }
   }
-  timer_.cancel();
+  deadline_.Disarm();
   aRequest = parser.release();
   co_return Intake::Whole;
 }
@@ -213,6 +229,7 @@
   for (;;) {
     CallerRequest request;
     idleSince_ = traffic_.Now();
+    limits_ = traffic_.Routing().Limits();
     if (stopping_ && buffer_.size() == 0) {
       break;
     }
@@ -225,10 +242,10 @@
       std::make_shared<RequestRun>(traffic_, self, std::move(request));
     serving_ = run->Id();
     WatchForClose(run);
-    const auto answered = co_await run->Serve();
+    const auto goesOn = co_await Serve(run);
     serving_.clear();
     ++watch_;
-    if (!answered || !callerKeeps || !socket_.is_open() ||
+    if (!goesOn || !callerKeeps || !socket_.is_open() ||
         traffic_.IsStopping()) {
       break;
     }
@@ -243,53 +260,18 @@
   traffic_.OnCallerEnd(self);
 }
 
-auto CallerConnection::SendWhole(http::response<http::string_body> aAnswer)
-  -> Task<bool>
-{
-  const auto self = shared_from_this();
-  CloseAfter(kWriteTimeout, kAnswer);
-  const auto [error, size] =
-    co_await http::async_write(socket_, aAnswer, kAsTuple);
-  timer_.cancel();
-  co_return !error;
-}
-
-auto CallerConnection::SendHeadOnly(http::response<http::empty_body> aAnswer)
-  -> Task<bool>
+auto CallerConnection::Serve(std::shared_ptr<RequestRun> aRun) -> Task<bool>
 {
-  const auto self = shared_from_this();
-  http::response_serializer<http::empty_body> serializer(aAnswer);
-  CloseAfter(kWriteTimeout, kAnswer);
-  const auto [error, size] =
-    co_await http::async_write_header(socket_, serializer, kAsTuple);
-  timer_.cancel();
-  co_return !error;
-}
-
-auto CallerConnection::SendStreamHead(http::response<http::empty_body> aHead)
-  -> Task<bool>
-{
-  aHead.chunked(true);
-  co_return co_await SendHeadOnly(std::move(aHead));
-}
-
-auto CallerConnection::SendChunk(std::string aBytes) -> Task<bool>
-{
-  const auto self = shared_from_this();
-  if (aBytes.empty()) {
-    co_return true; // An empty chunk would end the body.
+  answered_ = false;
+  whyCut_.clear();
+  const auto goesOn = co_await aRun->Serve();
+  if (!answered_) {
+    Log::Write(LogLevel::Info, "caller_unanswered",
+               { { "request", serving_ },
+                 { "reason", whyCut_.empty() ? "broken_off" : whyCut_ } });
+    traffic_.Metrics().Count("callers_unanswered");
   }
-  const auto [error, size] = co_await asio::async_write(
-    socket_, http::make_chunk(asio::buffer(aBytes)), kAsTuple);
-  co_return !error;
-}
-
-auto CallerConnection::SendLastChunk() -> Task<bool>
-{
-  const auto self = shared_from_this();
-  const auto [error, size] =
-    co_await asio::async_write(socket_, http::make_chunk_last(), kAsTuple);
-  co_return !error;
+  co_return goesOn;
 }
 
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/CallerConnection.h
+++ b/goldcrestcroft/src/Gateway/CallerConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "Net.h"
+#include "../../Routing.h"
+#include "Deadline.h"
 #include "OwnAnswer.h"
 
 namespace goldcrestcroft {
@@ -51,20 +52,36 @@
   auto ReadRequest(CallerRequest& aRequest) -> Task<Intake>;
   auto Reject(OwnAnswer aAnswer) -> Task<Intake>;
   auto WatchForClose(std::shared_ptr<RequestRun> aRun) -> void;
-  /** \brief aPhase says in the log what the time was for. */
-  auto CloseAfter(Duration aTime, std::string_view aPhase) -> void;
-  auto OnTimeOver(TimePoint aDue, std::string_view aPhase) -> void;
+  /** \brief Serves the request; whether the connection may go on. */
+  auto Serve(std::shared_ptr<RequestRun> aRun) -> Task<bool>;
+  /** \brief aPhase says in the log what the time was for; aSpent of it has
+   * passed. */
+  auto CloseAfter(Duration aTime, std::string_view aPhase, Duration aSpent = {})
+    -> void;
+  auto OnTimeOver(Duration aTime, Duration aLate, std::string_view aPhase)
+    -> void;
+  /** \brief What the caller may go by: the limits since its last answer, or
+   * those in force now where they allow more. */
+  [[nodiscard]] auto Limits() const -> ClientLimits;
+  /** \brief Takes note of how the writing of an answer's end went. */
+  auto NoteSent(const boost::system::error_code& aError, bool aIsEnd) -> bool;
+  [[nodiscard]] auto HasUnread() -> bool;
   auto Linger() -> Task<void>;
 
   Tcp::socket socket_;
-  asio::steady_timer timer_;
+  Deadline deadline_;
   beast::flat_buffer buffer_;
   Traffic& traffic_;
+  /** Those in force when the last answer ended. */
+  ClientLimits limits_;
   std::optional<TimePoint> idleSince_;
   bool stopping_ = false;
-  bool timedOut_ = false;
   /** Id of the request under way, for the log. */
   std::string serving_;
+  /** Whether the answer to it has gone out to its end. */
+  bool answered_ = false;
+  /** Why the connection ended under it, as far as is known here. */
+  std::string whyCut_;
   std::uint64_t watch_ = 0;
 };
 
