Answer a request whose serving ends with an exception

What callers saw: nothing for ever, on a connection that stayed open. Cause: an exception ended the coroutine of the connection unseen. No input is known that throws (pieces are bounded, times and heads are parsed without exceptions; read, not tried out); the test has the codec throw.

The connection now logs request_failed and answers 502 host_failed, since the request may have run; where an answer had begun it is broken off. Orders of stages that such a request had placed are left to their deadlines.

--- a/goldcrestcroft/src/Gateway/CallerConnection.cpp
+++ b/goldcrestcroft/src/Gateway/CallerConnection.cpp
@@ -260,18 +260,4 @@
   traffic_.OnCallerEnd(self);
 }
 
-auto CallerConnection::Serve(std::shared_ptr<RequestRun> aRun) -> Task<bool>
-{
-  answered_ = false;
-  whyCut_.clear();
-  const auto goesOn = co_await aRun->Serve();
-  if (!answered_) {
-    Log::Write(LogLevel::Info, "caller_unanswered",
-               { { "request", serving_ },
-                 { "reason", whyCut_.empty() ? "broken_off" : whyCut_ } });
-    traffic_.Metrics().Count("callers_unanswered");
-  }
-  co_return goesOn;
-}
-
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/CallerConnection.h
+++ b/goldcrestcroft/src/Gateway/CallerConnection.h
@@ -54,6 +54,9 @@
   auto WatchForClose(std::shared_ptr<RequestRun> aRun) -> void;
   /** \brief Serves the request; whether the connection may go on. */
   auto Serve(std::shared_ptr<RequestRun> aRun) -> Task<bool>;
+  /** \brief Answers a request whose serving failed in a way that nothing here
+   * is made for. */
+  auto AnswerFailure(std::string aProblem) -> Task<void>;
   /** \brief aPhase says in the log what the time was for; aSpent of it has
    * passed. */
   auto CloseAfter(Duration aTime, std::string_view aPhase, Duration aSpent = {})
@@ -78,6 +81,8 @@
   bool stopping_ = false;
   /** Id of the request under way, for the log. */
   std::string serving_;
+  /** Whether bytes of its answer may have gone out. */
+  bool answering_ = false;
   /** Whether the answer to it has gone out to its end. */
   bool answered_ = false;
   /** Why the connection ended under it, as far as is known here. */
--- a/goldcrestcroft/src/Gateway/CallerConnectionAnswer.cpp
+++ b/goldcrestcroft/src/Gateway/CallerConnectionAnswer.cpp
@@ -1,5 +1,9 @@
 #include "CallerConnection.h"
 
+#include "../Observability/Log.h"
+#include "RequestRun.h"
+#include "Traffic.h"
+
 namespace goldcrestcroft {
 
 namespace {
@@ -11,6 +15,48 @@
 
 } // namespace
 
+auto CallerConnection::AnswerFailure(std::string aProblem) -> Task<void>
+{
+  // Left alone it would end this coroutine, and the caller would wait for ever.
+  Log::Write(LogLevel::Error, "request_failed",
+             { { "request", serving_ }, { "reason", aProblem } });
+  traffic_.Metrics().Count("requests_failed");
+  if (answering_) {
+    co_return;
+  }
+  auto answer = traffic_.MakeAnswer(
+    { .status_ = 502,
+      .reason_ = "host_failed",
+      .message_ = "this host failed; the request may have run",
+      .closes_ = true },
+    serving_);
+  co_await SendWhole(std::move(answer));
+}
+
+auto CallerConnection::Serve(std::shared_ptr<RequestRun> aRun) -> Task<bool>
+{
+  answering_ = false;
+  answered_ = false;
+  whyCut_.clear();
+  auto goesOn = false;
+  std::optional<std::string> problem;
+  try {
+    goesOn = co_await aRun->Serve();
+  } catch (const std::exception& aProblem) {
+    problem = aProblem.what();
+  }
+  if (problem) {
+    co_await AnswerFailure(std::move(*problem));
+  }
+  if (!answered_) {
+    Log::Write(LogLevel::Info, "caller_unanswered",
+               { { "request", serving_ },
+                 { "reason", whyCut_.empty() ? "broken_off" : whyCut_ } });
+    traffic_.Metrics().Count("callers_unanswered");
+  }
+  co_return goesOn;
+}
+
 auto CallerConnection::NoteSent(const boost::system::error_code& aError,
                                 bool aIsEnd) -> bool
 {
@@ -25,6 +71,7 @@
   -> Task<bool>
 {
   const auto self = shared_from_this();
+  answering_ = true;
   CloseAfter(kWriteTimeout, kAnswer);
   const auto [error, size] =
     co_await http::async_write(socket_, aAnswer, kAsTuple);
@@ -38,6 +85,7 @@
   const auto self = shared_from_this();
   const auto isEnd = !aAnswer.chunked();
   http::response_serializer<http::empty_body> serializer(aAnswer);
+  answering_ = true;
   CloseAfter(kWriteTimeout, kAnswer);
   const auto [error, size] =
     co_await http::async_write_header(socket_, serializer, kAsTuple);
--- a/test/unit/StaleTimeoutTest.cpp
+++ b/test/unit/StaleTimeoutTest.cpp
@@ -1,4 +1,5 @@
 #include "LoopStall.h"
+#include "ThrowingCodec.h"
 
 #include <doctest/doctest.h>
 #include <goldcrestcroft/src/Gateway/EngineExchange.h>
@@ -201,6 +202,22 @@
   CHECK(answer.find(" 413 ") == std::string::npos);
 }
 
+TEST_CASE("a request whose serving fails unexpectedly is answered")
+{
+  LoopStall loop;
+  const ThrowingCodec codec;
+  StalledTraffic traffic(loop, &codec);
+  traffic.SetLimits({});
+  auto caller = traffic.AddCaller();
+  asio::write(caller, asio::buffer(std::string(kRequest)));
+  std::string answer;
+  CHECK(loop.RunUntil([&] {
+    answer += ReadWaiting(caller);
+    return answer.ends_with("}");
+  }));
+  CHECK(answer.starts_with("HTTP/1.1 502 "));
+}
+
 TEST_CASE("a link that connected while the loop stood still stays")
 {
   LoopStall loop;
