Cut answers of backend servers at bounds of bytes and of time

Callers saw 504 at their deadline, and streams that may be resumed did not go on elsewhere, where an engine sent bytes without end: interim answers, a head or a chunk's extension that comes slowly or never ends, a trailer, an event, the body of a failure or of an answer to another request. The host grew to 653 MB with 40 bodies at once, and has 160 MB.

Cause: only one head and one body were bounded, each by itself. Interim answers were not counted; Beast bounds neither a chunk's head nor a trailer, and goes on reading inside one call until it has a whole one; the part of an event grew with each read and was scanned anew; each read re-armed the time-out of a stream; and the 16 MB that one body may have were not bounded over all requests.

The exchange now reads the socket itself and gives the parser what came, so that it sees each read. AnswerBounds holds every bound with its unit and source. Time is looked at when bytes have come and the part is still not whole, so silence, also of a host that stood still, is no reason to cut. HeldBytes counts all bodies that are held; beyond 32 MB the longest unfinished one gives way, so that short answers of others are not touched. An id of an event over 1,024 bytes is not sent to another engine. Each cut is counted by the name of its bound and logged with a remedy.

Ruled out: a limit on Beast's buffer alone, which leaves the slow cases; a timer for heads, which would also end the wait for a silent engine; a lower bound for each body, which would refuse what is served now.

The slow body of a success on a plain route is not told from a slow engine: it lasts to the time of its attempt, as before.

The stand-in replaces the id in all places of the bytes now, not only the first: a case counted 5 events of 6 for that, with the stand-in at fault.

--- a/goldcrestcroft/src/Gateway/EngineExchange.cpp
+++ b/goldcrestcroft/src/Gateway/EngineExchange.cpp
@@ -7,11 +7,9 @@
 
 namespace {
 
-constexpr std::size_t kMaxHeadBytes = 32'768;
 constexpr std::size_t kReadBytes = 4096;
-/** Late answers of others that are read past on one connection. */
-constexpr auto kMostStrayAnswers = 4;
-constexpr std::size_t kMaxStrayBytes = 1U << 20U;
+/** The end of a chunk's data, which the parser takes with the next chunk. */
+constexpr std::size_t kChunkEndBytes = 2;
 
 /** The time that a Keep-Alive header names; zero without one. */
 auto ReadKeepFor(std::string_view aHeader) -> Duration
@@ -45,6 +43,18 @@
 
 } // namespace
 
+EngineExchange::EngineExchange(EngineLease aLease, const HeaderNames& aNames,
+                               HeldBytes& aHeld)
+  : lease_(std::move(aLease))
+  , names_(aNames)
+  , held_(aHeld, [weak = std::weak_ptr(lease_.connection_)] {
+    if (const auto connection = weak.lock()) {
+      connection->Close();
+    }
+  })
+{
+}
+
 auto EngineExchange::TakeHead() -> void
 {
   auto& message = parser_->get();
@@ -65,28 +75,60 @@
   }
 }
 
+auto EngineExchange::ReadNextHead(bool aHasNoBody) -> Task<ReadEnd>
+{
+  auto& buffer = lease_.connection_->Buffer();
+  parser_.emplace();
+  parser_->header_limit(bounds_.headBytes_);
+  parser_->body_limit(boost::none);
+  parser_->skip(aHasNoBody);
+  bodyBytes_ = 0;
+  framingBytes_ = 0;
+  framingAt_.reset();
+  std::optional<TimePoint> begunAt;
+  while (!parser_->is_header_done()) {
+    if (buffer.size() > 0) {
+      boost::system::error_code error;
+      headBytes_ += Parse(error);
+      if (error == http::error::header_limit ||
+          headBytes_ > 2 * bounds_.headBytes_) {
+        co_return Pass(AnswerBound::HeadBytes);
+      }
+      if (error && error != http::error::need_more) {
+        co_return ReadEnd::Garbled;
+      }
+      if (parser_->is_header_done()) {
+        break;
+      }
+      begunAt = begunAt.value_or(clock_.Now());
+      if (clock_.Now() - *begunAt > bounds_.headTime_) {
+        co_return Pass(AnswerBound::HeadTime);
+      }
+    }
+    const auto error = co_await Receive();
+    if (error) {
+      co_return ReadEnd::Broken;
+    }
+  }
+  co_return ReadEnd::Done;
+}
+
 auto EngineExchange::ReadHead(std::string aRequestId, bool aHasNoBody)
   -> Task<ReadEnd>
 {
-  auto& connection = *lease_.connection_;
-  for (auto strays = 0; strays < kMostStrayAnswers;) {
-    parser_.emplace();
-    parser_->header_limit(kMaxHeadBytes);
-    parser_->body_limit(boost::none);
-    parser_->skip(aHasNoBody);
-    const auto [error, size] = co_await http::async_read_header(
-      connection.Socket(), connection.Buffer(), *parser_, kAsTuple);
-    if (error) {
-      const auto garbled =
-        error.category() ==
-          make_error_code(http::error::bad_version).category() &&
-        error != http::error::end_of_stream &&
-        error != http::error::partial_message;
-      co_return garbled ? ReadEnd::Garbled : ReadEnd::Broken;
+  auto strays = 0;
+  auto interim = 0;
+  for (;;) {
+    auto end = co_await ReadNextHead(aHasNoBody);
+    if (end != ReadEnd::Done) {
+      co_return end;
     }
     const auto status = parser_->get().result_int();
     if (status >= 100 && status < 200) {
-      continue; // An interim answer.
+      if (++interim > bounds_.interimAnswers_) {
+        co_return Pass(AnswerBound::InterimAnswers);
+      }
+      continue;
     }
     const auto echoed = parser_->get()[names_.requestId_];
     if (aRequestId.empty() ||
@@ -94,37 +136,108 @@
       TakeHead();
       co_return ReadEnd::Done;
     }
-    ++strays;
-    std::string dropped;
-    const auto end = co_await ReadAll(dropped, kMaxStrayBytes);
+    if (++strays >= bounds_.strayAnswers_) {
+      co_return Pass(AnswerBound::StrayAnswers);
+    }
+    end = co_await SkipBody();
     if (end != ReadEnd::Done) {
       co_return end;
     }
   }
-  co_return ReadEnd::Garbled;
 }
 
-auto EngineExchange::ReadSome(std::string& aInto) -> Task<ReadEnd>
+auto EngineExchange::Receive() -> Task<boost::system::error_code>
 {
   auto& connection = *lease_.connection_;
+  const auto [error, size] = co_await connection.Socket().async_read_some(
+    connection.Buffer().prepare(kReadBytes), kAsTuple);
+  connection.Buffer().commit(size);
+  co_return error;
+}
+
+auto EngineExchange::Parse(boost::system::error_code& aError) -> std::size_t
+{
+  auto& buffer = lease_.connection_->Buffer();
+  const auto size = parser_->put(buffer.data(), aError);
+  buffer.consume(size);
+  return size;
+}
+
+auto EngineExchange::FramingEnd(std::size_t aBytes) -> ReadEnd
+{
+  framingBytes_ += aBytes;
+  const auto waiting = lease_.connection_->Buffer().size();
+  if (waiting > bounds_.framingBytes_ ||
+      framingBytes_ >
+        bounds_.framingBytes_ + bounds_.framingOfBody_ * bodyBytes_) {
+    return Pass(AnswerBound::FramingBytes);
+  }
+  if (waiting <= kChunkEndBytes) {
+    framingAt_.reset();
+    return ReadEnd::Done;
+  }
+  framingAt_ = framingAt_.value_or(clock_.Now());
+  return clock_.Now() - *framingAt_ > bounds_.headTime_
+           ? Pass(AnswerBound::FramingTime)
+           : ReadEnd::Done;
+}
+
+auto EngineExchange::ReadSome(std::string& aInto) -> Task<ReadEnd>
+{
   char bytes[kReadBytes];
   while (!parser_->is_done()) {
-    auto& body = parser_->get().body();
-    body.data = bytes;
-    body.size = sizeof(bytes);
-    const auto [error, size] = co_await http::async_read_some(
-      connection.Socket(), connection.Buffer(), *parser_, kAsTuple);
-    const auto got = sizeof(bytes) - body.size;
-    aInto.append(bytes, got);
-    if (error && error != http::error::need_buffer) {
-      const auto broken = error == asio::error::eof ||
-                          error == http::error::partial_message ||
-                          error == http::error::end_of_stream ||
-                          error.category() == boost::system::system_category();
-      co_return broken ? ReadEnd::Broken : ReadEnd::Garbled;
-    }
-    if (got > 0) {
-      break;
+    auto ready = false;
+    if (lease_.connection_->Buffer().size() > 0) {
+      auto& body = parser_->get().body();
+      body.data = bytes;
+      body.size = sizeof(bytes);
+      boost::system::error_code error;
+      const auto size = Parse(error);
+      const auto got = sizeof(bytes) - body.size;
+      aInto.append(bytes, got);
+      bodyBytes_ += got;
+      const auto more = error == http::error::need_more;
+      if (error && !more && error != http::error::need_buffer) {
+        co_return ReadEnd::Garbled;
+      }
+      const auto framing = FramingEnd(size - got);
+      if (got > 0) {
+        framingAt_.reset();
+      }
+      if (framing != ReadEnd::Done || got > 0) {
+        co_return framing;
+      }
+      ready = size > 0 && !more;
+    }
+    if (ready || parser_->is_done()) {
+      continue;
+    }
+    auto error = co_await Receive();
+    if (error == asio::error::eof) {
+      error = {};
+      parser_->put_eof(error);
+    }
+    if (error) {
+      co_return ReadEnd::Broken;
+    }
+  }
+  co_return ReadEnd::Done;
+}
+
+auto EngineExchange::SkipBody() -> Task<ReadEnd>
+{
+  const auto begunAt = clock_.Now();
+  while (!parser_->is_done()) {
+    std::string dropped;
+    const auto end = co_await ReadSome(dropped);
+    if (end != ReadEnd::Done) {
+      co_return end;
+    }
+    if (bodyBytes_ > bounds_.otherBytes_) {
+      co_return Pass(AnswerBound::BodyBytes);
+    }
+    if (!parser_->is_done() && clock_.Now() - begunAt > bounds_.otherTime_) {
+      co_return Pass(AnswerBound::BodyTime);
     }
   }
   co_return ReadEnd::Done;
@@ -134,12 +247,39 @@
   -> Task<ReadEnd>
 {
   while (!parser_->is_done()) {
+    const auto before = aInto.size();
     const auto end = co_await ReadSome(aInto);
+    if (held_.IsCut() || !held_.Grow(aInto.size() - before)) {
+      co_return Pass(AnswerBound::HeldBytes);
+    }
     if (end != ReadEnd::Done) {
       co_return end;
     }
     if (aInto.size() > aMost) {
-      co_return ReadEnd::Garbled;
+      co_return Pass(AnswerBound::BodyBytes);
+    }
+  }
+  held_.Settle();
+  co_return ReadEnd::Done;
+}
+
+auto EngineExchange::ReadFailure(std::string& aInto) -> Task<ReadEnd>
+{
+  const auto begunAt = clock_.Now();
+  while (!parser_->is_done()) {
+    const auto before = aInto.size();
+    const auto end = co_await ReadSome(aInto);
+    if (held_.IsCut() || !held_.Grow(aInto.size() - before)) {
+      co_return Pass(AnswerBound::HeldBytes);
+    }
+    if (end != ReadEnd::Done) {
+      co_return end;
+    }
+    if (aInto.size() > bounds_.otherBytes_) {
+      co_return Pass(AnswerBound::BodyBytes);
+    }
+    if (!parser_->is_done() && clock_.Now() - begunAt > bounds_.otherTime_) {
+      co_return Pass(AnswerBound::BodyTime);
     }
   }
   co_return ReadEnd::Done;
--- a/goldcrestcroft/src/Gateway/EngineExchange.h
+++ b/goldcrestcroft/src/Gateway/EngineExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "AnswerBounds.h"
 #include "EnginePool.h"
 #include "PlatformCodec.h"
 
@@ -37,11 +38,9 @@
 class EngineExchange
 {
 public:
-  EngineExchange(EngineLease aLease, const HeaderNames& aNames)
-    : lease_(std::move(aLease))
-    , names_(aNames)
-  {
-  }
+  /** \brief aHeld counts the bodies that are read as a whole. */
+  EngineExchange(EngineLease aLease, const HeaderNames& aNames,
+                 HeldBytes& aHeld);
 
   /** \brief Reads the head of the answer with this id, past answers that came
    * late to others. aHasNoBody is for HEAD requests. */
@@ -51,6 +50,16 @@
   auto ReadSome(std::string& aInto) -> Task<ReadEnd>;
   /** \brief The whole body, of at most aMost bytes. */
   auto ReadAll(std::string& aInto, std::size_t aMost) -> Task<ReadEnd>;
+  /** \brief The same for the body of a failure, which is short. */
+  auto ReadFailure(std::string& aInto) -> Task<ReadEnd>;
+  /** \brief The bound that this answer has passed. */
+  [[nodiscard]] auto Passed() const -> AnswerBound { return passed_; }
+  /** \brief Notes a bound that its reader found passed. */
+  auto Pass(AnswerBound aBound) -> ReadEnd
+  {
+    passed_ = aBound;
+    return ReadEnd::Garbled;
+  }
   /** \brief Whether the body has been read to its end. */
   [[nodiscard]] auto IsComplete() const -> bool
   {
@@ -65,11 +74,29 @@
 
 private:
   auto TakeHead() -> void;
+  /** \brief The head of the next answer, whosever it is. */
+  auto ReadNextHead(bool aHasNoBody) -> Task<ReadEnd>;
+  /** \brief Waits for bytes of the connection. */
+  auto Receive() -> Task<boost::system::error_code>;
+  /** \brief Gives the bytes that wait to the parser; returns how many it
+   * took. */
+  auto Parse(boost::system::error_code& aError) -> std::size_t;
+  auto SkipBody() -> Task<ReadEnd>;
+  [[nodiscard]] auto FramingEnd(std::size_t aBytes) -> ReadEnd;
 
   EngineLease lease_;
   const HeaderNames& names_;
   std::optional<http::response_parser<http::buffer_body>> parser_;
   EngineAnswerHead head_;
+  AnswerBounds bounds_;
+  AnswerBound passed_ = AnswerBound::None;
+  HeldBytes::Share held_;
+  SuspendAwareClock clock_;
+  std::size_t headBytes_ = 0;
+  std::size_t bodyBytes_ = 0;
+  std::size_t framingBytes_ = 0;
+  /** When the chunk's head began that has not come to its end. */
+  std::optional<TimePoint> framingAt_;
 };
 
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/EnginePool.h
+++ b/goldcrestcroft/src/Gateway/EnginePool.h
@@ -3,6 +3,7 @@
 #include "../../Engines.h"
 #include "EngineConnection.h"
 #include "EngineLoadReport.h"
+#include "HeldBytes.h"
 
 #include <deque>
 #include <functional>
@@ -95,6 +96,13 @@
   /** \brief Takes what the engine says of itself in an answer: that it leaves,
    * or that it wants nothing for a while. */
   auto Heed(const EngineLease& aLease, const EngineAnswerHead& aHead) -> void;
+  /** \brief Bodies of answers that are held, of all connections. */
+  auto Held() -> HeldBytes& { return held_; }
+  /** \brief Counts an answer that passed the bound of this name. */
+  auto CountCut(const std::string& aBound) const -> void
+  {
+    options_.count_("engine_answers_cut_" + aBound);
+  }
   /** \brief Another host was told that this start of an engine leaves. */
   auto OnLeaving(const std::string& aId, std::uint64_t aStartedAt) -> void;
 
@@ -105,6 +113,7 @@
 
   asio::io_context& context_;
   Options options_;
+  HeldBytes held_;
   SuspendAwareClock clock_;
   std::shared_ptr<const EngineList> engines_ =
     std::make_shared<const EngineList>();
--- a/goldcrestcroft/src/Gateway/EventRelay.cpp
+++ b/goldcrestcroft/src/Gateway/EventRelay.cpp
@@ -5,16 +5,23 @@
 namespace {
 
 constexpr std::string_view kIdField = "id:";
+constexpr std::string_view kDataField = "data";
+/** It goes to an engine in a header; ids of engines are numbers. Bytes. */
+constexpr std::size_t kMaxIdBytes = 1024;
 
 } // namespace
 
 auto EventRelay::NoteId(std::string_view aEvent) -> void
 {
   ++events_;
+  withoutData_ += aEvent.size();
   while (!aEvent.empty()) {
     const auto end = aEvent.find('\n');
     auto line = aEvent.substr(0, end);
     aEvent = end == std::string_view::npos ? "" : aEvent.substr(end + 1);
+    if (line.starts_with(kDataField)) {
+      withoutData_ = 0;
+    }
     if (!line.starts_with(kIdField)) {
       continue;
     }
@@ -25,7 +32,11 @@
     if (!line.empty() && line.back() == '\r') {
       line.remove_suffix(1);
     }
-    lastId_ = std::string(line);
+    if (line.size() > kMaxIdBytes) {
+      hasLongId_ = true;
+    } else {
+      lastId_ = std::string(line);
+    }
   }
 }
 
@@ -33,22 +44,23 @@
 {
   partial_ += aBytes;
   std::size_t passed = 0;
-  std::size_t lineStart = 0;
-  for (std::size_t i = 0; i < partial_.size(); ++i) {
-    if (partial_[i] != '\n') {
+  for (; scanned_ < partial_.size(); ++scanned_) {
+    if (partial_[scanned_] != '\n') {
       continue;
     }
-    const auto length = i - lineStart;
+    const auto length = scanned_ - lineStart_;
     const auto blank =
-      length == 0 || (length == 1 && partial_[lineStart] == '\r');
-    lineStart = i + 1;
+      length == 0 || (length == 1 && partial_[lineStart_] == '\r');
+    lineStart_ = scanned_ + 1;
     if (blank) {
-      NoteId(std::string_view(partial_).substr(passed, lineStart - passed));
-      passed = lineStart;
+      NoteId(std::string_view(partial_).substr(passed, lineStart_ - passed));
+      passed = lineStart_;
     }
   }
   auto whole = partial_.substr(0, passed);
   partial_.erase(0, passed);
+  scanned_ -= passed;
+  lineStart_ -= passed;
   return whole;
 }
 
--- a/goldcrestcroft/src/Gateway/EventRelay.h
+++ b/goldcrestcroft/src/Gateway/EventRelay.h
@@ -14,7 +14,13 @@
   /** \brief Takes bytes; returns the events that they complete. */
   auto Feed(std::string_view aBytes) -> std::string;
   /** \brief Forgets the part of an event that has come so far. */
-  auto DropPartial() -> void { partial_.clear(); }
+  auto DropPartial() -> void
+  {
+    partial_.clear();
+    scanned_ = 0;
+    lineStart_ = 0;
+    withoutData_ = 0;
+  }
   /** \brief What came after the last whole event. */
   [[nodiscard]] auto Partial() const -> const std::string& { return partial_; }
   /** \brief Id of the last whole event that had one. */
@@ -23,11 +29,23 @@
     return lastId_;
   }
   [[nodiscard]] auto Events() const -> std::size_t { return events_; }
+  /** \brief Bytes since the last event that had data. */
+  [[nodiscard]] auto BytesWithoutData() const -> std::size_t
+  {
+    return withoutData_ + partial_.size();
+  }
+  /** \brief Whether an id came that is too long to be sent to an engine. */
+  [[nodiscard]] auto HasLongId() const -> bool { return hasLongId_; }
 
 private:
   auto NoteId(std::string_view aEvent) -> void;
 
   std::string partial_;
+  /** Bytes of it that have been looked at, and where its last line starts. */
+  std::size_t scanned_ = 0;
+  std::size_t lineStart_ = 0;
+  std::size_t withoutData_ = 0;
+  bool hasLongId_ = false;
   std::optional<std::string> lastId_;
   std::size_t events_ = 0;
 };
--- a/goldcrestcroft/src/Gateway/RequestRun.h
+++ b/goldcrestcroft/src/Gateway/RequestRun.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "AnswerBounds.h"
 #include "CallerConnection.h"
 #include "EventRelay.h"
 #include "Traffic.h"
@@ -94,6 +95,8 @@
   auto RelayStream(EngineExchange& aExchange) -> Task<AttemptEnd>;
   auto Deliver(const EngineAnswerHead& aHead, std::string aBody)
     -> Task<AttemptEnd>;
+  /** \brief Counts and logs an answer that was cut at a bound. */
+  auto NotePassed(const EngineLease& aLease, AnswerBound aBound) -> void;
   auto NoteLoss(const EngineLease& aLease) -> void;
   [[nodiscard]] auto TimeLeft() const -> Duration;
   [[nodiscard]] auto HasAttemptsLeft() const -> bool;
--- a/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
@@ -34,8 +34,12 @@
   }
   std::string body;
   aExchange.Lease().connection_->CloseAfter(TimeForHead());
-  const auto end =
-    co_await aExchange.ReadAll(body, traffic_.Options().maxAnswerBytes_);
+  auto end = ReadEnd::Broken;
+  if (succeeded) {
+    end = co_await aExchange.ReadAll(body, traffic_.Options().maxAnswerBytes_);
+  } else {
+    end = co_await aExchange.ReadFailure(body);
+  }
   if (head.notRun_) {
     co_return graph_ && (head.status_ == 409 || head.status_ == 400)
       ? AttemptEnd::InputsGone
@@ -88,6 +92,8 @@
     Duration(static_cast<Duration::rep>(static_cast<double>(gap.count()) *
                                         options.stallPauses_)));
   relay_.DropPartial();
+  const AnswerBounds bounds;
+  EventWatch watch(bounds);
   while (!aExchange.IsComplete()) {
     // Only where it could go on elsewhere is silence a reason to leave.
     connection->CloseAfter(HasAttemptsLeft() ? std::min(stall, TimeLeft())
@@ -95,6 +101,11 @@
     std::string bytes;
     const auto end = co_await aExchange.ReadSome(bytes);
     auto events = relay_.Feed(bytes);
+    const auto passed = watch.Check(relay_, traffic_.Now());
+    if (passed != AnswerBound::None) {
+      aExchange.Pass(passed);
+      co_return AttemptEnd::Lost;
+    }
     if (aExchange.IsComplete()) {
       events += relay_.Partial();
     }
@@ -117,8 +128,8 @@
       }
     }
     if (streamBegun_) {
-      const auto passed = co_await caller_->SendChunk(std::move(events));
-      if (!passed) {
+      const auto sent = co_await caller_->SendChunk(std::move(events));
+      if (!sent) {
         co_return AttemptEnd::Abandoned;
       }
     }
--- a/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
@@ -117,6 +117,20 @@
   return std::move(bytes).str();
 }
 
+auto RequestRun::NotePassed(const EngineLease& aLease, AnswerBound aBound)
+  -> void
+{
+  if (aBound == AnswerBound::None) {
+    return;
+  }
+  traffic_.Pool().CountCut(ToString(aBound));
+  Log::Write(LogLevel::Info, "engine_answer_cut",
+             { { "request", requestId_ },
+               { "engine", aLease.engine_->entry_.id_ },
+               { "bound", ToString(aBound) },
+               { "remedy", Remedy(aBound) } });
+}
+
 auto RequestRun::NoteLoss(const EngineLease& aLease) -> void
 {
   const auto& entry = aLease.engine_->entry_;
@@ -145,7 +159,7 @@
 {
   auto& pool = traffic_.Pool();
   auto& health = aLease.engine_->health_;
-  EngineExchange exchange(aLease, traffic_.Codec().Headers());
+  EngineExchange exchange(aLease, traffic_.Codec().Headers(), pool.Held());
   aLease.connection_->CloseAfter(TimeForHead());
   unsettled_ = true;
   auto end = ReadEnd::Broken;
@@ -155,6 +169,7 @@
                                      request_.method() == http::verb::head);
   }
   if (end != ReadEnd::Done) {
+    NotePassed(aLease, exchange.Passed());
     pool.Drop(aLease);
     NoteLoss(aLease);
     co_return AttemptEnd::Lost;
@@ -168,6 +183,7 @@
     aLease.engine_->reportedAt_ = traffic_.Now();
   }
   const auto result = co_await HandOver(exchange);
+  NotePassed(aLease, exchange.Passed());
   unsettled_ = result == AttemptEnd::Lost || result == AttemptEnd::Abandoned;
   if (exchange.IsReusable()) {
     pool.Keep(aLease, head.keepFor_);
--- a/goldcrestcroft/src/Gateway/StageDeskCalls.cpp
+++ b/goldcrestcroft/src/Gateway/StageDeskCalls.cpp
@@ -51,12 +51,19 @@
 
 auto StageDesk::ReadAnswer(EngineLease aLease, std::string& aBody) -> Task<int>
 {
-  EngineExchange exchange(aLease, codec_.Headers());
+  EngineExchange exchange(aLease, codec_.Headers(), pool_.Held());
   auto end = co_await exchange.ReadHead("", false);
   if (end == ReadEnd::Done) {
     pool_.Heed(aLease, exchange.Head());
     end = co_await exchange.ReadAll(aBody, kMaxAnswerBytes);
   }
+  if (const auto bound = exchange.Passed(); bound != AnswerBound::None) {
+    pool_.CountCut(ToString(bound));
+    Log::Write(LogLevel::Info, "stage_answer_cut",
+               { { "engine", aLease.engine_->entry_.id_ },
+                 { "bound", ToString(bound) },
+                 { "remedy", Remedy(bound) } });
+  }
   if (end == ReadEnd::Done && exchange.IsReusable()) {
     pool_.Keep(aLease, exchange.Head().keepFor_);
   } else {
--- a/test/platform/EndlessStandin.cpp
+++ b/test/platform/EndlessStandin.cpp
@@ -27,7 +27,7 @@
 {
   constexpr std::string_view kId = "@ID";
   auto text = aBytes.begin_;
-  if (const auto at = text.find(kId); at != std::string::npos) {
+  for (auto at = text.find(kId); at != std::string::npos; at = text.find(kId)) {
     text.replace(at, kId.size(), aRequestId);
   }
   const auto slow = aBytes.pause_ > std::chrono::milliseconds{};
--- a/test/process/EndlessBytesTest.cpp
+++ b/test/process/EndlessBytesTest.cpp
@@ -206,6 +206,7 @@
       const auto stream = fleet.Get(0, "/stream/x");
       CHECK(stream.status_ == 200);
       CHECK(stream.whole_);
+      CHECK(CountOf(stream.body_, "id: ") == 6);
       CHECK(CountOf(stream.body_, "data: " + fleet.LastId()) == 6);
     }
     Recover(fleet, "model", "/stream/x");
