Show in a test what frames that are announced and do not come cost

A case of process.EndlessBytes opens 39 links to a host, each of which announces a frame of 8 MB and sends no more. The host takes 324 MB; it has 160 MB.

--- a/test/process/EndlessBytesTest.cpp
+++ b/test/process/EndlessBytesTest.cpp
@@ -8,8 +8,10 @@
 
 namespace {
 
+using namespace goldcrestcroft;
 using standins::EndlessBytes;
 
+constexpr auto kPeerAddress = "127.0.0.1:8306";
 /** The host may use 160 MB. */
 constexpr std::size_t kHostMegabytes = 160;
 /** Time that each call has for its answer. */
@@ -270,4 +272,26 @@
   }
 }
 
+TEST_CASE("frames of peers that do not come do not take the host's memory")
+{
+  constexpr auto kLinks = 40;
+  EntryFleet fleet(1);
+  REQUIRE(fleet.AwaitReady(0));
+  asio::io_context context;
+  std::vector<Tcp::socket> links;
+  for (auto i = 0; i < kLinks; ++i) {
+    links.emplace_back(context);
+    links.back().connect(ParseTcpEndpoint(kPeerAddress));
+    // A frame of 8 MB, or at last one that is too long.
+    const auto first = i + 1 < kLinks ? '\0' : '\x7f';
+    asio::write(links.back(), asio::buffer(std::string{ first, '\x7f', 0, 0 }));
+  }
+  char byte = 0;
+  boost::system::error_code error;
+  links.back().read_some(asio::buffer(&byte, 1), error);
+  CHECK(error);
+  CHECK(fleet.Get(0, "/safe/x").status_ == 200);
+  CHECK(PeakMegabytes(fleet) < kHostMegabytes);
+}
+
 } // namespace testing
