Give a frame of a peer room as it comes, not as it is announced

A link to a host could announce a frame of 8 MB, the most that is allowed, and the host took and cleared that memory at once: 324 MB for 39 such links, where it has 160 MB.

Cause: the reader sized its buffer by the length before the contents came. It grows now by 64 KB as they come, so that memory follows what the other end sends.

A link whose frame stops midway stays open, as before.

--- a/goldcrestcroft/src/Gateway/PeerLink.cpp
+++ b/goldcrestcroft/src/Gateway/PeerLink.cpp
@@ -2,11 +2,15 @@
 
 #include <boost/asio/read.hpp>
 
+#include <algorithm>
+
 namespace goldcrestcroft {
 
 namespace {
 
 constexpr std::size_t kLengthBytes = 4;
+/** Room for a frame grows by this, in bytes, as its contents come. */
+constexpr std::size_t kReadBytes = 65'536;
 
 auto ReadLength(const unsigned char* aBytes) -> std::size_t
 {
@@ -85,11 +89,18 @@
       Close("a frame of " + std::to_string(length) + " bytes");
       break;
     }
-    contents.resize(length);
-    const auto [error, size] =
-      co_await asio::async_read(socket_, asio::buffer(contents), kAsTuple);
-    if (error) {
-      Close(error.message());
+    contents.clear();
+    while (open_ && contents.size() < length) {
+      const auto had = contents.size();
+      contents.resize(std::min(length, had + kReadBytes));
+      const auto part = asio::buffer(contents) + had;
+      const auto [error, size] =
+        co_await asio::async_read(socket_, part, kAsTuple);
+      if (error) {
+        Close(error.message());
+      }
+    }
+    if (!open_) {
       break;
     }
     const auto valid = Handle(
