--- a/goldcrestcroft/src/Gateway/PeerLink.cpp
+++ b/goldcrestcroft/src/Gateway/PeerLink.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/read.hpp>
 #include <spdlog/fmt/fmt.h>
 
+#include <algorithm>
+
 namespace goldcrestcroft {
 
 namespace {
@@ -13,6 +15,8 @@
 /** Bytes of an unreadable frame that the log shows; the kind of a frame and
  * the length of its first field are in them. */
 constexpr std::size_t kShownBytes = 16;
+/** Room for a frame grows by this, in bytes, as its contents come. */
+constexpr std::size_t kReadBytes = 65'536;
 
 auto ReadLength(const unsigned char* aBytes) -> std::size_t
 {
@@ -99,11 +103,18 @@
       Refuse(length, "", "longer than any frame");
       break;
     }
-    contents.resize(length);
-    const auto [error, size] =
-      co_await asio::async_read(socket_, asio::buffer(contents), kAsTuple);
-    if (error) {
-      Close(error.message());
+    contents.clear();
+    while (open_ && contents.size() < length) {
+      const auto had = contents.size();
+      contents.resize(std::min(length, had + kReadBytes));
+      const auto part = asio::buffer(contents) + had;
+      const auto [error, size] =
+        co_await asio::async_read(socket_, part, kAsTuple);
+      if (error) {
+        Close(error.message());
+      }
+    }
+    if (!open_) {
       break;
     }
     const auto valid = Handle(
