Bring requests that end engines, idle times and overlaps into the fault soak

Three callers send three bodies again and again at any host; engines end under them, the first of each service without a word. Configurations raise and lower the idle time. In all phases one host at a time is told to read again and to stop beside a change, also while it stops. Every fourth caller keeps its connection until it ends, with pauses of up to 2 s.

Checked: sends of such a body by hosts in touch later than the contact time after its third end (BUDGET), and whole requests that a host left without an answer beside a change over three times as often as otherwise (LOST). unit.SoakChecker shows for each that it can fail, and where it must not.

--- a/test/platform/PlatformStandin.cpp
+++ b/test/platform/PlatformStandin.cpp
@@ -76,7 +76,8 @@
 
 auto PlatformStandin::PutConfig(unsigned aVersion,
                                 const std::string& aExtraPrefix,
-                                const std::vector<std::string>& aKeys) -> void
+                                const std::vector<std::string>& aKeys,
+                                std::chrono::milliseconds aIdleTime) -> void
 {
   auto stream = Route("/stream/", "streaming", "model", 2);
   stream["stream_resume"] = true;
@@ -102,7 +103,9 @@
                     StageService("cutter"),
                     StageService("ranker") }) },
     { "limits",
-      { { "max_header_bytes", 4096 }, { "max_body_bytes", 100'000 } } },
+      { { "max_header_bytes", 4096 },
+        { "max_body_bytes", 100'000 },
+        { "idle_timeout_ms", aIdleTime.count() } } },
     { "tenants",
       json::array({ { { "name", "w1" }, { "api_keys", json(aKeys) } } }) }
   };
--- a/test/platform/PlatformStandin.h
+++ b/test/platform/PlatformStandin.h
@@ -22,6 +22,9 @@
     std::uint16_t publishedOffset_ = 0;
   };
 
+  /** How long callers' connections may be idle. */
+  static constexpr auto kIdleTime = std::chrono::milliseconds{ 15'000 };
+
   explicit PlatformStandin(Options aOptions);
   ~PlatformStandin();
   PlatformStandin(const PlatformStandin&) = delete;
@@ -38,7 +41,8 @@
   /** \brief Writes the configuration; aExtraPrefix adds a plain route, aKeys
    * are the keys of workspace "w1". */
   auto PutConfig(unsigned aVersion, const std::string& aExtraPrefix = "",
-                 const std::vector<std::string>& aKeys = { "key1" }) -> void;
+                 const std::vector<std::string>& aKeys = { "key1" },
+                 std::chrono::milliseconds aIdleTime = kIdleTime) -> void;
   auto SetTrouble(const std::string& aService, EngineStandin::Trouble aTrouble)
     -> void;
 
--- a/test/soak/CallRecord.h
+++ b/test/soak/CallRecord.h
@@ -14,9 +14,14 @@
   /** With the key that was issued last. */
   NewKey,
   /** With a key that was taken away. */
-  OldKey
+  OldKey,
+  /** Ends each engine that begins to run it. */
+  Poison
 };
 
+/** How long callers say that they wait. */
+inline constexpr auto kTimeLeft = std::chrono::milliseconds{ 1500 };
+
 /** \brief One request, as its caller saw it. */
 struct CallRecord
 {
@@ -32,6 +37,8 @@
   /** 0 where no whole head came. */
   int status_ = 0;
   bool whole_ = false;
+  /** The body of one that ends engines; empty otherwise. */
+  std::string poison_;
   bool gaveUp_ = false;
   /** An own rule of the answer that it breaks; empty if none. */
   std::string problem_;
--- a/test/soak/FaultInjector.cpp
+++ b/test/soak/FaultInjector.cpp
@@ -82,7 +82,8 @@
       return Drain(aFault);
     case FaultKind::NewRoute:
     case FaultKind::KeyRevoked:
-      ChangeConfig(aFault.kind_);
+    case FaultKind::IdleTimeChanged:
+      ChangeConfig(aFault);
       break;
   }
   return Sleep(context_, Duration{});
@@ -178,7 +179,7 @@
   constexpr std::size_t kMost = 3;
   for (auto left = 1 + aFault.variant_ % kMost; left > 0; --left) {
     const auto& host = fleet_.Hosts()[aFault.target_];
-    if (!host.down_ && Now() - host.startedAt_ > kLoadTime) {
+    if (host.process_.Pid() > 0 && Now() - host.startedAt_ > kLoadTime) {
       host.process_.Signal(SIGHUP);
     }
     co_await Sleep(context_, kBetweenSignals);
--- a/test/soak/FaultInjector.h
+++ b/test/soak/FaultInjector.h
@@ -32,6 +32,13 @@
   {
     return operator_;
   }
+  /** \brief Takes the ends of engines into the harm. */
+  auto NoteEnds() -> void;
+  /** \brief When configurations were written. */
+  [[nodiscard]] auto Changes() const -> const std::vector<TimePoint>&
+  {
+    return changes_;
+  }
   [[nodiscard]] auto Harm() const -> const Disturbances& { return harm_; }
   [[nodiscard]] auto Drains() const -> const std::vector<DrainRecord>&
   {
@@ -55,7 +62,7 @@
   auto RestartEngine(Fault aFault) -> Task<void>;
   auto Drain(Fault aFault) -> Task<void>;
   auto HarmStore(Fault aFault) -> Task<void>;
-  auto ChangeConfig(FaultKind aKind) -> void;
+  auto ChangeConfig(const Fault& aFault) -> void;
   auto AwaitEnd(std::size_t aHost) -> Task<bool>;
   [[nodiscard]] auto Now() const -> TimePoint;
 
@@ -64,9 +71,11 @@
   OperatorState operator_;
   Disturbances harm_;
   std::vector<DrainRecord> drains_;
+  std::vector<TimePoint> changes_;
   std::vector<std::string> problems_;
   /** Faults under way, by the part; the last one ends the harm. */
   std::map<std::string, int> active_;
+  std::chrono::milliseconds idleTime_{ 15'000 };
   unsigned routes_ = 0;
   unsigned keys_ = 0;
   std::size_t running_ = 0;
--- a/test/soak/FaultInjectorPlatform.cpp
+++ b/test/soak/FaultInjectorPlatform.cpp
@@ -3,6 +3,7 @@
 namespace soak {
 
 using namespace goldcrestcroft;
+using namespace std::chrono_literals;
 using Trouble = standins::EngineStandin::Trouble;
 
 namespace {
@@ -113,10 +114,24 @@
   harm_.End(harm, Now());
 }
 
-auto FaultInjector::ChangeConfig(FaultKind aKind) -> void
+auto FaultInjector::NoteEnds() -> void
 {
+  for (const auto& engine : fleet_.Engines()) {
+    const auto part = EnginePart(engine.standin_->Id());
+    for (const auto& end : engine.standin_->Ends()) {
+      harm_.End(harm_.Begin(part, end.at_), end.at_ + SoakFleet::kEngineAway);
+    }
+  }
+}
+
+auto FaultInjector::ChangeConfig(const Fault& aFault) -> void
+{
+  constexpr std::array kIdleTimes = { 1s, 2s, 5s, 15s };
   ++operator_.version_;
-  if (aKind == FaultKind::NewRoute) {
+  changes_.push_back(Now());
+  if (aFault.kind_ == FaultKind::IdleTimeChanged) {
+    idleTime_ = kIdleTimes.at(aFault.variant_ % kIdleTimes.size());
+  } else if (aFault.kind_ == FaultKind::NewRoute) {
     operator_.route_ = "/new-" + std::to_string(++routes_) + "/";
     operator_.routeSince_ = Now();
   } else {
@@ -126,7 +141,7 @@
     operator_.keySince_ = Now();
   }
   fleet_.Platform().PutConfig(operator_.version_, operator_.route_,
-                              { "key1", operator_.key_ });
+                              { "key1", operator_.key_ }, idleTime_);
 }
 
 } // namespace soak
--- a/test/soak/SoakCaller.cpp
+++ b/test/soak/SoakCaller.cpp
@@ -13,6 +13,10 @@
 constexpr auto kPatience = std::chrono::milliseconds{ 5000 };
 constexpr auto kBackOff = std::chrono::milliseconds{ 50 };
 constexpr int kThinkMs = 60;
+/** Pauses of callers that keep connections, and between poisons. */
+constexpr int kLongThinkMs = 2000;
+constexpr int kLongThinkPercent = 5;
+constexpr int kPoisons = 3;
 constexpr int kMostCallsOfConnection = 40;
 constexpr int kEvents = 6;
 constexpr int kPercent = 100;
@@ -31,12 +35,14 @@
 
 SoakCaller::SoakCaller(asio::io_context& aContext, SoakFleet& aFleet,
                        const OperatorState& aOperator,
-                       std::vector<CallRecord>& aRecords, std::uint64_t aSeed)
+                       std::vector<CallRecord>& aRecords, std::uint64_t aSeed,
+                       CallerManner aManner)
   : context_(aContext)
   , fleet_(aFleet)
   , operator_(aOperator)
   , records_(aRecords)
   , random_(aSeed)
+  , manner_(aManner)
   , name_("caller-" + std::to_string(aSeed))
 {
 }
@@ -46,24 +52,36 @@
   return std::uniform_int_distribution<int>(0, aBelow - 1)(random_);
 }
 
-auto SoakCaller::Run() -> Task<void>
+auto SoakCaller::Run(Duration aAfter) -> Task<void>
 {
+  co_await Sleep(context_, aAfter);
   while (!stops_) {
     const auto hosts = static_cast<int>(fleet_.Hosts().size());
     co_await UseConnection(static_cast<std::size_t>(Pick(hosts)));
-    co_await Sleep(context_, kBackOff);
+    const auto pause = manner_ == CallerManner::Poisons ? Think() : kBackOff;
+    co_await Sleep(context_, pause);
   }
 }
 
-auto SoakCaller::MakeCall(CallRecord& aRecord) -> HttpCall
+auto SoakCaller::Think() -> std::chrono::milliseconds
 {
-  struct Form
-  {
-    CallKind kind_;
-    std::string target_;
-    std::string key_;
-    TimePoint since_;
-  };
+  const auto isLong =
+    manner_ == CallerManner::Poisons ||
+    (manner_ == CallerManner::Keeps && Pick(kPercent) < kLongThinkPercent);
+  return std::chrono::milliseconds{ Pick(isLong ? kLongThinkMs : kThinkMs) };
+}
+
+auto SoakCaller::PickForm() -> Form
+{
+  if (manner_ == CallerManner::Poisons) {
+    // One of them may be sent twice for a copy.
+    const auto which = Pick(kPoisons);
+    return { .kind_ = CallKind::Poison,
+             .target_ = which == 0 ? "/safe/x" : "/unsafe/x",
+             .key_ = "key1",
+             .since_ = {},
+             .poison_ = SoakFleet::kPoisonMarker + std::to_string(which) };
+  }
   std::vector<Form> forms;
   for (auto i = 0; i < 4; ++i) {
     forms.push_back({ CallKind::Safe, "/safe/x", "key1", {} });
@@ -80,12 +98,18 @@
     forms.push_back(
       { CallKind::OldKey, "/safe/x", now.oldKey_, now.oldKeySince_ });
   }
-  const auto& form =
-    forms[static_cast<std::size_t>(Pick(static_cast<int>(forms.size())))];
+  return forms[static_cast<std::size_t>(Pick(static_cast<int>(forms.size())))];
+}
+
+auto SoakCaller::MakeCall(CallRecord& aRecord) -> HttpCall
+{
+  const auto form = PickForm();
   aRecord.id_ = name_ + "-" + std::to_string(++calls_);
   aRecord.kind_ = form.kind_;
   aRecord.changedAt_ = form.since_;
-  const auto posts = form.kind_ == CallKind::Unsafe;
+  aRecord.poison_ = form.poison_;
+  const auto isPoison = !form.poison_.empty();
+  const auto posts = form.kind_ == CallKind::Unsafe || isPoison;
   HttpCall call(posts ? http::verb::post : http::verb::get, form.target_, 11);
   call.set("Host", "try.example");
   call.set("X-Api-Key", form.key_);
@@ -93,7 +117,7 @@
   call.set("Goldcrestcroft-Deadline-Ms", std::to_string(kTimeLeft.count()));
   call.set("Goldcrestcroft-Pieces", "2,3");
   call.set("Goldcrestcroft-Piece-Key", aRecord.id_);
-  call.body() = posts ? "body of " + aRecord.id_ : "";
+  call.body() = isPoison ? form.poison_ : posts ? "body of " + aRecord.id_ : "";
   call.prepare_payload();
   return call;
 }
@@ -131,7 +155,8 @@
     co_return;
   }
   beast::flat_buffer buffer;
-  for (auto left = kMostCallsOfConnection; left > 0 && !stops_; --left) {
+  auto left = manner_ == CallerManner::Poisons ? 1 : kMostCallsOfConnection;
+  while (!stops_ && (left-- > 0 || manner_ == CallerManner::Keeps)) {
     CallRecord record{ .host_ = aHost, .life_ = fleet_.Hosts()[aHost].life_ };
     const auto call = MakeCall(record);
     record.gaveUp_ = Pick(kPercent) < kGiveUpPercent;
@@ -160,7 +185,8 @@
     if (!keeps) {
       co_return;
     }
-    co_await Sleep(context_, std::chrono::milliseconds{ Pick(kThinkMs) });
+    const auto pause = Think();
+    co_await Sleep(context_, pause);
   }
 }
 
--- a/test/soak/SoakCaller.h
+++ b/test/soak/SoakCaller.h
@@ -19,6 +19,17 @@
   TimePoint oldKeySince_;
 };
 
+/** \brief What sets callers apart. */
+enum class CallerManner
+{
+  Usual,
+  /** Uses a connection until it ends, with pauses about as long as it may be
+   * idle. */
+  Keeps,
+  /** Sends bodies that end engines, each again and again at any host. */
+  Poisons
+};
+
 /** \brief A caller that keeps its connections open until they end, sends one
  * request after the other and checks each answer by itself. */
 class SoakCaller
@@ -26,20 +37,29 @@
 public:
   SoakCaller(asio::io_context& aContext, SoakFleet& aFleet,
              const OperatorState& aOperator, std::vector<CallRecord>& aRecords,
-             std::uint64_t aSeed);
+             std::uint64_t aSeed, CallerManner aManner);
 
-  /** \brief Calls until Stop. */
-  auto Run() -> Task<void>;
+  /** \brief Calls from so much later until Stop. */
+  auto Run(Duration aAfter) -> Task<void>;
   auto Stop() -> void { stops_ = true; }
-
-  static constexpr auto kTimeLeft = std::chrono::milliseconds{ 1500 };
+  [[nodiscard]] auto Manner() const -> CallerManner { return manner_; }
 
 private:
+  struct Form
+  {
+    CallKind kind_;
+    std::string target_;
+    std::string key_;
+    TimePoint since_;
+    std::string poison_{};
+  };
   using HttpCall =
     goldcrestcroft::http::request<goldcrestcroft::http::string_body>;
 
   auto UseConnection(std::size_t aHost) -> Task<void>;
+  auto PickForm() -> Form;
   auto MakeCall(CallRecord& aRecord) -> HttpCall;
+  auto Think() -> std::chrono::milliseconds;
   auto Judge(const goldcrestcroft::http::response<
                goldcrestcroft::http::string_body>& aAnswer,
              const HttpCall& aCall, CallRecord& aRecord) const -> void;
@@ -50,6 +70,7 @@
   const OperatorState& operator_;
   std::vector<CallRecord>& records_;
   std::mt19937_64 random_;
+  CallerManner manner_;
   std::string name_;
   unsigned calls_ = 0;
   bool stops_ = false;
--- a/test/soak/SoakChecker.cpp
+++ b/test/soak/SoakChecker.cpp
@@ -1,5 +1,8 @@
 #include "SoakChecker.h"
 
+#include "ChangeCheck.h"
+#include "PoisonCheck.h"
+
 #include <algorithm>
 #include <unordered_map>
 
@@ -10,8 +13,6 @@
 namespace {
 
 // Bounds of the platform's pages, as the deployments set them.
-constexpr Duration kContact = 4000ms;
-constexpr Duration kConfigInForce = 3000ms;
 constexpr Duration kDrained = 3000ms;
 constexpr Duration kLateAnswer = 500ms;
 constexpr std::size_t kLostAllowed = 3;
@@ -69,14 +70,6 @@
   {
     broken_.push_back(aRule + ": " + aText);
   }
-  [[nodiscard]] auto InTouch(std::size_t aHost, TimePoint aFrom,
-                             TimePoint aTo) const -> bool
-  {
-    return !seen_.harm_.Within({ HostPart(aHost), StopPart(aHost),
-                                 CallerLinkPart(aHost), StoreLinkPart(aHost),
-                                 kStorePart },
-                               aFrom - kContact, aTo);
-  }
 
   auto CheckAnswer(const CallRecord& aCall) -> void
   {
@@ -110,8 +103,9 @@
     const auto old = aCall.status_ == 401 || aCall.status_ == 404;
     const auto isNew =
       aCall.kind_ == CallKind::NewRoute || aCall.kind_ == CallKind::NewKey;
-    const auto inForce = aCall.sentAt_ > aCall.changedAt_ + kConfigInForce &&
-                         InTouch(aCall.host_, aCall.changedAt_, aCall.endedAt_);
+    const auto inForce =
+      aCall.sentAt_ > aCall.changedAt_ + kConfigInForce &&
+      seen_.InTouch(aCall.host_, aCall.changedAt_, aCall.endedAt_);
     if (isNew && old && inForce) {
       Add("config",
           aCall.id_ + " at host " + host + " was refused by an older version");
@@ -126,7 +120,7 @@
   /** Whether the request was answered in time, and not cut. */
   auto CheckEnd(const CallRecord& aCall) -> void
   {
-    const auto deadline = aCall.sentAt_ + SoakCaller::kTimeLeft;
+    const auto deadline = aCall.sentAt_ + kTimeLeft;
     const auto untouched = !seen_.harm_.Within(
       { HostPart(aCall.host_), CallerLinkPart(aCall.host_) },
       aCall.sentAt_ - kContact, aCall.endedAt_);
@@ -175,7 +169,7 @@
         const auto late =
           arrival.at_ > drain.from_ + kDrained && arrival.at_ < drain.to_;
         if (late && call != calls_.end() &&
-            InTouch(call->second->host_, drain.from_, arrival.at_) &&
+            seen_.InTouch(call->second->host_, drain.from_, arrival.at_) &&
             !seen_.harm_.Within({ EnginePart(drain.engine_) },
                                 drain.from_ - kContact, arrival.at_)) {
           Add("drain", arrival.requestId_ + " reached " + drain.engine_ +
@@ -257,7 +251,14 @@
 auto FindBrokenPromises(const SoakEvidence& aEvidence)
   -> std::vector<std::string>
 {
-  return Checker(aEvidence).Check();
+  auto broken = Checker(aEvidence).Check();
+  for (auto& line : FindPoisonsSent(aEvidence)) {
+    broken.push_back(std::move(line));
+  }
+  for (auto& line : FindLostBesideChanges(aEvidence)) {
+    broken.push_back(std::move(line));
+  }
+  return broken;
 }
 
 } // namespace soak
--- a/test/soak/SoakFleet.cpp
+++ b/test/soak/SoakFleet.cpp
@@ -33,6 +33,10 @@
   for (const auto* service : { "desk", "model", "cutter", "ranker" }) {
     for (const auto& engine : platform_.Engines(service)) {
       ++port;
+      // The first of each service ends without a word.
+      engine->EndUnder({ .marker_ = kPoisonMarker,
+                         .away_ = kEngineAway,
+                         .silent_ = engine == platform_.Engines(service)[0] });
       engines_.push_back({ .standin_ = engine.get(), .service_ = service });
       engineLinks_.push_back(std::make_unique<LoopbackProxy>(
         aContext, Local(port + kPublishedOffset), Local(port)));
--- a/test/soak/SoakFleet.h
+++ b/test/soak/SoakFleet.h
@@ -60,6 +60,9 @@
   [[nodiscard]] auto ReadinessAddress(std::size_t aHost) const -> std::string;
 
   static constexpr auto kGrace = std::chrono::seconds{ 3 };
+  /** From the end of an engine to its next start. */
+  static constexpr auto kEngineAway = std::chrono::milliseconds{ 1000 };
+  static constexpr auto kPoisonMarker = "poison-";
   static constexpr auto kRepeatRatio = 0.2;
   static constexpr auto kRepeatSlack = 30.0;
   static constexpr auto kRepeatWindow = std::chrono::seconds{ 10 };
--- a/test/soak/SoakPlan.cpp
+++ b/test/soak/SoakPlan.cpp
@@ -14,6 +14,7 @@
 /** Between faults of a phase, on average. */
 constexpr Millis kGap{ 700 };
 constexpr Millis kPlannedGap{ 1500 };
+constexpr Millis kOverlapGap{ 4000 };
 constexpr Millis kShortest{ 100 };
 constexpr Millis kLongest{ 4000 };
 constexpr std::size_t kVariants = 64;
@@ -53,6 +54,25 @@
       faults_.push_back(Make(at, aTo, aKinds[Pick(aKinds.size())]));
     }
   }
+  /** Signals to one host beside changes, all at one moment. */
+  auto FillOverlaps(Millis aTo) -> void
+  {
+    std::exponential_distribution<double> gap(
+      1.0 / static_cast<double>(kOverlapGap.count()));
+    for (Millis at{ 0 };;) {
+      at += Millis(static_cast<Millis::rep>(gap(random_)));
+      if (at >= aTo) {
+        return;
+      }
+      const auto host = Pick(hosts_);
+      for (const auto kind :
+           { FaultKind::HostReload, FaultKind::IdleTimeChanged,
+             FaultKind::HostStop }) {
+        faults_.push_back(Make(at, aTo, kind));
+        faults_.back().target_ = host;
+      }
+    }
+  }
   auto Pick(std::size_t aCount) -> std::size_t
   {
     return std::uniform_int_distribution<std::size_t>(0, aCount - 1)(random_);
@@ -90,10 +110,12 @@
 auto ToString(FaultKind aKind) -> std::string
 {
   constexpr std::array kNames = {
-    "host_pause",  "host_kill",      "host_stop",           "host_reload",
-    "engine_link", "engine_trouble", "engine_slow",         "engine_restart",
-    "store_link",  "store_busy",     "store_loses_answers", "store_forgets",
-    "caller_link", "engine_drain",   "new_route",           "key_revoked"
+    "host_pause",  "host_kill",           "host_stop",
+    "host_reload", "engine_link",         "engine_trouble",
+    "engine_slow", "engine_restart",      "store_link",
+    "store_busy",  "store_loses_answers", "store_forgets",
+    "caller_link", "engine_drain",        "new_route",
+    "key_revoked", "idle_time_changed"
   };
   return kNames.at(static_cast<std::size_t>(aKind));
 }
@@ -110,7 +132,15 @@
     planner.Fill(from, to, kFamilies[first], kGap);
     planner.Fill(from, to, kFamilies[second], kGap);
   }
-  return planner.Take();
+  // Seeds of before keep their other faults.
+  Planner more(~aSeed, aHosts, aEngines);
+  more.Fill(Millis{ 0 }, aLength, { FaultKind::IdleTimeChanged }, kPlannedGap);
+  more.FillOverlaps(aLength);
+  auto faults = planner.Take();
+  const auto added = more.Take();
+  faults.insert(faults.end(), added.begin(), added.end());
+  std::sort(faults.begin(), faults.end());
+  return faults;
 }
 
 } // namespace soak
--- a/test/soak/SoakPlan.h
+++ b/test/soak/SoakPlan.h
@@ -28,7 +28,8 @@
   /** Planned work from here on. */
   EngineDrain,
   NewRoute,
-  KeyRevoked
+  KeyRevoked,
+  IdleTimeChanged
 };
 
 auto ToString(FaultKind aKind) -> std::string;
@@ -51,7 +52,8 @@
  *
  * Each phase harms two of hosts, engines, store and callers' connections, so
  * that the rules which excuse one kind of trouble still bind in some phases.
- * Faults of a phase overlap. */
+ * Faults of a phase overlap. In all phases a host is told to read again and to
+ * stop at once beside a change of the configuration. */
 auto MakeSoakPlan(std::uint64_t aSeed, Millis aLength, std::size_t aHosts,
                   std::size_t aEngines) -> std::vector<Fault>;
 
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -27,6 +27,7 @@
 constexpr Duration kCalm = 3s;
 /** Requests under way at the end are answered within this. */
 constexpr Duration kLastAnswers = 2s;
+constexpr std::size_t kPoisonCallers = 3;
 constexpr auto kLook = std::chrono::milliseconds{ 200 };
 /** Part of the share served before the faults that must be served after. */
 constexpr auto kShareOfBefore = 0.9;
@@ -46,7 +47,9 @@
   auto served = 0.0;
   auto asked = 0.0;
   for (auto i = aFrom; i < aCalls.size(); ++i) {
-    const auto owed = !aCalls[i].gaveUp_ && aCalls[i].kind_ != CallKind::OldKey;
+    const auto owed = !aCalls[i].gaveUp_ &&
+                      aCalls[i].kind_ != CallKind::OldKey &&
+                      aCalls[i].kind_ != CallKind::Poison;
     asked += owed ? 1.0 : 0.0;
     served += owed && aCalls[i].IsServed() ? 1.0 : 0.0;
   }
@@ -113,16 +116,18 @@
 {
   SoakEvidence evidence{ .calls_ = aCalls,
                          .harm_ = aInjector.Harm(),
-                         .drains_ = aInjector.Drains() };
+                         .drains_ = aInjector.Drains(),
+                         .changes_ = aInjector.Changes() };
   for (const auto& engine : aFleet.Engines()) {
     evidence.arrivals_[engine.standin_->Id()] = engine.standin_->Arrivals();
+    evidence.ends_[engine.standin_->Id()] = engine.standin_->Ends();
     evidence.serviceOfEngine_[engine.standin_->Id()] = engine.service_;
   }
   return evidence;
 }
 
-auto Summarise(const std::vector<CallRecord>& aCalls, const Shares& aShares)
-  -> void
+auto Summarise(const std::vector<CallRecord>& aCalls, const Shares& aShares,
+               std::size_t aEnds) -> void
 {
   std::map<int, int> byStatus;
   for (const auto& call : aCalls) {
@@ -133,7 +138,17 @@
     std::cout << " " << status << ": " << count;
   }
   std::cout << "; served before " << aShares.before_ << ", after "
-            << aShares.after_ << std::endl;
+            << aShares.after_ << "; " << aEnds << " ends of engines"
+            << std::endl;
+}
+
+auto MannerOf(std::size_t aCaller) -> CallerManner
+{
+  if (aCaller < kPoisonCallers) {
+    return CallerManner::Poisons;
+  }
+  constexpr std::size_t kOneIn = 4;
+  return aCaller % kOneIn == 0 ? CallerManner::Keeps : CallerManner::Usual;
 }
 
 auto RunSoak() -> int
@@ -151,8 +166,9 @@
   std::vector<CallRecord> calls;
   std::vector<std::unique_ptr<SoakCaller>> callers;
   for (std::size_t i = 0; i < absl::GetFlag(FLAGS_callers); ++i) {
-    callers.push_back(std::make_unique<SoakCaller>(
-      context, fleet, injector.Operator(), calls, seed * 1000 + i));
+    callers.push_back(
+      std::make_unique<SoakCaller>(context, fleet, injector.Operator(), calls,
+                                   seed * 1000 + i, MannerOf(i)));
   }
   const Millis length(
     static_cast<Millis::rep>(absl::GetFlag(FLAGS_seconds) * 1000.0));
@@ -165,7 +181,10 @@
       std::cout << "the hosts do not get ready" << std::endl;
     }
     for (const auto& caller : callers) {
-      asio::co_spawn(context, caller->Run(), asio::detached);
+      // What is served before the faults is served without poisons.
+      const auto poisons = caller->Manner() == CallerManner::Poisons;
+      asio::co_spawn(context, caller->Run(poisons ? kCalm : Duration{}),
+                     asio::detached);
     }
     asio::co_spawn(context, injector.Watch(), asio::detached);
     co_await Play(context, fleet, injector, std::move(plan), callers, calls,
@@ -174,8 +193,14 @@
   asio::co_spawn(context, begin(), asio::detached);
   context.run();
 
-  Summarise(calls, shares);
-  auto broken = FindBrokenPromises(Evidence(fleet, injector, calls));
+  injector.NoteEnds();
+  const auto evidence = Evidence(fleet, injector, calls);
+  std::size_t ends = 0;
+  for (const auto& [engine, each] : evidence.ends_) {
+    ends += each.size();
+  }
+  Summarise(calls, shares, ends);
+  auto broken = FindBrokenPromises(evidence);
   for (const auto& problem : injector.Problems()) {
     broken.push_back("process: " + problem);
   }
--- a/test/unit/SoakCheckerTest.cpp
+++ b/test/unit/SoakCheckerTest.cpp
@@ -19,6 +19,8 @@
   Disturbances harm_;
   std::vector<DrainRecord> drains_;
   std::vector<standins::EngineStandin::Arrival> arrivals_;
+  std::vector<standins::EngineStandin::End> ends_;
+  std::vector<TimePoint> changes_;
 
   auto Call(CallKind aKind, int aStatus, Duration aSentAfter = {},
             Duration aTook = 10ms) -> CallRecord&
@@ -39,6 +41,16 @@
                           .workspace_ = "w1",
                           .at_ = aCall.sentAt_ + 1ms });
   }
+  /** A poison that reaches the engine, which may end under it. */
+  auto SendPoison(Duration aSentAfter, bool aEnds) -> void
+  {
+    auto& call = Call(CallKind::Poison, 502, aSentAfter);
+    call.poison_ = "p";
+    Arrive(call);
+    if (aEnds) {
+      ends_.push_back({ .requestIds_ = { call.id_ }, .at_ = call.endedAt_ });
+    }
+  }
   [[nodiscard]] auto Broken() const -> std::string
   {
     const auto broken =
@@ -46,7 +58,9 @@
                            .harm_ = harm_,
                            .drains_ = drains_,
                            .arrivals_ = { { "e", arrivals_ } },
-                           .serviceOfEngine_ = { { "e", "desk" } } });
+                           .serviceOfEngine_ = { { "e", "desk" } },
+                           .ends_ = { { "e", ends_ } },
+                           .changes_ = changes_ });
     return broken.empty() ? "" : broken[0].substr(0, broken[0].find(':'));
   }
 };
@@ -135,6 +149,78 @@
   }
 }
 
+TEST_CASE("the soak's checker finds poisons that are sent on")
+{
+  World world;
+  constexpr auto kSends = 4;
+  for (auto i = 0; i < 3; ++i) {
+    world.SendPoison(i * 1s, true);
+  }
+  SUBCASE("more often than hosts in touch may")
+  {
+    for (auto i = 0; i < kSends; ++i) {
+      world.SendPoison(7s + i * 1s, true);
+    }
+    CHECK(world.Broken() == "budget");
+  }
+  SUBCASE("not where engines lived on")
+  {
+    world.ends_.pop_back();
+    for (auto i = 0; i < kSends; ++i) {
+      world.SendPoison(7s + i * 1s, false);
+    }
+    CHECK(world.Broken().empty());
+  }
+  SUBCASE("not before the hosts can know")
+  {
+    for (auto i = 0; i < kSends; ++i) {
+      world.SendPoison(3s + i * 1ms, false);
+    }
+    CHECK(world.Broken().empty());
+  }
+  SUBCASE("not where the host was out of touch")
+  {
+    world.harm_.End(world.harm_.Begin(HostPart(0), kStart + 6s), kStart + 8s);
+    for (auto i = 0; i < kSends; ++i) {
+      world.SendPoison(8s + i * 1s, false);
+    }
+    CHECK(world.Broken().empty());
+  }
+}
+
+TEST_CASE("the soak's checker finds whole requests lost beside changes")
+{
+  World world;
+  world.changes_.push_back(kStart);
+  SUBCASE("one that ran")
+  {
+    world.Arrive(world.Call(CallKind::Safe, 0));
+    CHECK(world.Broken() == "lost");
+  }
+  SUBCASE("one that waited")
+  {
+    world.Call(CallKind::Safe, 0, 1s, 500ms);
+    CHECK(world.Broken() == "lost");
+  }
+  SUBCASE("not one that may have crossed the close")
+  {
+    world.Call(CallKind::Safe, 0);
+    CHECK(world.Broken().empty());
+  }
+  SUBCASE("not where it is as frequent at other times")
+  {
+    world.Arrive(world.Call(CallKind::Safe, 0));
+    world.Arrive(world.Call(CallKind::Safe, 0, 10s));
+    CHECK(world.Broken().empty());
+  }
+  SUBCASE("not where the engine ended")
+  {
+    world.Arrive(world.Call(CallKind::Safe, 0));
+    world.harm_.Begin(EnginePart("e"), kStart);
+    CHECK(world.Broken().empty());
+  }
+}
+
 TEST_CASE("a seed always makes the same faults")
 {
   const auto plan = MakeSoakPlan(7, Millis{ 20'000 }, 4, 12);
