--- a/test/process/PoisonTest.cpp
+++ b/test/process/PoisonTest.cpp
@@ -119,6 +119,14 @@
   fleet.EndEngines(kEnds,
                    [&] { fleet.Send(host++ % kHosts, kPoison, kTarget); });
   const auto later = PoisonedFleet::AwaitContact();
+  SUBCASE("by hosts that run all the while") {}
+  SUBCASE("by a host that starts again")
+  {
+    fleet.Fleet().ProcessOf(0).Kill();
+    fleet.Fleet().Start(0);
+    REQUIRE(fleet.Fleet().AwaitReady(0));
+    PoisonedFleet::AwaitContact();
+  }
   for (std::size_t i = 0; i < kHosts * kRounds; ++i) {
     fleet.Send(i % kHosts, kPoison, kTarget);
     fleet.AwaitStarted();
