--- a/test/platform/PlatformStandin.cpp
+++ b/test/platform/PlatformStandin.cpp
@@ -77,7 +77,7 @@
 auto PlatformStandin::PutConfig(unsigned aVersion,
                                 const std::string& aExtraPrefix,
                                 const std::vector<std::string>& aKeys,
-                                std::optional<unsigned> aIdleMs) -> void
+                                std::chrono::milliseconds aIdleTime) -> void
 {
   auto stream = Route("/stream/", "streaming", "model", 2);
   stream["stream_resume"] = true;
@@ -94,10 +94,6 @@
   if (!aExtraPrefix.empty()) {
     routes.push_back(Route(aExtraPrefix, "safe", "desk", 2));
   }
-  json limits{ { "max_header_bytes", 4096 }, { "max_body_bytes", 100'000 } };
-  if (aIdleMs) {
-    limits["idle_timeout_ms"] = *aIdleMs;
-  }
   const json config{
     { "version", aVersion },
     { "route_table", routes },
@@ -106,7 +102,10 @@
                     { { "name", "model" }, { "engine", { { "slots", 8 } } } },
                     StageService("cutter"),
                     StageService("ranker") }) },
-    { "limits", limits },
+    { "limits",
+      { { "max_header_bytes", 4096 },
+        { "max_body_bytes", 100'000 },
+        { "idle_timeout_ms", aIdleTime.count() } } },
     { "tenants",
       json::array({ { { "name", "w1" }, { "api_keys", json(aKeys) } } }) }
   };
--- a/test/platform/PlatformStandin.h
+++ b/test/platform/PlatformStandin.h
@@ -23,6 +23,9 @@
     std::uint16_t publishedOffset_ = 0;
   };
 
+  /** How long callers' connections may be idle. */
+  static constexpr auto kIdleTime = std::chrono::milliseconds{ 15'000 };
+
   explicit PlatformStandin(Options aOptions);
   ~PlatformStandin();
   PlatformStandin(const PlatformStandin&) = delete;
@@ -37,10 +40,10 @@
   }
   [[nodiscard]] auto StoreAddress() const -> std::string;
   /** \brief Writes the configuration; aExtraPrefix adds a plain route, aKeys
-   * are the keys of workspace "w1", aIdleMs the callers' idle time, if any. */
+   * are the keys of workspace "w1", aIdleTime is the idle time of callers. */
   auto PutConfig(unsigned aVersion, const std::string& aExtraPrefix = "",
                  const std::vector<std::string>& aKeys = { "key1" },
-                 std::optional<unsigned> aIdleMs = std::nullopt) -> void;
+                 std::chrono::milliseconds aIdleTime = kIdleTime) -> void;
   auto SetTrouble(const std::string& aService, EngineStandin::Trouble aTrouble)
     -> void;
 
--- a/test/process/IdleLimitTest.cpp
+++ b/test/process/IdleLimitTest.cpp
@@ -56,7 +56,8 @@
       return false;
     });
   };
-  aFleet.Platform().PutConfig(++aVersion, "", { "key1" }, aChange.fromMs_);
+  aFleet.Platform().PutConfig(++aVersion, "", { "key1" },
+                              std::chrono::milliseconds{ aChange.fromMs_ });
   REQUIRE(inForce());
   const timeval patience{ .tv_sec = 8 };
   auto callers = aFleet.OpenConnections(0, kCallers);
@@ -66,7 +67,8 @@
                sizeof(patience));
     REQUIRE(Ask(*caller, aFleet.MakeCall("/safe/x")) == 200);
   }
-  aFleet.Platform().PutConfig(++aVersion, "", { "key1" }, aChange.toMs_);
+  aFleet.Platform().PutConfig(++aVersion, "", { "key1" },
+                              std::chrono::milliseconds{ aChange.toMs_ });
   REQUIRE(inForce());
   std::this_thread::sleep_for(std::chrono::milliseconds{ aWaitMs * 4 / 5 });
   for (const auto& caller : callers) {
