Count lost runs at two keepers of each request, and tell all hosts verdicts instead of losses

What callers saw: a request under which three engines had ended was sent to engines again and again (rule BUDGET), and innocent requests of a wave of crashes were refused.

Cause: each host told every loss to all, for 2 s, 64 pieces a datagram in order of value; most of a wave was never told, a full table counted nothing new, and hosts that started later learned nothing. An innocent under which three engines of one wave ended was held back.

Now a lost run is told to two keepers of its request. They count coincidences: runs of which each began after the one before had ended, so that engines that end together count once. A suspected request is told to all hosts, and a copy that completed clears it in a new generation; merging is by generation, then level, in any order. Notices ride on each datagram, new ones first, then in turn, those held back with places of their own. Tables are bounded and never refuse what is new. CrashSuspects and RepeatedNews stay until the gateway uses this.

--- /dev/null
+++ b/goldcrestcroft/src/Engines/SuspectNotice.cpp
@@ -0,0 +1,18 @@
+#include "SuspectNotice.h"
+
+namespace goldcrestcroft {
+
+auto ToString(SuspectLevel aLevel) -> std::string
+{
+  switch (aLevel) {
+    case SuspectLevel::Suspected:
+      return "suspected";
+    case SuspectLevel::HeldBack:
+      return "held_back";
+    case SuspectLevel::Cleared:
+      break;
+  }
+  return "cleared";
+}
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/test/unit/LostRunReportsTest.cpp
@@ -0,0 +1,92 @@
+#include <doctest/doctest.h>
+#include <goldcrestcroft/Engines.h>
+
+namespace testing {
+
+namespace {
+
+using namespace goldcrestcroft;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+const TimePoint kNow{ std::chrono::hours{ 1 } };
+constexpr std::uint64_t kRequest = 7;
+
+/** The run of that number: half of the second that has its number. */
+auto Run(std::uint64_t aNumber, std::uint64_t aRequest = kRequest) -> LostRun
+{
+  const auto began = kNow + seconds{ aNumber };
+  return { .request_ = aRequest,
+           .run_ = aNumber,
+           .began_ = began,
+           .ended_ = began + milliseconds{ 500 } };
+}
+
+} // namespace
+
+TEST_CASE("lost runs: a loss costs more than its two keepers a few messages")
+{
+  std::vector<std::string> hosts(300);
+  for (std::size_t i = 0; i < hosts.size(); ++i) {
+    hosts[i] = "h" + std::to_string(i);
+  }
+  LostRunReports reports;
+  reports.SetHosts(hosts);
+  reports.Add(Run(1));
+  std::map<std::string, std::size_t> messages;
+  for (auto i = 0; i < 10; ++i) {
+    for (const auto& due : reports.Due(Run(1).ended_)) {
+      CHECK(due.runs_ == std::vector{ Run(1) });
+      ++messages[due.keeper_];
+    }
+  }
+  const auto keepers = KeepersOf(kRequest, hosts, 2);
+  CHECK(messages == std::map<std::string, std::size_t>{ { keepers[0], 3 },
+                                                        { keepers[1], 3 } });
+  // A new keeper is told in turn, those that remain are not.
+  hosts.erase(std::find(hosts.begin(), hosts.end(), keepers[0]));
+  reports.SetHosts(hosts);
+  const auto due = reports.Due(Run(1).ended_);
+  REQUIRE(due.size() == 1);
+  CHECK(due.front().keeper_ == KeepersOf(kRequest, hosts, 2)[1]);
+}
+
+TEST_CASE("lost runs: a host that starts is told of runs that were cleared "
+          "before")
+{
+  LostRunReports reports;
+  reports.SetHosts({ "a", "b" });
+  reports.Add(Run(1));
+  reports.Add(Run(1, 8));
+  reports.Forget(kRequest);
+  reports.SetHosts({ "c", "d" });
+  const auto due = reports.Due(Run(1).ended_);
+  REQUIRE(due.size() == 2);
+  for (const auto& message : due) {
+    CHECK(message.runs_ == std::vector{ Run(1, 8) });
+  }
+}
+
+TEST_CASE("lost runs: reports grow without bound, exceed a packet or are told "
+          "long after")
+{
+  LostRunReports reports({ .capacity_ = 50 });
+  reports.Add(Run(1)); // Before any host is known.
+  reports.SetHosts({ "a", "b" });
+  for (std::uint64_t run = 2; run <= 100; ++run) {
+    reports.Add(Run(run));
+  }
+  CHECK(reports.Size() == 50);
+  const auto due = reports.Due(Run(100).ended_);
+  REQUIRE(due.size() == 2);
+  for (const auto& message : due) {
+    CHECK(message.runs_.size() == 20);
+    CHECK(message.runs_.front() == Run(51));
+  }
+  CHECK(reports.Due(Run(100).ended_).front().runs_.front() == Run(71));
+  CHECK(reports.Due(Run(100).ended_ + minutes{ 2 }).empty());
+  CHECK(reports.Size() == 0);
+}
+
+} // namespace testing
