Count a lost run only where its engine ended, and ask for the verdict before each send

What callers saw: a request under which three engines had ended was sent to engines again and again (rule BUDGET); besides, innocent requests of a wave of ends were refused for minutes.

Cause, of the class "evidence that is told for a while, counted by each alone and asked for once": a broken connection counted as the end of an engine, a silent end for nothing; an engine's own failure cleared the request; news of each loss went to every host for 2 s, and a host that started later had none; the verdict was asked for only at a request's arrival.

Now EndWatch says whether an engine ended under a run: nothing takes connections at its address 0.1 s after the break, or the store names no such start any more; an answer on an older connection voids it. A request asks before each send, and when a verdict comes while it waits for its stages. CrashSuspects is gone, and its two unit cases with it: unit.Suspects and unit.EndWatch ask for the same and more.

Ruled out: more news a datagram (the volume grows with hosts times losses); counting distinct engines (three engines that end at one moment convict every popular request).

--- a/goldcrestcroft/Engines.h
+++ b/goldcrestcroft/Engines.h
@@ -7,7 +7,7 @@
 #include "Routing.h"
 #include "src/Engines/AttemptPolicy.h"
 #include "src/Engines/CompletedRuns.h"
-#include "src/Engines/CrashSuspects.h"
+#include "src/Engines/EndWatch.h"
 #include "src/Engines/EngineChoice.h"
 #include "src/Engines/EngineConsent.h"
 #include "src/Engines/EngineHealth.h"
--- a/goldcrestcroft/src/Gateway/ControlPlane.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlane.cpp
@@ -26,6 +26,13 @@
                    return DecodeEngine(aId, aText);
                  } })
   , beats_(aContext)
+  , heldRows_(aContext,
+              { .isHeld_ =
+                  [this](std::uint64_t aRequest) {
+                    return suspects_.LevelOf(aRequest, clock_.Now()) ==
+                           SuspectLevel::HeldBack;
+                  } },
+              aCodec, aStore)
   , lastBeat_(clock_.Now())
   , startedAt_(lastBeat_)
 {
@@ -132,6 +139,7 @@
   for (const auto& news : peers_.Peers(now)) {
     add(news);
   }
+  SetKeepers();
   if (view != published_) {
     published_ = view;
     listener_.onFleet_(std::make_shared<const FleetView>(std::move(view)));
--- a/goldcrestcroft/src/Gateway/ControlPlane.h
+++ b/goldcrestcroft/src/Gateway/ControlPlane.h
@@ -3,6 +3,7 @@
 #include "../../Membership.h"
 #include "EngineRegistry.h"
 #include "FleetView.h"
+#include "HeldRequestRows.h"
 #include "NodeSettings.h"
 #include "PeerLink.h"
 #include "PlatformCodec.h"
@@ -21,7 +22,7 @@
   std::function<void(std::shared_ptr<const RoutingTable>)> onRouting_;
   std::function<void(std::shared_ptr<const EngineList>)> onEngines_;
   std::function<void(std::shared_ptr<const FleetView>)> onFleet_;
-  std::function<void(const CrashNews&)> onCrash_;
+  std::function<void(const SuspectNotice&)> onSuspect_;
   std::function<void(const LeavingEngine&)> onLeaving_;
 };
 
@@ -77,9 +78,11 @@
   }
   /** \brief Tells everybody that this host leaves. */
   auto Leave() -> void;
-  /** \brief Tells the peers of a request that was on a lost engine, or that
-   * was not to blame. */
-  auto SpreadCrash(const CrashNews& aNews) -> void;
+  /** \brief An engine ended under a run of this host: tells the keepers. */
+  auto ReportLost(const LostRun& aRun) -> void;
+  /** \brief Tells the peers what is known of a suspected request, if it is
+   * new. */
+  auto SpreadSuspect(const SuspectNotice& aNotice) -> void;
   /** \brief Tells the peers of an engine that said that it leaves. */
   auto SpreadLeaving(const LeavingEngine& aEngine) -> void;
 
@@ -115,7 +118,8 @@
   [[nodiscard]] auto IsSettled(TimePoint aNow) const -> bool;
 
   auto Beat() -> Task<void>;
-  auto Send(std::vector<FailureDetector::Outgoing> aOut) -> void;
+  auto Send(std::vector<FailureDetector::Outgoing> aOut,
+            const std::vector<LostRun>& aLostRuns = {}) -> void;
   auto BeatToSome() -> void;
   /** \brief Addresses at which hosts may be, by the store and the settings. */
   auto UpdateAddresses() -> void;
@@ -123,6 +127,21 @@
   auto LogFleetChanges() -> bool;
   auto ReceiveBeats() -> Task<void>;
   auto OnBeat(const FleetHeartbeat& aBeat) -> void;
+  // Suspected requests.
+  auto CountLost(const LostRun& aRun) -> void;
+  /** \brief Whether the notice is new here. */
+  auto LearnSuspect(const SuspectNotice& aNotice) -> bool;
+  /** \brief This host has found out: tells the others, and keeps it. */
+  auto AnnounceVerdict(const SuspectNotice& aNotice) -> void;
+  auto ReportToKeepers() -> void;
+  auto SendTo(const std::string& aKeeper, const std::vector<LostRun>& aRuns)
+    -> void;
+  auto SetKeepers() -> void;
+  /** \brief What is due at each tick. */
+  auto TendSuspects() -> void;
+  /** \brief Learns the verdicts that outlived the hosts, where this host is a
+   * reader of the store; the others are told. */
+  auto RestoreHeldRequests() -> Task<void>;
   auto AcceptPeers() -> Task<void>;
   auto FetchFrom(const std::string& aAddress, bool aWholeFleet) -> void;
   auto OnFrame(const std::shared_ptr<PeerLink>& aLink, const PeerFrame& aFrame)
@@ -149,7 +168,10 @@
   std::optional<Tcp::acceptor> acceptor_;
   std::shared_ptr<PeerLink> fetch_;
   TimePoint fetchStartedAt_;
-  RepeatedNews<CrashNews> crashes_;
+  SuspectCounter counter_;
+  SuspectBoard suspects_;
+  LostRunReports reports_;
+  HeldRequestRows heldRows_;
   RepeatedNews<LeavingEngine> leavingEngines_;
   FleetView published_;
   TimePoint lastBeat_;
--- a/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
@@ -10,6 +10,9 @@
 
 constexpr auto kFetchTimeout = std::chrono::milliseconds{ 800 };
 constexpr std::size_t kMaxBeatBytes = 60'000;
+/** Of 21 bytes each, so that a datagram with news of hosts still fits one
+ * packet of 1,500 bytes. */
+constexpr std::size_t kSuspectsPerDatagram = 8;
 
 auto ToText(const std::optional<PeerState>& aState) -> std::string
 {
@@ -42,17 +45,21 @@
   addresses_ = { addresses.begin(), addresses.end() };
 }
 
-auto ControlPlane::Send(std::vector<FailureDetector::Outgoing> aOut) -> void
+auto ControlPlane::Send(std::vector<FailureDetector::Outgoing> aOut,
+                        const std::vector<LostRun>& aLostRuns) -> void
 {
   const auto now = clock_.Now();
   FleetHeartbeat beat{ .configurationRow_ = configuration_.version_,
                        .engineRows_ = engines_.Version() };
+  for (const auto& run : aLostRuns) {
+    beat.lostRuns_.push_back(ToReport(run, now));
+  }
   if (!aOut.empty()) {
-    beat.crashes_ = crashes_.Told(now);
     beat.leavingEngines_ = leavingEngines_.Told(now);
   }
   for (auto& [address, message] : aOut) {
     beat.probe_ = std::move(message);
+    beat.suspects_ = suspects_.Tell(kSuspectsPerDatagram, now);
     const auto bytes = EncodeHeartbeat(beat);
     const auto endpoint = ParseTcpEndpoint(address);
     boost::system::error_code ignored; // A lost datagram is made up for.
@@ -106,12 +113,12 @@
         { { "pause_ms", std::to_string(ToMilliseconds(now - lastBeat_)) } });
     }
     lastBeat_ = now;
-    crashes_.Expire(now);
     leavingEngines_.Expire(now);
     if (engines_.Tick(now)) {
       PublishEngines();
     }
     Send(peers_.Tick(addresses_, now));
+    TendSuspects();
     const auto alone = peers_.IsAlone(now);
     const auto changed = LogFleetChanges();
     const auto settles = !settled_ && IsSettled(now);
@@ -120,6 +127,7 @@
       Log::Write(LogLevel::Info, "fleet_settled",
                  { { "hosts", std::to_string(peers_.Size()) },
                    { "named", std::to_string(hostRows_.size()) } });
+      asio::co_spawn(context_, RestoreHeldRequests(), asio::detached);
     }
     if (changed || alone != alone_ || settles) {
       alone_ = alone;
@@ -160,10 +168,11 @@
 {
   const auto now = clock_.Now();
   Send(peers_.OnMessage(aBeat.probe_, now));
-  for (const auto& news : aBeat.crashes_) {
-    if (crashes_.Add(news, now)) {
-      listener_.onCrash_(news);
-    }
+  for (const auto& report : aBeat.lostRuns_) {
+    CountLost(FromReport(report, now));
+  }
+  for (const auto& notice : aBeat.suspects_) {
+    LearnSuspect(notice);
   }
   for (const auto& engine : aBeat.leavingEngines_) {
     if (leavingEngines_.Add(engine, now)) {
@@ -178,13 +187,6 @@
   }
 }
 
-auto ControlPlane::SpreadCrash(const CrashNews& aNews) -> void
-{
-  if (crashes_.Add(aNews, clock_.Now())) {
-    BeatToSome();
-  }
-}
-
 auto ControlPlane::SpreadLeaving(const LeavingEngine& aEngine) -> void
 {
   if (leavingEngines_.Add(aEngine, clock_.Now())) {
--- a/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
@@ -15,6 +15,8 @@
       return "configuration";
     case StoreTable::Engines:
       return "engines";
+    case StoreTable::HeldRequests:
+      return "held_requests";
     case StoreTable::Hosts:
       break;
   }
@@ -135,6 +137,8 @@
     case StoreTable::Hosts:
       AdoptHosts(aReply.rows_);
       break;
+    case StoreTable::HeldRequests:
+      break; // Read once, by RestoreHeldRequests.
   }
   if (news) {
     BeatToSome();
--- a/goldcrestcroft/src/Gateway/EngineConnection.h
+++ b/goldcrestcroft/src/Gateway/EngineConnection.h
@@ -21,6 +21,8 @@
   auto Disarm() -> void;
   auto Close() -> void;
   [[nodiscard]] auto IsOpen() const -> bool { return socket_.is_open(); }
+  [[nodiscard]] auto OpenedAt() const -> TimePoint { return openedAt_; }
+  auto SetOpenedAt(TimePoint aTime) -> void { openedAt_ = aTime; }
   /** \brief Whether it was closed because its time was over. */
   [[nodiscard]] auto TimedOut() const -> bool { return timedOut_; }
 
@@ -47,6 +49,7 @@
   beast::flat_buffer buffer_;
   Deadline deadline_;
   std::string outgoing_;
+  TimePoint openedAt_;
   bool timedOut_ = false;
   bool writeBegun_ = false;
   bool writeDone_ = false;
--- a/goldcrestcroft/src/Gateway/EnginePool.cpp
+++ b/goldcrestcroft/src/Gateway/EnginePool.cpp
@@ -160,6 +160,7 @@
   ++aEngine->openConnections_;
   auto error = co_await connection->Connect(aEngine->entry_.address_,
                                             options_.connectTimeout_);
+  connection->SetOpenedAt(clock_.Now());
   if (!error && aSettles) {
     const auto settled = co_await IsSettled(*connection);
     if (!settled) {
@@ -189,6 +190,25 @@
   co_return EngineLease{ .engine_ = aEngine, .connection_ = connection };
 }
 
+auto EnginePool::Reaches(std::shared_ptr<EngineState> aEngine) -> Task<bool>
+{
+  // One that is kept for later has broken with the process that held it.
+  const auto stands =
+    std::any_of(aEngine->kept_.begin(), aEngine->kept_.end(), [](auto& aKept) {
+      return aKept.connection_->IsOpen() &&
+             ProbeIdle(aKept.connection_->Socket()) == IdleState::Quiet;
+    });
+  if (stands) {
+    co_return true;
+  }
+  const auto connection = std::make_shared<EngineConnection>(context_);
+  const auto error = co_await connection->Connect(aEngine->entry_.address_,
+                                                  options_.connectTimeout_);
+  connection->Close();
+  // One that has all the connections that it takes resets new ones.
+  co_return !error || error == asio::error::connection_reset;
+}
+
 auto EnginePool::Keep(const EngineLease& aLease, Duration aKeepFor) -> void
 {
   auto& engine = *aLease.engine_;
--- a/goldcrestcroft/src/Gateway/EnginePool.h
+++ b/goldcrestcroft/src/Gateway/EnginePool.h
@@ -91,6 +91,8 @@
     -> Task<EngineLease>;
   /** \brief Keeps the connection for aKeepFor, zero for the usual. */
   auto Keep(const EngineLease& aLease, Duration aKeepFor) -> void;
+  /** \brief Whether anything takes connections at the engine's address. */
+  auto Reaches(std::shared_ptr<EngineState> aEngine) -> Task<bool>;
   /** \brief Closes the connection. */
   auto Drop(const EngineLease& aLease) -> void;
   /** \brief Takes what the engine says of itself in an answer: that it leaves,
--- a/goldcrestcroft/src/Gateway/EntryGateway.cpp
+++ b/goldcrestcroft/src/Gateway/EntryGateway.cpp
@@ -28,19 +28,23 @@
   : options_(std::move(aOptions))
   , codec_(aCodec)
   , store_(aMakeStore(controlContext_))
-  , traffic_(trafficContext_, { .settings_ = options_.settings_ }, aCodec,
-             metrics_,
-             { .crash_ =
-                 [this](const CrashNews& aNews) {
-                   asio::post(controlContext_,
-                              [this, aNews] { control_.SpreadCrash(aNews); });
-                 },
-               .leaving_ =
-                 [this](const LeavingEngine& aEngine) {
-                   asio::post(controlContext_, [this, aEngine] {
-                     control_.SpreadLeaving(aEngine);
-                   });
-                 } })
+  , traffic_(
+      trafficContext_, { .settings_ = options_.settings_ }, aCodec, metrics_,
+      { .lost_ =
+          [this](const LostRun& aRun) {
+            asio::post(controlContext_,
+                       [this, aRun] { control_.ReportLost(aRun); });
+          },
+        .suspect_ =
+          [this](const SuspectNotice& aNotice) {
+            asio::post(controlContext_,
+                       [this, aNotice] { control_.SpreadSuspect(aNotice); });
+          },
+        .leaving_ =
+          [this](const LeavingEngine& aEngine) {
+            asio::post(controlContext_,
+                       [this, aEngine] { control_.SpreadLeaving(aEngine); });
+          } })
   , control_(controlContext_,
              { .settings_ = options_.settings_,
                .incarnation_ = options_.incarnation_ },
@@ -67,7 +71,7 @@
   return { .onRouting_ = toTraffic(&Traffic::SetRouting),
            .onEngines_ = toTraffic(&Traffic::SetEngines),
            .onFleet_ = toTraffic(&Traffic::SetFleet),
-           .onCrash_ = toTraffic(&Traffic::OnCrash),
+           .onSuspect_ = toTraffic(&Traffic::OnSuspect),
            .onLeaving_ = toTraffic(&Traffic::OnLeaving) };
 }
 
--- a/goldcrestcroft/src/Gateway/MetadataStore.h
+++ b/goldcrestcroft/src/Gateway/MetadataStore.h
@@ -16,7 +16,9 @@
   /** The engines, each under its id. */
   Engines,
   /** The entry hosts, each under its name. */
-  Hosts
+  Hosts,
+  /** Requests that are held back, by fingerprint. */
+  HeldRequests
 };
 
 /** \brief One row, or the word that it was removed. */
--- a/goldcrestcroft/src/Gateway/OwnAnswer.h
+++ b/goldcrestcroft/src/Gateway/OwnAnswer.h
@@ -21,4 +21,12 @@
   auto operator<=>(const OwnAnswer&) const = default;
 };
 
+/** \brief To a request that is held back: it has not run, and waiting does not
+ * help. */
+inline auto HeldBackAnswer() -> OwnAnswer
+{
+  return { .reason_ = "crashes_engines",
+           .message_ = "engines ended whenever this request ran" };
+}
+
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/PeerFrames.cpp
+++ b/goldcrestcroft/src/Gateway/PeerFrames.cpp
@@ -192,8 +192,19 @@
   probe.kind_ = static_cast<ProbeKind>(kind);
   ArchiveNews(aArchive, probe.news_);
   aArchive(aHeartbeat.configurationRow_, aHeartbeat.engineRows_);
-  ArchiveMany(aArchive, aHeartbeat.crashes_, [](auto& aEach, auto& aNews) {
-    aEach(aNews.request_, aNews.engine_, aNews.completed_);
+  ArchiveMany(aArchive, aHeartbeat.lostRuns_, [](auto& aEach, auto& aRun) {
+    aEach(aRun.request_, aRun.run_);
+    ArchiveTime(aEach, aRun.beganAgo_);
+    ArchiveTime(aEach, aRun.endedAgo_);
+  });
+  ArchiveMany(aArchive, aHeartbeat.suspects_, [](auto& aEach, auto& aNotice) {
+    auto level = static_cast<std::uint8_t>(aNotice.level_);
+    aEach(aNotice.request_, aNotice.generation_, level);
+    ArchiveTime(aEach, aNotice.left_);
+    if (level > static_cast<std::uint8_t>(SuspectLevel::HeldBack)) {
+      throw std::out_of_range("level of a suspect");
+    }
+    aNotice.level_ = static_cast<SuspectLevel>(level);
   });
   ArchiveMany(aArchive, aHeartbeat.leavingEngines_,
               [](auto& aEach, LeavingEngine& aEngine) {
@@ -219,6 +230,22 @@
 
 } // namespace
 
+auto ToReport(const LostRun& aRun, TimePoint aNow) -> LostRunReport
+{
+  return { .request_ = aRun.request_,
+           .run_ = aRun.run_,
+           .beganAgo_ = aNow - aRun.began_,
+           .endedAgo_ = aNow - aRun.ended_ };
+}
+
+auto FromReport(const LostRunReport& aReport, TimePoint aNow) -> LostRun
+{
+  return { .request_ = aReport.request_,
+           .run_ = aReport.run_,
+           .began_ = aNow - aReport.beganAgo_,
+           .ended_ = aNow - aReport.endedAgo_ };
+}
+
 auto EncodeHeartbeat(const FleetHeartbeat& aHeartbeat) -> std::string
 {
   std::ostringstream out;
--- a/goldcrestcroft/src/Gateway/PeerFrames.h
+++ b/goldcrestcroft/src/Gateway/PeerFrames.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../../Engines.h"
 #include "../../Membership.h"
 #include "../../Staging.h"
 #include "MetadataStore.h"
@@ -9,17 +10,20 @@
 
 namespace goldcrestcroft {
 
-/** \brief A request that was running on an engine that broke off, or that has
- * run to its end on one after such losses. */
-struct CrashNews
+/** \brief A LostRun as it is told; ages, since hosts share no clock. */
+struct LostRunReport
 {
   std::uint64_t request_ = 0;
-  std::uint64_t engine_ = 0;
-  bool completed_ = false;
+  std::uint64_t run_ = 0;
+  Duration beganAgo_{};
+  Duration endedAgo_{};
 
-  auto operator<=>(const CrashNews&) const = default;
+  auto operator<=>(const LostRunReport&) const = default;
 };
 
+auto ToReport(const LostRun& aRun, TimePoint aNow) -> LostRunReport;
+auto FromReport(const LostRunReport& aReport, TimePoint aNow) -> LostRun;
+
 /** \brief A start of an engine that said that it leaves. */
 struct LeavingEngine
 {
@@ -37,7 +41,9 @@
   /** Store versions of what the sender has in force. */
   std::uint64_t configurationRow_ = 0;
   std::uint64_t engineRows_ = 0;
-  std::vector<CrashNews> crashes_;
+  /** For the receiver, as the keeper of their requests. */
+  std::vector<LostRunReport> lostRuns_;
+  std::vector<SuspectNotice> suspects_;
   std::vector<LeavingEngine> leavingEngines_;
 
   auto operator<=>(const FleetHeartbeat&) const = default;
--- a/goldcrestcroft/src/Gateway/PlatformCodec.h
+++ b/goldcrestcroft/src/Gateway/PlatformCodec.h
@@ -59,6 +59,14 @@
                                         const std::string& aText) const
     -> Result<HostCard> = 0;
 
+  /** \brief Key and value of the row of a request that is held back. */
+  [[nodiscard]] virtual auto EncodeHeldRequest(const SuspectNotice& aNotice)
+    const -> std::pair<std::string, std::string> = 0;
+  /** \brief Fails with Protocol. */
+  [[nodiscard]] virtual auto DecodeHeldRequest(const std::string& aKey,
+                                               const std::string& aText) const
+    -> Result<SuspectNotice> = 0;
+
   [[nodiscard]] virtual auto MakeStageCall(
     const std::vector<StageCallPiece>& aPieces) const -> EngineCall = 0;
   /** \brief One result for each piece, in order; fails with Protocol. */
--- a/goldcrestcroft/src/Gateway/RequestRun.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRun.cpp
@@ -97,10 +97,8 @@
   service_ = ChooseService(*route_, Spread(requestId_));
   fingerprint_ =
     Fingerprint(target + "\n" + workspace_ + "\n" + request_.body());
-  if (traffic_.IsHeldBack(fingerprint_)) {
-    return OwnAnswer{ .reason_ = "crashes_engines",
-                      .message_ =
-                        "engines broke off whenever this request ran" };
+  if (IsStoppedAsSuspect()) {
+    return HeldBackAnswer();
   }
   ReadTimes();
   if (!traffic_.Takes(route_->name_, TimeLeft())) {
@@ -133,6 +131,19 @@
   Abort(Aborted::HostEnds);
 }
 
+auto RequestRun::IsStoppedAsSuspect() -> bool
+{
+  heldBack_ = heldBack_ || traffic_.IsHeldBack(fingerprint_);
+  return heldBack_;
+}
+
+auto RequestRun::OnHeldBack(std::uint64_t aFingerprint) -> void
+{
+  if (fingerprint_ == aFingerprint && !finished_) {
+    wake_.cancel();
+  }
+}
+
 auto RequestRun::OnCallerGone() -> void
 {
   Abort(Aborted::CallerGone);
@@ -245,6 +256,11 @@
       }
       stagesDoneAt_ = traffic_.Now();
     }
+    // The verdict may have come while it waited or ran elsewhere.
+    if (IsStoppedAsSuspect()) {
+      noMore_ = "crashes_engines";
+      co_return co_await Conclude(AttemptEnd::Abandoned);
+    }
     const auto engine = ChooseEngine();
     if (!engine) {
       noMore_ = "no_engine";
--- a/goldcrestcroft/src/Gateway/RequestRun.h
+++ b/goldcrestcroft/src/Gateway/RequestRun.h
@@ -22,6 +22,9 @@
   auto Serve() -> Task<bool>;
   auto OnCallerGone() -> void;
   auto OnHostEnds() -> void;
+  /** \brief Copies of the request with this fingerprint are sent to no engine
+   * from now on. */
+  auto OnHeldBack(std::uint64_t aFingerprint) -> void;
   /** \brief The caller's id of the request, as it was sent. */
   [[nodiscard]] auto Id() const -> std::string;
 
@@ -97,7 +100,10 @@
     -> Task<AttemptEnd>;
   /** \brief Counts and logs an answer that was cut at a bound. */
   auto NotePassed(const EngineLease& aLease, AnswerBound aBound) -> void;
-  auto NoteLoss(const EngineLease& aLease) -> void;
+  auto NoteLoss(const EngineLease& aLease, TimePoint aBegan) -> void;
+  /** \brief Whether the request was held back, so that nothing more may be
+   * tried; notes what to answer. */
+  auto IsStoppedAsSuspect() -> bool;
   [[nodiscard]] auto TimeLeft() const -> Duration;
   [[nodiscard]] auto HasAttemptsLeft() const -> bool;
 
@@ -125,6 +131,7 @@
   /** Plans by stage. */
   std::map<std::size_t, std::uint64_t> plans_;
   std::optional<OwnAnswer> stageProblem_;
+  bool heldBack_ = false;
   std::vector<PromptPart> prompt_;
   /** Zone where its pieces are made, that of the engine meant to run it. */
   std::string zone_;
@@ -141,6 +148,8 @@
   /** Sent to an engine whose answer is not known. */
   bool unsettled_ = false;
   std::string lastEngine_;
+  /** Runs without a whole answer so far. */
+  std::uint64_t lostRuns_ = 0;
   TimePoint stagesDoneAt_;
   TimePoint firstEventAt_;
   bool finished_ = false;
--- a/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
@@ -201,6 +201,9 @@
              .reason_ = "engine_lost",
              .message_ = "the engine broke off; the request may have run" };
   }
+  if (heldBack_) {
+    return HeldBackAnswer();
+  }
   if (stageProblem_) {
     return *stageProblem_;
   }
--- a/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
@@ -131,34 +131,29 @@
                { "remedy", Remedy(aBound) } });
 }
 
-auto RequestRun::NoteLoss(const EngineLease& aLease) -> void
+auto RequestRun::NoteLoss(const EngineLease& aLease, TimePoint aBegan) -> void
 {
   const auto& entry = aLease.engine_->entry_;
-  aLease.engine_->health_.OnFailure(traffic_.Now());
-  std::string verdict;
-  if (aborted_ != Aborted::No) {
-    verdict = "aborted";
-  } else if (aLease.connection_->TimedOut()) {
-    verdict = "timed_out";
-  } else {
-    verdict =
-      traffic_.NoteCrash(fingerprint_, entry) ? "counted" : "not_counted";
-  }
-  traffic_.Metrics().Count("runs_lost_" + verdict);
-  Log::Write(
-    LogLevel::Info, "run_lost",
-    { { "request", requestId_ },
-      { "fingerprint", ToHex(fingerprint_) },
-      { "engine", entry.id_ },
-      { "started_at", std::to_string(entry.startedAt_) },
-      { "verdict", verdict },
-      { "held_back", traffic_.IsHeldBack(fingerprint_) ? "true" : "false" } });
+  const auto broke = aborted_ == Aborted::No && !aLease.connection_->TimedOut();
+  const LostRun run{ .request_ = fingerprint_,
+                     .run_ = Fingerprint(requestId_, ++lostRuns_),
+                     .began_ = aBegan,
+                     .ended_ = traffic_.Now() };
+  Log::Write(LogLevel::Info, "run_lost",
+             { { "request", requestId_ },
+               { "fingerprint", ToHex(fingerprint_) },
+               { "run", ToHex(run.run_) },
+               { "engine", entry.id_ },
+               { "started_at", std::to_string(entry.startedAt_) },
+               { "broke", broke ? "true" : "false" } });
+  traffic_.NoteUnanswered(run, broke, aLease.engine_);
 }
 
 auto RequestRun::TalkTo(const EngineLease& aLease) -> Task<AttemptEnd>
 {
   auto& pool = traffic_.Pool();
   auto& health = aLease.engine_->health_;
+  const auto began = traffic_.Now();
   EngineExchange exchange(aLease, traffic_.Codec().Headers(), pool.Held());
   aLease.connection_->CloseAfter(TimeForHead());
   unsettled_ = true;
@@ -171,9 +166,11 @@
   if (end != ReadEnd::Done) {
     NotePassed(aLease, exchange.Passed());
     pool.Drop(aLease);
-    NoteLoss(aLease);
+    health.OnFailure(traffic_.Now());
+    NoteLoss(aLease, began);
     co_return AttemptEnd::Lost;
   }
+  traffic_.NoteHeard(aLease);
   const auto& head = exchange.Head();
   pool.Heed(aLease, head);
   const auto loadText = head.fields_[traffic_.Codec().Headers().engineLoad_];
@@ -196,7 +193,6 @@
       traffic_.NoteCompleted(fingerprint_);
       break;
     case AttemptEnd::FailureAnswer:
-      traffic_.NoteCompleted(fingerprint_);
       health.OnFailure(traffic_.Now());
       break;
     case AttemptEnd::Rejected:
@@ -206,7 +202,11 @@
       }
       break;
     case AttemptEnd::Lost:
-      NoteLoss(aLease);
+      health.OnFailure(traffic_.Now());
+      NoteLoss(aLease, began);
+      break;
+    case AttemptEnd::Abandoned:
+      NoteLoss(aLease, began);
       break;
     default:
       break;
--- a/goldcrestcroft/src/Gateway/RequestRunStages.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunStages.cpp
@@ -69,7 +69,7 @@
       CancelOrders();
       co_return StageEnd::Aborted;
     }
-    if (stageProblem_) {
+    if (stageProblem_ || IsStoppedAsSuspect()) {
       CancelOrders();
       co_return StageEnd::Refused;
     }
--- a/goldcrestcroft/src/Gateway/Traffic.cpp
+++ b/goldcrestcroft/src/Gateway/Traffic.cpp
@@ -28,7 +28,6 @@
               [this](const std::string& aEvent) { metrics_.Count(aEvent); } })
   , desk_(aContext, {}, pool_, aCodec)
   , broker_(aContext, options_.settings_.StageAddress(), desk_)
-  , suspects_({ .crashesToHold_ = 3 })
 {
 }
 
@@ -144,6 +143,7 @@
 auto Traffic::SetEngines(std::shared_ptr<const EngineList> aEngines) -> void
 {
   pool_.SetEngines(std::move(aEngines));
+  CountLost(endWatch_.OnEngines(pool_.Engines(), Now()), "entry_ended");
   desk_.OnEngines();
 }
 
@@ -153,15 +153,6 @@
   broker_.SetFleet(fleet_);
 }
 
-auto Traffic::OnCrash(const CrashNews& aNews) -> void
-{
-  if (aNews.completed_) {
-    suspects_.OnCompleted(aNews.request_);
-  } else {
-    suspects_.OnCrash(aNews.request_, aNews.engine_, Now());
-  }
-}
-
 auto Traffic::OnLeaving(const LeavingEngine& aEngine) -> void
 {
   Log::Write(LogLevel::Info, "engine_leaving_elsewhere",
@@ -266,29 +257,4 @@
   return allowed;
 }
 
-auto Traffic::IsHeldBack(std::uint64_t aFingerprint) const -> bool
-{
-  return suspects_.IsHeldBack(aFingerprint, Now());
-}
-
-auto Traffic::NoteCrash(std::uint64_t aFingerprint, const EngineEntry& aEngine)
-  -> bool
-{
-  const CrashNews news{ .request_ = aFingerprint,
-                        .engine_ =
-                          Fingerprint(aEngine.id_, aEngine.startedAt_) };
-  const auto counted = suspects_.OnCrash(news.request_, news.engine_, Now());
-  if (counted) {
-    spread_.crash_(news);
-  }
-  return counted;
-}
-
-auto Traffic::NoteCompleted(std::uint64_t aFingerprint) -> void
-{
-  if (suspects_.OnCompleted(aFingerprint)) {
-    spread_.crash_({ .request_ = aFingerprint, .completed_ = true });
-  }
-}
-
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/Traffic.h
+++ b/goldcrestcroft/src/Gateway/Traffic.h
@@ -46,7 +46,9 @@
   /** \brief Tells other hosts; called on the traffic thread. */
   struct Spread
   {
-    std::function<void(const CrashNews&)> crash_;
+    /** An engine ended under a run of this host. */
+    std::function<void(const LostRun&)> lost_;
+    std::function<void(const SuspectNotice&)> suspect_;
     std::function<void(const LeavingEngine&)> leaving_;
   };
 
@@ -59,7 +61,7 @@
   auto SetRouting(std::shared_ptr<const RoutingTable> aRouting) -> void;
   auto SetEngines(std::shared_ptr<const EngineList> aEngines) -> void;
   auto SetFleet(std::shared_ptr<const FleetView> aFleet) -> void;
-  auto OnCrash(const CrashNews& aNews) -> void;
+  auto OnSuspect(const SuspectNotice& aNotice) -> void;
   /** \brief Another host was told by an engine that it leaves. */
   auto OnLeaving(const LeavingEngine& aEngine) -> void;
   /** \brief Takes the budget for repeats from changed settings. */
@@ -125,10 +127,12 @@
   /** \brief Takes a repeat out of the budget that all hosts share. */
   auto TryRepeat(const std::string& aService) -> bool;
   [[nodiscard]] auto IsHeldBack(std::uint64_t aFingerprint) const -> bool;
-  /** \brief The engine broke off while it ran the request. Returns whether it
-   * counts against the request. */
-  auto NoteCrash(std::uint64_t aFingerprint, const EngineEntry& aEngine)
-    -> bool;
+  /** \brief A run at the engine has no whole answer. It counts against its
+   * request if the engine turns out to have ended. */
+  auto NoteUnanswered(const LostRun& aRun, bool aBroke,
+                      std::shared_ptr<EngineState> aEngine) -> void;
+  /** \brief The engine answered on the connection. */
+  auto NoteHeard(const EngineLease& aLease) -> void;
   /** \brief An engine ran the request to its end. */
   auto NoteCompleted(std::uint64_t aFingerprint) -> void;
 
@@ -136,6 +140,13 @@
   auto Accept() -> Task<void>;
   /** \brief Measures how late the loop of this thread is. */
   auto WatchLoop() -> Task<void>;
+  /** \brief Tells whether the engine that broke off still takes
+   * connections. */
+  auto CheckEngine(std::shared_ptr<EngineState> aEngine) -> Task<void>;
+  /** \brief Notes the notice and tells the other hosts. */
+  auto Tell(const std::optional<SuspectNotice>& aNotice) -> void;
+  auto CountLost(const std::vector<LostRun>& aRuns, const std::string& aWhy)
+    -> void;
   /** \brief Closes an idle connection to make room for a new one. */
   auto DropIdle() -> bool;
   auto WindowOf(const std::string& aService) -> RepeatWindow&;
@@ -152,7 +163,10 @@
   EnginePool pool_;
   StageDesk desk_;
   StageBroker broker_;
-  CrashSuspects suspects_;
+  SuspectBoard suspects_;
+  EndWatch endWatch_;
+  /** Engines that are being checked. */
+  std::set<std::shared_ptr<EngineState>> checked_;
   std::map<std::string, RepeatWindow> windows_;
   std::map<std::string, FirstEventTime> firstEvents_;
   std::optional<Tcp::acceptor> acceptor_;
--- a/goldcrestcroft/src/Membership/FailureDetector.h
+++ b/goldcrestcroft/src/Membership/FailureDetector.h
@@ -91,6 +91,8 @@
   auto SetCallerAddress(std::string aAddress) -> void;
   /** \brief News for some hosts at once. */
   auto Push() -> std::vector<Outgoing>;
+  /** \brief News for the host at the address. */
+  auto PushTo(const std::string& aAddress) -> std::vector<Outgoing>;
 
   /** \brief Whether the sender knows far more hosts, so that its whole list is
    * worth fetching. */
--- a/goldcrestcroft/src/Membership/FailureDetectorNews.cpp
+++ b/goldcrestcroft/src/Membership/FailureDetectorNews.cpp
@@ -61,6 +61,14 @@
   return out;
 }
 
+auto FailureDetector::PushTo(const std::string& aAddress)
+  -> std::vector<Outgoing>
+{
+  std::vector<Outgoing> out;
+  out.push_back({ aAddress, Message(ProbeKind::News, 0) });
+  return out;
+}
+
 auto FailureDetector::PushIfNew(std::vector<Outgoing>& aOut, TimePoint aNow)
   -> void
 {
--- a/goldcrestcroft/src/Routing/EngineList.cpp
+++ b/goldcrestcroft/src/Routing/EngineList.cpp
@@ -7,6 +7,8 @@
 EngineList::EngineList(const std::vector<EngineEntry>& aEntries)
 {
   for (const auto& entry : aEntries) {
+    named_[entry.id_] = { .startedAt_ = entry.startedAt_,
+                          .draining_ = entry.draining_ };
     if (!entry.draining_) {
       byService_[entry.service_].push_back(entry);
       ++size_;
@@ -22,6 +24,19 @@
   return found == byService_.end() ? kNone : found->second;
 }
 
+auto EngineList::Names(const std::string& aId, std::uint64_t aStartedAt) const
+  -> bool
+{
+  const auto found = named_.find(aId);
+  return found != named_.end() && found->second.startedAt_ == aStartedAt;
+}
+
+auto EngineList::IsDraining(const std::string& aId) const -> bool
+{
+  const auto found = named_.find(aId);
+  return found != named_.end() && found->second.draining_;
+}
+
 auto EngineList::Contains(const EngineEntry& aEngine) const -> bool
 {
   const auto& engines = Of(aEngine.service_);
--- a/test/unit/ThrowingCodec.h
+++ b/test/unit/ThrowingCodec.h
@@ -44,6 +44,18 @@
   {
     return codec_.DecodeHost(aId, aText);
   }
+  [[nodiscard]] auto EncodeHeldRequest(
+    const goldcrestcroft::SuspectNotice& aNotice) const
+    -> std::pair<std::string, std::string> override
+  {
+    return codec_.EncodeHeldRequest(aNotice);
+  }
+  [[nodiscard]] auto DecodeHeldRequest(const std::string& aKey,
+                                       const std::string& aText) const
+    -> goldcrestcroft::Result<goldcrestcroft::SuspectNotice> override
+  {
+    return codec_.DecodeHeldRequest(aKey, aText);
+  }
   [[nodiscard]] auto MakeStageCall(
     const std::vector<goldcrestcroft::StageCallPiece>& aPieces) const
     -> goldcrestcroft::EngineCall override
