Drop the loops' unfinished work before what it refers to is destroyed

What callers saw: a stopping host that stood still until its grace was over, with requests under way, exited by SIGSEGV after its line "stopped".

Cause: the loops are made before Traffic and ControlPlane and so are destroyed after them, and with them the coroutines that still wait; ~RequestRun then calls Traffic. The core of the test shows it. The same holds for shares of HeldBytes and for whatever else a coroutine refers to.

Now the loops drop their work as soon as they have ended, while all that it refers to lives.

Ruled out: making the loops last, as sockets of Traffic have to be destroyed before their loop.

--- a/goldcrestcroft/src/Gateway/EntryGateway.cpp
+++ b/goldcrestcroft/src/Gateway/EntryGateway.cpp
@@ -128,6 +128,8 @@
   std::thread traffic([this] { trafficContext_.run(); });
   controlContext_.run();
   traffic.join();
+  trafficContext_.DropWork();
+  controlContext_.DropWork();
   Log::Write(LogLevel::Info, "stopped");
   return {};
 }
--- a/goldcrestcroft/src/Gateway/EntryGateway.h
+++ b/goldcrestcroft/src/Gateway/EntryGateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ControlPlane.h"
+#include "Loop.h"
 #include "SmallServer.h"
 #include "Traffic.h"
 
@@ -43,8 +44,8 @@
 
   Options options_;
   const PlatformCodec& codec_;
-  asio::io_context controlContext_{ 1 };
-  asio::io_context trafficContext_{ 1 };
+  Loop controlContext_;
+  Loop trafficContext_;
   GatewayMetrics metrics_;
   std::unique_ptr<MetadataStore> store_;
   Traffic traffic_;
