Leave a silent engine only for another that takes the request

What callers saw: a slow answer turned into 502, or a stream cut, although the engine would have answered and no other was asked instead.

Cause: a repeatable request leaves its first engine after a part of its time, and a resumable stream after a stall, before it is known whether another engine is there and whether the budget for repeats allows it. Where not, the request ended. An engine's silence alone is no reason to end an answer.

Now another engine and the budget are looked at when the time is over; without them the engine is waited for on, and they are looked at again each 250 ms until the deadline. The time is lifted while bytes go to the caller, who may be slow.

It was found by reading for other causes of LOST.

--- a/goldcrestcroft/src/Gateway/EngineConnection.cpp
+++ b/goldcrestcroft/src/Gateway/EngineConnection.cpp
@@ -10,9 +10,14 @@
 
 } // namespace
 
-auto EngineConnection::CloseAfter(Duration aTime) -> void
+auto EngineConnection::CloseAfter(Duration aTime, Extension aExtension) -> void
 {
-  deadline_.Arm(aTime, [this](auto) {
+  deadline_.Arm(aTime, [this, extension = std::move(aExtension)](auto) {
+    const auto more = extension ? extension() : Duration{};
+    if (more > Duration{}) {
+      CloseAfter(more, extension);
+      return;
+    }
     timedOut_ = true;
     Close();
   });
--- a/goldcrestcroft/src/Gateway/EngineConnection.h
+++ b/goldcrestcroft/src/Gateway/EngineConnection.h
@@ -16,8 +16,11 @@
   {
   }
 
-  /** \brief Closes the connection unless Disarm comes within aTime. */
-  auto CloseAfter(Duration aTime) -> void;
+  /** \brief More time; zero to close. */
+  using Extension = std::function<Duration()>;
+  /** \brief Closes the connection unless Disarm comes within aTime. aExtension
+   * is asked each time that is over. */
+  auto CloseAfter(Duration aTime, Extension aExtension = {}) -> void;
   auto Disarm() -> void;
   auto Close() -> void;
   [[nodiscard]] auto IsOpen() const -> bool { return socket_.is_open(); }
--- a/goldcrestcroft/src/Gateway/RequestRun.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRun.cpp
@@ -287,7 +287,9 @@
       noMore_ = aborted_ != Aborted::No ? "aborted" : WhyStopped(*route_, end);
       co_return co_await Conclude(end);
     }
-    if (end != AttemptEnd::Unreachable && !traffic_.TryRepeat(service_)) {
+    const auto paid = std::exchange(repeatTaken_, false);
+    if (end != AttemptEnd::Unreachable && !paid &&
+        !traffic_.TryRepeat(service_)) {
       noMore_ = "budget_used";
       co_return co_await Conclude(end);
     }
--- a/goldcrestcroft/src/Gateway/RequestRun.h
+++ b/goldcrestcroft/src/Gateway/RequestRun.h
@@ -94,6 +94,12 @@
   auto TalkTo(const EngineLease& aLease) -> Task<AttemptEnd>;
   auto MakeForwarded(const EngineEntry& aEngine) const -> std::string;
   auto TimeForHead() const -> Duration;
+  /** \brief Closes the engine's connection after aTime of silence, or at the
+   * deadline where no other engine can take the request by then. */
+  auto CloseIfSilent(const EngineLease& aLease, Duration aTime) -> void;
+  /** \brief Whether another engine may take the request now; takes the repeat
+   * out of the budget if so. */
+  auto CanGoElsewhere() -> bool;
   auto HandOver(EngineExchange& aExchange) -> Task<AttemptEnd>;
   auto RelayStream(EngineExchange& aExchange) -> Task<AttemptEnd>;
   auto Deliver(const EngineAnswerHead& aHead, std::string aBody)
@@ -132,6 +138,8 @@
   std::map<std::size_t, std::uint64_t> plans_;
   std::optional<OwnAnswer> stageProblem_;
   bool heldBack_ = false;
+  /** The next repeat is out of the budget already. */
+  bool repeatTaken_ = false;
   std::vector<PromptPart> prompt_;
   /** Zone where its pieces are made, that of the engine meant to run it. */
   std::string zone_;
--- a/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
@@ -33,7 +33,7 @@
     co_return co_await RelayStream(aExchange);
   }
   std::string body;
-  aExchange.Lease().connection_->CloseAfter(TimeForHead());
+  CloseIfSilent(aExchange.Lease(), TimeForHead());
   auto end = ReadEnd::Broken;
   if (succeeded) {
     end = co_await aExchange.ReadAll(body, traffic_.Options().maxAnswerBytes_);
@@ -48,6 +48,7 @@
   if (end != ReadEnd::Done || (succeeded && !head.signed_)) {
     co_return AttemptEnd::Lost;
   }
+  aExchange.Lease().connection_->Disarm();
   if (succeeded) {
     co_return co_await Deliver(head, std::move(body));
   }
@@ -85,7 +86,6 @@
 auto RequestRun::RelayStream(EngineExchange& aExchange) -> Task<AttemptEnd>
 {
   const auto& options = traffic_.Options();
-  const auto& connection = aExchange.Lease().connection_;
   const auto gap = route_->gapObjective_.value_or(Duration{});
   const auto stall = std::max<Duration>(
     options.leastStall_,
@@ -96,10 +96,12 @@
   EventWatch watch(bounds);
   while (!aExchange.IsComplete()) {
     // Only where it could go on elsewhere is silence a reason to leave.
-    connection->CloseAfter(HasAttemptsLeft() ? std::min(stall, TimeLeft())
-                                             : TimeLeft());
+    CloseIfSilent(aExchange.Lease(),
+                  HasAttemptsLeft() ? std::min(stall, TimeLeft()) : TimeLeft());
     std::string bytes;
     const auto end = co_await aExchange.ReadSome(bytes);
+    // A caller that is slow to take them says nothing about the engine.
+    aExchange.Lease().connection_->Disarm();
     auto events = relay_.Feed(bytes);
     const auto passed = watch.Check(relay_, traffic_.Now());
     if (passed != AnswerBound::None) {
--- a/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
@@ -31,6 +31,31 @@
   return scale(left, options.firstAttemptShare_);
 }
 
+auto RequestRun::CanGoElsewhere() -> bool
+{
+  std::vector<EngineEntry> entries;
+  if (!HasAttemptsLeft() || traffic_.IsHeldBack(fingerprint_) ||
+      Candidates(entries).empty()) {
+    return false;
+  }
+  repeatTaken_ = repeatTaken_ || traffic_.TryRepeat(service_);
+  return repeatTaken_;
+}
+
+auto RequestRun::CloseIfSilent(const EngineLease& aLease, Duration aTime)
+  -> void
+{
+  // How soon it is asked again whether another engine takes the request.
+  static constexpr Duration kAskAgain = std::chrono::milliseconds{ 250 };
+  aLease.connection_->CloseAfter(aTime, [weak = weak_from_this()]() {
+    const auto self = weak.lock();
+    // An engine that is only slow is better than none.
+    return !self || self->CanGoElsewhere()
+             ? Duration{}
+             : std::min<Duration>(kAskAgain, self->TimeLeft());
+  });
+}
+
 auto RequestRun::Attempt(std::shared_ptr<EngineState> aEngine)
   -> Task<AttemptEnd>
 {
@@ -155,7 +180,7 @@
   auto& health = aLease.engine_->health_;
   const auto began = traffic_.Now();
   EngineExchange exchange(aLease, traffic_.Codec().Headers(), pool.Held());
-  aLease.connection_->CloseAfter(TimeForHead());
+  CloseIfSilent(aLease, TimeForHead());
   unsettled_ = true;
   auto end = ReadEnd::Broken;
   auto forwarded = MakeForwarded(aLease.engine_->entry_);
--- a/test/process/EntryAttemptsTest.cpp
+++ b/test/process/EntryAttemptsTest.cpp
@@ -108,6 +108,23 @@
   CHECK(told[0] <= kAll - kDelay);
 }
 
+TEST_CASE("a slow engine is not given up where no other can take the request")
+{
+  EntryFleet fleet(1);
+  REQUIRE(fleet.AwaitReady(0));
+  auto& engines = fleet.Platform().Engines("desk");
+  fleet.Platform().Store().Put("servers", engines[1]->Id(),
+                               engines[1]->Entry("desk", "draining"));
+  CHECK(EntryFleet::Await([&] {
+    return fleet.Log(0).find("\"engine\":\"" + engines[1]->Id() +
+                             "\",\"state\":\"draining\"") != std::string::npos;
+  }));
+  // Beyond the part of the time that the first of two engines has.
+  engines[0]->delayMs_ = 1600;
+  CHECK(fleet.Get(0, "/safe/x").status_ == 200);
+  CHECK(fleet.RunsOf("desk", fleet.LastId()) == 1);
+}
+
 TEST_CASE("answers to others and engines' own failures are told apart")
 {
   EntryFleet fleet(1);
