Go on from the count of others when the hosts that counted are gone

Cause: evidence below a verdict lived in the memory of its keepers and of the hosts that reported it. Where all of these were replaced before the next loss, the count began at zero.

Now a host that is told that a request is suspected goes on from that: the two coincidences that the notice stands for, and what began after it came.

The new case of unit.Suspects was not run on the code before.

--- a/goldcrestcroft/src/Engines/SuspectCounter.cpp
+++ b/goldcrestcroft/src/Engines/SuspectCounter.cpp
@@ -67,7 +67,7 @@
     entry.level_ = SuspectLevel::Cleared;
   }
   if (entry.level_ == SuspectLevel::HeldBack ||
-      entry.count_ < std::min(options_.suspectAt_, options_.holdAt_)) {
+      Count(entry) < std::min(options_.suspectAt_, options_.holdAt_)) {
     return std::nullopt;
   }
   const auto isSuspected = entry.level_ == SuspectLevel::Suspected;
@@ -82,12 +82,24 @@
                                            SuspectLevel::Suspected, aNow));
 }
 
+auto SuspectCounter::Count(const Entry& aEntry) -> std::size_t
+{
+  if (aEntry.told_ == 0) {
+    return aEntry.count_;
+  }
+  auto since = aEntry.runs_;
+  std::erase_if(
+    since, [&](const LostRun& aRun) { return aRun.began_ < aEntry.toldAt_; });
+  return std::max(aEntry.count_, aEntry.told_ + Chain(since).size());
+}
+
 auto SuspectCounter::IsEnough(const Entry& aEntry) const -> bool
 {
+  const auto count = Count(aEntry);
   // Three runs lost in a row happen to some innocent request of a day on which
   // every tenth run is lost; no history tells it from a guilty one.
-  return aEntry.count_ > options_.holdAt_ ||
-         (aEntry.count_ == options_.holdAt_ &&
+  return count > options_.holdAt_ ||
+         (count == options_.holdAt_ &&
           aEntry.runs_.size() >= options_.holdRuns_);
 }
 
@@ -140,10 +152,16 @@
     entry.clearedAt_ = aNow;
     entry.runs_.clear();
     entry.count_ = 0;
+    entry.told_ = 0;
   }
   if (isNewer || (aNotice.generation_ == entry.generation_ &&
                   aNotice.level_ > entry.level_)) {
     entry.level_ = aNotice.level_;
+    if (aNotice.level_ == SuspectLevel::Suspected) {
+      // Those who counted may be gone before the next loss.
+      entry.told_ = options_.suspectAt_;
+      entry.toldAt_ = aNow;
+    }
     entry.suspectedAt_ = aNow;
     entry.until_ = aNow + std::min(aNotice.left_, options_.holdFor_);
   }
--- a/goldcrestcroft/src/Engines/SuspectCounter.h
+++ b/goldcrestcroft/src/Engines/SuspectCounter.h
@@ -79,6 +79,9 @@
     std::vector<LostRun> runs_;
     /** Of runs_, counted. */
     std::size_t count_ = 0;
+    /** Coincidences that others counted before toldAt_. */
+    std::size_t told_ = 0;
+    TimePoint toldAt_;
     /** Runs that began before this are void. */
     TimePoint clearedAt_;
     TimePoint suspectedAt_;
@@ -88,6 +91,8 @@
     TimePoint heardAt_;
   };
 
+  /** \brief Own count, or that of others with what began since. */
+  [[nodiscard]] static auto Count(const Entry& aEntry) -> std::size_t;
   [[nodiscard]] auto IsEnough(const Entry& aEntry) const -> bool;
   auto Raise(std::uint64_t aRequest, Entry& aEntry, SuspectLevel aLevel,
              TimePoint aNow) const -> SuspectNotice;
--- a/test/unit/SuspectsTest.cpp
+++ b/test/unit/SuspectsTest.cpp
@@ -77,6 +77,23 @@
   CHECK(held->level_ == SuspectLevel::HeldBack);
 }
 
+TEST_CASE("suspects: evidence is lost with the hosts that counted it")
+{
+  SuspectCounter counter;
+  counter.OnNotice({ .request_ = kRequest,
+                     .level_ = SuspectLevel::Suspected,
+                     .left_ = std::chrono::minutes{ 5 } },
+                   kNow);
+  for (std::uint64_t i = 1; i <= 2; ++i) {
+    const auto began = kNow + std::chrono::seconds{ 4 * i };
+    const auto ended = began + std::chrono::milliseconds{ 100 };
+    const auto notice = counter.OnLost(
+      { .request_ = kRequest, .run_ = i, .began_ = began, .ended_ = ended },
+      ended);
+    CHECK(notice.has_value() == (i == 2));
+  }
+}
+
 TEST_CASE("suspects: a run told again counts twice")
 {
   SuspectCounter counter;
