--- a/goldcrestcroft/src/Gateway/ControlPlane.h
+++ b/goldcrestcroft/src/Gateway/ControlPlane.h
@@ -119,7 +119,8 @@
 
   auto Beat() -> Task<void>;
   auto Send(std::vector<FailureDetector::Outgoing> aOut,
-            const std::vector<LostRun>& aLostRuns = {}) -> void;
+            const std::vector<LostRun>& aLostRuns = {},
+            const std::vector<SuspectNotice>& aFirst = {}) -> void;
   auto BeatToSome() -> void;
   /** \brief Addresses at which hosts may be, by the store and the settings. */
   auto UpdateAddresses() -> void;
@@ -134,8 +135,9 @@
   /** \brief This host has found out: tells the others, and keeps it. */
   auto AnnounceVerdict(const SuspectNotice& aNotice) -> void;
   auto ReportToKeepers() -> void;
-  auto SendTo(const std::string& aKeeper, const std::vector<LostRun>& aRuns)
-    -> void;
+  /** \brief aFirst are notices that go before those whose turn it is. */
+  auto SendTo(const std::string& aKeeper, const std::vector<LostRun>& aRuns,
+              const std::vector<SuspectNotice>& aFirst = {}) -> void;
   auto SetKeepers() -> void;
   /** \brief What is due at each tick. */
   auto TendSuspects() -> void;
--- a/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
@@ -46,7 +46,8 @@
 }
 
 auto ControlPlane::Send(std::vector<FailureDetector::Outgoing> aOut,
-                        const std::vector<LostRun>& aLostRuns) -> void
+                        const std::vector<LostRun>& aLostRuns,
+                        const std::vector<SuspectNotice>& aFirst) -> void
 {
   const auto now = clock_.Now();
   FleetHeartbeat beat{ .configurationRow_ = configuration_.version_,
@@ -59,7 +60,10 @@
   }
   for (auto& [address, message] : aOut) {
     beat.probe_ = std::move(message);
-    beat.suspects_ = suspects_.Tell(kSuspectsPerDatagram, now);
+    beat.suspects_ = aFirst;
+    for (const auto& notice : suspects_.Tell(kSuspectsPerDatagram, now)) {
+      beat.suspects_.push_back(notice);
+    }
     const auto bytes = EncodeHeartbeat(beat);
     const auto endpoint = ParseTcpEndpoint(address);
     boost::system::error_code ignored; // A lost datagram is made up for.
@@ -127,12 +131,15 @@
       Log::Write(LogLevel::Info, "fleet_settled",
                  { { "hosts", std::to_string(peers_.Size()) },
                    { "named", std::to_string(hostRows_.size()) } });
-      asio::co_spawn(context_, RestoreHeldRequests(), asio::detached);
     }
     if (changed || alone != alone_ || settles) {
       alone_ = alone;
       PublishFleet();
     }
+    if (settles) {
+      // Only now the fleet is published, by which readers are chosen.
+      asio::co_spawn(context_, RestoreHeldRequests(), asio::detached);
+    }
     co_await Pause(options_.tick_);
   }
 }
--- a/goldcrestcroft/src/Gateway/ControlPlaneSuspects.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneSuspects.cpp
@@ -67,7 +67,7 @@
   const auto notices = co_await heldRows_.ReadAll();
   for (const auto& notice : notices) {
     if (LearnSuspect(notice)) {
-      heldRows_.Keep(notice);
+      heldRows_.Keep(notice, true);
     }
   }
 }
@@ -100,18 +100,19 @@
   if (aNotice.level_ == SuspectLevel::Cleared) {
     // What its keepers do not hear in time, they hold back.
     for (const auto& keeper : reports_.Keepers(aNotice.request_)) {
-      SendTo(keeper, {});
+      SendTo(keeper, {}, { aNotice });
     }
   }
 }
 
 auto ControlPlane::SendTo(const std::string& aKeeper,
-                          const std::vector<LostRun>& aRuns) -> void
+                          const std::vector<LostRun>& aRuns,
+                          const std::vector<SuspectNotice>& aFirst) -> void
 {
   const auto* host = published_.Find(HostOf(aKeeper));
   // Its own counter knows its own runs.
   if (host != nullptr && host->id_ != published_.self_) {
-    Send(peers_.PushTo(host->peerAddress_), aRuns);
+    Send(peers_.PushTo(host->peerAddress_), aRuns, aFirst);
   }
 }
 
--- a/goldcrestcroft/src/Gateway/EngineExchange.cpp
+++ b/goldcrestcroft/src/Gateway/EngineExchange.cpp
@@ -200,10 +200,10 @@
       if (error && !more && error != http::error::need_buffer) {
         co_return ReadEnd::Garbled;
       }
-      const auto framing = FramingEnd(size - got);
       if (got > 0) {
         framingAt_.reset();
       }
+      const auto framing = FramingEnd(size - got);
       if (framing != ReadEnd::Done || got > 0) {
         co_return framing;
       }
--- a/goldcrestcroft/src/Gateway/EnginePool.cpp
+++ b/goldcrestcroft/src/Gateway/EnginePool.cpp
@@ -167,7 +167,9 @@
       error = asio::error::connection_reset;
     }
   }
-  if (!error && !aEngine->consent_.MayReceive(clock_.Now())) {
+  const auto wanted = aEngine->consent_.MayReceive(clock_.Now()) &&
+                      engines_->Contains(aEngine->entry_);
+  if (!error && !wanted) {
     connection->Close();
     --aEngine->openConnections_;
     co_return EngineLease{ .engine_ = aEngine };
@@ -205,8 +207,8 @@
   const auto error = co_await connection->Connect(aEngine->entry_.address_,
                                                   options_.connectTimeout_);
   connection->Close();
-  // One that has all the connections that it takes resets new ones.
-  co_return !error || error == asio::error::connection_reset;
+  // Anything else may be the link or this host; the store tells in time.
+  co_return error != asio::error::connection_refused;
 }
 
 auto EnginePool::Keep(const EngineLease& aLease, Duration aKeepFor) -> void
--- a/goldcrestcroft/src/Gateway/EnginePool.h
+++ b/goldcrestcroft/src/Gateway/EnginePool.h
@@ -91,7 +91,7 @@
     -> Task<EngineLease>;
   /** \brief Keeps the connection for aKeepFor, zero for the usual. */
   auto Keep(const EngineLease& aLease, Duration aKeepFor) -> void;
-  /** \brief Whether anything takes connections at the engine's address. */
+  /** \brief False only if its address surely takes no connections. */
   auto Reaches(std::shared_ptr<EngineState> aEngine) -> Task<bool>;
   /** \brief Closes the connection. */
   auto Drop(const EngineLease& aLease) -> void;
--- a/goldcrestcroft/src/Gateway/HeldRequestRows.cpp
+++ b/goldcrestcroft/src/Gateway/HeldRequestRows.cpp
@@ -10,42 +10,57 @@
   co_await timer.async_wait(kAsTuple);
 }
 
-auto HeldRequestRows::Keep(const SuspectNotice& aNotice) -> void
+auto HeldRequestRows::Keep(const SuspectNotice& aNotice, bool aIsThere) -> void
 {
-  if (kept_ >= options_.mostKept_) {
+  if (rows_.size() >= options_.mostKept_) {
     Log::Write(LogLevel::Warning, "held_request_not_stored",
                { { "fingerprint", ToHex(aNotice.request_) },
                  { "reason", "too many are held back" } });
     return;
   }
-  ++kept_;
-  asio::co_spawn(context_, Maintain(aNotice), asio::detached);
+  rows_[aNotice.request_] = { .notice_ = aNotice, .isThere_ = aIsThere };
+  if (!maintaining_) {
+    maintaining_ = true;
+    asio::co_spawn(context_, Maintain(), asio::detached);
+  }
 }
 
-auto HeldRequestRows::Maintain(SuspectNotice aNotice) -> Task<void>
+auto HeldRequestRows::Maintain() -> Task<void>
 {
-  const auto [key, value] = codec_.EncodeHeldRequest(aNotice);
-  co_await Put(key, value, aNotice.request_);
-  while (options_.isHeld_(aNotice.request_)) {
+  while (!rows_.empty()) {
+    std::vector<std::uint64_t> requests;
+    for (const auto& [request, row] : rows_) {
+      requests.push_back(request);
+    }
+    for (const auto request : requests) {
+      const auto row = rows_.at(request);
+      const auto held = options_.isHeld_(request);
+      auto [key, value] = codec_.EncodeHeldRequest(row.notice_);
+      if (held && !row.isThere_) {
+        rows_.at(request).isThere_ = co_await Put(key, value);
+      } else if (!held) {
+        // A write without an answer may have been done.
+        const auto removed = co_await Put(key, std::nullopt);
+        if (removed) {
+          rows_.erase(request);
+        }
+      }
+    }
     co_await Pause();
   }
-  co_await Put(key, std::nullopt, aNotice.request_);
-  --kept_;
+  maintaining_ = false;
 }
 
-auto HeldRequestRows::Put(std::string aKey, std::optional<std::string> aValue,
-                          std::uint64_t aRequest) -> Task<void>
+auto HeldRequestRows::Put(std::string aKey, std::optional<std::string> aValue)
+  -> Task<bool>
 {
-  while (options_.isHeld_(aRequest) == aValue.has_value()) {
-    const auto reply =
-      co_await store_.Write(StoreTable::HeldRequests, aKey, aValue);
-    if (reply.end_ == StoreEnd::Done) {
-      co_return;
-    }
+  const auto reply =
+    co_await store_.Write(StoreTable::HeldRequests, aKey, std::move(aValue));
+  if (reply.end_ != StoreEnd::Done) {
     Log::Write(LogLevel::Warning, "held_request_not_stored",
                { { "fingerprint", aKey }, { "reason", reply.detail_ } });
-    co_await Pause();
   }
+  co_return reply.end_ == StoreEnd::Done;
 }
 
 auto HeldRequestRows::ReadAll() -> Task<std::vector<SuspectNotice>>
--- a/goldcrestcroft/src/Gateway/HeldRequestRows.h
+++ b/goldcrestcroft/src/Gateway/HeldRequestRows.h
@@ -4,6 +4,7 @@
 #include "PlatformCodec.h"
 
 #include <functional>
+#include <map>
 
 namespace goldcrestcroft {
 
@@ -34,25 +35,32 @@
   {
   }
 
-  /** \brief Writes the row, and removes it once the request is held back no
-   * longer. */
-  auto Keep(const SuspectNotice& aNotice) -> void;
+  /** \brief Writes the row, unless it is there, and removes it once the
+   * request is held back no longer. */
+  auto Keep(const SuspectNotice& aNotice, bool aIsThere = false) -> void;
   /** \brief The verdicts in the store; waits until it answers. */
   auto ReadAll() -> Task<std::vector<SuspectNotice>>;
 
 private:
-  auto Maintain(SuspectNotice aNotice) -> Task<void>;
-  /** \brief Writes or removes the row, until it is done or the verdict has
-   * changed meanwhile. */
-  auto Put(std::string aKey, std::optional<std::string> aValue,
-           std::uint64_t aRequest) -> Task<void>;
+  struct Row
+  {
+    SuspectNotice notice_;
+    bool isThere_ = false;
+  };
+
+  /** \brief Brings the store in line with the verdicts, one call at a time. */
+  auto Maintain() -> Task<void>;
+  /** \brief Whether the store did it. */
+  auto Put(std::string aKey, std::optional<std::string> aValue) -> Task<bool>;
   auto Pause() -> Task<void>;
 
   asio::io_context& context_;
   Options options_;
   const PlatformCodec& codec_;
   MetadataStore& store_;
-  std::size_t kept_ = 0;
+  /** Rows that this host looks after, by request. */
+  std::map<std::uint64_t, Row> rows_;
+  bool maintaining_ = false;
 };
 
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/PeerFrames.cpp
+++ b/goldcrestcroft/src/Gateway/PeerFrames.cpp
@@ -2,6 +2,7 @@
 
 #include "../Wire/MessageArchive.h"
 
+#include <algorithm>
 #include <sstream>
 
 namespace goldcrestcroft {
@@ -240,10 +241,14 @@
 
 auto FromReport(const LostRunReport& aReport, TimePoint aNow) -> LostRun
 {
+  // Beyond what any host remembers, and never in the future.
+  constexpr Duration kOldest = std::chrono::hours{ 1 };
+  const auto ended = std::clamp(aReport.endedAgo_, Duration{}, kOldest);
+  const auto began = std::clamp(aReport.beganAgo_, ended, kOldest);
   return { .request_ = aReport.request_,
            .run_ = aReport.run_,
-           .began_ = aNow - aReport.beganAgo_,
-           .ended_ = aNow - aReport.endedAgo_ };
+           .began_ = aNow - began,
+           .ended_ = aNow - ended };
 }
 
 auto EncodeHeartbeat(const FleetHeartbeat& aHeartbeat) -> std::string
--- a/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
@@ -68,7 +68,8 @@
   if (!lease.connection_) {
     co_return AttemptEnd::Unreachable;
   }
-  if (aborted_ != Aborted::No) {
+  // Either may have come while the connection was made.
+  if (aborted_ != Aborted::No || IsStoppedAsSuspect()) {
     traffic_.Pool().Drop(lease);
     co_return AttemptEnd::Unreachable;
   }
@@ -231,7 +232,12 @@
       NoteLoss(aLease, began);
       break;
     case AttemptEnd::Abandoned:
-      NoteLoss(aLease, began);
+      // The caller may have left before an answer that is whole.
+      if (exchange.IsComplete()) {
+        traffic_.NoteCompleted(fingerprint_);
+      } else {
+        NoteLoss(aLease, began);
+      }
       break;
     default:
       break;
