--- /dev/null
+++ b/goldcrestcroft/src/Gateway/LostRunReport.cpp
@@ -0,0 +1,27 @@
+#include "LostRunReport.h"
+
+#include <algorithm>
+
+namespace goldcrestcroft {
+
+auto ToReport(const LostRun& aRun, TimePoint aNow) -> LostRunReport
+{
+  return { .request_ = aRun.request_,
+           .run_ = aRun.run_,
+           .beganAgo_ = aNow - aRun.began_,
+           .endedAgo_ = aNow - aRun.ended_ };
+}
+
+auto FromReport(const LostRunReport& aReport, TimePoint aNow) -> LostRun
+{
+  // Beyond what any host remembers, and never in the future.
+  constexpr Duration kOldest = std::chrono::hours{ 1 };
+  const auto ended = std::clamp(aReport.endedAgo_, Duration{}, kOldest);
+  const auto began = std::clamp(aReport.beganAgo_, ended, kOldest);
+  return { .request_ = aReport.request_,
+           .run_ = aReport.run_,
+           .began_ = aNow - began,
+           .ended_ = aNow - ended };
+}
+
+} // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/PeerFrames.cpp
+++ b/goldcrestcroft/src/Gateway/PeerFrames.cpp
@@ -2,7 +2,6 @@
 
 #include "../Wire/MessageArchive.h"
 
-#include <algorithm>
 #include <sstream>
 
 namespace goldcrestcroft {
@@ -231,26 +230,6 @@
 
 } // namespace
 
-auto ToReport(const LostRun& aRun, TimePoint aNow) -> LostRunReport
-{
-  return { .request_ = aRun.request_,
-           .run_ = aRun.run_,
-           .beganAgo_ = aNow - aRun.began_,
-           .endedAgo_ = aNow - aRun.ended_ };
-}
-
-auto FromReport(const LostRunReport& aReport, TimePoint aNow) -> LostRun
-{
-  // Beyond what any host remembers, and never in the future.
-  constexpr Duration kOldest = std::chrono::hours{ 1 };
-  const auto ended = std::clamp(aReport.endedAgo_, Duration{}, kOldest);
-  const auto began = std::clamp(aReport.beganAgo_, ended, kOldest);
-  return { .request_ = aReport.request_,
-           .run_ = aReport.run_,
-           .began_ = aNow - began,
-           .ended_ = aNow - ended };
-}
-
 auto EncodeHeartbeat(const FleetHeartbeat& aHeartbeat) -> std::string
 {
   std::ostringstream out;
--- a/goldcrestcroft/src/Gateway/PeerFrames.h
+++ b/goldcrestcroft/src/Gateway/PeerFrames.h
@@ -3,6 +3,7 @@
 #include "../../Engines.h"
 #include "../../Membership.h"
 #include "../../Staging.h"
+#include "LostRunReport.h"
 #include "MetadataStore.h"
 #include "StageCallPiece.h"
 
@@ -10,20 +11,6 @@
 
 namespace goldcrestcroft {
 
-/** \brief A LostRun as it is told; ages, since hosts share no clock. */
-struct LostRunReport
-{
-  std::uint64_t request_ = 0;
-  std::uint64_t run_ = 0;
-  Duration beganAgo_{};
-  Duration endedAgo_{};
-
-  auto operator<=>(const LostRunReport&) const = default;
-};
-
-auto ToReport(const LostRun& aRun, TimePoint aNow) -> LostRunReport;
-auto FromReport(const LostRunReport& aReport, TimePoint aNow) -> LostRun;
-
 /** \brief A start of an engine that said that it leaves. */
 struct LeavingEngine
 {
