Log and count the limits that engines name

The record cannot tell why: no line of any host says that an engine named a limit, or with what value, and no counter says how many requests went to such an engine afterwards, so that "nobody reads it", "each host keeps it alone" and "the guard sits before the wait" look alike.

Each host writes engine_limit_heard when what the engine says to it changes, engine_limit_unreadable for a text that is no number, and counts both and the requests that it sends to such engines. No decision is changed.

--- a/goldcrestcroft/Engines.h
+++ b/goldcrestcroft/Engines.h
@@ -11,6 +11,7 @@
 #include "src/Engines/EngineChoice.h"
 #include "src/Engines/EngineConsent.h"
 #include "src/Engines/EngineHealth.h"
+#include "src/Engines/EngineLimit.h"
 #include "src/Engines/LostRun.h"
 #include "src/Engines/LostRunReports.h"
 #include "src/Engines/PromptPart.h"
--- a/goldcrestcroft/src/Gateway/EngineExchange.cpp
+++ b/goldcrestcroft/src/Gateway/EngineExchange.cpp
@@ -67,6 +67,12 @@
   head_.leaving_ =
     std::any_of(names_.engineLeaving_.begin(), names_.engineLeaving_.end(),
                 [&](const auto& aName) { return IsSet(fields[aName]); });
+  for (const auto& name : names_.engineLimit_) {
+    const auto [first, last] = fields.equal_range(name);
+    for (auto field = first; field != last; ++field) {
+      head_.limits_.emplace_back(field->value());
+    }
+  }
   head_.retryAfter_ = ReadRetryAfter(fields[http::field::retry_after]);
   const auto keep = fields["Keep-Alive"];
   head_.keepFor_ = ReadKeepFor({ keep.data(), keep.size() });
--- a/goldcrestcroft/src/Gateway/EngineExchange.h
+++ b/goldcrestcroft/src/Gateway/EngineExchange.h
@@ -17,6 +17,8 @@
   bool keepAlive_ = false;
   /** The engine says that it is about to leave. */
   bool leaving_ = false;
+  /** What it names as its limit, once for each header that does. */
+  std::vector<std::string> limits_;
   /** How long it wants no requests; zero where it does not say. */
   Duration retryAfter_{};
   /** Zero where the engine does not say. */
--- a/goldcrestcroft/src/Gateway/EnginePool.cpp
+++ b/goldcrestcroft/src/Gateway/EnginePool.cpp
@@ -88,6 +88,7 @@
     OnLeaving(entry.id_, entry.startedAt_);
     options_.onLeaving_(entry);
   }
+  HeedLimit(engine, aHead);
   if (aHead.status_ == kRefused && aHead.retryAfter_ > Duration{}) {
     engine.consent_.OnPauseAsked(aHead.retryAfter_, now);
     options_.count_("engine_pauses_asked");
@@ -100,6 +101,31 @@
   }
 }
 
+auto EnginePool::HeedLimit(EngineState& aEngine, const EngineAnswerHead& aHead)
+  -> void
+{
+  std::optional<double> least;
+  for (const auto& text : aHead.limits_) {
+    const auto limit = ReadLimit(text);
+    if (!limit) {
+      options_.count_("engine_limits_unreadable");
+      Log::Write(LogLevel::Warning, "engine_limit_unreadable",
+                 { { "engine", aEngine.entry_.id_ }, { "value", text } });
+      return;
+    }
+    least = least ? std::min(*least, *limit) : *limit;
+  }
+  if (least != aEngine.limit_) {
+    aEngine.limit_ = least;
+    options_.count_("engine_limits_heard");
+    Log::Write(LogLevel::Info, "engine_limit_heard",
+               { { "engine", aEngine.entry_.id_ },
+                 { "per_second", least ? std::to_string(*least) : "none" },
+                 { "kept_connections", std::to_string(aEngine.kept_.size()) },
+                 { "own_requests", std::to_string(aEngine.ownRequests_) } });
+  }
+}
+
 auto EnginePool::StateOf(const EngineEntry& aEntry)
   -> std::shared_ptr<EngineState>
 {
--- a/goldcrestcroft/src/Gateway/EnginePool.h
+++ b/goldcrestcroft/src/Gateway/EnginePool.h
@@ -21,6 +21,9 @@
   /** Requests of this host that it works on. */
   std::size_t ownRequests_ = 0;
   std::size_t openConnections_ = 0;
+  /** Requests a second that it takes from all hosts together, by its last
+   * word to this host. */
+  std::optional<double> limit_;
   EngineLoadReport report_;
   TimePoint reportedAt_;
 
@@ -111,6 +114,7 @@
 private:
   auto IsSettled(EngineConnection& aConnection) -> Task<bool>;
   auto CloseKept(EngineState& aEngine) -> void;
+  auto HeedLimit(EngineState& aEngine, const EngineAnswerHead& aHead) -> void;
   auto TakeKept(EngineState& aEngine) -> std::shared_ptr<EngineConnection>;
 
   asio::io_context& context_;
--- a/goldcrestcroft/src/Gateway/HeaderNames.h
+++ b/goldcrestcroft/src/Gateway/HeaderNames.h
@@ -21,6 +21,8 @@
   /** In all answers of an engine that is about to leave; any of them says
    * so. */
   std::vector<std::string> engineLeaving_;
+  /** Requests a second that the engine takes from all hosts together. */
+  std::vector<std::string> engineLimit_;
   std::string workspace_;
   std::string apiKey_;
   std::string pieceCounts_;
--- a/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
@@ -16,6 +16,7 @@
     const auto dropped = IsHopByHop(field.name()) ||
                          beast::iequals(name, aNames.engineLoad_) ||
                          IsNamed(aNames.engineLeaving_, name) ||
+                         IsNamed(aNames.engineLimit_, name) ||
                          beast::iequals(name, aNames.notRun_);
     if (!dropped) {
       aAnswer.insert(name, field.value());
--- a/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
@@ -185,6 +185,9 @@
   unsettled_ = true;
   auto end = ReadEnd::Broken;
   auto forwarded = MakeForwarded(aLease.engine_->entry_);
+  if (aLease.engine_->limit_) {
+    traffic_.Metrics().Count("requests_to_limited_engines");
+  }
   if (co_await aLease.connection_->BeginWrite(std::move(forwarded))) {
     end = co_await exchange.ReadHead(requestId_,
                                      request_.method() == http::verb::head);
