Reproduce LIMIT: engines get far more than the limits that they name

The engine stand-in names a limit in all its answers, under either spelling by turns, and tells when calls reached it.

--- a/test/platform/EngineStandin.cpp
+++ b/test/platform/EngineStandin.cpp
@@ -82,6 +82,12 @@
   return arrivals_;
 }
 
+auto EngineStandin::ReachedAt() -> std::vector<TimePoint>
+{
+  const std::lock_guard lock(mutex_);
+  return reachedAt_;
+}
+
 auto EngineStandin::LastHeader(const std::string& aName) -> std::string
 {
   const std::lock_guard lock(mutex_);
@@ -136,6 +142,10 @@
 auto EngineStandin::Handle(const Request& aRequest) -> Reaction
 {
   ++reached_;
+  {
+    const std::lock_guard lock(mutex_);
+    reachedAt_.push_back(SuspendAwareClock{}.Now());
+  }
   auto reaction = React(aRequest);
   if (reaction.status_ == 200) {
     const std::lock_guard lock(mutex_);
@@ -147,6 +157,11 @@
       reached_ % 2 == 0 ? "Goldcrestcroft-Server-Leaving" : "Server-Leaving",
       "1");
   }
+  if (limit_ >= 0.0) {
+    reaction.headers_.emplace_back(
+      reached_ % 2 == 0 ? "Goldcrestcroft-Server-Limit" : "Server-Limit",
+      std::to_string(limit_));
+  }
   if (reaction.status_ == 503 && retryAfterS_ > 0) {
     reaction.headers_.emplace_back("Retry-After", std::to_string(retryAfterS_));
   }
--- a/test/platform/EngineStandin.h
+++ b/test/platform/EngineStandin.h
@@ -109,11 +109,16 @@
   [[nodiscard]] auto ResultsHeld() -> std::size_t;
   /** \brief Calls and requests of every kind that came, run or not. */
   [[nodiscard]] auto Reached() const -> std::size_t { return reached_; }
+  /** \brief When they came. */
+  [[nodiscard]] auto ReachedAt() -> std::vector<goldcrestcroft::TimePoint>;
 
   std::atomic<Trouble> trouble_ = Trouble::None;
   std::atomic<int> delayMs_ = 0;
   /** All its answers say that it leaves. */
   std::atomic<bool> leaving_ = false;
+  /** Requests a second that all its answers name as its limit; none if
+   * negative. */
+  std::atomic<double> limit_ = -1.0;
   /** Seconds that it asks for in a refusal; none at 0. */
   std::atomic<int> retryAfterS_ = 0;
 
@@ -146,6 +151,7 @@
   std::atomic<bool> isAway_ = false;
   std::function<void()> onStart_;
   std::atomic<std::size_t> reached_ = 0;
+  std::vector<goldcrestcroft::TimePoint> reachedAt_;
   std::size_t pieces_ = 0;
   std::size_t calls_ = 0;
   std::uint64_t nextResult_ = 1;
--- /dev/null
+++ b/test/process/LimitedFleet.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include "EntryFleet.h"
+
+#include <algorithm>
+#include <mutex>
+
+namespace testing {
+
+/** \brief Entry hosts under steady load before engines that name limits. */
+class LimitedFleet
+{
+public:
+  using TimePoint = goldcrestcroft::TimePoint;
+  using Duration = goldcrestcroft::Duration;
+
+  /** \brief One answer to a caller. */
+  struct Answer
+  {
+    CallerAnswer answer_;
+    TimePoint at_;
+    Duration took_{};
+  };
+
+  explicit LimitedFleet(std::size_t aHosts)
+    : fleet_(aHosts)
+    , hosts_(aHosts)
+  {
+  }
+  ~LimitedFleet() { StopLoad(); }
+  LimitedFleet(const LimitedFleet&) = delete;
+  auto operator=(const LimitedFleet&) -> LimitedFleet& = delete;
+
+  auto AwaitReady() -> bool
+  {
+    auto ready = true;
+    for (std::size_t i = 0; i < hosts_; ++i) {
+      ready = fleet_.AwaitReady(i) && ready;
+    }
+    return ready && fleet_.AwaitAcquainted();
+  }
+  auto Fleet() -> EntryFleet& { return fleet_; }
+  auto Engines(const std::string& aService = "desk")
+    -> std::vector<std::unique_ptr<standins::EngineStandin>>&
+  {
+    return fleet_.Platform().Engines(aService);
+  }
+  /** \brief Callers that each send a request every aEvery, to a host of their
+   * own by turns. */
+  auto StartLoad(std::size_t aCallers, std::chrono::milliseconds aEvery,
+                 const std::string& aTarget = "/safe/x") -> void
+  {
+    stops_ = false;
+    for (std::size_t i = 0; i < aCallers; ++i) {
+      callers_.emplace_back([this, i, aEvery, aTarget] {
+        // Not all at the same moment.
+        std::this_thread::sleep_for(aEvery / 7 * (i % 7));
+        while (!stops_) {
+          const auto began = clock_.Now();
+          auto answer = fleet_.Get(i % hosts_, aTarget);
+          const auto now = clock_.Now();
+          {
+            const std::lock_guard lock(mutex_);
+            answers_.push_back({ std::move(answer), now, now - began });
+          }
+          std::this_thread::sleep_for(aEvery -
+                                      std::min<Duration>(now - began, aEvery));
+        }
+      });
+    }
+  }
+  auto StopLoad() -> void
+  {
+    stops_ = true;
+    for (auto& caller : callers_) {
+      caller.join();
+    }
+    callers_.clear();
+  }
+  [[nodiscard]] auto Now() const -> TimePoint { return clock_.Now(); }
+  static auto Wait(Duration aTime) -> void
+  {
+    std::this_thread::sleep_for(aTime);
+  }
+  /** \brief Answers that came from then on. */
+  auto AnswersSince(TimePoint aSince) -> std::vector<Answer>
+  {
+    const std::lock_guard lock(mutex_);
+    std::vector<Answer> answers;
+    std::copy_if(answers_.begin(), answers_.end(), std::back_inserter(answers),
+                 [&](const auto& aItem) { return aItem.at_ >= aSince; });
+    return answers;
+  }
+  /** \brief Most arrivals at the engine in any 4 s that begin then or later. */
+  static auto MostIn4s(standins::EngineStandin& aEngine, TimePoint aSince)
+    -> std::size_t
+  {
+    constexpr auto kWindow = std::chrono::seconds{ 4 };
+    const auto times = aEngine.ReachedAt();
+    std::size_t most = 0;
+    for (std::size_t i = 0, j = 0; i < times.size(); ++i) {
+      while (times[i] - times[j] >= kWindow || times[j] < aSince) {
+        if (++j > i) {
+          break;
+        }
+      }
+      most = std::max(most, j > i ? 0 : i - j + 1);
+    }
+    return most;
+  }
+  static auto ReachedSince(standins::EngineStandin& aEngine, TimePoint aSince)
+    -> std::size_t
+  {
+    const auto times = aEngine.ReachedAt();
+    return static_cast<std::size_t>(std::count_if(
+      times.begin(), times.end(), [&](auto aTime) { return aTime >= aSince; }));
+  }
+  /** \brief Arrivals in any 4 s that the users' rule allows. */
+  static auto Allowed(double aLimit) -> std::size_t
+  {
+    return static_cast<std::size_t>(1.5 * 4.0 * aLimit + 5.0);
+  }
+
+private:
+  EntryFleet fleet_;
+  std::size_t hosts_;
+  goldcrestcroft::SuspendAwareClock clock_;
+  std::atomic<bool> stops_ = false;
+  std::mutex mutex_;
+  std::vector<Answer> answers_;
+  std::vector<std::thread> callers_;
+};
+
+} // namespace testing
