--- a/goldcrestcroft/src/Engines/AttemptPolicy.cpp
+++ b/goldcrestcroft/src/Engines/AttemptPolicy.cpp
@@ -9,6 +9,8 @@
       return "delivered";
     case AttemptEnd::Unreachable:
       return "unreachable";
+    case AttemptEnd::Denied:
+      return "denied";
     case AttemptEnd::Rejected:
       return "rejected";
     case AttemptEnd::InputsGone:
@@ -29,6 +31,9 @@
     case AttemptEnd::Unreachable:
       ++aRecord.unreachable_;
       break;
+    case AttemptEnd::Denied:
+      ++aRecord.denied_;
+      break;
     case AttemptEnd::Rejected:
       ++aRecord.rejected_;
       break;
@@ -55,6 +60,8 @@
   switch (aEnd) {
     case AttemptEnd::Unreachable:
       return mayTry(aRecord.unreachable_ <= aLimits.mostUnreachable_);
+    case AttemptEnd::Denied:
+      return mayTry(aRecord.denied_ <= aLimits.mostDenied_);
     case AttemptEnd::Rejected:
       return mayTry(aRecord.rejected_ <= aLimits.mostRejected_);
     case AttemptEnd::InputsGone:
--- a/goldcrestcroft/src/Engines/AttemptPolicy.h
+++ b/goldcrestcroft/src/Engines/AttemptPolicy.h
@@ -14,6 +14,9 @@
   Delivered,
   /** No connection: nothing was sent. */
   Unreachable,
+  /** All requests that the engine takes from all hosts together are given
+   * away: nothing was sent. */
+  Denied,
   /** The engine states that it did not run the request. */
   Rejected,
   /** As Rejected, since results of stages are there no longer. */
@@ -46,6 +49,7 @@
   /** Engines on which it may have run. */
   std::size_t ran_ = 0;
   std::size_t unreachable_ = 0;
+  std::size_t denied_ = 0;
   std::size_t rejected_ = 0;
   std::size_t remade_ = 0;
 
@@ -56,10 +60,19 @@
 struct AttemptLimits
 {
   std::size_t mostUnreachable_ = 4;
+  /** Each costs a message and its answer between hosts. */
+  std::size_t mostDenied_ = 8;
   std::size_t mostRejected_ = 2;
   std::size_t mostRemade_ = 2;
 };
 
+/** \brief Whether the attempt may have reached an engine, so that another one
+ * is a repeat. */
+[[nodiscard]] constexpr auto WasSent(AttemptEnd aEnd) -> bool
+{
+  return aEnd != AttemptEnd::Unreachable && aEnd != AttemptEnd::Denied;
+}
+
 /** \brief Counts how an attempt ended. */
 auto Count(AttemptRecord aRecord, AttemptEnd aEnd) -> AttemptRecord;
 
--- a/goldcrestcroft/src/Gateway/ControlPlane.h
+++ b/goldcrestcroft/src/Gateway/ControlPlane.h
@@ -24,6 +24,8 @@
   std::function<void(std::shared_ptr<const FleetView>)> onFleet_;
   std::function<void(const SuspectNotice&)> onSuspect_;
   std::function<void(const LeavingEngine&)> onLeaving_;
+  std::function<void(const EngineLimit&)> onLimit_;
+  std::function<void(const PermitAnswer&)> onPermit_;
 };
 
 /** \brief Owns the control state: configuration, engines and entry hosts.
@@ -85,8 +87,28 @@
   auto SpreadSuspect(const SuspectNotice& aNotice) -> void;
   /** \brief Tells the peers of an engine that said that it leaves. */
   auto SpreadLeaving(const LeavingEngine& aEngine) -> void;
+  /** \brief Tells the peers what an engine said of its limit. */
+  auto SpreadLimit(const EngineLimit& aWord) -> void;
+  /** \brief Asks the keepers of the engine's rate for the right to send one
+   * request; the listener is told, within half a second. */
+  auto SeekPermit(const PermitWish& aWish) -> void;
 
 private:
+  /** \brief What goes with datagrams besides news of hosts. */
+  struct Cargo
+  {
+    std::vector<LostRun> lostRuns_;
+    /** These go before those whose turn it is. */
+    std::vector<SuspectNotice> suspects_;
+    std::vector<EngineLimitReport> limits_;
+    std::vector<PermitAsk> asks_;
+    std::vector<PermitAnswer> permits_;
+  };
+  struct AskedPermit
+  {
+    asio::steady_timer answered_;
+    std::optional<Permit> permit_;
+  };
   struct Followed
   {
     std::uint64_t version_ = 0;
@@ -119,8 +141,7 @@
 
   auto Beat() -> Task<void>;
   auto Send(std::vector<FailureDetector::Outgoing> aOut,
-            const std::vector<LostRun>& aLostRuns = {},
-            const std::vector<SuspectNotice>& aFirst = {}) -> void;
+            const Cargo& aCargo = {}) -> void;
   auto BeatToSome() -> void;
   /** \brief Addresses at which hosts may be, by the store and the settings. */
   auto UpdateAddresses() -> void;
@@ -135,15 +156,27 @@
   /** \brief This host has found out: tells the others, and keeps it. */
   auto AnnounceVerdict(const SuspectNotice& aNotice) -> void;
   auto ReportToKeepers() -> void;
-  /** \brief aFirst are notices that go before those whose turn it is. */
-  auto SendTo(const std::string& aKeeper, const std::vector<LostRun>& aRuns,
-              const std::vector<SuspectNotice>& aFirst = {}) -> void;
+  /** \brief The host of a keeper, which is named for each of its starts. */
+  [[nodiscard]] static auto HostOfKeeper(const std::string& aKeeper)
+    -> std::string;
+  auto SendTo(const std::string& aKeeper, const Cargo& aCargo) -> void;
   auto SetKeepers() -> void;
   /** \brief What is due at each tick. */
   auto TendSuspects() -> void;
   /** \brief Learns the verdicts that outlived the hosts, where this host is a
    * reader of the store; the others are told. */
   auto RestoreHeldRequests() -> Task<void>;
+  // Limits of engines.
+  auto LearnLimit(const EngineLimit& aWord) -> void;
+  auto TendLimits() -> void;
+  /** \brief A permit of this host, as a keeper of the engine's rate. */
+  auto Issue(const PermitAsk& aAsk) -> Permit;
+  auto OnPermitAsk(const PermitAsk& aAsk, const std::string& aAddress) -> void;
+  auto OnPermitAnswer(const PermitAnswer& aAnswer) -> void;
+  /** \brief What the keeper answers; none if it does not. */
+  auto AskKeeper(std::string aAddress, PermitAsk aAsk)
+    -> Task<std::optional<Permit>>;
+  auto FindPermit(PermitWish aWish) -> Task<void>;
   auto AcceptPeers() -> Task<void>;
   auto FetchFrom(const std::string& aAddress, bool aWholeFleet) -> void;
   auto OnFrame(const std::shared_ptr<PeerLink>& aLink, const PeerFrame& aFrame)
@@ -175,6 +208,13 @@
   LostRunReports reports_;
   HeldRequestRows heldRows_;
   RepeatedNews<LeavingEngine> leavingEngines_;
+  LimitBoard limits_;
+  PermitIssuer issuer_;
+  /** Keepers that did not answer, until when they are not asked. */
+  std::map<std::string, TimePoint> silentKeepers_;
+  /** By number. */
+  std::map<std::uint64_t, std::shared_ptr<AskedPermit>> asked_;
+  std::uint64_t lastAsk_ = 0;
   FleetView published_;
   TimePoint lastBeat_;
   bool alone_ = false;
--- a/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
@@ -9,10 +9,9 @@
 namespace {
 
 constexpr auto kFetchTimeout = std::chrono::milliseconds{ 800 };
-constexpr std::size_t kMaxBeatBytes = 60'000;
-/** Of 21 bytes each, so that a datagram with news of hosts still fits one
- * packet of 1,500 bytes. */
-constexpr std::size_t kSuspectsPerDatagram = 8;
+/** Limits that a host is told when it starts; the rest follows with
+ * datagrams. */
+constexpr std::size_t kLimitsAtStart = 1024;
 
 auto ToText(const std::optional<PeerState>& aState) -> std::string
 {
@@ -45,39 +44,6 @@
   addresses_ = { addresses.begin(), addresses.end() };
 }
 
-auto ControlPlane::Send(std::vector<FailureDetector::Outgoing> aOut,
-                        const std::vector<LostRun>& aLostRuns,
-                        const std::vector<SuspectNotice>& aFirst) -> void
-{
-  const auto now = clock_.Now();
-  FleetHeartbeat beat{ .configurationRow_ = configuration_.version_,
-                       .engineRows_ = engines_.Version() };
-  for (const auto& run : aLostRuns) {
-    beat.lostRuns_.push_back(ToReport(run, now));
-  }
-  if (!aOut.empty()) {
-    beat.leavingEngines_ = leavingEngines_.Told(now);
-  }
-  for (auto& [address, message] : aOut) {
-    beat.probe_ = std::move(message);
-    beat.suspects_ = aFirst;
-    for (const auto& notice : suspects_.Tell(kSuspectsPerDatagram, now)) {
-      beat.suspects_.push_back(notice);
-    }
-    const auto bytes = EncodeHeartbeat(beat);
-    const auto endpoint = ParseTcpEndpoint(address);
-    boost::system::error_code ignored; // A lost datagram is made up for.
-    beats_.send_to(asio::buffer(bytes),
-                   Udp::endpoint(endpoint.address(), endpoint.port()), 0,
-                   ignored);
-  }
-}
-
-auto ControlPlane::BeatToSome() -> void
-{
-  Send(peers_.Push());
-}
-
 auto ControlPlane::LogFleetChanges() -> bool
 {
   const auto changes = peers_.TakeChanges();
@@ -115,6 +81,7 @@
       Log::Write(
         LogLevel::Warning, "woken",
         { { "pause_ms", std::to_string(ToMilliseconds(now - lastBeat_)) } });
+      issuer_.OnPause();
     }
     lastBeat_ = now;
     leavingEngines_.Expire(now);
@@ -123,6 +90,7 @@
     }
     Send(peers_.Tick(addresses_, now));
     TendSuspects();
+    TendLimits();
     const auto alone = peers_.IsAlone(now);
     const auto changed = LogFleetChanges();
     const auto settles = !settled_ && IsSettled(now);
@@ -144,63 +112,6 @@
   }
 }
 
-auto ControlPlane::ReceiveBeats() -> Task<void>
-{
-  std::vector<char> buffer(kMaxBeatBytes);
-  for (;;) {
-    Udp::endpoint from;
-    const auto [error, size] =
-      co_await beats_.async_receive_from(asio::buffer(buffer), from, kAsTuple);
-    if (error == asio::error::operation_aborted) {
-      co_return;
-    }
-    if (error) {
-      continue; // Refusals of earlier sends are reported here.
-    }
-    const std::string_view bytes(buffer.data(), size);
-    Handle(
-      [&]() -> Result<void> {
-        BOOST_LEAF_AUTO(beat, DecodeHeartbeat(bytes));
-        OnBeat(beat);
-        return {};
-      },
-      [&](const Error& aError) {
-        Log::Write(LogLevel::Warning, "beat_unreadable",
-                   { { "reason", aError.message_ } });
-      });
-  }
-}
-
-auto ControlPlane::OnBeat(const FleetHeartbeat& aBeat) -> void
-{
-  const auto now = clock_.Now();
-  Send(peers_.OnMessage(aBeat.probe_, now));
-  for (const auto& report : aBeat.lostRuns_) {
-    CountLost(FromReport(report, now));
-  }
-  for (const auto& notice : aBeat.suspects_) {
-    LearnSuspect(notice);
-  }
-  for (const auto& engine : aBeat.leavingEngines_) {
-    if (leavingEngines_.Add(engine, now)) {
-      listener_.onLeaving_(engine);
-    }
-  }
-  const auto behind = aBeat.configurationRow_ > configuration_.version_ ||
-                      aBeat.engineRows_ > engines_.Version();
-  const auto fewHosts = peers_.IsFarBehind(aBeat.probe_);
-  if (behind || fewHosts) {
-    FetchFrom(aBeat.probe_.sender_.peerAddress_, fewHosts);
-  }
-}
-
-auto ControlPlane::SpreadLeaving(const LeavingEngine& aEngine) -> void
-{
-  if (leavingEngines_.Add(aEngine, clock_.Now())) {
-    BeatToSome();
-  }
-}
-
 auto ControlPlane::MakeLink(Tcp::socket aSocket) -> std::shared_ptr<PeerLink>
 {
   return std::make_shared<PeerLink>(
@@ -270,6 +181,9 @@
     if (request->wholeFleet_) {
       reply.hosts_ = peers_.WholeList();
       reply.hosts_.push_back({ .record_ = peers_.Self() });
+      for (const auto& word : limits_.InForce(kLimitsAtStart)) {
+        reply.limits_.push_back(ToReport(word, clock_.Now()));
+      }
     }
     aLink->Send(reply);
     return;
@@ -280,6 +194,9 @@
     return;
   }
   peers_.Learn(reply->hosts_, clock_.Now());
+  for (const auto& report : reply->limits_) {
+    LearnLimit(FromReport(report, clock_.Now()));
+  }
   auto news = false;
   for (const auto& row : reply->configuration_) {
     news |= AdoptPacked(row);
--- a/goldcrestcroft/src/Gateway/ControlPlaneSuspects.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneSuspects.cpp
@@ -7,13 +7,13 @@
 
 constexpr auto kBeforeIncarnation = '|';
 
-auto HostOf(const std::string& aKeeper) -> std::string
+} // namespace
+
+auto ControlPlane::HostOfKeeper(const std::string& aKeeper) -> std::string
 {
   return aKeeper.substr(0, aKeeper.rfind(kBeforeIncarnation));
 }
 
-} // namespace
-
 auto ControlPlane::SetKeepers() -> void
 {
   // A host that starts again knows nothing and is told again.
@@ -26,6 +26,7 @@
   for (const auto& news : peers_.Peers(clock_.Now())) {
     add(news.record_);
   }
+  issuer_.SetHosts(keepers, keepers.front());
   reports_.SetHosts(std::move(keepers));
 }
 
@@ -100,19 +101,18 @@
   if (aNotice.level_ == SuspectLevel::Cleared) {
     // What its keepers do not hear in time, they hold back.
     for (const auto& keeper : reports_.Keepers(aNotice.request_)) {
-      SendTo(keeper, {}, { aNotice });
+      SendTo(keeper, { .suspects_ = { aNotice } });
     }
   }
 }
 
-auto ControlPlane::SendTo(const std::string& aKeeper,
-                          const std::vector<LostRun>& aRuns,
-                          const std::vector<SuspectNotice>& aFirst) -> void
+auto ControlPlane::SendTo(const std::string& aKeeper, const Cargo& aCargo)
+  -> void
 {
-  const auto* host = published_.Find(HostOf(aKeeper));
+  const auto* host = published_.Find(HostOfKeeper(aKeeper));
   // Its own counter knows its own runs.
   if (host != nullptr && host->id_ != published_.self_) {
-    Send(peers_.PushTo(host->peerAddress_), aRuns, aFirst);
+    Send(peers_.PushTo(host->peerAddress_), aCargo);
   }
 }
 
@@ -130,7 +130,7 @@
 auto ControlPlane::ReportToKeepers() -> void
 {
   for (const auto& [keeper, runs] : reports_.Due(clock_.Now())) {
-    SendTo(keeper, runs);
+    SendTo(keeper, { .lostRuns_ = runs });
   }
 }
 
--- a/goldcrestcroft/src/Gateway/EnginePool.cpp
+++ b/goldcrestcroft/src/Gateway/EnginePool.cpp
@@ -46,6 +46,7 @@
   std::erase_if(leaving_, [&](const auto& aItem) {
     return now - aItem.second >= options_.rememberLeaving_;
   });
+  limits_.Expire(now);
 }
 
 auto EnginePool::CloseKept(EngineState& aEngine) -> void
@@ -88,7 +89,7 @@
     OnLeaving(entry.id_, entry.startedAt_);
     options_.onLeaving_(entry);
   }
-  HeedLimit(engine, aHead);
+  HeedLimit(aLease, aHead);
   if (aHead.status_ == kRefused && aHead.retryAfter_ > Duration{}) {
     engine.consent_.OnPauseAsked(aHead.retryAfter_, now);
     options_.count_("engine_pauses_asked");
@@ -101,31 +102,6 @@
   }
 }
 
-auto EnginePool::HeedLimit(EngineState& aEngine, const EngineAnswerHead& aHead)
-  -> void
-{
-  std::optional<double> least;
-  for (const auto& text : aHead.limits_) {
-    const auto limit = ReadLimit(text);
-    if (!limit) {
-      options_.count_("engine_limits_unreadable");
-      Log::Write(LogLevel::Warning, "engine_limit_unreadable",
-                 { { "engine", aEngine.entry_.id_ }, { "value", text } });
-      return;
-    }
-    least = least ? std::min(*least, *limit) : *limit;
-  }
-  if (least != aEngine.limit_) {
-    aEngine.limit_ = least;
-    options_.count_("engine_limits_heard");
-    Log::Write(LogLevel::Info, "engine_limit_heard",
-               { { "engine", aEngine.entry_.id_ },
-                 { "per_second", least ? std::to_string(*least) : "none" },
-                 { "kept_connections", std::to_string(aEngine.kept_.size()) },
-                 { "own_requests", std::to_string(aEngine.ownRequests_) } });
-  }
-}
-
 auto EnginePool::StateOf(const EngineEntry& aEntry)
   -> std::shared_ptr<EngineState>
 {
@@ -135,9 +111,12 @@
     state->entry_ = aEntry;
     state->consent_ =
       EngineConsent({ .longestPause_ = options_.longestPause_ });
-    if (leaving_.contains({ aEntry.id_, aEntry.startedAt_ })) {
+    const EngineStart start(aEntry.id_, aEntry.startedAt_);
+    if (leaving_.contains(start)) {
       state->consent_.OnLeaving();
     }
+    const auto word = limits_.Find(start);
+    state->limit_ = word ? word->perSecond_ : std::nullopt;
   }
   return state;
 }
@@ -170,13 +149,9 @@
     ProbeIdle(aConnection.Socket()) == IdleState::Quiet;
 }
 
-auto EnginePool::Open(std::shared_ptr<EngineState> aEngine, bool aSettles)
+auto EnginePool::Connect(std::shared_ptr<EngineState> aEngine, bool aSettles)
   -> Task<EngineLease>
 {
-  // The last guard, whoever asks: callers choose among engines that want work.
-  if (!aEngine->consent_.MayReceive(clock_.Now())) {
-    co_return EngineLease{ .engine_ = aEngine };
-  }
   auto connection = TakeKept(*aEngine);
   if (connection) {
     connection->Renew();
@@ -218,6 +193,45 @@
   co_return EngineLease{ .engine_ = aEngine, .connection_ = connection };
 }
 
+auto EnginePool::Open(std::shared_ptr<EngineState> aEngine, OpenWish aWish)
+  -> Task<EngineLease>
+{
+  const EngineLease none{ .engine_ = aEngine };
+  const EngineLease denied{ .engine_ = aEngine, .denied_ = true };
+  // The last guard, whoever asks: callers choose among engines that want work.
+  if (!aEngine->consent_.MayReceive(clock_.Now())) {
+    co_return none;
+  }
+  const auto limited = aEngine->limit_.has_value();
+  if (limited) {
+    if (!co_await AwaitTurn(aEngine, aWish.patience_)) {
+      co_return denied;
+    }
+    if (!aEngine->consent_.MayReceive(clock_.Now())) {
+      co_return none;
+    }
+  }
+  const auto turnAt = clock_.Now();
+  auto lease = co_await Connect(aEngine, aWish.settles_);
+  if (!lease.connection_) {
+    co_return lease;
+  }
+  const auto late =
+    limited && clock_.Now() - turnAt > options_.usePermitWithin_;
+  // The word may have come while the connection was made.
+  const auto unasked = !limited && aEngine->limit_;
+  if (late || (unasked && !co_await AwaitTurn(aEngine, aWish.patience_))) {
+    Keep(lease, {});
+    co_return denied;
+  }
+  if (unasked && ProbeIdle(lease.connection_->Socket()) != IdleState::Quiet) {
+    Drop(lease);
+    co_return none;
+  }
+  lease.takenAt_ = clock_.Now();
+  co_return lease;
+}
+
 auto EnginePool::Reaches(std::shared_ptr<EngineState> aEngine) -> Task<bool>
 {
   // One that is kept for later has broken with the process that held it.
--- a/goldcrestcroft/src/Gateway/EnginePool.h
+++ b/goldcrestcroft/src/Gateway/EnginePool.h
@@ -22,7 +22,7 @@
   std::size_t ownRequests_ = 0;
   std::size_t openConnections_ = 0;
   /** Requests a second that it takes from all hosts together, by its last
-   * word to this host. */
+   * word to any of them. */
   std::optional<double> limit_;
   EngineLoadReport report_;
   TimePoint reportedAt_;
@@ -45,6 +45,21 @@
 {
   std::shared_ptr<EngineState> engine_;
   std::shared_ptr<EngineConnection> connection_;
+  /** There is no connection since all requests that the engine takes from all
+   * hosts together are given away. */
+  bool denied_ = false;
+  /** Nothing was sent before this. */
+  TimePoint takenAt_{};
+};
+
+/** \brief What is to be sent on a connection. */
+struct OpenWish
+{
+  /** A new connection is handed out only once the engine would have reset it,
+   * for what must not be sent in vain. */
+  bool settles_ = false;
+  /** How long it may wait for its turn at an engine that names a limit. */
+  Duration patience_{};
 };
 
 /** \brief Connections to engines, kept for the next request. */
@@ -71,6 +86,18 @@
     /** Told once for each start of an engine that says that it leaves. */
     std::function<void(const EngineEntry&)> onLeaving_ =
       [](const EngineEntry&) {};
+    /** Told of each word on an engine's limit, once a second at most where it
+     * says the same. */
+    std::function<void(const EngineLimit&)> onLimit_ = [](const EngineLimit&) {
+    };
+    /** Seeks the right to send one request to an engine that names a limit. */
+    std::function<Task<Permit>(EngineLimit aLimit, Duration aPatience)>
+      permit_ = [](EngineLimit, Duration) -> Task<Permit> {
+      co_return Permit{ .granted_ = true };
+    };
+    /** A permit is good for a connection that takes no longer than this to
+     * make, so that requests do not reach the engine out of turn. */
+    Duration usePermitWithin_ = std::chrono::milliseconds{ 250 };
     /** Counts an event by its name. */
     std::function<void(const std::string&)> count_ = [](const std::string&) {};
   };
@@ -87,10 +114,9 @@
   /** \brief State of an engine of the list. */
   auto StateOf(const EngineEntry& aEntry) -> std::shared_ptr<EngineState>;
 
-  /** \brief A kept connection or a new one; none if it cannot be opened. With
-   * aSettles a new one is handed out only once the engine would have reset
-   * it, for what must not be sent in vain. */
-  auto Open(std::shared_ptr<EngineState> aEngine, bool aSettles = false)
+  /** \brief A kept connection or a new one, for one request; none if it cannot
+   * be opened, or if the engine takes no more. */
+  auto Open(std::shared_ptr<EngineState> aEngine, OpenWish aWish = {})
     -> Task<EngineLease>;
   /** \brief Keeps the connection for aKeepFor, zero for the usual. */
   auto Keep(const EngineLease& aLease, Duration aKeepFor) -> void;
@@ -108,13 +134,27 @@
   {
     options_.count_("engine_answers_cut_" + aBound);
   }
+  /** \brief Another host was told of an engine's limit. */
+  auto OnLimit(const EngineLimit& aWord) -> void;
   /** \brief Another host was told that this start of an engine leaves. */
   auto OnLeaving(const std::string& aId, std::uint64_t aStartedAt) -> void;
 
 private:
   auto IsSettled(EngineConnection& aConnection) -> Task<bool>;
   auto CloseKept(EngineState& aEngine) -> void;
-  auto HeedLimit(EngineState& aEngine, const EngineAnswerHead& aHead) -> void;
+  auto Connect(std::shared_ptr<EngineState> aEngine, bool aSettles)
+    -> Task<EngineLease>;
+  auto HeedLimit(const EngineLease& aLease, const EngineAnswerHead& aHead)
+    -> void;
+  /** \brief The least of the limits that the answer names; sets aReadable to
+   * false where it names one that is no number. */
+  auto ReadLimits(const EngineEntry& aEntry, const EngineAnswerHead& aHead,
+                  bool& aReadable) const -> std::optional<double>;
+  /** \brief Goes by a word that changes what is known. */
+  auto ApplyLimit(const EngineLimit& aWord, const std::string& aEvent) -> void;
+  /** \brief Whether the engine's turn for one more request has come. */
+  auto AwaitTurn(std::shared_ptr<EngineState> aEngine, Duration aPatience)
+    -> Task<bool>;
   auto TakeKept(EngineState& aEngine) -> std::shared_ptr<EngineConnection>;
 
   asio::io_context& context_;
@@ -125,7 +165,8 @@
     std::make_shared<const EngineList>();
   std::map<std::string, std::shared_ptr<EngineState>> states_;
   /** By id and start, with when it was heard. */
-  std::map<std::pair<std::string, std::uint64_t>, TimePoint> leaving_;
+  std::map<EngineStart, TimePoint> leaving_;
+  LimitBoard limits_;
 };
 
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/EntryGateway.cpp
+++ b/goldcrestcroft/src/Gateway/EntryGateway.cpp
@@ -44,6 +44,16 @@
           [this](const LeavingEngine& aEngine) {
             asio::post(controlContext_,
                        [this, aEngine] { control_.SpreadLeaving(aEngine); });
+          },
+        .limit_ =
+          [this](const EngineLimit& aWord) {
+            asio::post(controlContext_,
+                       [this, aWord] { control_.SpreadLimit(aWord); });
+          },
+        .permit_ =
+          [this](const PermitWish& aWish) {
+            asio::post(controlContext_,
+                       [this, aWish] { control_.SeekPermit(aWish); });
           } })
   , control_(controlContext_,
              { .settings_ = options_.settings_,
@@ -72,7 +82,9 @@
            .onEngines_ = toTraffic(&Traffic::SetEngines),
            .onFleet_ = toTraffic(&Traffic::SetFleet),
            .onSuspect_ = toTraffic(&Traffic::OnSuspect),
-           .onLeaving_ = toTraffic(&Traffic::OnLeaving) };
+           .onLeaving_ = toTraffic(&Traffic::OnLeaving),
+           .onLimit_ = toTraffic(&Traffic::OnLimit),
+           .onPermit_ = toTraffic(&Traffic::OnPermit) };
 }
 
 auto EntryGateway::Ready() const -> SmallServer::Answer
--- /dev/null
+++ b/goldcrestcroft/src/Gateway/PeerArchive.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "../Wire/MessageArchive.h"
+#include "PeerFrames.h"
+
+#include <cmath>
+#include <stdexcept>
+
+namespace goldcrestcroft::internal {
+
+/** \brief The error of bytes from a peer that cannot be read. */
+inline auto MalformedFrame() -> boost::leaf::error_id
+{
+  return Fail({ .kind_ = ErrorKind::Protocol,
+                .message_ = "bytes from a peer that are no message",
+                .remedy_ = "run the same release on all entry hosts" });
+}
+
+/** Text of any length up to that of a frame, in pieces that the bounded
+ * archive accepts, so that no length from the network allocates much. */
+template<typename Ar>
+auto ArchiveLong(Ar& aArchive, std::string& aText) -> void
+{
+  constexpr std::size_t kPiece = kMaxStringBytes;
+  auto pieces =
+    static_cast<std::uint32_t>((aText.size() + kPiece - 1) / kPiece);
+  aArchive(pieces);
+  std::string whole;
+  for (std::uint32_t i = 0; i < pieces; ++i) {
+    auto piece = i * kPiece < aText.size() ? aText.substr(i * kPiece, kPiece)
+                                           : std::string();
+    auto bounded = Bounded(piece);
+    aArchive(bounded);
+    whole += piece;
+  }
+  aText = std::move(whole);
+}
+
+template<typename Ar, typename Item, typename Each>
+auto ArchiveMany(Ar& aArchive, std::vector<Item>& aItems, Each aEach) -> void
+{
+  auto count = static_cast<std::uint32_t>(aItems.size());
+  aArchive(count);
+  for (std::uint32_t i = 0; i < count; ++i) {
+    if (i >= aItems.size()) {
+      aItems.emplace_back();
+    }
+    aEach(aArchive, aItems[i]);
+  }
+}
+
+template<typename Ar>
+auto ArchiveTexts(Ar& aArchive, std::vector<std::string>& aTexts) -> void
+{
+  ArchiveMany(aArchive, aTexts, [](auto& aEach, auto& aText) {
+    auto bounded = Bounded(aText);
+    aEach(bounded);
+  });
+}
+
+template<typename Ar>
+auto ArchiveTime(Ar& aArchive, Duration& aTime) -> void
+{
+  auto microseconds = static_cast<std::int64_t>(aTime.count());
+  aArchive(microseconds);
+  aTime = Duration(microseconds);
+}
+
+template<typename Ar>
+auto ArchiveRows(Ar& aArchive, std::vector<StoreRow>& aRows) -> void
+{
+  ArchiveMany(aArchive, aRows, [](auto& aEach, StoreRow& aRow) {
+    auto key = Bounded(aRow.key_);
+    aEach(key, aRow.version_, aRow.removed_);
+    ArchiveLong(aEach, aRow.value_);
+  });
+}
+
+template<typename Ar>
+auto ArchiveNews(Ar& aArchive, std::vector<PeerNews>& aNews) -> void
+{
+  ArchiveMany(aArchive, aNews, [](auto& aEach, PeerNews& aOne) {
+    Archive(aEach, aOne.record_);
+    auto state = static_cast<std::uint8_t>(aOne.state_);
+    aEach(state);
+    if (state > static_cast<std::uint8_t>(PeerState::Gone)) {
+      throw std::out_of_range("state of a host");
+    }
+    aOne.state_ = static_cast<PeerState>(state);
+  });
+}
+
+template<typename Ar>
+auto ArchiveLimit(Ar& aArchive, EngineLimitReport& aLimit) -> void
+{
+  auto engine = Bounded(aLimit.engine_);
+  auto limited = aLimit.perSecond_.has_value();
+  auto perSecond = aLimit.perSecond_.value_or(0.0);
+  aArchive(engine, aLimit.startedAt_, limited, perSecond);
+  ArchiveTime(aArchive, aLimit.statedAgo_);
+  if constexpr (Ar::is_loading::value) {
+    if (!std::isfinite(perSecond) || perSecond < 0.0) {
+      throw std::out_of_range("limit of an engine");
+    }
+  }
+  aLimit.perSecond_ = limited ? std::optional(perSecond) : std::nullopt;
+}
+
+template<typename Ar>
+auto ArchiveLimits(Ar& aArchive, std::vector<EngineLimitReport>& aLimits)
+  -> void
+{
+  ArchiveMany(aArchive, aLimits,
+              [](auto& aEach, auto& aLimit) { ArchiveLimit(aEach, aLimit); });
+}
+
+} // namespace goldcrestcroft::internal
--- a/goldcrestcroft/src/Gateway/PeerFrames.cpp
+++ b/goldcrestcroft/src/Gateway/PeerFrames.cpp
@@ -1,99 +1,16 @@
-#include "PeerFrames.h"
-
-#include "../Wire/MessageArchive.h"
+#include "PeerArchive.h"
 
 #include <sstream>
 
 namespace goldcrestcroft {
 
+using namespace internal;
+
 namespace {
 
-using internal::Archive;
-using internal::Bounded;
 using InputArchive = cereal::PortableBinaryInputArchive;
 using OutputArchive = cereal::PortableBinaryOutputArchive;
 
-auto Malformed() -> boost::leaf::error_id
-{
-  return Fail({ .kind_ = ErrorKind::Protocol,
-                .message_ = "bytes from a peer that are no message",
-                .remedy_ = "run the same release on all entry hosts" });
-}
-
-/** Text of any length up to that of a frame, in pieces that the bounded
- * archive accepts, so that no length from the network allocates much. */
-template<typename Ar>
-auto ArchiveLong(Ar& aArchive, std::string& aText) -> void
-{
-  constexpr std::size_t kPiece = internal::kMaxStringBytes;
-  auto pieces =
-    static_cast<std::uint32_t>((aText.size() + kPiece - 1) / kPiece);
-  aArchive(pieces);
-  std::string whole;
-  for (std::uint32_t i = 0; i < pieces; ++i) {
-    auto piece = i * kPiece < aText.size() ? aText.substr(i * kPiece, kPiece)
-                                           : std::string();
-    auto bounded = Bounded(piece);
-    aArchive(bounded);
-    whole += piece;
-  }
-  aText = std::move(whole);
-}
-
-template<typename Ar, typename Item, typename Each>
-auto ArchiveMany(Ar& aArchive, std::vector<Item>& aItems, Each aEach) -> void
-{
-  auto count = static_cast<std::uint32_t>(aItems.size());
-  aArchive(count);
-  for (std::uint32_t i = 0; i < count; ++i) {
-    if (i >= aItems.size()) {
-      aItems.emplace_back();
-    }
-    aEach(aArchive, aItems[i]);
-  }
-}
-
-template<typename Ar>
-auto ArchiveTexts(Ar& aArchive, std::vector<std::string>& aTexts) -> void
-{
-  ArchiveMany(aArchive, aTexts, [](auto& aEach, auto& aText) {
-    auto bounded = Bounded(aText);
-    aEach(bounded);
-  });
-}
-
-template<typename Ar>
-auto ArchiveTime(Ar& aArchive, Duration& aTime) -> void
-{
-  auto microseconds = static_cast<std::int64_t>(aTime.count());
-  aArchive(microseconds);
-  aTime = Duration(microseconds);
-}
-
-template<typename Ar>
-auto ArchiveRows(Ar& aArchive, std::vector<StoreRow>& aRows) -> void
-{
-  ArchiveMany(aArchive, aRows, [](auto& aEach, StoreRow& aRow) {
-    auto key = Bounded(aRow.key_);
-    aEach(key, aRow.version_, aRow.removed_);
-    ArchiveLong(aEach, aRow.value_);
-  });
-}
-
-template<typename Ar>
-auto ArchiveNews(Ar& aArchive, std::vector<PeerNews>& aNews) -> void
-{
-  ArchiveMany(aArchive, aNews, [](auto& aEach, PeerNews& aOne) {
-    Archive(aEach, aOne.record_);
-    auto state = static_cast<std::uint8_t>(aOne.state_);
-    aEach(state);
-    if (state > static_cast<std::uint8_t>(PeerState::Gone)) {
-      throw std::out_of_range("state of a host");
-    }
-    aOne.state_ = static_cast<PeerState>(state);
-  });
-}
-
 template<typename Ar>
 auto ArchiveFrame(Ar& aArchive, StateRequest& aFrame) -> void
 {
@@ -106,6 +23,7 @@
   ArchiveRows(aArchive, aFrame.configuration_);
   ArchiveRows(aArchive, aFrame.engines_);
   ArchiveNews(aArchive, aFrame.hosts_);
+  ArchiveLimits(aArchive, aFrame.limits_);
 }
 
 template<typename Ar>
@@ -178,41 +96,6 @@
   ArchiveTime(aArchive, aFrame.dueIn_);
 }
 
-template<typename Ar>
-auto ArchiveHeartbeat(Ar& aArchive, FleetHeartbeat& aHeartbeat) -> void
-{
-  auto& probe = aHeartbeat.probe_;
-  Archive(aArchive, probe.sender_);
-  auto kind = static_cast<std::uint8_t>(probe.kind_);
-  auto subject = Bounded(probe.subject_);
-  aArchive(kind, probe.probe_, subject, probe.hosts_);
-  if (kind > static_cast<std::uint8_t>(ProbeKind::AskPing)) {
-    throw std::out_of_range("kind of probe");
-  }
-  probe.kind_ = static_cast<ProbeKind>(kind);
-  ArchiveNews(aArchive, probe.news_);
-  aArchive(aHeartbeat.configurationRow_, aHeartbeat.engineRows_);
-  ArchiveMany(aArchive, aHeartbeat.lostRuns_, [](auto& aEach, auto& aRun) {
-    aEach(aRun.request_, aRun.run_);
-    ArchiveTime(aEach, aRun.beganAgo_);
-    ArchiveTime(aEach, aRun.endedAgo_);
-  });
-  ArchiveMany(aArchive, aHeartbeat.suspects_, [](auto& aEach, auto& aNotice) {
-    auto level = static_cast<std::uint8_t>(aNotice.level_);
-    aEach(aNotice.request_, aNotice.generation_, level);
-    ArchiveTime(aEach, aNotice.left_);
-    if (level > static_cast<std::uint8_t>(SuspectLevel::HeldBack)) {
-      throw std::out_of_range("level of a suspect");
-    }
-    aNotice.level_ = static_cast<SuspectLevel>(level);
-  });
-  ArchiveMany(aArchive, aHeartbeat.leavingEngines_,
-              [](auto& aEach, LeavingEngine& aEngine) {
-                auto id = Bounded(aEngine.id_);
-                aEach(id, aEngine.startedAt_);
-              });
-}
-
 template<std::size_t Index = 0>
 auto DecodeKind(InputArchive& aArchive, std::uint8_t aKind) -> PeerFrame
 {
@@ -230,28 +113,6 @@
 
 } // namespace
 
-auto EncodeHeartbeat(const FleetHeartbeat& aHeartbeat) -> std::string
-{
-  std::ostringstream out;
-  OutputArchive archive(out);
-  auto heartbeat = aHeartbeat;
-  ArchiveHeartbeat(archive, heartbeat);
-  return std::move(out).str();
-}
-
-auto DecodeHeartbeat(std::string_view aBytes) -> Result<FleetHeartbeat>
-{
-  try {
-    std::istringstream in{ std::string(aBytes) };
-    InputArchive archive(in);
-    FleetHeartbeat heartbeat;
-    ArchiveHeartbeat(archive, heartbeat);
-    return heartbeat;
-  } catch (const std::exception&) {
-    return Malformed();
-  }
-}
-
 auto EncodeFrame(const PeerFrame& aFrame) -> std::string
 {
   std::ostringstream out;
@@ -283,7 +144,7 @@
     archive(kind);
     return DecodeKind(archive, kind);
   } catch (const std::exception&) {
-    return Malformed();
+    return MalformedFrame();
   }
 }
 
--- a/goldcrestcroft/src/Gateway/PeerFrames.h
+++ b/goldcrestcroft/src/Gateway/PeerFrames.h
@@ -5,6 +5,7 @@
 #include "../../Staging.h"
 #include "LostRunReport.h"
 #include "MetadataStore.h"
+#include "PermitMessages.h"
 #include "StageCallPiece.h"
 
 #include <variant>
@@ -32,6 +33,10 @@
   std::vector<LostRunReport> lostRuns_;
   std::vector<SuspectNotice> suspects_;
   std::vector<LeavingEngine> leavingEngines_;
+  std::vector<EngineLimitReport> limits_;
+  /** For the receiver, as a keeper of the engines' rates. */
+  std::vector<PermitAsk> permitAsks_;
+  std::vector<PermitAnswer> permits_;
 
   auto operator<=>(const FleetHeartbeat&) const = default;
 };
@@ -54,6 +59,8 @@
   std::vector<StoreRow> configuration_;
   std::vector<StoreRow> engines_;
   std::vector<PeerNews> hosts_;
+  /** Of engines; for a host that has just started. */
+  std::vector<EngineLimitReport> limits_;
 
   auto operator<=>(const StateReply&) const = default;
 };
--- /dev/null
+++ b/goldcrestcroft/src/Gateway/PeerHeartbeat.cpp
@@ -0,0 +1,82 @@
+#include "PeerArchive.h"
+
+#include <sstream>
+
+namespace goldcrestcroft {
+
+using namespace internal;
+
+namespace {
+
+template<typename Ar>
+auto ArchiveHeartbeat(Ar& aArchive, FleetHeartbeat& aHeartbeat) -> void
+{
+  auto& probe = aHeartbeat.probe_;
+  Archive(aArchive, probe.sender_);
+  auto kind = static_cast<std::uint8_t>(probe.kind_);
+  auto subject = Bounded(probe.subject_);
+  aArchive(kind, probe.probe_, subject, probe.hosts_);
+  if (kind > static_cast<std::uint8_t>(ProbeKind::AskPing)) {
+    throw std::out_of_range("kind of probe");
+  }
+  probe.kind_ = static_cast<ProbeKind>(kind);
+  ArchiveNews(aArchive, probe.news_);
+  aArchive(aHeartbeat.configurationRow_, aHeartbeat.engineRows_);
+  ArchiveMany(aArchive, aHeartbeat.lostRuns_, [](auto& aEach, auto& aRun) {
+    aEach(aRun.request_, aRun.run_);
+    ArchiveTime(aEach, aRun.beganAgo_);
+    ArchiveTime(aEach, aRun.endedAgo_);
+  });
+  ArchiveMany(aArchive, aHeartbeat.suspects_, [](auto& aEach, auto& aNotice) {
+    auto level = static_cast<std::uint8_t>(aNotice.level_);
+    aEach(aNotice.request_, aNotice.generation_, level);
+    ArchiveTime(aEach, aNotice.left_);
+    if (level > static_cast<std::uint8_t>(SuspectLevel::HeldBack)) {
+      throw std::out_of_range("level of a suspect");
+    }
+    aNotice.level_ = static_cast<SuspectLevel>(level);
+  });
+  ArchiveMany(aArchive, aHeartbeat.leavingEngines_,
+              [](auto& aEach, LeavingEngine& aEngine) {
+                auto id = Bounded(aEngine.id_);
+                aEach(id, aEngine.startedAt_);
+              });
+  ArchiveLimits(aArchive, aHeartbeat.limits_);
+  ArchiveMany(aArchive, aHeartbeat.permitAsks_,
+              [](auto& aEach, PermitAsk& aAsk) {
+                aEach(aAsk.number_);
+                ArchiveLimit(aEach, aAsk.limit_);
+                ArchiveTime(aEach, aAsk.patience_);
+              });
+  ArchiveMany(aArchive, aHeartbeat.permits_,
+              [](auto& aEach, PermitAnswer& aAnswer) {
+                aEach(aAnswer.number_, aAnswer.permit_.granted_);
+                ArchiveTime(aEach, aAnswer.permit_.wait_);
+              });
+}
+
+} // namespace
+
+auto EncodeHeartbeat(const FleetHeartbeat& aHeartbeat) -> std::string
+{
+  std::ostringstream out;
+  cereal::PortableBinaryOutputArchive archive(out);
+  auto heartbeat = aHeartbeat;
+  ArchiveHeartbeat(archive, heartbeat);
+  return std::move(out).str();
+}
+
+auto DecodeHeartbeat(std::string_view aBytes) -> Result<FleetHeartbeat>
+{
+  try {
+    std::istringstream in{ std::string(aBytes) };
+    cereal::PortableBinaryInputArchive archive(in);
+    FleetHeartbeat heartbeat;
+    ArchiveHeartbeat(archive, heartbeat);
+    return heartbeat;
+  } catch (const std::exception&) {
+    return MalformedFrame();
+  }
+}
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Gateway/PermitMessages.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "../../Engines.h"
+
+namespace goldcrestcroft {
+
+/** \brief An EngineLimit as it is told; its age, since hosts share no clock. */
+struct EngineLimitReport
+{
+  std::string engine_;
+  std::uint64_t startedAt_ = 0;
+  std::optional<double> perSecond_;
+  Duration statedAgo_{};
+
+  auto operator<=>(const EngineLimitReport&) const = default;
+};
+
+auto ToReport(const EngineLimit& aWord, TimePoint aNow) -> EngineLimitReport;
+auto FromReport(const EngineLimitReport& aReport, TimePoint aNow)
+  -> EngineLimit;
+
+/** \brief A request that is about to be sent to an engine that names a
+ * limit. */
+struct PermitWish
+{
+  std::uint64_t number_ = 0;
+  EngineLimit limit_;
+  Duration patience_{};
+};
+
+/** \brief The same as a keeper of the engine's rate is asked. */
+struct PermitAsk
+{
+  std::uint64_t number_ = 0;
+  EngineLimitReport limit_;
+  Duration patience_{};
+
+  auto operator<=>(const PermitAsk&) const = default;
+};
+
+/** \brief What became of the wish or the question of this number. */
+struct PermitAnswer
+{
+  std::uint64_t number_ = 0;
+  Permit permit_;
+
+  auto operator<=>(const PermitAnswer&) const = default;
+};
+
+} // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/RequestRun.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRun.cpp
@@ -227,6 +227,7 @@
       { "ran", std::to_string(attempts_.ran_) },
       { "rejected", std::to_string(attempts_.rejected_) },
       { "unreachable", std::to_string(attempts_.unreachable_) },
+      { "denied", std::to_string(attempts_.denied_) },
       { "remade", std::to_string(attempts_.remade_) } });
 }
 
@@ -288,8 +289,7 @@
       co_return co_await Conclude(end);
     }
     const auto paid = std::exchange(repeatTaken_, false);
-    if (end != AttemptEnd::Unreachable && !paid &&
-        !traffic_.TryRepeat(service_)) {
+    if (WasSent(end) && !paid && !traffic_.TryRepeat(service_)) {
       noMore_ = "budget_used";
       co_return co_await Conclude(end);
     }
--- a/goldcrestcroft/src/Gateway/RequestRun.h
+++ b/goldcrestcroft/src/Gateway/RequestRun.h
@@ -54,7 +54,8 @@
 
   auto Execute() -> Task<bool>;
   auto Conclude(AttemptEnd aEnd) -> Task<bool>;
-  /** \brief When an engine wants requests again, if none does now. */
+  /** \brief When an engine wants requests again, if none does now; later for
+   * some requests, by their id. */
   [[nodiscard]] auto ComeBackAfter() const -> Duration;
   [[nodiscard]] auto ConcludingAnswer(AttemptEnd aEnd) const -> OwnAnswer;
 
@@ -77,12 +78,16 @@
   auto WaitUntil(TimePoint aLatest) -> Task<void>;
 
   // Attempts.
+  /** \brief Engines that could take the request, and how long it waits for
+   * its turn at one that names a limit. */
   auto Candidates(std::vector<EngineEntry>& aEntries)
     -> std::vector<EngineCandidate>;
   /** \brief Those that are well, or with aLastResort those that are suspended
    * and may still serve. */
-  auto CandidatesOf(std::vector<EngineEntry>& aEntries, bool aLastResort)
-    -> std::vector<EngineCandidate>;
+  auto CandidatesOf(std::vector<EngineEntry>& aEntries, bool aLastResort,
+                    Duration aPatience) -> std::vector<EngineCandidate>;
+  /** \brief How long it may wait where all engines name limits. */
+  [[nodiscard]] auto LongestWait() const -> Duration;
   auto ChooseEngine() -> std::shared_ptr<EngineState>;
   auto PlanHome() -> void;
   /** \brief Part of the stages' engines that is in each zone. */
@@ -138,6 +143,8 @@
   std::map<std::size_t, std::uint64_t> plans_;
   std::optional<OwnAnswer> stageProblem_;
   bool heldBack_ = false;
+  /** How long it waits for its turn at an engine that names a limit. */
+  Duration patience_{};
   /** The next repeat is out of the budget already. */
   bool repeatTaken_ = false;
   std::vector<PromptPart> prompt_;
--- a/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
@@ -210,8 +210,9 @@
   if (stageProblem_) {
     return *stageProblem_;
   }
-  return { .reason_ =
-             aEnd == AttemptEnd::Unreachable ? "no_engine" : "engines_full",
+  return { .reason_ = attempts_.denied_ > 0             ? "engines_limited"
+                      : aEnd == AttemptEnd::Unreachable ? "no_engine"
+                                                        : "engines_full",
            .message_ = "no engine takes the request now",
            .retryAfter_ = std::max(soon, ComeBackAfter()) };
 }
--- a/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
@@ -64,9 +64,10 @@
   // Plain services take few connections from all hosts together; engines of
   // streams have far more places for connections than hosts use.
   const auto isStream = route_->kind_ == RouteKind::Streaming;
-  const auto lease = co_await traffic_.Pool().Open(aEngine, !isStream);
+  const OpenWish wish{ .settles_ = !isStream, .patience_ = patience_ };
+  const auto lease = co_await traffic_.Pool().Open(aEngine, wish);
   if (!lease.connection_) {
-    co_return AttemptEnd::Unreachable;
+    co_return lease.denied_ ? AttemptEnd::Denied : AttemptEnd::Unreachable;
   }
   // Either may have come while the connection was made.
   if (aborted_ != Aborted::No || IsStoppedAsSuspect()) {
--- a/goldcrestcroft/src/Gateway/RequestRunChoice.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunChoice.cpp
@@ -7,14 +7,33 @@
 auto RequestRun::Candidates(std::vector<EngineEntry>& aEntries)
   -> std::vector<EngineCandidate>
 {
-  auto candidates = CandidatesOf(aEntries, false);
-  // Suspensions never empty a pool: engines that fail some requests serve the
-  // others, and a refusal would serve none.
-  return candidates.empty() ? CandidatesOf(aEntries, true) : candidates;
+  // One that takes it now goes before a wait, and a wait before an engine that
+  // fails. Suspensions never empty a pool: engines that fail some requests
+  // serve the others, and a refusal would serve none.
+  for (const auto lastResort : { false, true }) {
+    for (const auto patience : { Duration{}, LongestWait() }) {
+      auto candidates = CandidatesOf(aEntries, lastResort, patience);
+      if (!candidates.empty()) {
+        patience_ = patience;
+        return candidates;
+      }
+    }
+  }
+  return {};
+}
+
+auto RequestRun::LongestWait() const -> Duration
+{
+  // Most of the time is the engine's. What is urgent may take turns that are
+  // further ahead, so it is served first where turns are few.
+  constexpr auto kShareOfTime = 4;
+  const auto left = std::max<Duration>(TimeLeft(), {}) / kShareOfTime;
+  return rank_ <= 0 ? left : left / 2;
 }
 
 auto RequestRun::CandidatesOf(std::vector<EngineEntry>& aEntries,
-                              bool aLastResort) -> std::vector<EngineCandidate>
+                              bool aLastResort, Duration aPatience)
+  -> std::vector<EngineCandidate>
 {
   auto& pool = traffic_.Pool();
   const auto now = traffic_.Now();
@@ -30,7 +49,7 @@
     const auto onTrial = health.IsOnTrial() && state->ownRequests_ > 0;
     const auto fits =
       aLastResort ? health.IsLastResort() : health.IsUsable(now) && !onTrial;
-    const auto wants = state->consent_.MayReceive(now);
+    const auto wants = state->consent_.MayBeAsked(aPatience, now);
     if (tried_.contains(entry.id_) || full || !fits || !wants) {
       continue;
     }
@@ -52,15 +71,22 @@
   std::optional<Duration> least;
   for (const auto& entry : traffic_.Pool().Engines().Of(service_)) {
     const auto& consent = traffic_.Pool().StateOf(entry)->consent_;
-    if (consent.MayReceive(now)) {
+    if (consent.MayBeAsked({}, now)) {
       return {};
     }
     if (!consent.IsLeaving()) {
-      const auto left = consent.PauseLeft(now);
+      const auto left = consent.WaitLeft(now);
       least = least ? std::min(*least, left) : left;
     }
   }
-  return least.value_or(Duration{});
+  if (!least) {
+    return {};
+  }
+  // Callers that are refused together do not return together.
+  constexpr auto kSteps = 1000;
+  return *least +
+         *least * static_cast<Duration::rep>(Fingerprint(requestId_) % kSteps) /
+           kSteps;
 }
 
 auto RequestRun::PlanHome() -> void
--- a/goldcrestcroft/src/Gateway/StageDesk.cpp
+++ b/goldcrestcroft/src/Gateway/StageDesk.cpp
@@ -1,9 +1,5 @@
 #include "StageDesk.h"
 
-#include "../Observability/Log.h"
-
-#include <spdlog/fmt/fmt.h>
-
 namespace goldcrestcroft {
 
 namespace {
@@ -127,39 +123,6 @@
   }
 }
 
-auto StageDesk::RatePlan(const Service& aService) const -> ServiceRate::Plan
-{
-  const auto now = clock_.Now();
-  const auto usable = std::count_if(
-    aService.engines_.begin(), aService.engines_.end(), [&](const auto& aItem) {
-      const auto& state = *aItem.second->state_;
-      return state.health_.IsUsable(now) && state.consent_.MayReceive(now);
-    });
-  return { .engines_ = static_cast<std::size_t>(usable),
-           .batch_ = aService.profile_.batch_,
-           .callTime_ = aService.profile_.callTime_,
-           .pieceTime_ = aService.profile_.pieceTime_ };
-}
-
-auto StageDesk::Backlogs() -> std::vector<StageBacklog>
-{
-  const auto now = clock_.Now();
-  std::vector<StageBacklog> backlogs;
-  for (auto& [name, service] : services_) {
-    service.rate_.OnWaiting(service.queue_.Waiting() > 0, now);
-    const auto rate = service.rate_.PerSecond(RatePlan(service), now);
-    StageBacklog backlog{ .service_ = name };
-    for (const auto& [rank, dueIn] : service.dueIn_) {
-      const auto before =
-        static_cast<double>(service.queue_.CountBefore(rank, now + dueIn, now));
-      backlog.waits_[rank] = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(before / rate));
-    }
-    backlogs.push_back(std::move(backlog));
-  }
-  return backlogs;
-}
-
 auto StageDesk::Leave() -> void
 {
   for (auto& [name, service] : services_) {
@@ -204,7 +167,7 @@
   const auto now = clock_.Now();
   const auto& state = *aEngine.state_;
   return !aEngine.busy_ && now >= aEngine.pausedUntil_ &&
-         state.health_.IsUsable(now) && state.consent_.MayReceive(now);
+         state.health_.IsUsable(now) && state.consent_.MayBeAsked({}, now);
 }
 
 auto StageDesk::Kick(Service& aService) -> void
@@ -269,26 +232,4 @@
   }
 }
 
-auto StageDesk::LogBacklog(const Service& aService) -> void
-{
-  const auto now = clock_.Now();
-  std::string engines;
-  for (const auto& [id, engine] : aService.engines_) {
-    const auto& consent = engine->state_->consent_;
-    const auto* state = consent.IsLeaving()                      ? "leaving"
-                        : !consent.MayReceive(now)               ? "asks_pause"
-                        : !engine->state_->health_.IsUsable(now) ? "suspended"
-                        : engine->busy_                          ? "busy"
-                        : now < engine->pausedUntil_             ? "paused"
-                                                                 : "free";
-    engines += fmt::format("{}{}:{}:{:.1f}MB", engines.empty() ? "" : " ", id,
-                           state, engine->room_.Free() / 1e6);
-  }
-  Log::Write(LogLevel::Info, "stage_backlog",
-             { { "service", aService.name_ },
-               { "pieces", std::to_string(aService.queue_.Waiting()) },
-               { "orders", std::to_string(aService.queue_.Orders().size()) },
-               { "engines", engines } });
-}
-
 } // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Gateway/StageDeskReleases.cpp
@@ -0,0 +1,64 @@
+#include "../Observability/Log.h"
+#include "StageDesk.h"
+
+namespace goldcrestcroft {
+
+auto StageDesk::Release(const std::string& aService,
+                        const std::vector<std::string>& aHandles) -> void
+{
+  auto* service = Find(aService);
+  if (service == nullptr) {
+    return;
+  }
+  for (const auto& handle : aHandles) {
+    const auto address = codec_.MakerOf(handle);
+    for (const auto& [id, engine] : service->engines_) {
+      if (engine->state_->entry_.address_ != address) {
+        continue;
+      }
+      engine->toRelease_.push_back(handle);
+      if (!engine->releasing_) {
+        engine->releasing_ = true;
+        asio::co_spawn(context_, SendReleases(engine), asio::detached);
+      }
+    }
+  }
+}
+
+auto StageDesk::SendReleases(std::shared_ptr<Engine> aEngine) -> Task<void>
+{
+  constexpr auto kTimeout = std::chrono::milliseconds{ 1000 };
+  const auto pause = aEngine->state_->consent_.PauseLeft(clock_.Now());
+  asio::steady_timer timer(context_,
+                           std::max<Duration>(options_.releaseDelay_, pause));
+  co_await timer.async_wait(kAsTuple);
+  const auto handles = std::exchange(aEngine->toRelease_, {});
+  aEngine->releasing_ = false;
+  if (aEngine->state_->limit_) {
+    co_return; // Its turns are for calls; results end by themselves.
+  }
+  const auto lease = co_await pool_.Open(aEngine->state_);
+  if (!lease.connection_) {
+    co_return; // Results of an engine that is gone are gone as well.
+  }
+  const auto call = codec_.MakeRelease(handles);
+  const auto written = co_await WriteCall(lease, call, kTimeout);
+  auto status = 0;
+  std::string body;
+  if (written) {
+    status = co_await ReadAnswer(lease, body);
+  } else {
+    pool_.Drop(lease);
+  }
+  if (status != 0) {
+    for (const auto& handle : handles) {
+      aEngine->room_.Drop(handle);
+    }
+  } else {
+    Log::Write(LogLevel::Info, "stage_release_failed",
+               { { "engine", aEngine->state_->entry_.id_ },
+                 { "results", std::to_string(handles.size()) } });
+  }
+}
+
+} // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/Traffic.cpp
+++ b/goldcrestcroft/src/Gateway/Traffic.cpp
@@ -17,15 +17,21 @@
   , codec_(aCodec)
   , metrics_(aMetrics)
   , spread_(std::move(aSpread))
-  , pool_(aContext,
-          { .longestPause_ = options_.settings_.longestEnginePause_,
-            .onLeaving_ =
-              [this](const EngineEntry& aEngine) {
-                spread_.leaving_(
-                  { .id_ = aEngine.id_, .startedAt_ = aEngine.startedAt_ });
-              },
-            .count_ =
-              [this](const std::string& aEvent) { metrics_.Count(aEvent); } })
+  , pool_(
+      aContext,
+      { .longestPause_ = options_.settings_.longestEnginePause_,
+        .onLeaving_ =
+          [this](const EngineEntry& aEngine) {
+            spread_.leaving_(
+              { .id_ = aEngine.id_, .startedAt_ = aEngine.startedAt_ });
+          },
+        .onLimit_ = [this](const EngineLimit& aWord) { spread_.limit_(aWord); },
+        .permit_ =
+          [this](EngineLimit aLimit, Duration aPatience) {
+            return SeekPermit(std::move(aLimit), aPatience);
+          },
+        .count_ =
+          [this](const std::string& aEvent) { metrics_.Count(aEvent); } })
   , desk_(aContext, {}, pool_, aCodec)
   , broker_(aContext, options_.settings_.StageAddress(), desk_)
 {
--- a/goldcrestcroft/src/Gateway/Traffic.h
+++ b/goldcrestcroft/src/Gateway/Traffic.h
@@ -50,6 +50,9 @@
     std::function<void(const LostRun&)> lost_;
     std::function<void(const SuspectNotice&)> suspect_;
     std::function<void(const LeavingEngine&)> leaving_;
+    std::function<void(const EngineLimit&)> limit_;
+    /** Seeks a permit; OnPermit is called with the answer. */
+    std::function<void(const PermitWish&)> permit_;
   };
 
   Traffic(asio::io_context& aContext, TrafficOptions aOptions,
@@ -64,6 +67,9 @@
   auto OnSuspect(const SuspectNotice& aNotice) -> void;
   /** \brief Another host was told by an engine that it leaves. */
   auto OnLeaving(const LeavingEngine& aEngine) -> void;
+  /** \brief Another host was told by an engine of its limit. */
+  auto OnLimit(const EngineLimit& aWord) -> void { pool_.OnLimit(aWord); }
+  auto OnPermit(const PermitAnswer& aAnswer) -> void;
   /** \brief Takes the budget for repeats from changed settings. */
   auto SetSettings(const NodeSettings& aSettings) -> void;
   /** \brief Announces the end of each connection from now on. */
@@ -137,7 +143,15 @@
   auto NoteCompleted(std::uint64_t aFingerprint) -> void;
 
 private:
+  struct SoughtPermit
+  {
+    asio::steady_timer answered_;
+    Permit permit_;
+  };
+
   auto Accept() -> Task<void>;
+  /** \brief The right to send one request to an engine that names a limit. */
+  auto SeekPermit(EngineLimit aLimit, Duration aPatience) -> Task<Permit>;
   /** \brief Measures how late the loop of this thread is. */
   auto WatchLoop() -> Task<void>;
   /** \brief Tells whether the engine that broke off still takes
@@ -161,6 +175,9 @@
     std::make_shared<const RoutingTable>();
   std::shared_ptr<const FleetView> fleet_ = std::make_shared<const FleetView>();
   EnginePool pool_;
+  /** By number. */
+  std::map<std::uint64_t, std::shared_ptr<SoughtPermit>> soughtPermits_;
+  std::uint64_t lastPermit_ = 0;
   StageDesk desk_;
   StageBroker broker_;
   SuspectBoard suspects_;
