Let the fault soak have engines name limits, and check LIMIT

Every 2.5 s on average an engine of any service names 0, 0.5, 1, 3 or 10 requests a second for 10 s; arrivals from hosts that had passed on such an answer half a second before, and were in touch, are counted in any 4 s. unit.SoakChecker shows that the check finds 12 requests where 11 are allowed, and leaves out hosts that were not told, were harmed, and times before the limit holds and after its end.

--- a/test/soak/FaultInjector.cpp
+++ b/test/soak/FaultInjector.cpp
@@ -80,6 +80,8 @@
                       CallerLinkPart(aFault.target_), aFault);
     case FaultKind::EngineDrain:
       return Drain(aFault);
+    case FaultKind::EngineLimited:
+      return Limit(aFault);
     case FaultKind::NewRoute:
     case FaultKind::KeyRevoked:
     case FaultKind::IdleTimeChanged:
--- a/test/soak/FaultInjector.h
+++ b/test/soak/FaultInjector.h
@@ -16,6 +16,15 @@
   TimePoint to_ = TimePoint::max();
 };
 
+/** \brief An engine named a limit in all its answers. */
+struct LimitRecord
+{
+  std::string engine_;
+  double perSecond_ = 0.0;
+  TimePoint from_;
+  TimePoint to_ = TimePoint::max();
+};
+
 /** \brief Brings about the faults of a plan, and notes when what was harmed. */
 class FaultInjector
 {
@@ -44,6 +53,10 @@
   {
     return drains_;
   }
+  [[nodiscard]] auto Limits() const -> const std::vector<LimitRecord>&
+  {
+    return limits_;
+  }
   /** \brief What it saw of processes that breaks a promise. */
   [[nodiscard]] auto Problems() const -> const std::vector<std::string>&
   {
@@ -61,6 +74,7 @@
   auto HarmEngine(Fault aFault) -> Task<void>;
   auto RestartEngine(Fault aFault) -> Task<void>;
   auto Drain(Fault aFault) -> Task<void>;
+  auto Limit(Fault aFault) -> Task<void>;
   auto HarmStore(Fault aFault) -> Task<void>;
   auto ChangeConfig(const Fault& aFault) -> void;
   auto AwaitEnd(std::size_t aHost) -> Task<bool>;
@@ -71,6 +85,7 @@
   OperatorState operator_;
   Disturbances harm_;
   std::vector<DrainRecord> drains_;
+  std::vector<LimitRecord> limits_;
   std::vector<TimePoint> changes_;
   std::vector<std::string> problems_;
   /** Faults under way, by the part; the last one ends the harm. */
--- a/test/soak/FaultInjectorPlatform.cpp
+++ b/test/soak/FaultInjectorPlatform.cpp
@@ -97,6 +97,25 @@
   store.Put("servers", id, engine.standin_->Entry(engine.service_, "ready"));
 }
 
+auto FaultInjector::Limit(Fault aFault) -> Task<void>
+{
+  // Longer than hosts have until the limit holds, and a window of the rule.
+  constexpr auto kLimited = 10s;
+  constexpr std::array kLimits = { 0.0, 0.5, 1.0, 3.0, 10.0 };
+  auto& engine = *fleet_.Engines()[aFault.target_].standin_;
+  if (engine.limit_ >= 0.0) {
+    co_return;
+  }
+  const auto limit = kLimits.at(aFault.variant_ % kLimits.size());
+  engine.limit_ = limit;
+  const auto number = limits_.size();
+  limits_.push_back(
+    { .engine_ = engine.Id(), .perSecond_ = limit, .from_ = Now() });
+  co_await Sleep(context_, kLimited);
+  engine.limit_ = -1.0;
+  limits_[number].to_ = Now();
+}
+
 auto FaultInjector::HarmStore(Fault aFault) -> Task<void>
 {
   auto& store = fleet_.Platform().Store();
--- a/test/soak/SoakChecker.cpp
+++ b/test/soak/SoakChecker.cpp
@@ -1,6 +1,7 @@
 #include "SoakChecker.h"
 
 #include "ChangeCheck.h"
+#include "LimitCheck.h"
 #include "PoisonCheck.h"
 
 #include <algorithm>
@@ -258,6 +259,9 @@
   for (auto& line : FindLostBesideChanges(aEvidence)) {
     broken.push_back(std::move(line));
   }
+  for (auto& line : FindLimitsPassed(aEvidence)) {
+    broken.push_back(std::move(line));
+  }
   return broken;
 }
 
--- a/test/soak/SoakEvidence.h
+++ b/test/soak/SoakEvidence.h
@@ -23,6 +23,7 @@
   std::map<std::string, std::vector<standins::EngineStandin::End>> ends_;
   /** When configurations were written. */
   std::vector<TimePoint> changes_;
+  std::vector<LimitRecord> limits_ = {};
 
   /** \brief Whether the host was in touch all the while. */
   [[nodiscard]] auto InTouch(std::size_t aHost, TimePoint aFrom,
--- a/test/soak/SoakPlan.cpp
+++ b/test/soak/SoakPlan.cpp
@@ -15,6 +15,7 @@
 constexpr Millis kGap{ 700 };
 constexpr Millis kPlannedGap{ 1500 };
 constexpr Millis kOverlapGap{ 4000 };
+constexpr Millis kLimitGap{ 2500 };
 constexpr Millis kShortest{ 100 };
 constexpr Millis kLongest{ 4000 };
 constexpr std::size_t kVariants = 64;
@@ -91,7 +92,7 @@
     const auto onEngine =
       aKind == FaultKind::EngineLink || aKind == FaultKind::EngineTrouble ||
       aKind == FaultKind::EngineSlow || aKind == FaultKind::EngineRestart ||
-      aKind == FaultKind::EngineDrain;
+      aKind == FaultKind::EngineDrain || aKind == FaultKind::EngineLimited;
     return { .at_ = aAt,
              .for_ = std::min(Millis(length(random_)), aTo - aAt),
              .kind_ = aKind,
@@ -115,7 +116,7 @@
     "engine_slow", "engine_restart",      "store_link",
     "store_busy",  "store_loses_answers", "store_forgets",
     "caller_link", "engine_drain",        "new_route",
-    "key_revoked", "idle_time_changed"
+    "key_revoked", "idle_time_changed",   "engine_limited"
   };
   return kNames.at(static_cast<std::size_t>(aKind));
 }
@@ -136,9 +137,12 @@
   Planner more(~aSeed, aHosts, aEngines);
   more.Fill(Millis{ 0 }, aLength, { FaultKind::IdleTimeChanged }, kPlannedGap);
   more.FillOverlaps(aLength);
+  Planner limits(aSeed ^ (aSeed << 32U), aHosts, aEngines);
+  limits.Fill(Millis{ 0 }, aLength, { FaultKind::EngineLimited }, kLimitGap);
   auto faults = planner.Take();
-  const auto added = more.Take();
-  faults.insert(faults.end(), added.begin(), added.end());
+  for (const auto& added : { more.Take(), limits.Take() }) {
+    faults.insert(faults.end(), added.begin(), added.end());
+  }
   std::sort(faults.begin(), faults.end());
   return faults;
 }
--- a/test/soak/SoakPlan.h
+++ b/test/soak/SoakPlan.h
@@ -29,7 +29,9 @@
   EngineDrain,
   NewRoute,
   KeyRevoked,
-  IdleTimeChanged
+  IdleTimeChanged,
+  /** The engine names a limit for a while. */
+  EngineLimited
 };
 
 auto ToString(FaultKind aKind) -> std::string;
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -117,7 +117,8 @@
   SoakEvidence evidence{ .calls_ = aCalls,
                          .harm_ = aInjector.Harm(),
                          .drains_ = aInjector.Drains(),
-                         .changes_ = aInjector.Changes() };
+                         .changes_ = aInjector.Changes(),
+                         .limits_ = aInjector.Limits() };
   for (const auto& engine : aFleet.Engines()) {
     evidence.arrivals_[engine.standin_->Id()] = engine.standin_->Arrivals();
     evidence.ends_[engine.standin_->Id()] = engine.standin_->Ends();
--- a/test/unit/SoakCheckerTest.cpp
+++ b/test/unit/SoakCheckerTest.cpp
@@ -21,6 +21,7 @@
   std::vector<standins::EngineStandin::Arrival> arrivals_;
   std::vector<standins::EngineStandin::End> ends_;
   std::vector<TimePoint> changes_;
+  std::vector<LimitRecord> limits_;
 
   auto Call(CallKind aKind, int aStatus, Duration aSentAfter = {},
             Duration aTook = 10ms) -> CallRecord&
@@ -60,7 +61,8 @@
                            .arrivals_ = { { "e", arrivals_ } },
                            .serviceOfEngine_ = { { "e", "desk" } },
                            .ends_ = { { "e", ends_ } },
-                           .changes_ = changes_ });
+                           .changes_ = changes_,
+                           .limits_ = limits_ });
     return broken.empty() ? "" : broken[0].substr(0, broken[0].find(':'));
   }
 };
@@ -221,6 +223,57 @@
   }
 }
 
+TEST_CASE("the soak's checker finds limits of engines that are passed")
+{
+  World world;
+  world.limits_.push_back(
+    { .engine_ = "e", .perSecond_ = 1.0, .from_ = kStart });
+  constexpr auto kOneTooMany = 12;
+  const auto send = [&](Duration aFrom) {
+    for (auto i = 0; i < kOneTooMany; ++i) {
+      world.Arrive(world.Call(CallKind::Safe, 200, aFrom + i * 300ms));
+    }
+  };
+  SUBCASE("by a host that was told")
+  {
+    world.Arrive(world.Call(CallKind::Safe, 200));
+    send(5s);
+    CHECK(world.Broken() == "limit");
+  }
+  SUBCASE("not with one request less")
+  {
+    world.Arrive(world.Call(CallKind::Safe, 200));
+    send(5s);
+    world.arrivals_.pop_back();
+    CHECK(world.Broken().empty());
+  }
+  SUBCASE("not by a host that was told just now")
+  {
+    send(5s);
+    CHECK(world.Broken().empty());
+  }
+  SUBCASE("not before the limit holds")
+  {
+    world.Arrive(world.Call(CallKind::Safe, 200));
+    send(1s);
+    CHECK(world.Broken().empty());
+  }
+  SUBCASE("not by a host that was harmed")
+  {
+    world.Arrive(world.Call(CallKind::Safe, 200));
+    world.harm_.Begin(HostPart(0), kStart + 4s);
+    send(5s);
+    CHECK(world.Broken().empty());
+  }
+  SUBCASE("not after the engine has named it last")
+  {
+    world.Arrive(world.Call(CallKind::Safe, 200));
+    world.limits_.back().to_ = kStart + 5s;
+    send(5s);
+    CHECK(world.Broken().empty());
+  }
+}
+
 TEST_CASE("a seed always makes the same faults")
 {
   const auto plan = MakeSoakPlan(7, Millis{ 20'000 }, 4, 12);
