Tell what is counted of a suspected request, not only that it is suspected

Cause: keepers tell all hosts that a request is suspected, at two coincidences, and then only the verdict.

A notice of a suspicion now carries the count; a higher count is told like any new notice, and who is told goes on from it. A notice grows from 21 to 25 bytes.

--- a/goldcrestcroft/src/Engines/SuspectBoard.cpp
+++ b/goldcrestcroft/src/Engines/SuspectBoard.cpp
@@ -31,8 +31,8 @@
   if (found != entries_.end() && aNow < found->second.until_) {
     const auto& known = found->second;
     // The same again does not last longer: each host would renew the others'.
-    if (std::pair(aNotice.generation_, aNotice.level_) <=
-        std::pair(known.generation_, known.level_)) {
+    if (std::tie(aNotice.generation_, aNotice.level_, aNotice.count_) <=
+        std::tie(known.generation_, known.level_, known.count_)) {
       return false;
     }
     if (aNotice.generation_ == known.generation_) {
@@ -46,6 +46,7 @@
   const auto left = std::min(aNotice.left_, options_.longestLeft_);
   entries_[aNotice.request_] = { .generation_ = aNotice.generation_,
                                  .level_ = aNotice.level_,
+                                 .count_ = aNotice.count_,
                                  .until_ = aNow + left,
                                  .since_ = since };
   return true;
@@ -143,6 +144,7 @@
                    return SuspectNotice{ .request_ = request,
                                          .generation_ = entry.generation_,
                                          .level_ = entry.level_,
+                                         .count_ = entry.count_,
                                          .left_ = entry.until_ - aNow };
                  });
   return told;
--- a/goldcrestcroft/src/Engines/SuspectBoard.h
+++ b/goldcrestcroft/src/Engines/SuspectBoard.h
@@ -63,6 +63,7 @@
   {
     std::uint32_t generation_ = 0;
     SuspectLevel level_ = SuspectLevel::Cleared;
+    std::uint32_t count_ = 0;
     TimePoint until_;
     /** When the generation became known here. */
     TimePoint since_{};
--- a/goldcrestcroft/src/Engines/SuspectCounter.cpp
+++ b/goldcrestcroft/src/Engines/SuspectCounter.cpp
@@ -71,6 +71,9 @@
     return std::nullopt;
   }
   const auto isSuspected = entry.level_ == SuspectLevel::Suspected;
+  if (isSuspected && Count(entry) > entry.announced_) {
+    recounted_.insert(aRun.request_);
+  }
   if (IsEnough(entry)) {
     if (isSuspected && entry.suspectedAt_ + options_.hearFor_ <= aNow) {
       return Raise(aRun.request_, entry, SuspectLevel::HeldBack, aNow);
@@ -112,10 +115,20 @@
   if (aLevel == SuspectLevel::Suspected) {
     aEntry.suspectedAt_ = aNow;
   }
+  return Announce(aRequest, aEntry, aNow);
+}
+
+auto SuspectCounter::Announce(std::uint64_t aRequest, Entry& aEntry,
+                              TimePoint aNow) -> SuspectNotice
+{
+  const auto suspected = aEntry.level_ == SuspectLevel::Suspected;
+  aEntry.announced_ = Count(aEntry);
   return { .request_ = aRequest,
            .generation_ = aEntry.generation_,
-           .level_ = aLevel,
-           .left_ = options_.holdFor_ };
+           .level_ = aEntry.level_,
+           .count_ =
+             suspected ? static_cast<std::uint32_t>(aEntry.announced_) : 0,
+           .left_ = aEntry.until_ - aNow };
 }
 
 auto SuspectCounter::Due(TimePoint aNow) -> std::vector<SuspectNotice>
@@ -138,6 +151,19 @@
   return due;
 }
 
+auto SuspectCounter::Recounted(TimePoint aNow) -> std::vector<SuspectNotice>
+{
+  std::vector<SuspectNotice> notices;
+  for (const auto request : std::exchange(recounted_, {})) {
+    const auto found = entries_.find(request);
+    if (found != entries_.end() && aNow < found->second.until_ &&
+        found->second.level_ == SuspectLevel::Suspected) {
+      notices.push_back(Announce(request, found->second, aNow));
+    }
+  }
+  return notices;
+}
+
 auto SuspectCounter::OnNotice(const SuspectNotice& aNotice, TimePoint aNow)
   -> void
 {
@@ -153,14 +179,25 @@
     entry.runs_.clear();
     entry.count_ = 0;
     entry.told_ = 0;
+    entry.announced_ = 0;
+  }
+  const auto told = std::clamp<std::size_t>(aNotice.count_, options_.suspectAt_,
+                                            options_.holdAt_);
+  if (!isNewer && aNotice.level_ == SuspectLevel::Suspected &&
+      entry.level_ == SuspectLevel::Suspected &&
+      aNotice.generation_ == entry.generation_ && told > Count(entry)) {
+    entry.told_ = told;
+    entry.toldAt_ = aNow;
+    entry.announced_ = told;
   }
   if (isNewer || (aNotice.generation_ == entry.generation_ &&
                   aNotice.level_ > entry.level_)) {
     entry.level_ = aNotice.level_;
     if (aNotice.level_ == SuspectLevel::Suspected) {
       // Those who counted may be gone before the next loss.
-      entry.told_ = options_.suspectAt_;
+      entry.told_ = told;
       entry.toldAt_ = aNow;
+      entry.announced_ = told;
     }
     entry.suspectedAt_ = aNow;
     entry.until_ = aNow + std::min(aNotice.left_, options_.holdFor_);
--- a/goldcrestcroft/src/Engines/SuspectCounter.h
+++ b/goldcrestcroft/src/Engines/SuspectCounter.h
@@ -4,6 +4,7 @@
 #include "SuspectNotice.h"
 
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -62,6 +63,9 @@
   /** \brief The notices of requests to be held back from now on, since nothing
    * has cleared them in time; to be called every 100 ms or so. */
   auto Due(TimePoint aNow) -> std::vector<SuspectNotice>;
+  /** \brief The notices of suspected requests of which more is counted than all
+   * were told, for those who count on; to be called as often. */
+  auto Recounted(TimePoint aNow) -> std::vector<SuspectNotice>;
   /** \brief What others were told. A higher generation voids the runs counted
    * before it. */
   auto OnNotice(const SuspectNotice& aNotice, TimePoint aNow) -> void;
@@ -82,6 +86,8 @@
     /** Coincidences that others counted before toldAt_. */
     std::size_t told_ = 0;
     TimePoint toldAt_;
+    /** Coincidences that all were told of. */
+    std::size_t announced_ = 0;
     /** Runs that began before this are void. */
     TimePoint clearedAt_;
     TimePoint suspectedAt_;
@@ -94,6 +100,9 @@
   /** \brief Own count, or that of others with what began since. */
   [[nodiscard]] static auto Count(const Entry& aEntry) -> std::size_t;
   [[nodiscard]] auto IsEnough(const Entry& aEntry) const -> bool;
+  /** \brief The notice of what is counted. */
+  static auto Announce(std::uint64_t aRequest, Entry& aEntry, TimePoint aNow)
+    -> SuspectNotice;
   auto Raise(std::uint64_t aRequest, Entry& aEntry, SuspectLevel aLevel,
              TimePoint aNow) const -> SuspectNotice;
   auto EntryOf(std::uint64_t aRequest, TimePoint aNow) -> Entry&;
@@ -105,6 +114,8 @@
   std::unordered_map<std::uint64_t, Entry> entries_;
   /** Requests with evidence enough that may still be cleared. */
   std::vector<std::uint64_t> heard_;
+  /** Suspected requests of which more is counted than all were told. */
+  std::set<std::uint64_t> recounted_;
 };
 
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Engines/SuspectNotice.h
+++ b/goldcrestcroft/src/Engines/SuspectNotice.h
@@ -29,14 +29,17 @@
  *
  * A request that ran to its end begins a new generation. Of two notices of a
  * request the one of the higher generation holds, then the one of the higher
- * level, so that all hosts come to the same verdict in whatever order notices
- * reach them. */
+ * level, then the one of the higher count, so that all hosts come to the same
+ * verdict in whatever order notices reach them. */
 struct SuspectNotice
 {
   /** Fingerprint of the request. */
   std::uint64_t request_ = 0;
   std::uint32_t generation_ = 0;
   SuspectLevel level_ = SuspectLevel::Cleared;
+  /** Coincidences counted so far of a request that is suspected, for those
+   * that count on when the hosts that counted are gone. */
+  std::uint32_t count_ = 0;
   /** Time until it is forgotten; relative, since hosts share no clock. */
   Duration left_{};
 
--- a/goldcrestcroft/src/Gateway/ControlPlaneBeats.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneBeats.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 constexpr std::size_t kMaxBeatBytes = 60'000;
-/** Of 21 bytes each, so that a datagram with news of hosts still fits one
+/** Of 25 bytes each, so that a datagram with news of hosts still fits one
  * packet of 1,500 bytes. */
 constexpr std::size_t kSuspectsPerDatagram = 8;
 /** Of some 50 bytes each, for the same reason. */
--- a/goldcrestcroft/src/Gateway/ControlPlaneSuspects.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneSuspects.cpp
@@ -124,6 +124,9 @@
   for (const auto& notice : counter_.Due(now)) {
     AnnounceVerdict(notice);
   }
+  for (const auto& notice : counter_.Recounted(now)) {
+    SpreadSuspect(notice);
+  }
   ReportToKeepers();
 }
 
--- a/goldcrestcroft/src/Gateway/PeerHeartbeat.cpp
+++ b/goldcrestcroft/src/Gateway/PeerHeartbeat.cpp
@@ -29,7 +29,7 @@
   });
   ArchiveMany(aArchive, aHeartbeat.suspects_, [](auto& aEach, auto& aNotice) {
     auto level = static_cast<std::uint8_t>(aNotice.level_);
-    aEach(aNotice.request_, aNotice.generation_, level);
+    aEach(aNotice.request_, aNotice.generation_, level, aNotice.count_);
     ArchiveTime(aEach, aNotice.left_);
     if (level > static_cast<std::uint8_t>(SuspectLevel::HeldBack)) {
       throw std::out_of_range("level of a suspect");
--- a/test/property/SuspectHost.h
+++ b/test/property/SuspectHost.h
@@ -81,7 +81,11 @@
     board_.Expire(aNow);
     counter_.Expire(aNow);
     std::vector<Outgoing> out{ { "", { .notices_ = Told(aNow) } } };
-    for (const auto& notice : counter_.Due(aNow)) {
+    auto due = counter_.Due(aNow);
+    for (const auto& notice : counter_.Recounted(aNow)) {
+      due.push_back(notice);
+    }
+    for (const auto& notice : due) {
       for (auto& message : Spread(notice, aNow)) {
         out.push_back(std::move(message));
       }
