--- a/test/process/EntryAttemptsTest.cpp
+++ b/test/process/EntryAttemptsTest.cpp
@@ -26,6 +26,7 @@
 TEST_CASE("what may have run is not run again unless it is idempotent")
 {
   EntryFleet fleet(1);
+  INFO(fleet.Log(0));
   REQUIRE(fleet.AwaitReady(0));
   for (const auto trouble :
        { Trouble::Drops, Trouble::Cuts, Trouble::Unsigned }) {
@@ -50,6 +51,7 @@
 TEST_CASE("engines that fail at times are asked before a request is refused")
 {
   EntryFleet fleet(1);
+  INFO(fleet.Log(0));
   REQUIRE(fleet.AwaitReady(0));
   fleet.Platform().SetTrouble("desk", Trouble::Fails);
   for (auto i = 0; i < 6; ++i) {
@@ -65,6 +67,7 @@
 TEST_CASE("a refusal says when to come back and is true")
 {
   EntryFleet fleet(1);
+  INFO(fleet.Log(0));
   REQUIRE(fleet.AwaitReady(0));
   fleet.Platform().SetTrouble("desk", Trouble::Full);
   CheckRefusedUnrun(fleet);
@@ -73,6 +76,7 @@
 TEST_CASE("an engine that took another's address does not run the request")
 {
   EntryFleet fleet(1);
+  INFO(fleet.Log(0));
   REQUIRE(fleet.AwaitReady(0));
   auto& replaced = *fleet.Platform().Engines("desk")[0];
   replaced.Replace("i-another");
@@ -89,6 +93,7 @@
 TEST_CASE("an engine is told the time that the caller has left")
 {
   EntryFleet fleet(1);
+  INFO(fleet.Log(0));
   REQUIRE(fleet.AwaitReady(0));
   constexpr auto kDelay = 300;
   constexpr auto kAll = 2500;
@@ -111,6 +116,7 @@
 TEST_CASE("a slow engine is not given up where no other can take the request")
 {
   EntryFleet fleet(1);
+  INFO(fleet.Log(0));
   REQUIRE(fleet.AwaitReady(0));
   auto& engines = fleet.Platform().Engines("desk");
   fleet.Platform().Store().Put("servers", engines[1]->Id(),
@@ -128,6 +134,7 @@
 TEST_CASE("answers to others and engines' own failures are told apart")
 {
   EntryFleet fleet(1);
+  INFO(fleet.Log(0));
   REQUIRE(fleet.AwaitReady(0));
   fleet.Platform().SetTrouble("desk", Trouble::Stray);
   const auto own = fleet.Get(0, "/safe/x");
@@ -142,6 +149,7 @@
 TEST_CASE("a broken stream goes on elsewhere only where it may be resumed")
 {
   EntryFleet fleet(1);
+  INFO(fleet.Log(0));
   REQUIRE(fleet.AwaitReady(0));
   auto& engines = fleet.Platform().Engines("model");
   engines[0]->trouble_ = Trouble::Cuts;
@@ -166,6 +174,7 @@
 TEST_CASE("an engine that takes no more connections has not got the request")
 {
   EntryFleet fleet(1);
+  INFO(fleet.Log(0));
   REQUIRE(fleet.AwaitReady(0));
   for (const auto& engine : fleet.Platform().Engines("desk")) {
     engine->SetMostConnections(0);
@@ -182,6 +191,7 @@
 TEST_CASE("pieces wait for stage engines that are full, and do not fail")
 {
   EntryFleet fleet(1);
+  INFO(fleet.Log(0));
   REQUIRE(fleet.AwaitReady(0));
   // As after a restart of all hosts, when several collect for a service.
   fleet.Platform().SetTrouble("cutter", Trouble::Full);
@@ -201,6 +211,7 @@
 TEST_CASE("results are kept while the engine that needs them refuses the call")
 {
   EntryFleet fleet(1);
+  INFO(fleet.Log(0));
   REQUIRE(fleet.AwaitReady(0));
   const auto held = [&] {
     std::size_t results = 0;
