Send questions for permits without the news that is for all hosts

Questions for permits go to one host, as often as requests to engines in need do, so that at some hundred a second all news of a death would have gone to the keepers, and others learn of it late.

--- a/goldcrestcroft/src/Gateway/ControlPlane.h
+++ b/goldcrestcroft/src/Gateway/ControlPlane.h
@@ -100,9 +100,6 @@
     std::vector<LostRun> lostRuns_;
     /** These go before those whose turn it is. */
     std::vector<SuspectNotice> suspects_;
-    std::vector<EngineLimitReport> limits_;
-    std::vector<PermitAsk> asks_;
-    std::vector<PermitAnswer> permits_;
   };
   struct AskedPermit
   {
@@ -142,6 +139,10 @@
   auto Beat() -> Task<void>;
   auto Send(std::vector<FailureDetector::Outgoing> aOut,
             const Cargo& aCargo = {}) -> void;
+  /** \brief Questions and answers about permits, without news. */
+  auto SendPermits(const std::string& aAddress, FleetHeartbeat aBeat) -> void;
+  auto SendBeat(const std::string& aAddress, const FleetHeartbeat& aBeat)
+    -> void;
   auto BeatToSome() -> void;
   /** \brief Addresses at which hosts may be, by the store and the settings. */
   auto UpdateAddresses() -> void;
--- a/goldcrestcroft/src/Gateway/ControlPlaneBeats.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneBeats.cpp
@@ -19,9 +19,7 @@
 {
   const auto now = clock_.Now();
   FleetHeartbeat beat{ .configurationRow_ = configuration_.version_,
-                       .engineRows_ = engines_.Version(),
-                       .permitAsks_ = aCargo.asks_,
-                       .permits_ = aCargo.permits_ };
+                       .engineRows_ = engines_.Version() };
   for (const auto& run : aCargo.lostRuns_) {
     beat.lostRuns_.push_back(ToReport(run, now));
   }
@@ -31,22 +29,37 @@
   for (auto& [address, message] : aOut) {
     beat.probe_ = std::move(message);
     beat.suspects_ = aCargo.suspects_;
-    beat.limits_ = aCargo.limits_;
+    beat.limits_.clear();
     for (const auto& word : limits_.Tell(kLimitsPerDatagram)) {
       beat.limits_.push_back(ToReport(word, now));
     }
     for (const auto& notice : suspects_.Tell(kSuspectsPerDatagram, now)) {
       beat.suspects_.push_back(notice);
     }
-    const auto bytes = EncodeHeartbeat(beat);
-    const auto endpoint = ParseTcpEndpoint(address);
-    boost::system::error_code ignored; // A lost datagram is made up for.
-    beats_.send_to(asio::buffer(bytes),
-                   Udp::endpoint(endpoint.address(), endpoint.port()), 0,
-                   ignored);
+    SendBeat(address, beat);
   }
 }
 
+auto ControlPlane::SendPermits(const std::string& aAddress,
+                               FleetHeartbeat aBeat) -> void
+{
+  aBeat.probe_ = peers_.WithoutNews();
+  aBeat.configurationRow_ = configuration_.version_;
+  aBeat.engineRows_ = engines_.Version();
+  SendBeat(aAddress, aBeat);
+}
+
+auto ControlPlane::SendBeat(const std::string& aAddress,
+                            const FleetHeartbeat& aBeat) -> void
+{
+  const auto bytes = EncodeHeartbeat(aBeat);
+  const auto endpoint = ParseTcpEndpoint(aAddress);
+  boost::system::error_code ignored; // A lost datagram is made up for.
+  beats_.send_to(asio::buffer(bytes),
+                 Udp::endpoint(endpoint.address(), endpoint.port()), 0,
+                 ignored);
+}
+
 auto ControlPlane::BeatToSome() -> void
 {
   Send(peers_.Push());
--- a/goldcrestcroft/src/Gateway/ControlPlaneLimits.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneLimits.cpp
@@ -53,13 +53,14 @@
                                const std::string& aAddress) -> void
 {
   const auto permit = Issue(aAsk);
-  Cargo cargo{ .permits_ = { { .number_ = aAsk.number_, .permit_ = permit } } };
+  FleetHeartbeat beat{ .permits_ = {
+                         { .number_ = aAsk.number_, .permit_ = permit } } };
   const EngineStart start(aAsk.limit_.engine_, aAsk.limit_.startedAt_);
   if (const auto word = limits_.Find(start);
       word && word->perSecond_ != aAsk.limit_.perSecond_) {
-    cargo.limits_.push_back(ToReport(*word, clock_.Now()));
+    beat.limits_.push_back(ToReport(*word, clock_.Now()));
   }
-  Send(peers_.PushTo(aAddress), cargo);
+  SendPermits(aAddress, std::move(beat));
 }
 
 auto ControlPlane::OnPermitAnswer(const PermitAnswer& aAnswer) -> void
@@ -79,7 +80,7 @@
   const auto asked = std::make_shared<AskedPermit>(
     AskedPermit{ .answered_ = asio::steady_timer(context_, kKeeperTime) });
   asked_.emplace(aAsk.number_, asked);
-  Send(peers_.PushTo(aAddress), { .asks_ = { aAsk } });
+  SendPermits(aAddress, { .permitAsks_ = { aAsk } });
   co_await asked->answered_.async_wait(kAsTuple);
   asked_.erase(aAsk.number_);
   co_return asked->permit_;
--- a/goldcrestcroft/src/Membership/FailureDetector.h
+++ b/goldcrestcroft/src/Membership/FailureDetector.h
@@ -93,6 +93,12 @@
   auto Push() -> std::vector<Outgoing>;
   /** \brief News for the host at the address. */
   auto PushTo(const std::string& aAddress) -> std::vector<Outgoing>;
+  /** \brief A message for what goes to one host often: news is sent a bounded
+   * number of times, and would all go there. */
+  [[nodiscard]] auto WithoutNews() const -> ProbeMessage
+  {
+    return { .sender_ = self_, .hosts_ = static_cast<std::uint32_t>(Size()) };
+  }
 
   /** \brief Whether the sender knows far more hosts, so that its whole list is
    * worth fetching. */
--- a/test/unit/EngineLimitsTest.cpp
+++ b/test/unit/EngineLimitsTest.cpp
@@ -192,6 +192,22 @@
   CHECK(board.Size() == 0);
 }
 
+TEST_CASE("questions for permits use up the news that goes to all hosts")
+{
+  VirtualClock clock;
+  FailureDetector detector({ .self_ = { .host_ = { "a" } } }, 1, clock.Now());
+  detector.OnMessage({ .sender_ = { .host_ = { "b" },
+                                    .incarnation_ = 1,
+                                    .peerAddress_ = "10.0.0.2:1" },
+                       .kind_ = ProbeKind::Ack },
+                     clock.Now());
+  detector.SetLeaving();
+  for (auto i = 0; i < 1000; ++i) {
+    CHECK(detector.WithoutNews().news_.empty());
+  }
+  CHECK_FALSE(detector.PushTo("10.0.0.2:1").front().message_.news_.empty());
+}
+
 TEST_CASE("limits and permits are not what they were after the way between "
           "hosts, or a limit that is no number comes through")
 {
