Give the key up after a run that was never handed over

The request could never run.

Cause: OnceExecution recorded the outcome of each run that ended, not_run too. A host that was paused between the claim of the row and the first byte finds on waking that the stage cannot be done before the deadline, and records that.

Ruled out: that host 2 refused the request itself (the answer says repeated), and that something had run (0 runs at the service).

Now a run that ends not_run gives its row up as a refusal before the first byte does: the erasure is conditional on the own version, and an erasure whose answer is lost ends as unknown.

--- a/goldcrestcroft/src/Once/OnceExecution.cpp
+++ b/goldcrestcroft/src/Once/OnceExecution.cpp
@@ -145,7 +145,10 @@
 
 auto OnceExecution::OnFinished(RecordedAnswer aAnswer) -> void
 {
-  if (step_ == Step::Running) {
+  if (step_ == Step::Running && aAnswer.outcome_ == Outcome::NotRun) {
+    // A recorded not_run would be repeated to every later submission.
+    step_ = Step::GiveUp;
+  } else if (step_ == Step::Running) {
     answer_ = std::move(aAnswer);
     owesRecord_ = true;
     step_ = Step::Done;
--- a/goldcrestcroft/src/Once/OnceExecution.h
+++ b/goldcrestcroft/src/Once/OnceExecution.h
@@ -83,7 +83,7 @@
   auto TryDispatch(TimePoint aNow) -> bool;
   /** \brief Admission or configuration refuses the run before any byte. */
   auto OnRefused() -> void;
-  /** \brief The run ended. */
+  /** \brief The run ended. The key is given up if nothing was handed over. */
   auto OnFinished(RecordedAnswer aAnswer) -> void;
   /** \brief The pause of Wait is over: read the row again. */
   auto OnPollDue() -> void { step_ = step_ == Step::Wait ? Step::Read : step_; }
--- a/test/process/OnceProcessTest.cpp
+++ b/test/process/OnceProcessTest.cpp
@@ -127,4 +127,17 @@
   CHECK(fleet.RunsOf("crash") == 0); // the new process has run nothing
 }
 
+TEST_CASE("once: a run that was never handed over leaves its key free")
+{
+  Fleet fleet({});
+  fleet.Standin("service-0").Kill();
+  const auto refused = fleet.Send(0, Payout("unreached", true));
+  CHECK(OutcomeOf(refused) == "not_run");
+  fleet.StartStandin("service-0");
+  fleet.Await("the service runs the repeat", [&] {
+    return OutcomeOf(fleet.Send(1, Payout("unreached", false))) == "completed";
+  });
+  CHECK(fleet.RunsOf("unreached") == 1);
+}
+
 } // namespace testing
--- a/test/property/OnceWorld.cpp
+++ b/test/property/OnceWorld.cpp
@@ -176,7 +176,11 @@
       if (aChoice % 4 == 0) {
         execution.OnRefused();
       } else if (execution.TryDispatch(clock_.Now())) {
-        ++runs_;
+        if (aChoice % 16 == 1) { // no server was reached
+          execution.OnFinished({ .outcome_ = Outcome::NotRun });
+        } else {
+          ++runs_;
+        }
       }
       break;
     case OnceExecution::Step::Running:
--- a/test/unit/OnceExecutionTest.cpp
+++ b/test/unit/OnceExecutionTest.cpp
@@ -37,6 +37,20 @@
   CHECK(once.Row().answer_->body_ == "b");
 }
 
+TEST_CASE("once: a run that was never handed over gives its key up")
+{
+  VirtualClock clock;
+  auto once = Make(clock.Now() + std::chrono::seconds{ 1 });
+  once.OnInserted(5, clock.Now());
+  CHECK(once.TryDispatch(clock.Now()));
+  once.OnFinished({ .outcome_ = Outcome::NotRun });
+  CHECK(once.Next() == Step::GiveUp);
+  CHECK_FALSE(once.OwesRecord());
+  once.OnGivenUp();
+  CHECK(once.Answer().outcome_ == Outcome::NotRun);
+  CHECK_FALSE(once.MayLeaveRow());
+}
+
 TEST_CASE(
   "once: an erasure whose answer was lost makes a refusal prove nothing")
 {
