Tell second copies of stage engines' answers from the answer that is awaited

What callers saw: an answer made from another request's stage results. Where a stage engine sends an answer a second time on a connection that is in use again, the next call took the copy as its own, and each call after it took the answer of the call before.

Cause: an answer to a call of stages does not say which call it belongs to. The desk took whatever came next on the connection, and kept the connection also after an answer that it could not read.

Evidence: process.StageAnswers, red before: from the third request on every second request was given the inputs of the one before it.

Why this works: handles are unique, so an answer with a known handle is a copy and is passed over, four in a row at most, within the time of the call. An answer without a new handle (full, failed, unreadable) cannot be told from a copy of itself, so its connection is closed.

Ruled out: the store (bytes after an answer close its connection), peers (frames carry ids), serve (answers carry the attempt).

--- a/goldcrestcroft/src/Gateway/EnginePool.h
+++ b/goldcrestcroft/src/Gateway/EnginePool.h
@@ -129,6 +129,10 @@
   auto Heed(const EngineLease& aLease, const EngineAnswerHead& aHead) -> void;
   /** \brief Bodies of answers that are held, of all connections. */
   auto Held() -> HeldBytes& { return held_; }
+  auto Count(const std::string& aCounter) const -> void
+  {
+    options_.count_(aCounter);
+  }
   /** \brief Counts an answer that passed the bound of this name. */
   auto CountCut(const std::string& aBound) const -> void
   {
--- a/goldcrestcroft/src/Gateway/StageDesk.h
+++ b/goldcrestcroft/src/Gateway/StageDesk.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../../Staging.h"
+#include "AnswerCopies.h"
 #include "EngineExchange.h"
 
 #include <functional>
@@ -76,6 +77,7 @@
     std::shared_ptr<EngineState> state_;
     ResultRoom room_;
     SoleUse sole_;
+    AnswerCopies copies_;
     bool busy_ = false;
     TimePoint pausedUntil_;
     /** Calls in a row that it had no place for. */
@@ -131,9 +133,30 @@
                  std::vector<PieceTicket> aTickets) -> Task<void>;
   auto SendReleases(std::shared_ptr<Engine> aEngine) -> Task<void>;
   auto Report(std::uint64_t aOrder, std::vector<PieceResult> aResults) -> void;
-  /** \brief The status of the whole answer, 0 without one; keeps or drops the
-   * connection. */
-  auto ReadAnswer(EngineLease aLease, std::string& aBody) -> Task<int>;
+  /** \brief What came next on a connection. */
+  struct Answer
+  {
+    /** 0 without a whole answer. */
+    int status_ = 0;
+    std::string body_;
+    bool reusable_ = false;
+    /** How long the engine keeps the connection; zero if it does not say. */
+    Duration keepFor_{};
+  };
+  struct CallAnswer
+  {
+    int status_ = 0;
+    /** None if it could not be read. */
+    std::vector<PieceResult> pieces_;
+  };
+  auto ReadAnswer(EngineLease aLease) -> Task<Answer>;
+  /** \brief The answer to a call, past copies of earlier ones; keeps or drops
+   * the connection. */
+  auto ReadCallAnswer(EngineLease aLease, Engine& aEngine, std::size_t aPieces)
+    -> Task<CallAnswer>;
+  [[nodiscard]] auto Decode(const Answer& aAnswer, std::size_t aPieces) const
+    -> std::vector<PieceResult>;
+  auto PutBack(const EngineLease& aLease, const Answer& aAnswer) -> void;
   auto WriteCall(const EngineLease& aLease, const EngineCall& aCall,
                  Duration aTimeout) -> Task<bool>;
 
--- a/goldcrestcroft/src/Gateway/StageDeskCalls.cpp
+++ b/goldcrestcroft/src/Gateway/StageDeskCalls.cpp
@@ -11,6 +11,10 @@
 constexpr auto kEngineFull = 503;
 /** Answers about a call's pieces are far smaller. */
 constexpr std::size_t kMaxAnswerBytes = 1U << 20U;
+constexpr auto kSuccess = 200;
+/** Copies of earlier answers before the one that is awaited; an engine that
+ * sends more is not well. */
+constexpr auto kMostCopies = 4;
 
 } // namespace
 
@@ -49,13 +53,14 @@
   co_return co_await aLease.connection_->BeginWrite(std::move(text));
 }
 
-auto StageDesk::ReadAnswer(EngineLease aLease, std::string& aBody) -> Task<int>
+auto StageDesk::ReadAnswer(EngineLease aLease) -> Task<Answer>
 {
   EngineExchange exchange(aLease, codec_.Headers(), pool_.Held());
+  Answer answer;
   auto end = co_await exchange.ReadHead("", false);
   if (end == ReadEnd::Done) {
     pool_.Heed(aLease, exchange.Head());
-    end = co_await exchange.ReadAll(aBody, kMaxAnswerBytes);
+    end = co_await exchange.ReadAll(answer.body_, kMaxAnswerBytes);
   }
   if (const auto bound = exchange.Passed(); bound != AnswerBound::None) {
     pool_.CountCut(ToString(bound));
@@ -64,12 +69,60 @@
                  { "bound", ToString(bound) },
                  { "remedy", Remedy(bound) } });
   }
-  if (end == ReadEnd::Done && exchange.IsReusable()) {
-    pool_.Keep(aLease, exchange.Head().keepFor_);
+  if (end == ReadEnd::Done) {
+    answer.status_ = exchange.Head().status_;
+    answer.reusable_ = exchange.IsReusable();
+    answer.keepFor_ = exchange.Head().keepFor_;
+  }
+  co_return answer;
+}
+
+auto StageDesk::PutBack(const EngineLease& aLease, const Answer& aAnswer)
+  -> void
+{
+  if (aAnswer.reusable_) {
+    pool_.Keep(aLease, aAnswer.keepFor_);
   } else {
     pool_.Drop(aLease);
   }
-  co_return end == ReadEnd::Done ? exchange.Head().status_ : 0;
+}
+
+auto StageDesk::Decode(const Answer& aAnswer, std::size_t aPieces) const
+  -> std::vector<PieceResult>
+{
+  if (aAnswer.status_ != kSuccess) {
+    return {};
+  }
+  return Handle(
+    [&] { return codec_.DecodeStageAnswer(aAnswer.body_, aPieces); },
+    [](const Error& aError) {
+      Log::Write(LogLevel::Warning, "stage_answer_unreadable",
+                 { { "reason", aError.message_ } });
+      return std::vector<PieceResult>{};
+    });
+}
+
+auto StageDesk::ReadCallAnswer(EngineLease aLease, Engine& aEngine,
+                               std::size_t aPieces) -> Task<CallAnswer>
+{
+  for (auto copies = 0; copies <= kMostCopies; ++copies) {
+    auto answer = co_await ReadAnswer(aLease);
+    auto pieces = Decode(answer, aPieces);
+    if (aEngine.copies_.IsCopy(pieces)) {
+      pool_.Count("stage_answer_copies");
+      Log::Write(LogLevel::Info, "stage_answer_copy",
+                 { { "engine", aLease.engine_->entry_.id_ } });
+      continue;
+    }
+    aEngine.copies_.Add(pieces);
+    // A copy of any other answer could not be told from the next one.
+    answer.reusable_ = answer.reusable_ && AnswerCopies::IsTellable(pieces);
+    PutBack(aLease, answer);
+    co_return CallAnswer{ .status_ = answer.status_,
+                          .pieces_ = std::move(pieces) };
+  }
+  pool_.Drop(aLease);
+  co_return CallAnswer{};
 }
 
 auto StageDesk::Exchange(const StageProfile& aProfile, Engine& aEngine,
@@ -97,13 +150,13 @@
   if (aEngine.sole_.IsProved(startedAt)) {
     asio::co_spawn(context_, TellBegun(atWork, aCall.tickets_), asio::detached);
   }
-  std::string body;
-  auto status = 0;
+  CallAnswer answer;
   if (written) {
-    status = co_await ReadAnswer(lease, body);
+    answer = co_await ReadCallAnswer(lease, aEngine, aCall.pieces_.size());
   } else {
     pool_.Drop(lease);
   }
+  const auto status = answer.status_;
   if (status == kEngineFull) {
     OnFull(aEngine);
     co_return std::vector<PieceResult>(aCall.pieces_.size(),
@@ -111,16 +164,7 @@
   }
   aEngine.timesFull_ = 0;
   auto& health = aEngine.state_->health_;
-  auto results =
-    status != 200
-      ? std::vector<PieceResult>{}
-      : Handle(
-          [&] { return codec_.DecodeStageAnswer(body, aCall.pieces_.size()); },
-          [](const Error& aError) {
-            Log::Write(LogLevel::Warning, "stage_answer_unreadable",
-                       { { "reason", aError.message_ } });
-            return std::vector<PieceResult>{};
-          });
+  auto results = std::move(answer.pieces_);
   if (results.empty()) {
     health.OnFailure(clock_.Now());
     Log::Write(
--- a/goldcrestcroft/src/Gateway/StageDeskReleases.cpp
+++ b/goldcrestcroft/src/Gateway/StageDeskReleases.cpp
@@ -43,14 +43,12 @@
   }
   const auto call = codec_.MakeRelease(handles);
   const auto written = co_await WriteCall(lease, call, kTimeout);
-  auto status = 0;
-  std::string body;
+  Answer answer;
   if (written) {
-    status = co_await ReadAnswer(lease, body);
-  } else {
-    pool_.Drop(lease);
+    answer = co_await ReadAnswer(lease);
   }
-  if (status != 0) {
+  PutBack(lease, answer);
+  if (answer.status_ != 0) {
     for (const auto& handle : handles) {
       aEngine->room_.Drop(handle);
     }
--- a/test/platform/EngineStandin.cpp
+++ b/test/platform/EngineStandin.cpp
@@ -112,6 +112,13 @@
   return results_.size();
 }
 
+auto EngineStandin::MadeFor(const std::string& aHandle) -> std::string
+{
+  const std::lock_guard lock(mutex_);
+  const auto found = madeFor_.find(aHandle);
+  return found == madeFor_.end() ? "" : found->second;
+}
+
 auto EngineStandin::RunPieces(const Request& aRequest) -> Reaction
 {
   if (trouble_ == Trouble::Full) {
@@ -120,14 +127,16 @@
   const auto call = json::parse(aRequest.body());
   auto items = json::array();
   ++calls_;
-  for (auto left = call.at("items").size(); left > 0; --left) {
+  for (const auto& item : call.at("items")) {
     ++pieces_;
     const auto handle = published_ + "/" + std::to_string(nextResult_++);
     results_.insert(handle);
+    madeFor_[handle] = item.at("id");
     items.push_back({ { "handle", handle } });
   }
   return { .body_ = json{ { "items", items } }.dump(),
-           .delay_ = std::chrono::milliseconds{ 20 } };
+           .delay_ = std::chrono::milliseconds{ 20 },
+           .repeatsLast_ = trouble_ == Trouble::Repeats };
 }
 
 auto EngineStandin::Release(const Request& aRequest) -> Reaction
--- a/test/platform/EngineStandin.h
+++ b/test/platform/EngineStandin.h
@@ -24,6 +24,8 @@
     Cuts,
     /** Sends an answer to another request first. */
     Stray,
+    /** Sends a second copy of the answer before first. */
+    Repeats,
     /** Refuses, and says that it did not run it. */
     Full,
     /** Answers with a failure of its own. */
@@ -107,6 +109,8 @@
   [[nodiscard]] auto PiecesRun() -> std::size_t;
   [[nodiscard]] auto CallsRun() -> std::size_t;
   [[nodiscard]] auto ResultsHeld() -> std::size_t;
+  /** \brief The request that it made the result for; empty if it did not. */
+  [[nodiscard]] auto MadeFor(const std::string& aHandle) -> std::string;
   /** \brief Calls and requests of every kind that came, run or not. */
   [[nodiscard]] auto Reached() const -> std::size_t { return reached_; }
   /** \brief When they came. */
@@ -145,6 +149,7 @@
   std::vector<Arrival> arrivals_;
   goldcrestcroft::http::fields lastHeaders_;
   std::set<std::string> results_;
+  std::map<std::string, std::string> madeFor_;
   EngineEnding ending_;
   std::vector<std::string> endingUnder_;
   std::vector<End> ends_;
--- a/test/platform/HttpServer.cpp
+++ b/test/platform/HttpServer.cpp
@@ -113,6 +113,7 @@
 {
   auto& socket = *aSocket;
   beast::flat_buffer buffer;
+  std::optional<http::response<http::string_body>> last;
   for (;;) {
     Request request;
     const auto [error, size] =
@@ -150,6 +151,9 @@
       head.prepare_payload();
       co_await http::async_write(socket, head, kAsTuple);
     }
+    if (reaction.repeatsLast_ && last) {
+      co_await http::async_write(socket, *last, kAsTuple);
+    }
     if (!reaction.chunks_.empty()) {
       const auto whole = co_await WriteChunks(context_, socket, reaction);
       if (!whole) {
@@ -168,6 +172,7 @@
     if (writeError || reaction.cuts_) {
       co_return;
     }
+    last = std::move(answer);
   }
 }
 
--- a/test/platform/HttpServer.h
+++ b/test/platform/HttpServer.h
@@ -28,6 +28,8 @@
   bool cuts_ = false;
   /** An answer to another request is sent before it. */
   std::optional<std::string> strayId_;
+  /** A second copy of the connection's answer before is sent before it. */
+  bool repeatsLast_ = false;
   /** Sent in place of all of the above. */
   std::optional<EndlessBytes> endless_;
 };
--- /dev/null
+++ b/test/process/StageAnswersTest.cpp
@@ -0,0 +1,62 @@
+#include "EntryFleet.h"
+
+#include <doctest/doctest.h>
+
+#include <sstream>
+
+namespace testing {
+
+namespace {
+
+using Trouble = standins::EngineStandin::Trouble;
+
+/** \brief The handles that the engine which ran the last call was given. */
+auto InputsOf(EntryFleet& aFleet) -> std::vector<std::string>
+{
+  std::vector<std::string> handles;
+  for (const auto& engine : aFleet.Platform().Engines("model")) {
+    if (!engine->Runs().contains(aFleet.LastId())) {
+      continue;
+    }
+    std::istringstream list(engine->LastHeader("Goldcrestcroft-Inputs"));
+    for (std::string handle; std::getline(list, handle, ',');) {
+      handles.push_back(handle);
+    }
+  }
+  return handles;
+}
+
+/** \brief The request that a result of the service was made for. */
+auto MadeFor(EntryFleet& aFleet, const std::string& aService,
+             const std::string& aHandle) -> std::string
+{
+  std::string request;
+  for (const auto& engine : aFleet.Platform().Engines(aService)) {
+    request += engine->MadeFor(aHandle);
+  }
+  return request;
+}
+
+} // namespace
+
+TEST_CASE("a late second copy of a stage engine's answer is not taken for the "
+          "next call's")
+{
+  EntryFleet fleet(1);
+  INFO(fleet.Log(0));
+  REQUIRE(fleet.AwaitReady(0));
+  fleet.Platform().SetTrouble("cutter", Trouble::Repeats);
+  fleet.Platform().SetTrouble("ranker", Trouble::Repeats);
+  for (auto i = 0; i < 12; ++i) {
+    const auto stream = fleet.Get(0, "/stream/x");
+    CHECK(stream.status_ == 200);
+    CHECK(stream.whole_);
+    const auto inputs = InputsOf(fleet);
+    CHECK_FALSE(inputs.empty());
+    for (const auto& handle : inputs) {
+      CHECK(MadeFor(fleet, "ranker", handle) == fleet.LastId());
+    }
+  }
+}
+
+} // namespace testing
