Let no malformed header and no exception take stage engines out of use

What callers saw: after a few requests with a key of stages, or an id, that is no UTF-8, no request with stages was served any more: 503 until the host that collects for the service was restarted.

Cause: the JSON of a call to a stage engine cannot hold such bytes, and making it throws. The task of the call ended with the exception, which was dropped without a log line, and left its engine marked as busy for good; one malformed request did so to each engine in turn, and the other pieces of the call were lost with it. The class: an exception in a task that nobody waits for is swallowed, with what the task would have given back at its end.

Why this works: where a call of stages has to carry them, id and key must be visible ASCII, else 400 before anything is done. Whatever else may throw in a call, its engine is free again and its pieces are tried elsewhere. Every task of the gateway that nobody waits for logs the exception that ends it (`task_failed`); tasks that last as long as the host are made anew (`KeepRunning`), and a handler that throws no longer ends its loop and with it the process (`RunLoop`). unit.BackgroundTask.

Ruled out: log lines and frames of peers (they replace or bound such bytes), rows of the store (read leniently), addresses that cannot be read.

--- a/goldcrestcroft/src/Gateway/ControlPlane.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlane.cpp
@@ -1,6 +1,7 @@
 #include "ControlPlane.h"
 
 #include "../Observability/Log.h"
+#include "BackgroundTask.h"
 
 #include <algorithm>
 
@@ -71,16 +72,18 @@
                               " cannot be received: " + error.message(),
                   .remedy_ = "free the port, or change 'peer_port'" });
   }
-  const auto spawn = [&](Task<void> aTask) {
-    asio::co_spawn(context_, std::move(aTask), asio::detached);
+  const auto spawn = [&](const char* aTask, auto aMake) {
+    asio::co_spawn(context_, KeepRunning(aTask, std::move(aMake)),
+                   LogFailure{ aTask });
   };
-  spawn(AcceptPeers());
-  spawn(ReceiveBeats());
-  spawn(Beat());
-  spawn(Follow(StoreTable::Configuration));
-  spawn(Follow(StoreTable::Engines));
-  spawn(Follow(StoreTable::Hosts));
-  spawn(Announce());
+  spawn("accept_peers", [this] { return AcceptPeers(); });
+  spawn("receive_beats", [this] { return ReceiveBeats(); });
+  spawn("beat", [this] { return Beat(); });
+  for (const auto table :
+       { StoreTable::Configuration, StoreTable::Engines, StoreTable::Hosts }) {
+    spawn("follow_store", [this, table] { return Follow(table); });
+  }
+  spawn("announce", [this] { return Announce(); });
   PublishFleet();
   return {};
 }
@@ -162,7 +165,7 @@
                    { { "reason", reply.detail_ } });
       }
     },
-    asio::detached);
+    LogFailure{ "remove_host_row" });
 }
 
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/ControlPlaneLimits.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneLimits.cpp
@@ -1,4 +1,5 @@
 #include "../Observability/Log.h"
+#include "BackgroundTask.h"
 #include "ControlPlane.h"
 
 namespace goldcrestcroft {
@@ -121,7 +122,7 @@
 
 auto ControlPlane::SeekPermit(const PermitWish& aWish) -> void
 {
-  asio::co_spawn(context_, FindPermit(aWish), asio::detached);
+  asio::co_spawn(context_, FindPermit(aWish), LogFailure{ "find_permit" });
 }
 
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
@@ -1,4 +1,5 @@
 #include "../Observability/Log.h"
+#include "BackgroundTask.h"
 #include "ControlPlane.h"
 #include "PackedText.h"
 
@@ -106,7 +107,8 @@
     }
     if (settles) {
       // Only now the fleet is published, by which readers are chosen.
-      asio::co_spawn(context_, RestoreHeldRequests(), asio::detached);
+      asio::co_spawn(context_, RestoreHeldRequests(),
+                     LogFailure{ "restore_held_requests" });
     }
     co_await Pause(options_.tick_);
   }
--- a/goldcrestcroft/src/Gateway/EntryGateway.cpp
+++ b/goldcrestcroft/src/Gateway/EntryGateway.cpp
@@ -2,6 +2,7 @@
 
 #include "../Core/Signals.h"
 #include "../Observability/Log.h"
+#include "BackgroundTask.h"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -135,10 +136,16 @@
              { { "zone", options_.settings_.zone_ },
                { "callers", options_.settings_.callers_ },
                { "store", options_.settings_.store_ } });
-  asio::co_spawn(trafficContext_, AwaitSignals(), asio::detached);
-  asio::co_spawn(trafficContext_, WatchSettings(), asio::detached);
-  std::thread traffic([this] { trafficContext_.run(); });
-  controlContext_.run();
+  asio::co_spawn(
+    trafficContext_,
+    KeepRunning("await_signals", [this] { return AwaitSignals(); }),
+    LogFailure{ "await_signals" });
+  asio::co_spawn(
+    trafficContext_,
+    KeepRunning("watch_settings", [this] { return WatchSettings(); }),
+    LogFailure{ "watch_settings" });
+  std::thread traffic([this] { RunLoop("traffic", trafficContext_); });
+  RunLoop("control", controlContext_);
   traffic.join();
   trafficContext_.DropWork();
   controlContext_.DropWork();
--- a/goldcrestcroft/src/Gateway/HeldRequestRows.cpp
+++ b/goldcrestcroft/src/Gateway/HeldRequestRows.cpp
@@ -1,6 +1,7 @@
 #include "HeldRequestRows.h"
 
 #include "../Observability/Log.h"
+#include "BackgroundTask.h"
 
 namespace goldcrestcroft {
 
@@ -21,7 +22,10 @@
   rows_[aNotice.request_] = { .notice_ = aNotice, .isThere_ = aIsThere };
   if (!maintaining_) {
     maintaining_ = true;
-    asio::co_spawn(context_, Maintain(), asio::detached);
+    asio::co_spawn(
+      context_,
+      KeepRunning("maintain_held_requests", [this] { return Maintain(); }),
+      LogFailure{ "maintain_held_requests" });
   }
 }
 
--- a/goldcrestcroft/src/Gateway/PeerLink.cpp
+++ b/goldcrestcroft/src/Gateway/PeerLink.cpp
@@ -1,6 +1,7 @@
 #include "PeerLink.h"
 
 #include "../Observability/Log.h"
+#include "BackgroundTask.h"
 
 #include <boost/asio/read.hpp>
 #include <spdlog/fmt/fmt.h>
@@ -54,7 +55,8 @@
   SetSocketOptions(socket_);
   asio::co_spawn(
     socket_.get_executor(),
-    [self = shared_from_this()] { return self->Read(); }, asio::detached);
+    [self = shared_from_this()] { return self->Read(); },
+    LogFailure{ "read_peer" });
 }
 
 auto PeerLink::StartTo(const std::string& aAddress) -> void
@@ -65,7 +67,7 @@
     [self = shared_from_this(), endpoint = ParseTcpEndpoint(aAddress)] {
       return self->Connect(endpoint);
     },
-    asio::detached);
+    LogFailure{ "connect_peer" });
 }
 
 auto PeerLink::Connect(Tcp::endpoint aEndpoint) -> Task<void>
@@ -164,7 +166,8 @@
     writing_ = true;
     asio::co_spawn(
       socket_.get_executor(),
-      [self = shared_from_this()] { return self->Write(); }, asio::detached);
+      [self = shared_from_this()] { return self->Write(); },
+      LogFailure{ "write_peer" });
   }
 }
 
--- a/goldcrestcroft/src/Gateway/RequestRun.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRun.cpp
@@ -4,6 +4,7 @@
 
 #include <spdlog/fmt/fmt.h>
 
+#include <algorithm>
 #include <charconv>
 
 namespace goldcrestcroft {
@@ -17,6 +18,14 @@
   return { value.data(), value.size() };
 }
 
+/** What the JSON of a call to a stage engine carries unchanged. */
+auto IsVisibleAscii(std::string_view aText) -> bool
+{
+  return std::all_of(aText.begin(), aText.end(), [](char aLetter) {
+    return aLetter > ' ' && aLetter <= '~';
+  });
+}
+
 auto ReadMilliseconds(const std::string& aText) -> std::optional<Duration>
 {
   auto value = 0.0;
@@ -94,6 +103,14 @@
     workspace_ = holder->workspace_;
     rank_ = holder->rank_.value_or(rank_);
   }
+  const auto carried = IsVisibleAscii(requestId_) &&
+                       IsVisibleAscii(Text(request_, names.pieceKey_));
+  if (!route_->stages_.empty() && !carried) {
+    return OwnAnswer{ .status_ = 400,
+                      .reason_ = "malformed_header",
+                      .message_ = "send the request id and the key of the "
+                                  "stages in visible ASCII" };
+  }
   service_ = ChooseService(*route_, Spread(requestId_));
   fingerprint_ =
     Fingerprint(target + "\n" + workspace_ + "\n" + request_.body());
--- a/goldcrestcroft/src/Gateway/SmallServer.cpp
+++ b/goldcrestcroft/src/Gateway/SmallServer.cpp
@@ -1,5 +1,6 @@
 #include "SmallServer.h"
 
+#include "BackgroundTask.h"
 #include "Deadline.h"
 
 namespace goldcrestcroft {
@@ -16,7 +17,9 @@
 {
   BOOST_LEAF_AUTO(acceptor, Listen(context_, aAddress));
   acceptor_.emplace(std::move(acceptor));
-  asio::co_spawn(context_, Accept(), asio::detached);
+  asio::co_spawn(context_,
+                 KeepRunning("accept_small", [this] { return Accept(); }),
+                 LogFailure{ "accept_small" });
   return {};
 }
 
@@ -28,7 +31,8 @@
       co_return;
     }
     if (!error) {
-      asio::co_spawn(context_, Serve(std::move(socket)), asio::detached);
+      asio::co_spawn(context_, Serve(std::move(socket)),
+                     LogFailure{ "serve_small" });
     }
   }
 }
--- a/goldcrestcroft/src/Gateway/StageBroker.cpp
+++ b/goldcrestcroft/src/Gateway/StageBroker.cpp
@@ -1,6 +1,7 @@
 #include "StageBroker.h"
 
 #include "../Observability/Log.h"
+#include "BackgroundTask.h"
 
 namespace goldcrestcroft {
 
@@ -33,8 +34,13 @@
 {
   BOOST_LEAF_AUTO(acceptor, Listen(context_, listen_));
   acceptor_.emplace(std::move(acceptor));
-  asio::co_spawn(context_, Accept(), asio::detached);
-  asio::co_spawn(context_, SpreadBacklogs(), asio::detached);
+  asio::co_spawn(context_,
+                 KeepRunning("accept_brokers", [this] { return Accept(); }),
+                 LogFailure{ "accept_brokers" });
+  asio::co_spawn(
+    context_,
+    KeepRunning("spread_backlogs", [this] { return SpreadBacklogs(); }),
+    LogFailure{ "spread_backlogs" });
   return {};
 }
 
--- a/goldcrestcroft/src/Gateway/StageDesk.cpp
+++ b/goldcrestcroft/src/Gateway/StageDesk.cpp
@@ -1,5 +1,7 @@
 #include "StageDesk.h"
 
+#include "BackgroundTask.h"
+
 namespace goldcrestcroft {
 
 namespace {
@@ -208,11 +210,14 @@
       engine->room_.Reserve(bytes);
     }
     asio::co_spawn(context_, RunCall(aService.name_, engine, std::move(call)),
-                   asio::detached);
+                   LogFailure{ "run_call" });
   }
   if (aService.queue_.Waiting() > 0 && !looking_) {
     looking_ = true;
-    asio::co_spawn(context_, LookAgain(), asio::detached);
+    asio::co_spawn(
+      context_,
+      KeepRunning("look_at_waiting_pieces", [this] { return LookAgain(); }),
+      LogFailure{ "look_at_waiting_pieces" });
   }
 }
 
--- a/goldcrestcroft/src/Gateway/StageDeskCalls.cpp
+++ b/goldcrestcroft/src/Gateway/StageDeskCalls.cpp
@@ -1,4 +1,5 @@
 #include "../Observability/Log.h"
+#include "BackgroundTask.h"
 #include "StageDesk.h"
 
 #include <sstream>
@@ -128,6 +129,8 @@
 auto StageDesk::Exchange(const StageProfile& aProfile, Engine& aEngine,
                          const Call& aCall) -> Task<std::vector<PieceResult>>
 {
+  // Before a connection is taken, which an exception would not give back.
+  const auto call = codec_.MakeStageCall(aCall.pieces_);
   const auto lease = co_await pool_.Open(aEngine.state_);
   if (lease.denied_) {
     co_return std::vector<PieceResult>(aCall.pieces_.size(),
@@ -144,11 +147,11 @@
                                         options_.callPatience_)) +
     options_.callSlack_;
   const auto startedAt = clock_.Now();
-  const auto call = codec_.MakeStageCall(aCall.pieces_);
   const auto written = co_await WriteCall(lease, call, timeout);
   const auto atWork = std::make_shared<const AtWork>();
   if (aEngine.sole_.IsProved(startedAt)) {
-    asio::co_spawn(context_, TellBegun(atWork, aCall.tickets_), asio::detached);
+    asio::co_spawn(context_, TellBegun(atWork, aCall.tickets_),
+                   LogFailure{ "tell_begun" });
   }
   CallAnswer answer;
   if (written) {
@@ -219,7 +222,15 @@
 {
   const auto found = services_.find(aService);
   const auto profile = found->second.profile_;
-  const auto results = co_await Exchange(profile, *aEngine, aCall);
+  std::vector<PieceResult> results;
+  try {
+    results = co_await Exchange(profile, *aEngine, aCall);
+  } catch (const std::exception& problem) {
+    // The engine is free again, whatever failed here.
+    Log::Write(LogLevel::Error, "stage_call_threw",
+               { { "engine", aEngine->state_->entry_.id_ },
+                 { "reason", problem.what() } });
+  }
   aEngine->busy_ = false;
   if (auto* service = Find(aService)) {
     if (!results.empty() && results.front().end_ != PieceEnd::EngineFull) {
--- a/goldcrestcroft/src/Gateway/StageDeskReleases.cpp
+++ b/goldcrestcroft/src/Gateway/StageDeskReleases.cpp
@@ -1,4 +1,5 @@
 #include "../Observability/Log.h"
+#include "BackgroundTask.h"
 #include "StageDesk.h"
 
 namespace goldcrestcroft {
@@ -19,7 +20,8 @@
       engine->toRelease_.push_back(handle);
       if (!engine->releasing_) {
         engine->releasing_ = true;
-        asio::co_spawn(context_, SendReleases(engine), asio::detached);
+        asio::co_spawn(context_, SendReleases(engine),
+                       LogFailure{ "send_releases" });
       }
     }
   }
@@ -37,11 +39,11 @@
   if (aEngine->state_->limit_) {
     co_return; // Its turns are for calls; results end by themselves.
   }
+  const auto call = codec_.MakeRelease(handles);
   const auto lease = co_await pool_.Open(aEngine->state_);
   if (!lease.connection_) {
     co_return; // Results of an engine that is gone are gone as well.
   }
-  const auto call = codec_.MakeRelease(handles);
   const auto written = co_await WriteCall(lease, call, kTimeout);
   Answer answer;
   if (written) {
--- a/goldcrestcroft/src/Gateway/Traffic.cpp
+++ b/goldcrestcroft/src/Gateway/Traffic.cpp
@@ -1,6 +1,7 @@
 #include "Traffic.h"
 
 #include "../Observability/Log.h"
+#include "BackgroundTask.h"
 #include "RequestRun.h"
 
 #include <spdlog/fmt/fmt.h>
@@ -42,8 +43,12 @@
   BOOST_LEAF_CHECK(broker_.Start());
   BOOST_LEAF_AUTO(acceptor, Listen(context_, options_.settings_.callers_));
   acceptor_.emplace(std::move(acceptor));
-  asio::co_spawn(context_, Accept(), asio::detached);
-  asio::co_spawn(context_, WatchLoop(), asio::detached);
+  asio::co_spawn(context_,
+                 KeepRunning("accept_callers", [this] { return Accept(); }),
+                 LogFailure{ "accept_callers" });
+  asio::co_spawn(context_,
+                 KeepRunning("watch_loop", [this] { return WatchLoop(); }),
+                 LogFailure{ "watch_loop" });
   return {};
 }
 
@@ -86,7 +91,7 @@
     const auto caller =
       std::make_shared<CallerConnection>(std::move(socket), *this);
     callers_.insert(caller);
-    asio::co_spawn(context_, caller->Run(), asio::detached);
+    asio::co_spawn(context_, caller->Run(), LogFailure{ "caller" });
   }
 }
 
--- a/goldcrestcroft/src/Gateway/TrafficSuspects.cpp
+++ b/goldcrestcroft/src/Gateway/TrafficSuspects.cpp
@@ -1,4 +1,5 @@
 #include "../Observability/Log.h"
+#include "BackgroundTask.h"
 #include "RequestRun.h"
 #include "Traffic.h"
 
@@ -42,7 +43,8 @@
                   .broke_ = aBroke },
                 Now());
   if (aBroke && checked_.insert(aEngine).second) {
-    asio::co_spawn(context_, CheckEngine(std::move(aEngine)), asio::detached);
+    asio::co_spawn(context_, CheckEngine(std::move(aEngine)),
+                   LogFailure{ "check_engine" });
   }
 }
 
