Let a stream that stalls go on elsewhere, whatever its engine sends meanwhile

What callers saw: a resumable stream whose engine stalled, but sent a comment, a blank line or an event without data now and then, stood still until the deadline and was cut, although another engine could have gone on with it.

Cause: the time after which a stalled stream is left began anew with each byte that came. The bounds on bytes and on the time of an event see no such stream: each piece is small and whole.

Evidence: process.StalledStreams, red before: with bytes each 100 ms the streams ended after the first event at the caller's deadline (10 of 26 checks). After: whole, 6 of 6 events, each once. The other half of the fault is not here: a stream with pauses of 350 ms is passed whole by its first engine, also before the change (same file).

Why this works: only an event with data ends the silence that an engine is left for. Where no other engine could go on, silence is no reason to leave, as before, and a caller that is slow to take events still does not count against the engine.

--- a/goldcrestcroft/src/Gateway/EventRelay.cpp
+++ b/goldcrestcroft/src/Gateway/EventRelay.cpp
@@ -15,12 +15,13 @@
 {
   ++events_;
   withoutData_ += aEvent.size();
+  auto hasData = false;
   while (!aEvent.empty()) {
     const auto end = aEvent.find('\n');
     auto line = aEvent.substr(0, end);
     aEvent = end == std::string_view::npos ? "" : aEvent.substr(end + 1);
     if (line.starts_with(kDataField)) {
-      withoutData_ = 0;
+      hasData = true;
     }
     if (!line.starts_with(kIdField)) {
       continue;
@@ -38,6 +39,10 @@
       lastId_ = std::string(line);
     }
   }
+  if (hasData) {
+    ++eventsWithData_;
+    withoutData_ = 0;
+  }
 }
 
 auto EventRelay::Feed(std::string_view aBytes) -> std::string
--- a/goldcrestcroft/src/Gateway/EventRelay.h
+++ b/goldcrestcroft/src/Gateway/EventRelay.h
@@ -29,6 +29,11 @@
     return lastId_;
   }
   [[nodiscard]] auto Events() const -> std::size_t { return events_; }
+  /** \brief Those that had data; others only keep a connection open. */
+  [[nodiscard]] auto EventsWithData() const -> std::size_t
+  {
+    return eventsWithData_;
+  }
   /** \brief Bytes since the last event that had data. */
   [[nodiscard]] auto BytesWithoutData() const -> std::size_t
   {
@@ -48,6 +53,7 @@
   bool hasLongId_ = false;
   std::optional<std::string> lastId_;
   std::size_t events_ = 0;
+  std::size_t eventsWithData_ = 0;
 };
 
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
@@ -95,10 +95,16 @@
   relay_.DropPartial();
   const AnswerBounds bounds;
   EventWatch watch(bounds);
+  auto heard = relay_.EventsWithData();
+  auto heardAt = traffic_.Now();
   while (!aExchange.IsComplete()) {
-    // Only where it could go on elsewhere is silence a reason to leave.
-    CloseIfSilent(aExchange.Lease(),
-                  HasAttemptsLeft() ? std::min(stall, TimeLeft()) : TimeLeft());
+    // Only where it could go on elsewhere is silence a reason to leave. Bytes
+    // that are no event do not break it.
+    const auto patience =
+      std::max<Duration>(stall - (traffic_.Now() - heardAt), Duration{});
+    CloseIfSilent(aExchange.Lease(), HasAttemptsLeft()
+                                       ? std::min(patience, TimeLeft())
+                                       : TimeLeft());
     std::string bytes;
     const auto end = co_await aExchange.ReadSome(bytes);
     // A caller that is slow to take them says nothing about the engine.
@@ -136,6 +142,10 @@
         co_return AttemptEnd::Abandoned;
       }
     }
+    if (relay_.EventsWithData() != heard) {
+      heard = relay_.EventsWithData();
+      heardAt = traffic_.Now();
+    }
     if (aborted_ != Aborted::No) {
       co_return AttemptEnd::Abandoned;
     }
--- a/test/platform/EngineStandin.cpp
+++ b/test/platform/EngineStandin.cpp
@@ -228,7 +228,7 @@
       trouble != Trouble::Fails) {
     reaction.headers_.emplace_back("Content-Type", "text/event-stream");
     reaction.chunks_ = Events(Header(aRequest, "Last-Event-Id"), id);
-    reaction.pause_ = std::chrono::milliseconds{ 5 };
+    reaction.pause_ = std::chrono::milliseconds{ pauseMs_ };
     if (reaction.cuts_) {
       reaction.chunks_.resize(2);
       reaction.chunks_.push_back("id: 3\nda");
--- a/test/platform/EngineStandin.h
+++ b/test/platform/EngineStandin.h
@@ -118,6 +118,8 @@
 
   std::atomic<Trouble> trouble_ = Trouble::None;
   std::atomic<int> delayMs_ = 0;
+  /** Before each event of a stream. */
+  std::atomic<int> pauseMs_ = 5;
   /** All its answers say that it leaves. */
   std::atomic<bool> leaving_ = false;
   /** Requests a second that all its answers name as its limit; none if
--- /dev/null
+++ b/test/process/StalledStreamsTest.cpp
@@ -0,0 +1,54 @@
+#include "EntryFleet.h"
+
+#include <doctest/doctest.h>
+
+namespace testing {
+
+namespace {
+
+const std::string kBegin = "HTTP/1.1 200 OK\r\n"
+                           "Goldcrestcroft-Request-Id: @ID\r\n"
+                           "Goldcrestcroft-Server-Seal: s\r\n"
+                           "Content-Type: text/event-stream\r\n\r\n"
+                           "id: 1\ndata: @ID\n\n";
+
+} // namespace
+
+TEST_CASE("a stream that stalls goes on elsewhere, whatever bytes its engine "
+          "sends now and then")
+{
+  EntryFleet fleet(1);
+  INFO(fleet.Log(0));
+  REQUIRE(fleet.AwaitReady(0));
+  for (const std::string bytes : { ":\n\n", "\n", "event: ping\n\n" }) {
+    CAPTURE(bytes);
+    fleet.Platform().Engines("model")[0]->SetEndless(
+      standins::EndlessBytes{ .begin_ = kBegin,
+                              .unit_ = bytes,
+                              .pause_ = std::chrono::milliseconds{ 100 } });
+    for (auto i = 0; i < 2; ++i) {
+      const auto stream = fleet.Get(0, "/stream/x");
+      CHECK(stream.status_ == 200);
+      CHECK(stream.whole_);
+      CHECK(CountOf(stream.body_, "data: " + fleet.LastId()) == 6);
+    }
+  }
+}
+
+TEST_CASE("a stream that is slow and sound is not cut")
+{
+  EntryFleet fleet(1);
+  INFO(fleet.Log(0));
+  REQUIRE(fleet.AwaitReady(0));
+  for (const auto& engine : fleet.Platform().Engines("model")) {
+    engine->pauseMs_ = 350;
+  }
+  for (const auto* target : { "/stream/x", "/once/stream/x" }) {
+    const auto stream = fleet.Get(0, target);
+    CHECK(stream.status_ == 200);
+    CHECK(stream.whole_);
+    CHECK(fleet.RunsOf("model", fleet.LastId()) == 1);
+  }
+}
+
+} // namespace testing
