Cut off nothing that a stopping host has taken or promised to take

What callers saw: at the end of a planned stop, requests whose body was still coming were cut off without an answer, and so was the next request on a connection whose last answer, begun before the stop, had promised to keep it.

Cause: the host ended as soon as no request ran. A request that is being read does not run yet, nor does one on a connection that waits to be accepted; and each connection was closed after its answer once the host was stopping, whatever that answer had said.

Why this works: once nothing runs, the host takes what waits to be accepted, takes no more, and ends when its last connection has: idle ones are closed after 200 ms without a request, the others when their answer said so. The end of the grace period bounds all of it, as before.

A first try took no more connections from the end of the serving time, also while requests ran; process.EntryControl "a stopping host refuses" showed that callers then get no refusal with a time to come back.

--- a/goldcrestcroft/src/Gateway/CallerConnection.cpp
+++ b/goldcrestcroft/src/Gateway/CallerConnection.cpp
@@ -12,6 +12,9 @@
  * reset the connection before the caller has read the answer. */
 constexpr std::size_t kMaxLingerBytes = 1U << 20U;
 constexpr auto kLinger = std::chrono::milliseconds{ 300 };
+/** A connection that has just been opened, or has just had an answer, may be
+ * about to bring a request: one way between zones and a late loop. */
+constexpr auto kFresh = std::chrono::milliseconds{ 200 };
 /** What a connection's time is for. */
 constexpr std::string_view kIdle = "idle";
 constexpr std::string_view kHeader = "header";
@@ -128,8 +131,8 @@
 
 auto CallerConnection::CloseWhenIdle() -> void
 {
-  stopping_ = true;
-  if (IsIdle()) {
+  const auto fresh = idleSince_ && traffic_.Now() - *idleSince_ < kFresh;
+  if (!fresh && IsIdle()) {
     Abort();
   }
 }
@@ -230,9 +233,6 @@
     CallerRequest request;
     idleSince_ = traffic_.Now();
     limits_ = traffic_.Routing().Limits();
-    if (stopping_ && buffer_.size() == 0) {
-      break;
-    }
     const auto intake = co_await ReadRequest(request);
     if (intake != Intake::Whole) {
       break;
@@ -245,8 +245,7 @@
     const auto goesOn = co_await Serve(run);
     serving_.clear();
     ++watch_;
-    if (!goesOn || !callerKeeps || !socket_.is_open() ||
-        traffic_.IsStopping()) {
+    if (!goesOn || !callerKeeps || saidClose_ || !socket_.is_open()) {
       break;
     }
     boost::system::error_code ignored;
--- a/goldcrestcroft/src/Gateway/CallerConnection.h
+++ b/goldcrestcroft/src/Gateway/CallerConnection.h
@@ -19,7 +19,8 @@
   CallerConnection(Tcp::socket aSocket, Traffic& aTraffic);
 
   auto Run() -> Task<void>;
-  /** \brief The host is stopping: closes when no request is under way. */
+  /** \brief The host is stopping: closes if no request is under way, or is
+   * about to come. */
   auto CloseWhenIdle() -> void;
   /** \brief Whether no request is under way and none has begun to come. */
   [[nodiscard]] auto IsIdle() -> bool;
@@ -78,9 +79,10 @@
   /** Those in force when the last answer ended. */
   ClientLimits limits_;
   std::optional<TimePoint> idleSince_;
-  bool stopping_ = false;
   /** Id of the request under way, for the log. */
   std::string serving_;
+  /** Whether its answer said that the connection closes. */
+  bool saidClose_ = false;
   /** Whether bytes of its answer may have gone out. */
   bool answering_ = false;
   /** Whether the answer to it has gone out to its end. */
--- a/goldcrestcroft/src/Gateway/CallerConnectionAnswer.cpp
+++ b/goldcrestcroft/src/Gateway/CallerConnectionAnswer.cpp
@@ -35,6 +35,7 @@
 
 auto CallerConnection::Serve(std::shared_ptr<RequestRun> aRun) -> Task<bool>
 {
+  saidClose_ = false;
   answering_ = false;
   answered_ = false;
   whyCut_.clear();
@@ -72,6 +73,7 @@
 {
   const auto self = shared_from_this();
   answering_ = true;
+  saidClose_ = !aAnswer.keep_alive();
   CloseAfter(kWriteTimeout, kAnswer);
   const auto [error, size] =
     co_await http::async_write(socket_, aAnswer, kAsTuple);
@@ -86,6 +88,7 @@
   const auto isEnd = !aAnswer.chunked();
   http::response_serializer<http::empty_body> serializer(aAnswer);
   answering_ = true;
+  saidClose_ = !aAnswer.keep_alive();
   CloseAfter(kWriteTimeout, kAnswer);
   const auto [error, size] =
     co_await http::async_write_header(socket_, serializer, kAsTuple);
--- a/goldcrestcroft/src/Gateway/EntryGateway.cpp
+++ b/goldcrestcroft/src/Gateway/EntryGateway.cpp
@@ -234,7 +234,10 @@
     }
     if (now - startedAt >= serveUntil) {
       traffic_.CloseIdle();
-      if (traffic_.Running() == 0 || now >= last) {
+      if (traffic_.Running() == 0) {
+        traffic_.StopAccepting();
+      }
+      if (!traffic_.HasCallers() || now >= last) {
         break;
       }
     }
--- a/goldcrestcroft/src/Gateway/RequestRun.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRun.cpp
@@ -290,7 +290,7 @@
     if (end == AttemptEnd::Delivered) {
       traffic_.NoteAnswerTime(route_->name_, traffic_.Now() - arrivedAt_);
       Finish("ok");
-      co_return !traffic_.IsStopping();
+      co_return true;
     }
     const auto next = aborted_ == Aborted::No
                         ? DecideNext(*route_, attempts_, end)
--- a/goldcrestcroft/src/Gateway/Traffic.cpp
+++ b/goldcrestcroft/src/Gateway/Traffic.cpp
@@ -88,13 +88,36 @@
       co_await timer.async_wait(kAsTuple);
       continue;
     }
-    const auto caller =
-      std::make_shared<CallerConnection>(std::move(socket), *this);
-    callers_.insert(caller);
-    asio::co_spawn(context_, caller->Run(), LogFailure{ "caller" });
+    Take(std::move(socket));
   }
 }
 
+auto Traffic::Take(Tcp::socket aSocket) -> void
+{
+  const auto caller =
+    std::make_shared<CallerConnection>(std::move(aSocket), *this);
+  callers_.insert(caller);
+  asio::co_spawn(context_, caller->Run(), LogFailure{ "caller" });
+}
+
+auto Traffic::StopAccepting() -> void
+{
+  if (!acceptor_->is_open()) {
+    return;
+  }
+  // Those that wait here count as connected on their side.
+  boost::system::error_code error;
+  acceptor_->non_blocking(true, error);
+  while (!error && callers_.size() < options_.settings_.mostCallers_) {
+    Tcp::socket socket(context_);
+    acceptor_->accept(socket, error);
+    if (!error) {
+      Take(std::move(socket));
+    }
+  }
+  acceptor_->close(error);
+}
+
 auto Traffic::DropIdle() -> bool
 {
   // The longest idle first: a connection that has just been opened is about to
--- a/goldcrestcroft/src/Gateway/Traffic.h
+++ b/goldcrestcroft/src/Gateway/Traffic.h
@@ -76,8 +76,12 @@
   auto Stop() -> void;
   /** \brief The host ends now: what has no answer yet gets one. */
   auto EndRequests() -> void;
-  /** \brief Closes connections without a request. */
+  /** \brief Takes the connections that wait, and no more. */
+  auto StopAccepting() -> void;
+  /** \brief Closes connections without a request that are not fresh. */
   auto CloseIdle() -> void;
+  /** \brief Whether connections are left, also with half a request. */
+  [[nodiscard]] auto HasCallers() const -> bool { return !callers_.empty(); }
 
   [[nodiscard]] auto Routing() const -> const RoutingTable&
   {
@@ -150,6 +154,7 @@
   };
 
   auto Accept() -> Task<void>;
+  auto Take(Tcp::socket aSocket) -> void;
   /** \brief The right to send one request to an engine that names a limit. */
   auto SeekPermit(EngineLimit aLimit, Duration aPatience) -> Task<Permit>;
   /** \brief Measures how late the loop of this thread is. */
