Test that the verdict on a request is asked for in the wait and before a repeat

The case "waits for its stages" was wrong: it released the stages after the verdict and did not look at why the request was refused, so that stages which came too late passed for the verdict. It now leaves them unmade, and asks for the reason; all it asked for before it still asks for.

The new case "runs at the verdict" keeps a copy of a repeatable route at one engine while another copy brings the verdict about, and checks that the first is not sent once more when its engine ends.

--- a/test/process/PoisonTest.cpp
+++ b/test/process/PoisonTest.cpp
@@ -70,8 +70,9 @@
     fleet.Fleet().Platform().SetTrouble("cutter", aTrouble);
     fleet.Fleet().Platform().SetTrouble("ranker", aTrouble);
   };
-  fleet.EndEngines(kEnds - 1, [&] { fleet.Send(0, kPoison, kTarget); });
-  REQUIRE(fleet.Ends() == kEnds - 1);
+  // Each copy is sent twice.
+  fleet.EndEngines(kEndsToHold / 2, [&] { fleet.Send(0, kPoison, kTarget); });
+  REQUIRE(fleet.Ends() == kEndsToHold / 2);
   const auto before = SuspendAwareClock{}.Now();
   std::thread last([&] { fleet.Send(0, kPoison, kTarget); });
   CHECK(EntryFleet::Await([&] { return fleet.SendsAfter(before) > 0; }));
@@ -83,14 +84,48 @@
   std::thread waiting(
     [&] { answer = SendCall(fleet.Fleet().CallerAddress(0), call); });
   last.join();
-  CHECK(fleet.Ends() >= kEnds);
-  setStages(Trouble::None);
+  // Its stages are still not made: it is the verdict that ends the wait.
   waiting.join();
+  CHECK(fleet.Ends() >= kEndsToHold);
   CHECK(answer.status_ == 503);
+  CHECK(CountOf(answer.body_, "crashes_engines") == 1);
   CHECK(fleet.Fleet().RunsOf(
           "model", call.headers_.at("Goldcrestcroft-Request-Id")) == 0);
 }
 
+TEST_CASE("a poison that runs at the verdict is not sent once more")
+{
+  constexpr auto kTarget = "/safe/x";
+  PoisonedFleet fleet(2);
+  // Each copy is sent twice.
+  fleet.EndEngines(kEndsToHold / 2, [&] { fleet.Send(0, kPoison, kTarget); });
+  // The copy at the first host runs until long after the verdict.
+  for (const auto& engine : fleet.Engines()) {
+    engine->EndUnder(
+      { .marker_ = kPoison, .after_ = std::chrono::milliseconds{ 1800 } });
+  }
+  auto call = fleet.Fleet().MakeCall(kTarget);
+  call.method_ = "POST";
+  call.body_ = kPoison;
+  const auto& id = call.headers_.at("Goldcrestcroft-Request-Id");
+  const auto runs = [&] { return fleet.Fleet().RunsOf("desk", id); };
+  CallerAnswer answer;
+  std::thread caller(
+    [&] { answer = SendCall(fleet.Fleet().CallerAddress(0), call); });
+  CHECK(EntryFleet::Await([&] { return runs() == 1; }));
+  for (const auto& engine : fleet.Engines()) {
+    engine->EndUnder({ .marker_ = kPoison });
+    if (engine->Runs().contains(id)) {
+      engine->trouble_ = Trouble::Full;
+    }
+  }
+  fleet.Send(1, kPoison, kTarget);
+  caller.join();
+  CHECK(fleet.Ends() == kEndsToHold + 1);
+  CHECK(answer.status_ == 502);
+  CHECK(runs() == 1);
+}
+
 TEST_CASE("an engine's own failure does not clear a poison")
 {
   PoisonedFleet fleet(2);
