Say ready only once the engines are known

What callers saw: a host that had just started said that it was ready and refused what came with 503, no_engine, until its list of engines was there.

Cause: readiness went by the configuration alone. It and the engines are read from the store by calls of their own, in any order.

Evidence: process.EntryControl "says it is ready knows its engines", with the read of the engines delayed by 700 ms, red before (503, no_engine, 2 of 2 runs), green after (2 of 2). The new case is a run of what process.EntryAttempts met once beside load, 503 and no run in the first request to a new fleet, and it has the same symptom; that this was the cause of that run is suspected, not shown: 60 more runs beside six busy processes on the code before were green.

Why this works: a host is ready once a configuration and a whole list of engines, also an empty one, have come, from the store or from a peer. Not changed: the row by which other hosts name it to callers is still written at its start.

--- a/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
@@ -130,7 +130,8 @@
     case StoreTable::Engines:
       news = aWhole ? engines_.ApplyAll(aReply.rows_, aReply.version_, now)
                     : engines_.Apply(aReply.rows_, now);
-      if (news) {
+      // The first whole list also where it is empty: this host knows it now.
+      if (news || aWhole) {
         PublishEngines();
       }
       break;
--- a/goldcrestcroft/src/Gateway/EntryGateway.cpp
+++ b/goldcrestcroft/src/Gateway/EntryGateway.cpp
@@ -90,7 +90,8 @@
 
 auto EntryGateway::Ready() const -> SmallServer::Answer
 {
-  const auto ready = traffic_.IsConfigured() && !traffic_.IsStopping();
+  const auto ready = traffic_.IsConfigured() && traffic_.KnowsEngines() &&
+                     !traffic_.IsStopping();
   return { .status_ = ready ? 200 : 503,
            .body_ = ready ? R"({"ready":true})" : R"({"ready":false})" };
 }
--- a/goldcrestcroft/src/Gateway/Traffic.cpp
+++ b/goldcrestcroft/src/Gateway/Traffic.cpp
@@ -176,6 +176,7 @@
 
 auto Traffic::SetEngines(std::shared_ptr<const EngineList> aEngines) -> void
 {
+  knowsEngines_ = true;
   pool_.SetEngines(std::move(aEngines));
   CountLost(endWatch_.OnEngines(pool_.Engines(), Now()), "entry_ended");
   desk_.OnEngines();
--- a/goldcrestcroft/src/Gateway/Traffic.h
+++ b/goldcrestcroft/src/Gateway/Traffic.h
@@ -96,6 +96,8 @@
   {
     return routing_->Version() > 0;
   }
+  /** \brief Whether a list of engines has come, also an empty one. */
+  [[nodiscard]] auto KnowsEngines() const -> bool { return knowsEngines_; }
   [[nodiscard]] auto Fleet() const -> const FleetView& { return *fleet_; }
   [[nodiscard]] auto IsStopping() const -> bool { return stopping_; }
   [[nodiscard]] auto Running() const -> std::size_t { return runs_.size(); }
@@ -195,6 +197,7 @@
   std::set<std::shared_ptr<CallerConnection>> callers_;
   std::map<std::string, UsualTime> answerTimes_;
   std::set<RequestRun*> runs_;
+  bool knowsEngines_ = false;
   bool stopping_ = false;
   std::optional<StopAdmission> stopAdmission_;
 };
--- a/test/platform/StoreStandin.cpp
+++ b/test/platform/StoreStandin.cpp
@@ -121,7 +121,9 @@
   const auto table = Query(target, "table");
   if (target.starts_with("/rows-get")) {
     auto body = RowsOf(table, 0, false);
-    co_return Reaction{ .body_ = std::move(body) };
+    const auto delay = table == "servers" ? enginesDelayMs_.load() : 0;
+    co_return Reaction{ .body_ = std::move(body),
+                        .delay_ = std::chrono::milliseconds{ delay } };
   }
   if (forgets_) {
     co_return Reaction{ .status_ = 410 };
--- a/test/platform/StoreStandin.h
+++ b/test/platform/StoreStandin.h
@@ -27,6 +27,8 @@
   std::atomic<bool> busy_ = false;
   /** \brief Transactions are done and not answered while set. */
   std::atomic<bool> losesAnswers_ = false;
+  /** \brief Whole reads of the table of engines take so long. */
+  std::atomic<int> enginesDelayMs_ = 0;
   /** \brief The next reads of changes get 410. */
   std::atomic<bool> forgets_ = false;
   std::atomic<std::uint64_t> calls_ = 0;
--- a/test/process/EntryControlTest.cpp
+++ b/test/process/EntryControlTest.cpp
@@ -91,6 +91,18 @@
   CHECK(fleet.Get(0, "/safe/x").status_ == 200);
 }
 
+TEST_CASE("a host that says it is ready knows its engines")
+{
+  EntryFleet fleet(1);
+  REQUIRE(fleet.AwaitReady(0));
+  fleet.ProcessOf(0).Kill();
+  fleet.Platform().Store().enginesDelayMs_ = 700;
+  fleet.Start(0);
+  REQUIRE(fleet.AwaitReady(0));
+  INFO(fleet.Log(0));
+  CHECK(fleet.Get(0, "/safe/x").status_ == 200);
+}
+
 TEST_CASE("changes that come together are not read by each host one by one")
 {
   constexpr auto kHosts = 4U;
--- a/test/process/StopUnderLoadTest.cpp
+++ b/test/process/StopUnderLoadTest.cpp
@@ -62,10 +62,12 @@
   fleet.ProcessOf(0).Signal(SIGTERM);
   const auto begun = std::chrono::steady_clock::now();
   // Some begin well before the host would end, some right before it.
+  constexpr auto kCallers = 40;
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   std::atomic<int> answered = 0;
   std::atomic<int> begins = 0;
-  for (auto i = 0; i < 40; ++i) {
+  for (auto i = 0; i < kCallers; ++i) {
     callers.emplace_back([&, i] {
       std::this_thread::sleep_until(begun + std::chrono::milliseconds(50 * i));
       try {
