Make no piece again that is in a call when its collector changes

What callers saw: nothing wrong in an answer, but the work of their stages ran twice: each time an office passes to another host (a host starts, stops or is found dead), every piece in a call of the old collector was made once more by the new one.

Cause: a desk handed back whole orders, the pieces in calls included, and the asking host sent the order whole to the new collector. The result that came first counted, the other call was thrown away. At the end of a link, too, pieces whose results had been told were asked for again.

Ruled out: copies of answers (no stage_answer_copy line), calls that failed or timed out (no stage_call_failed line), a lost link (no collector_lost). A collector that stops by plan was not red: its desk goes on until its end.

Now only what waits is handed back, as an order of its own that ends with the first; what is in a call stays with the host that made the call, which tells its results.

--- a/goldcrestcroft/src/Gateway/StageBroker.cpp
+++ b/goldcrestcroft/src/Gateway/StageBroker.cpp
@@ -174,27 +174,6 @@
     });
 }
 
-auto StageBroker::OnTell(std::uint64_t aNumber,
-                         std::vector<PieceResult> aResults) -> void
-{
-  const auto found = outstanding_.find(aNumber);
-  if (found == outstanding_.end()) {
-    return;
-  }
-  const auto moved =
-    std::any_of(aResults.begin(), aResults.end(), [](const auto& aResult) {
-      return aResult.end_ == PieceEnd::Moved;
-    });
-  if (moved) {
-    // Pieces in a call of the old collector are told as well; the first
-    // result of each counts.
-    asio::post(context_, [this, aNumber] { SendAgain({ aNumber }); });
-    return;
-  }
-  const auto tell = found->second.tell_;
-  tell(std::move(aResults));
-}
-
 auto StageBroker::OnLinkEnd(const std::shared_ptr<PeerLink>& aLink) -> void
 {
   std::vector<std::uint64_t> orphans;
@@ -233,7 +212,8 @@
 {
   for (const auto number : aNumbers) {
     const auto found = outstanding_.find(number);
-    if (found == outstanding_.end()) {
+    // What has been told or has moved on is not asked for again.
+    if (found == outstanding_.end() || found->second.order_.pieces_.empty()) {
       continue;
     }
     if (++found->second.moves_ < kMostMoves) {
@@ -257,7 +237,11 @@
   } else {
     desk_.Cancel(outstanding.order_.service_, outstanding.deskOrder_);
   }
+  const auto movedOn = outstanding.movedOn_;
   outstanding_.erase(found);
+  for (const auto number : movedOn) {
+    Cancel(number);
+  }
 }
 
 auto StageBroker::Release(const std::string& aService,
--- a/goldcrestcroft/src/Gateway/StageBroker.h
+++ b/goldcrestcroft/src/Gateway/StageBroker.h
@@ -51,6 +51,8 @@
     std::uint64_t deskOrder_ = 0;
     /** How often it had to be sent anew. */
     std::size_t moves_ = 0;
+    /** Orders for those of its pieces that moved to another collector. */
+    std::vector<std::uint64_t> movedOn_;
   };
   /** Orders that another host placed here. */
   struct Served
@@ -66,6 +68,9 @@
   /** \brief Gives up offices that have passed to another host, and notes those
    * that have come here. */
   auto ReviewOffices(const std::map<std::string, std::string>& aBefore) -> void;
+  /** \brief Asks the collector of now for pieces that waited at another. */
+  auto MoveOn(std::uint64_t aNumber, const std::vector<std::uint32_t>& aPieces)
+    -> void;
   auto SendAgain(const std::vector<std::uint64_t>& aNumbers) -> void;
   /** \brief The connection to the collector; null where this host collects. */
   auto LinkToCollector(const std::string& aService)
--- a/goldcrestcroft/src/Gateway/StageBrokerOffices.cpp
+++ b/goldcrestcroft/src/Gateway/StageBrokerOffices.cpp
@@ -46,6 +46,53 @@
   }
 }
 
+auto StageBroker::OnTell(std::uint64_t aNumber,
+                         std::vector<PieceResult> aResults) -> void
+{
+  const auto found = outstanding_.find(aNumber);
+  if (found == outstanding_.end()) {
+    return;
+  }
+  auto& outstanding = found->second;
+  std::vector<std::uint32_t> moved;
+  for (const auto& result : aResults) {
+    if (result.end_ == PieceEnd::Moved) {
+      moved.push_back(result.piece_);
+    }
+    if (result.end_ == PieceEnd::Moved || result.end_ == PieceEnd::Made) {
+      std::erase(outstanding.order_.pieces_, result.piece_);
+    }
+  }
+  if (!moved.empty()) {
+    // Offices may be under review right now.
+    asio::post(context_, [this, aNumber, moved = std::move(moved)] {
+      MoveOn(aNumber, moved);
+    });
+    return;
+  }
+  const auto tell = outstanding.tell_;
+  tell(std::move(aResults));
+}
+
+auto StageBroker::MoveOn(std::uint64_t aNumber,
+                         const std::vector<std::uint32_t>& aPieces) -> void
+{
+  const auto found = outstanding_.find(aNumber);
+  if (found == outstanding_.end()) {
+    return;
+  }
+  // The rest of the order is in calls of the old collector, which tells their
+  // results.
+  const auto number = nextNumber_++;
+  found->second.movedOn_.push_back(number);
+  Outstanding moved{ .order_ = found->second.order_,
+                     .tell_ = found->second.tell_,
+                     .moves_ = found->second.moves_ };
+  moved.order_.pieces_ = aPieces;
+  outstanding_[number] = std::move(moved);
+  SendAgain({ number });
+}
+
 auto StageBroker::ReviewOffices(
   const std::map<std::string, std::string>& aBefore) -> void
 {
--- a/goldcrestcroft/src/Gateway/StageCallPiece.h
+++ b/goldcrestcroft/src/Gateway/StageCallPiece.h
@@ -36,7 +36,8 @@
   Failed,
   /** The collector has no time for it before its deadline. */
   Refused,
-  /** The collector is leaving; ask its successor. */
+  /** It waited at a collector whose office passed to another host; ask that
+   * one. */
   Moved,
   /** No end yet: an engine works on it and has fetched its inputs. */
   Begun
--- a/goldcrestcroft/src/Gateway/StageDesk.cpp
+++ b/goldcrestcroft/src/Gateway/StageDesk.cpp
@@ -143,13 +143,13 @@
 auto StageDesk::HandBack(Service& aService) -> void
 {
   for (const auto id : aService.queue_.Orders()) {
-    const auto* order = aService.queue_.Find(id);
     std::vector<PieceResult> results;
-    for (const auto piece : order->pieces_) {
+    for (const auto piece : aService.queue_.TakeWaiting(id)) {
       results.push_back({ .piece_ = piece, .end_ = PieceEnd::Moved });
     }
-    aService.queue_.Cancel(id);
-    Report(id, std::move(results));
+    if (!results.empty()) {
+      Report(id, std::move(results));
+    }
   }
 }
 
--- a/goldcrestcroft/src/Staging/StageQueue.cpp
+++ b/goldcrestcroft/src/Staging/StageQueue.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 #include <tuple>
+#include <utility>
 
 namespace goldcrestcroft {
 
@@ -41,6 +42,17 @@
   }
 }
 
+auto StageQueue::TakeWaiting(std::uint64_t aOrder) -> std::vector<std::uint32_t>
+{
+  const auto found = entries_.find(aOrder);
+  if (found == entries_.end()) {
+    return {};
+  }
+  auto waiting = std::exchange(found->second.waiting_, {});
+  waiting_ -= waiting.size();
+  return waiting;
+}
+
 auto StageQueue::Find(std::uint64_t aOrder) const -> const StageOrder*
 {
   const auto found = entries_.find(aOrder);
--- a/goldcrestcroft/src/Staging/StageQueue.h
+++ b/goldcrestcroft/src/Staging/StageQueue.h
@@ -64,6 +64,9 @@
   auto Return(const PieceTicket& aTicket) -> void;
   /** \brief Forgets an order; pieces in calls are not stopped. */
   auto Cancel(std::uint64_t aOrder) -> void;
+  /** \brief Takes what waits of an order out of the queue; the order stays for
+   * its pieces that are in calls. */
+  auto TakeWaiting(std::uint64_t aOrder) -> std::vector<std::uint32_t>;
   [[nodiscard]] auto Find(std::uint64_t aOrder) const -> const StageOrder*;
 
   /** \brief The pieces of the engine's next call. aZones are the zones with
--- a/test/platform/EngineStandin.cpp
+++ b/test/platform/EngineStandin.cpp
@@ -135,7 +135,7 @@
     items.push_back({ { "handle", handle } });
   }
   return { .body_ = json{ { "items", items } }.dump(),
-           .delay_ = std::chrono::milliseconds{ 20 },
+           .delay_ = std::chrono::milliseconds{ callMs_ },
            .repeatsLast_ = trouble_ == Trouble::Repeats };
 }
 
--- a/test/platform/EngineStandin.h
+++ b/test/platform/EngineStandin.h
@@ -118,6 +118,8 @@
 
   std::atomic<Trouble> trouble_ = Trouble::None;
   std::atomic<int> delayMs_ = 0;
+  /** What a call for pieces takes. */
+  std::atomic<int> callMs_ = 20;
   /** Before each event of a stream. */
   std::atomic<int> pauseMs_ = 5;
   /** All its answers say that it leaves. */
--- a/test/process/EntryServingTest.cpp
+++ b/test/process/EntryServingTest.cpp
@@ -49,6 +49,9 @@
     }
     return results;
   };
+  CAPTURE(fleet.Log(0));
+  CAPTURE(fleet.Log(1));
+  CAPTURE(fleet.Log(2));
   auto pieces = std::size_t{ 0 };
   for (const auto& engine : fleet.Platform().Engines("ranker")) {
     pieces += engine->PiecesRun();
@@ -58,7 +61,6 @@
     EntryFleet::Await([&] { return held("cutter") + held("ranker") == 0; });
   CAPTURE(held("cutter"));
   CAPTURE(held("ranker"));
-  CAPTURE(fleet.Log(0));
   CHECK(released);
 }
 
--- a/test/unit/StageQueueTest.cpp
+++ b/test/unit/StageQueueTest.cpp
@@ -71,6 +71,21 @@
         std::vector<std::uint64_t>{ 2, 1, 3 });
 }
 
+TEST_CASE("what waits of an order can be taken back, what is in a call cannot")
+{
+  StageQueue queue({});
+  auto engine = kEngine;
+  engine.batch_ = 2;
+  queue.Add(Order(1, 3, milliseconds{ 500 }), kNow);
+  REQUIRE(queue.TakeCall(engine, kZones, kNow).size() == 2);
+  CHECK(queue.TakeWaiting(1) == std::vector<std::uint32_t>{ 0 });
+  CHECK(queue.TakeWaiting(1).empty());
+  CHECK(queue.Waiting() == 0);
+  REQUIRE(queue.Find(1) != nullptr);
+  queue.Return({ .order_ = 1, .piece_ = 2 });
+  CHECK(queue.TakeWaiting(1) == std::vector<std::uint32_t>{ 2 });
+}
+
 TEST_CASE("an order goes whole, or waits for the next engine")
 {
   StageQueue queue({});
