Count the runs of hosts that end before the store confirms the engine's end

Cause: a run that broke off counts once the store says that its engine ended, 1 to 5 s later under load, and until then only the host of the run knew of it. A host that was stopped or killed meanwhile took its evidence with it.

Now a host tells a broken run with its engine's start to the keepers of the request at once, one datagram each without the news for all; a keeper counts it once that start of the host is gone and the store no longer names that start of the engine. While the host lives it decides by itself, since it alone hears answers on older connections which void a run. Callers that leave are not told of: they are too many, and an engine that ends breaks its connections.

Ruled out: counting at the keepers whether or not the host lives (its engine may answer on and end later for another reason); watching longer at the host itself (it is the host that ends).

--- a/goldcrestcroft/Engines.h
+++ b/goldcrestcroft/Engines.h
@@ -12,6 +12,7 @@
 #include "src/Engines/EngineConsent.h"
 #include "src/Engines/EngineHealth.h"
 #include "src/Engines/EngineLimit.h"
+#include "src/Engines/EntrustedRuns.h"
 #include "src/Engines/LimitBoard.h"
 #include "src/Engines/LostRun.h"
 #include "src/Engines/LostRunReports.h"
--- a/goldcrestcroft/src/Engines/LostRunReports.h
+++ b/goldcrestcroft/src/Engines/LostRunReports.h
@@ -2,6 +2,7 @@
 
 #include "LostRun.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <string>
@@ -65,6 +66,11 @@
    * they do not hear in time, they hold back. */
   [[nodiscard]] auto Keepers(std::uint64_t aRequest) const
     -> std::vector<std::string>;
+  /** \brief Whether it is among the live hosts. */
+  [[nodiscard]] auto IsLive(const std::string& aHost) const -> bool
+  {
+    return std::binary_search(hosts_.begin(), hosts_.end(), aHost);
+  }
   [[nodiscard]] auto Size() const -> std::size_t { return runs_.size(); }
 
 private:
--- a/goldcrestcroft/src/Gateway/ControlPlane.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlane.cpp
@@ -113,7 +113,8 @@
     }
   }
   engineStates_ = std::move(states);
-  listener_.onEngines_(std::make_shared<const EngineList>(engines));
+  engineList_ = std::make_shared<const EngineList>(engines);
+  listener_.onEngines_(engineList_);
 }
 
 auto ControlPlane::IsSettled(TimePoint aNow) const -> bool
--- a/goldcrestcroft/src/Gateway/ControlPlane.h
+++ b/goldcrestcroft/src/Gateway/ControlPlane.h
@@ -82,6 +82,9 @@
   auto Leave() -> void;
   /** \brief An engine ended under a run of this host: tells the keepers. */
   auto ReportLost(const LostRun& aRun) -> void;
+  /** \brief A run of this host broke off: its keepers count it if this host is
+   * gone when the store says that the engine ended. */
+  auto EntrustToKeepers(const UnansweredRun& aRun) -> void;
   /** \brief Tells the peers what is known of a suspected request, if it is
    * new. */
   auto SpreadSuspect(const SuspectNotice& aNotice) -> void;
@@ -139,8 +142,8 @@
   auto Beat() -> Task<void>;
   auto Send(std::vector<FailureDetector::Outgoing> aOut,
             const Cargo& aCargo = {}) -> void;
-  /** \brief Questions and answers about permits, without news. */
-  auto SendPermits(const std::string& aAddress, FleetHeartbeat aBeat) -> void;
+  /** \brief For one host alone, without the news that is for all. */
+  auto SendAlone(const std::string& aAddress, FleetHeartbeat aBeat) -> void;
   auto SendBeat(const std::string& aAddress, const FleetHeartbeat& aBeat)
     -> void;
   auto BeatToSome() -> void;
@@ -160,7 +163,13 @@
   /** \brief The host of a keeper, which is named for each of its starts. */
   [[nodiscard]] static auto HostOfKeeper(const std::string& aKeeper)
     -> std::string;
+  /** \brief The keeper that a host is while it runs. */
+  [[nodiscard]] static auto KeeperOf(const PeerRecord& aRecord) -> std::string;
+  /** \brief Its address; empty if it is this host or unknown. */
+  [[nodiscard]] auto AddressOfKeeper(const std::string& aKeeper) const
+    -> std::string;
   auto SendTo(const std::string& aKeeper, const Cargo& aCargo) -> void;
+  auto TakeOverRuns() -> void;
   auto SetKeepers() -> void;
   /** \brief What is due at each tick. */
   auto TendSuspects() -> void;
@@ -192,6 +201,8 @@
   SuspendAwareClock clock_;
   FailureDetector peers_;
   EngineRegistry engines_;
+  std::shared_ptr<const EngineList> engineList_ =
+    std::make_shared<const EngineList>();
   /** What was last said of each engine, for the log. */
   std::map<std::string, std::string> engineStates_;
   /** What is in force, its value packed for the peers. */
@@ -207,6 +218,7 @@
   SuspectCounter counter_;
   SuspectBoard suspects_;
   LostRunReports reports_;
+  EntrustedRuns entrusted_;
   HeldRequestRows heldRows_;
   RepeatedNews<LeavingEngine> leavingEngines_;
   LimitBoard limits_;
--- a/goldcrestcroft/src/Gateway/ControlPlaneBeats.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneBeats.cpp
@@ -40,8 +40,8 @@
   }
 }
 
-auto ControlPlane::SendPermits(const std::string& aAddress,
-                               FleetHeartbeat aBeat) -> void
+auto ControlPlane::SendAlone(const std::string& aAddress, FleetHeartbeat aBeat)
+  -> void
 {
   aBeat.probe_ = peers_.WithoutNews();
   aBeat.configurationRow_ = configuration_.version_;
@@ -99,6 +99,9 @@
   for (const auto& report : aBeat.lostRuns_) {
     CountLost(FromReport(report, now));
   }
+  for (const auto& report : aBeat.unanswered_) {
+    entrusted_.Add(FromReport(report, now), KeeperOf(aBeat.probe_.sender_));
+  }
   for (const auto& notice : aBeat.suspects_) {
     LearnSuspect(notice);
   }
--- a/goldcrestcroft/src/Gateway/ControlPlaneLimits.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneLimits.cpp
@@ -61,7 +61,7 @@
       word && word->perSecond_ != aAsk.limit_.perSecond_) {
     beat.limits_.push_back(ToReport(*word, clock_.Now()));
   }
-  SendPermits(aAddress, std::move(beat));
+  SendAlone(aAddress, std::move(beat));
 }
 
 auto ControlPlane::OnPermitAnswer(const PermitAnswer& aAnswer) -> void
@@ -81,7 +81,7 @@
   const auto asked = std::make_shared<AskedPermit>(
     AskedPermit{ .answered_ = asio::steady_timer(context_, kKeeperTime) });
   asked_.emplace(aAsk.number_, asked);
-  SendPermits(aAddress, { .permitAsks_ = { aAsk } });
+  SendAlone(aAddress, { .permitAsks_ = { aAsk } });
   co_await asked->answered_.async_wait(kAsTuple);
   asked_.erase(aAsk.number_);
   co_return asked->permit_;
--- a/goldcrestcroft/src/Gateway/ControlPlaneSuspects.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneSuspects.cpp
@@ -14,17 +14,19 @@
   return aKeeper.substr(0, aKeeper.rfind(kBeforeIncarnation));
 }
 
+auto ControlPlane::KeeperOf(const PeerRecord& aRecord) -> std::string
+{
+  return aRecord.host_.value_ + kBeforeIncarnation +
+         std::to_string(aRecord.incarnation_);
+}
+
 auto ControlPlane::SetKeepers() -> void
 {
   // A host that starts again knows nothing and is told again.
   std::vector<std::string> keepers;
-  const auto add = [&](const PeerRecord& aRecord) {
-    keepers.push_back(aRecord.host_.value_ + kBeforeIncarnation +
-                      std::to_string(aRecord.incarnation_));
-  };
-  add(peers_.Self());
+  keepers.push_back(KeeperOf(peers_.Self()));
   for (const auto& news : peers_.Peers(clock_.Now())) {
-    add(news.record_);
+    keepers.push_back(KeeperOf(news.record_));
   }
   issuer_.SetHosts(keepers, keepers.front());
   reports_.SetHosts(std::move(keepers));
@@ -106,13 +108,48 @@
   }
 }
 
+auto ControlPlane::AddressOfKeeper(const std::string& aKeeper) const
+  -> std::string
+{
+  const auto* host = published_.Find(HostOfKeeper(aKeeper));
+  return host == nullptr || host->id_ == published_.self_ ? ""
+                                                          : host->peerAddress_;
+}
+
 auto ControlPlane::SendTo(const std::string& aKeeper, const Cargo& aCargo)
   -> void
 {
-  const auto* host = published_.Find(HostOfKeeper(aKeeper));
   // Its own counter knows its own runs.
-  if (host != nullptr && host->id_ != published_.self_) {
-    Send(peers_.PushTo(host->peerAddress_), aCargo);
+  if (const auto address = AddressOfKeeper(aKeeper); !address.empty()) {
+    Send(peers_.PushTo(address), aCargo);
+  }
+}
+
+auto ControlPlane::EntrustToKeepers(const UnansweredRun& aRun) -> void
+{
+  const auto report = ToReport(aRun, clock_.Now());
+  std::string told;
+  for (const auto& keeper : reports_.Keepers(aRun.run_.request_)) {
+    if (const auto address = AddressOfKeeper(keeper); !address.empty()) {
+      SendAlone(address, { .unanswered_ = { report } });
+      told += (told.empty() ? "" : " ") + HostOfKeeper(keeper);
+    }
+  }
+  Log::Write(LogLevel::Info, "run_entrusted",
+             { { "run", ToHex(aRun.run_.run_) }, { "keepers", told } });
+}
+
+auto ControlPlane::TakeOverRuns() -> void
+{
+  const auto lost =
+    entrusted_.TakeOver(*engineList_, clock_.Now(), [this](const auto& aHost) {
+      return reports_.IsLive(aHost);
+    });
+  for (const auto& run : lost) {
+    Log::Write(
+      LogLevel::Info, "run_taken_over",
+      { { "fingerprint", ToHex(run.request_) }, { "run", ToHex(run.run_) } });
+    CountLost(run);
   }
 }
 
@@ -121,6 +158,7 @@
   const auto now = clock_.Now();
   counter_.Expire(now);
   suspects_.Expire(now);
+  TakeOverRuns();
   for (const auto& notice : counter_.Due(now)) {
     AnnounceVerdict(notice);
   }
--- a/goldcrestcroft/src/Gateway/EntryGateway.cpp
+++ b/goldcrestcroft/src/Gateway/EntryGateway.cpp
@@ -36,6 +36,11 @@
             asio::post(controlContext_,
                        [this, aRun] { control_.ReportLost(aRun); });
           },
+        .unanswered_ =
+          [this](const UnansweredRun& aRun) {
+            asio::post(controlContext_,
+                       [this, aRun] { control_.EntrustToKeepers(aRun); });
+          },
         .suspect_ =
           [this](const SuspectNotice& aNotice) {
             asio::post(controlContext_,
--- a/goldcrestcroft/src/Gateway/LostRunReport.cpp
+++ b/goldcrestcroft/src/Gateway/LostRunReport.cpp
@@ -12,6 +12,13 @@
            .endedAgo_ = aNow - aRun.ended_ };
 }
 
+auto ToReport(const UnansweredRun& aRun, TimePoint aNow) -> UnansweredReport
+{
+  return { .run_ = ToReport(aRun.run_, aNow),
+           .engine_ = aRun.engine_,
+           .startedAt_ = aRun.startedAt_ };
+}
+
 auto FromReport(const LostRunReport& aReport, TimePoint aNow) -> LostRun
 {
   // Beyond what any host remembers, and never in the future.
@@ -24,4 +31,13 @@
            .ended_ = aNow - ended };
 }
 
+auto FromReport(const UnansweredReport& aReport, TimePoint aNow)
+  -> UnansweredRun
+{
+  return { .run_ = FromReport(aReport.run_, aNow),
+           .engine_ = aReport.engine_,
+           .startedAt_ = aReport.startedAt_,
+           .broke_ = true };
+}
+
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/LostRunReport.h
+++ b/goldcrestcroft/src/Gateway/LostRunReport.h
@@ -15,7 +15,20 @@
   auto operator<=>(const LostRunReport&) const = default;
 };
 
+/** \brief An UnansweredRun as it is told. */
+struct UnansweredReport
+{
+  LostRunReport run_;
+  std::string engine_;
+  std::uint64_t startedAt_ = 0;
+
+  auto operator<=>(const UnansweredReport&) const = default;
+};
+
 auto ToReport(const LostRun& aRun, TimePoint aNow) -> LostRunReport;
+auto ToReport(const UnansweredRun& aRun, TimePoint aNow) -> UnansweredReport;
 auto FromReport(const LostRunReport& aReport, TimePoint aNow) -> LostRun;
+auto FromReport(const UnansweredReport& aReport, TimePoint aNow)
+  -> UnansweredRun;
 
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/PeerFrames.h
+++ b/goldcrestcroft/src/Gateway/PeerFrames.h
@@ -37,6 +37,8 @@
   /** For the receiver, as a keeper of the engines' rates. */
   std::vector<PermitAsk> permitAsks_;
   std::vector<PermitAnswer> permits_;
+  /** For the receiver, as the keeper of their requests. */
+  std::vector<UnansweredReport> unanswered_;
 
   auto operator<=>(const FleetHeartbeat&) const = default;
 };
--- a/goldcrestcroft/src/Gateway/PeerHeartbeat.cpp
+++ b/goldcrestcroft/src/Gateway/PeerHeartbeat.cpp
@@ -8,6 +8,14 @@
 
 namespace {
 
+template<typename Ar>
+auto ArchiveLostRun(Ar& aArchive, LostRunReport& aRun) -> void
+{
+  aArchive(aRun.request_, aRun.run_);
+  ArchiveTime(aArchive, aRun.beganAgo_);
+  ArchiveTime(aArchive, aRun.endedAgo_);
+}
+
 template<typename Ar>
 auto ArchiveHeartbeat(Ar& aArchive, FleetHeartbeat& aHeartbeat) -> void
 {
@@ -22,11 +30,8 @@
   probe.kind_ = static_cast<ProbeKind>(kind);
   ArchiveNews(aArchive, probe.news_);
   aArchive(aHeartbeat.configurationRow_, aHeartbeat.engineRows_);
-  ArchiveMany(aArchive, aHeartbeat.lostRuns_, [](auto& aEach, auto& aRun) {
-    aEach(aRun.request_, aRun.run_);
-    ArchiveTime(aEach, aRun.beganAgo_);
-    ArchiveTime(aEach, aRun.endedAgo_);
-  });
+  ArchiveMany(aArchive, aHeartbeat.lostRuns_,
+              [](auto& aEach, auto& aRun) { ArchiveLostRun(aEach, aRun); });
   ArchiveMany(aArchive, aHeartbeat.suspects_, [](auto& aEach, auto& aNotice) {
     auto level = static_cast<std::uint8_t>(aNotice.level_);
     aEach(aNotice.request_, aNotice.generation_, level, aNotice.count_);
@@ -53,6 +58,12 @@
                 aEach(aAnswer.number_, aAnswer.permit_.granted_);
                 ArchiveTime(aEach, aAnswer.permit_.wait_);
               });
+  ArchiveMany(aArchive, aHeartbeat.unanswered_,
+              [](auto& aEach, UnansweredReport& aReport) {
+                ArchiveLostRun(aEach, aReport.run_);
+                auto engine = Bounded(aReport.engine_);
+                aEach(engine, aReport.startedAt_);
+              });
 }
 
 } // namespace
--- a/goldcrestcroft/src/Gateway/Traffic.h
+++ b/goldcrestcroft/src/Gateway/Traffic.h
@@ -48,6 +48,8 @@
   {
     /** An engine ended under a run of this host. */
     std::function<void(const LostRun&)> lost_;
+    /** The connection to an engine broke under a run of this host. */
+    std::function<void(const UnansweredRun&)> unanswered_;
     std::function<void(const SuspectNotice&)> suspect_;
     std::function<void(const LeavingEngine&)> leaving_;
     std::function<void(const EngineLimit&)> limit_;
--- a/goldcrestcroft/src/Gateway/TrafficSuspects.cpp
+++ b/goldcrestcroft/src/Gateway/TrafficSuspects.cpp
@@ -37,11 +37,16 @@
                              std::shared_ptr<EngineState> aEngine) -> void
 {
   const auto& entry = aEngine->entry_;
-  endWatch_.Add({ .run_ = aRun,
-                  .engine_ = entry.id_,
-                  .startedAt_ = entry.startedAt_,
-                  .broke_ = aBroke },
-                Now());
+  const UnansweredRun unanswered{ .run_ = aRun,
+                                  .engine_ = entry.id_,
+                                  .startedAt_ = entry.startedAt_,
+                                  .broke_ = aBroke };
+  endWatch_.Add(unanswered, Now());
+  if (aBroke) {
+    // Callers that leave are too many to tell of; engines that end break
+    // their connections.
+    spread_.unanswered_(unanswered);
+  }
   if (aBroke && checked_.insert(aEngine).second) {
     asio::co_spawn(context_, CheckEngine(std::move(aEngine)),
                    LogFailure{ "check_engine" });
--- a/test/unit/GatewayPartsTest.cpp
+++ b/test/unit/GatewayPartsTest.cpp
@@ -150,7 +150,12 @@
                      .generation_ = 4,
                      .level_ = SuspectLevel::HeldBack,
                      .left_ = std::chrono::minutes{ 5 } } },
-    .leavingEngines_ = { { .id_ = "e", .startedAt_ = 8 } }
+    .leavingEngines_ = { { .id_ = "e", .startedAt_ = 8 } },
+    .unanswered_ = { { .run_ = { .request_ = 1,
+                                 .run_ = 2,
+                                 .beganAgo_ = std::chrono::seconds{ 3 } },
+                       .engine_ = "e",
+                       .startedAt_ = 8 } }
   };
   CHECK(Handle([&] { return DecodeHeartbeat(EncodeHeartbeat(beat)); },
                [](const Error&) { return FleetHeartbeat{}; }) == beat);
