Let the keepers of a request store its verdict, not its finder alone

Cause: only the host that found out wrote the verdict's row. The next fleet read a table without it.

Now the two keepers of the request see to the row, and whoever becomes a keeper as hosts come and go takes it over, the removal included. The row is the same whoever writes it.

Evidence: process.PoisonHostsEnd "a verdict is stored": the store is busy as the verdict falls, the hosts that announced it are killed, then the store returns, then all end.

Hosts have no disk.

--- a/goldcrestcroft/src/Engines/SuspectBoard.cpp
+++ b/goldcrestcroft/src/Engines/SuspectBoard.cpp
@@ -106,6 +106,32 @@
            : std::nullopt;
 }
 
+auto SuspectBoard::NoticeOf(const Item& aItem, TimePoint aNow) -> SuspectNotice
+{
+  const auto& [request, entry] = aItem;
+  return { .request_ = request,
+           .generation_ = entry.generation_,
+           .level_ = entry.level_,
+           .count_ = entry.count_,
+           .left_ = entry.until_ - aNow };
+}
+
+auto SuspectBoard::HeldBack(std::size_t aMost, TimePoint aNow) const
+  -> std::vector<SuspectNotice>
+{
+  std::vector<SuspectNotice> held;
+  for (const auto& item : entries_) {
+    if (held.size() == aMost) {
+      break;
+    }
+    if (item.second.level_ == SuspectLevel::HeldBack &&
+        aNow < item.second.until_) {
+      held.push_back(NoticeOf(item, aNow));
+    }
+  }
+  return held;
+}
+
 auto SuspectBoard::Tell(std::size_t aMost, TimePoint aNow)
   -> std::vector<SuspectNotice>
 {
@@ -138,14 +164,9 @@
   std::vector<SuspectNotice> told;
   std::transform(items.begin(), next, std::back_inserter(told),
                  [&](Item* aItem) {
-                   auto& [request, entry] = *aItem;
-                   ++entry.told_;
-                   entry.lastTold_ = round_;
-                   return SuspectNotice{ .request_ = request,
-                                         .generation_ = entry.generation_,
-                                         .level_ = entry.level_,
-                                         .count_ = entry.count_,
-                                         .left_ = entry.until_ - aNow };
+                   ++aItem->second.told_;
+                   aItem->second.lastTold_ = round_;
+                   return NoticeOf(*aItem, aNow);
                  });
   return told;
 }
--- a/goldcrestcroft/src/Engines/SuspectBoard.h
+++ b/goldcrestcroft/src/Engines/SuspectBoard.h
@@ -53,6 +53,9 @@
    * merged and passed on instead. */
   [[nodiscard]] auto Recall(std::uint64_t aRequest, TimePoint aNow) const
     -> std::optional<SuspectNotice>;
+  /** \brief Notices of up to aMost requests that are held back. */
+  [[nodiscard]] auto HeldBack(std::size_t aMost, TimePoint aNow) const
+    -> std::vector<SuspectNotice>;
   /** \brief Up to aMost notices to tell now. */
   auto Tell(std::size_t aMost, TimePoint aNow) -> std::vector<SuspectNotice>;
   auto Expire(TimePoint aNow) -> void;
@@ -73,6 +76,8 @@
   };
   using Item = std::pair<const std::uint64_t, Entry>;
 
+  static auto NoticeOf(const Item& aItem, TimePoint aNow) -> SuspectNotice;
+
   auto MakeRoom() -> void;
 
   Options options_;
--- a/goldcrestcroft/src/Gateway/ControlPlane.h
+++ b/goldcrestcroft/src/Gateway/ControlPlane.h
@@ -170,6 +170,9 @@
     -> std::string;
   auto SendTo(const std::string& aKeeper, const Cargo& aCargo) -> void;
   auto TakeOverRuns() -> void;
+  /** \brief Keeps the verdict in the store if this host is a keeper of the
+   * request. */
+  auto KeepRow(const SuspectNotice& aNotice) -> void;
   auto SetKeepers() -> void;
   /** \brief What is due at each tick. */
   auto TendSuspects() -> void;
--- a/goldcrestcroft/src/Gateway/ControlPlaneSuspects.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneSuspects.cpp
@@ -1,6 +1,8 @@
 #include "../Observability/Log.h"
 #include "ControlPlane.h"
 
+#include <algorithm>
+
 namespace goldcrestcroft {
 
 namespace {
@@ -30,6 +32,20 @@
   }
   issuer_.SetHosts(keepers, keepers.front());
   reports_.SetHosts(std::move(keepers));
+  // Those who have kept the rows so far may be gone.
+  for (const auto& notice :
+       suspects_.HeldBack(heldRows_.MostKept(), clock_.Now())) {
+    KeepRow(notice);
+  }
+}
+
+auto ControlPlane::KeepRow(const SuspectNotice& aNotice) -> void
+{
+  const auto keepers = reports_.Keepers(aNotice.request_);
+  const auto self = KeeperOf(peers_.Self());
+  if (std::find(keepers.begin(), keepers.end(), self) != keepers.end()) {
+    heldRows_.Keep(aNotice);
+  }
 }
 
 auto ControlPlane::ReportLost(const LostRun& aRun) -> void
@@ -84,6 +100,8 @@
   counter_.OnNotice(aNotice, now);
   if (aNotice.level_ == SuspectLevel::Cleared) {
     reports_.Forget(aNotice.request_);
+  } else if (aNotice.level_ == SuspectLevel::HeldBack) {
+    KeepRow(aNotice);
   }
   listener_.onSuspect_(aNotice);
   Log::Write(LogLevel::Info, "suspect_known",
--- a/goldcrestcroft/src/Gateway/HeldRequestRows.h
+++ b/goldcrestcroft/src/Gateway/HeldRequestRows.h
@@ -36,8 +36,12 @@
   }
 
   /** \brief Writes the row, unless it is there, and removes it once the
-   * request is held back no longer. */
+   * request is held back no longer. Costs nothing for a row that is kept. */
   auto Keep(const SuspectNotice& aNotice, bool aIsThere = false) -> void;
+  [[nodiscard]] auto MostKept() const -> std::size_t
+  {
+    return options_.mostKept_;
+  }
   /** \brief The verdicts in the store; waits until it answers. */
   auto ReadAll() -> Task<std::vector<SuspectNotice>>;
 
