Let engines of the stand-in end under each poison that they begin to run

Its log has the request cleared twice (generations 1 at 11.4 s and 2 at 20.5 s of the log), since copies of it ran to their end at engines whose trouble was to answer others first, or without their signature.

Cause: in the stand-in, a request with the marker ended an engine only while it had no other trouble. The users' pages say that such a request crashes each engine that begins to run it, so no copy can complete, and a completion rightly clears a request here. The check and its bound are unchanged; what it is played with is harsher now, since engines in trouble end too. An engine that fails still fails before it runs anything, as process.Poison "an engine's own failure does not clear a poison" needs.

--- a/test/platform/EngineStandin.cpp
+++ b/test/platform/EngineStandin.cpp
@@ -208,7 +208,7 @@
     return reaction;
   }
   ++runs_[id];
-  if (trouble == Trouble::None && IsEndedBy(aRequest)) {
+  if (trouble != Trouble::Fails && IsEndedBy(aRequest)) {
     BeginEnd(id);
     // Its connection is gone by then.
     reaction.delay_ = ending_.after_ + 2 * ending_.away_;
--- a/test/platform/EngineStandin.h
+++ b/test/platform/EngineStandin.h
@@ -62,7 +62,8 @@
                            const std::string& aState = "") -> std::string;
   /** \brief Starts again under its id: it holds nothing of before. */
   auto Restart() -> void;
-  /** \brief From now on it ends under requests with the marker. */
+  /** \brief From now on it ends under each request with the marker that it
+   * begins to run, whatever its trouble; it fails before that, if it fails. */
   auto EndUnder(const EngineEnding& aEnding) -> void;
   /** \brief Ends at once, and starts again, as set by EndUnder. */
   auto EndNow() -> void;
