--- a/goldcrestcroft/src/Gateway/RequestRun.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRun.cpp
@@ -1,9 +1,5 @@
 #include "RequestRun.h"
 
-#include "../Observability/Log.h"
-
-#include <spdlog/fmt/fmt.h>
-
 #include <algorithm>
 #include <charconv>
 
@@ -211,43 +207,6 @@
   co_return sent && !aAnswer.closes_;
 }
 
-auto RequestRun::Finish(const std::string& aOutcome, const std::string& aDetail)
-  -> void
-{
-  const auto now = traffic_.Now();
-  const auto took = now - arrivedAt_;
-  traffic_.Metrics().CountAnswer(service_.empty() ? "none" : service_, aOutcome,
-                                 took);
-  const auto since = [&](TimePoint aAt) {
-    return aAt == TimePoint{}
-             ? std::string("-")
-             : fmt::format("{:.1f}", ToMilliseconds(aAt - arrivedAt_));
-  };
-  Log::Write(
-    LogLevel::Info, "request_ended",
-    { { "request", requestId_ },
-      { "outcome", aOutcome },
-      { "detail", aDetail },
-      { "route", route_ == nullptr ? "" : route_->name_ },
-      { "configuration", std::to_string(routing_->Version()) },
-      { "workspace", workspace_ },
-      { "rank", std::to_string(rank_) },
-      { "engine", lastEngine_ },
-      { "took_ms", since(now) },
-      { "stages_ms", since(stagesDoneAt_) },
-      { "first_event_ms", since(firstEventAt_) },
-      { "events", std::to_string(relay_.Events()) },
-      { "left_ms", deadline_ == arrivedAt_
-                     ? "-"
-                     : fmt::format("{:.0f}", ToMilliseconds(TimeLeft())) },
-      { "no_more", noMore_ },
-      { "ran", std::to_string(attempts_.ran_) },
-      { "rejected", std::to_string(attempts_.rejected_) },
-      { "unreachable", std::to_string(attempts_.unreachable_) },
-      { "denied", std::to_string(attempts_.denied_) },
-      { "remade", std::to_string(attempts_.remade_) } });
-}
-
 auto RequestRun::Execute() -> Task<bool>
 {
   traffic_.CountRequest(service_);
--- a/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
@@ -1,6 +1,9 @@
+#include "../Observability/Log.h"
 #include "HopHeaders.h"
 #include "RequestRun.h"
 
+#include <spdlog/fmt/fmt.h>
+
 #include <algorithm>
 
 namespace goldcrestcroft {
@@ -227,4 +230,41 @@
            .retryAfter_ = std::max(soon, ComeBackAfter()) };
 }
 
+auto RequestRun::Finish(const std::string& aOutcome, const std::string& aDetail)
+  -> void
+{
+  const auto now = traffic_.Now();
+  const auto took = now - arrivedAt_;
+  traffic_.Metrics().CountAnswer(service_.empty() ? "none" : service_, aOutcome,
+                                 took);
+  const auto since = [&](TimePoint aAt) {
+    return aAt == TimePoint{}
+             ? std::string("-")
+             : fmt::format("{:.1f}", ToMilliseconds(aAt - arrivedAt_));
+  };
+  Log::Write(
+    LogLevel::Info, "request_ended",
+    { { "request", requestId_ },
+      { "outcome", aOutcome },
+      { "detail", aDetail },
+      { "route", route_ == nullptr ? "" : route_->name_ },
+      { "configuration", std::to_string(routing_->Version()) },
+      { "workspace", workspace_ },
+      { "rank", std::to_string(rank_) },
+      { "engine", lastEngine_ },
+      { "took_ms", since(now) },
+      { "stages_ms", since(stagesDoneAt_) },
+      { "first_event_ms", since(firstEventAt_) },
+      { "events", std::to_string(relay_.Events()) },
+      { "left_ms", deadline_ == arrivedAt_
+                     ? "-"
+                     : fmt::format("{:.0f}", ToMilliseconds(TimeLeft())) },
+      { "no_more", noMore_ },
+      { "ran", std::to_string(attempts_.ran_) },
+      { "rejected", std::to_string(attempts_.rejected_) },
+      { "unreachable", std::to_string(attempts_.unreachable_) },
+      { "denied", std::to_string(attempts_.denied_) },
+      { "remade", std::to_string(attempts_.remade_) } });
+}
+
 } // namespace goldcrestcroft
