Count no run at a host that has not read the engines, and write fresh verdicts

unit.EntrustedRuns "knows no engines yet" was red before (the run counted at once). A run counts now only where some engine is known; a row is written at each notice that is new, and at a change of the fleet only where it is not kept yet.

--- a/goldcrestcroft/src/Engines/EntrustedRuns.h
+++ b/goldcrestcroft/src/Engines/EntrustedRuns.h
@@ -42,14 +42,17 @@
     -> std::vector<LostRun>
   {
     std::vector<LostRun> lost;
+    // A host that starts has not read them yet.
+    const auto known = aEngines.size() > 0;
     std::erase_if(runs_, [&](const Entrusted& aItem) {
       const auto& run = aItem.run_;
       if (aNow - run.run_.ended_ >= options_.keepFor_ ||
           aEngines.IsDraining(run.engine_)) {
         return true;
       }
-      const auto counts =
-        !aEngines.Names(run.engine_, run.startedAt_) && !aIsLive(aItem.host_);
+      const auto counts = known &&
+                          !aEngines.Names(run.engine_, run.startedAt_) &&
+                          !aIsLive(aItem.host_);
       if (counts) {
         lost.push_back(run.run_);
       }
--- a/goldcrestcroft/src/Gateway/ControlPlaneSuspects.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneSuspects.cpp
@@ -35,7 +35,9 @@
   // Those who have kept the rows so far may be gone.
   for (const auto& notice :
        suspects_.HeldBack(heldRows_.MostKept(), clock_.Now())) {
-    KeepRow(notice);
+    if (!heldRows_.IsKept(notice.request_)) {
+      KeepRow(notice);
+    }
   }
 }
 
--- a/goldcrestcroft/src/Gateway/HeldRequestRows.cpp
+++ b/goldcrestcroft/src/Gateway/HeldRequestRows.cpp
@@ -13,13 +13,7 @@
 
 auto HeldRequestRows::Keep(const SuspectNotice& aNotice, bool aIsThere) -> void
 {
-  const auto known = rows_.find(aNotice.request_);
-  if (known != rows_.end() &&
-      known->second.notice_.generation_ >= aNotice.generation_) {
-    known->second.isThere_ |= aIsThere;
-    return;
-  }
-  if (known == rows_.end() && rows_.size() >= options_.mostKept_) {
+  if (rows_.size() >= options_.mostKept_) {
     Log::Write(LogLevel::Warning, "held_request_not_stored",
                { { "fingerprint", ToHex(aNotice.request_) },
                  { "reason", "too many are held back" } });
--- a/goldcrestcroft/src/Gateway/HeldRequestRows.h
+++ b/goldcrestcroft/src/Gateway/HeldRequestRows.h
@@ -36,8 +36,12 @@
   }
 
   /** \brief Writes the row, unless it is there, and removes it once the
-   * request is held back no longer. Costs nothing for a row that is kept. */
+   * request is held back no longer. */
   auto Keep(const SuspectNotice& aNotice, bool aIsThere = false) -> void;
+  [[nodiscard]] auto IsKept(std::uint64_t aRequest) const -> bool
+  {
+    return rows_.contains(aRequest);
+  }
   [[nodiscard]] auto MostKept() const -> std::size_t
   {
     return options_.mostKept_;
--- a/test/unit/EntrustedRunsTest.cpp
+++ b/test/unit/EntrustedRunsTest.cpp
@@ -32,6 +32,12 @@
                         .startedAt_ = aStart } });
 }
 
+/** It does not name the engine of the runs. */
+auto Others() -> EngineList
+{
+  return EngineList({ { .id_ = "another", .service_ = "s", .address_ = "b" } });
+}
+
 const auto kGone = [](const std::string&) { return false; };
 const auto kLives = [](const std::string&) { return true; };
 
@@ -47,7 +53,16 @@
         std::vector{ Run(1).run_ });
   CHECK(runs.Size() == 0);
   runs.Add(Run(2), "host");
-  CHECK(runs.TakeOver(EngineList(), kNow, kGone) == std::vector{ Run(2).run_ });
+  CHECK(runs.TakeOver(Others(), kNow, kGone) == std::vector{ Run(2).run_ });
+}
+
+TEST_CASE("entrusted runs do not count at a host that knows no engines yet")
+{
+  EntrustedRuns runs;
+  runs.Add(Run(1), "host");
+  CHECK(runs.TakeOver(EngineList(), kNow, kGone).empty());
+  CHECK(runs.TakeOver(Named(kStart), kNow, kGone).empty());
+  CHECK(runs.TakeOver(Others(), kNow, kGone) == std::vector{ Run(1).run_ });
 }
 
 TEST_CASE("entrusted runs do not count at engines that left, or after long")
@@ -57,7 +72,7 @@
   CHECK(runs.TakeOver(Named(kStart, true), kNow, kGone).empty());
   CHECK(runs.Size() == 0);
   runs.Add(Run(2), "host");
-  CHECK(runs.TakeOver(EngineList(), kNow + seconds{ 12 }, kGone).empty());
+  CHECK(runs.TakeOver(Others(), kNow + seconds{ 12 }, kGone).empty());
   CHECK(runs.Size() == 0);
 }
 
@@ -67,7 +82,7 @@
   for (std::uint64_t run = 1; run <= 4; ++run) {
     runs.Add(Run(run), "host");
   }
-  CHECK(runs.TakeOver(EngineList(), kNow, kGone) ==
+  CHECK(runs.TakeOver(Others(), kNow, kGone) ==
         std::vector{ Run(3).run_, Run(4).run_ });
 }
 
