Show which versions a host has, who reads the store, and fetches that fail

Callers saw a key accepted that had been taken away (CONFIG). Now each host has gauges for the configuration in force, the newest row known and its role by table (first in the exposition, as collectors may cut it), a line reader_role, a line and a counter for each failed fetch, and state_from_peer names the peer and the rows. No decision is changed.

--- a/goldcrestcroft/src/Gateway/ControlPlane.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlane.cpp
@@ -9,11 +9,12 @@
 
 ControlPlane::ControlPlane(asio::io_context& aContext, Options aOptions,
                            const PlatformCodec& aCodec, MetadataStore& aStore,
-                           ControlListener aListener)
+                           GatewayMetrics& aMetrics, ControlListener aListener)
   : context_(aContext)
   , options_(std::move(aOptions))
   , codec_(aCodec)
   , store_(aStore)
+  , metrics_(aMetrics)
   , listener_(std::move(aListener))
   , peers_({ .self_ = { .host_ = { options_.settings_.host_ },
                         .incarnation_ = options_.incarnation_,
@@ -114,6 +115,7 @@
   }
   engineStates_ = std::move(states);
   engineList_ = std::make_shared<const EngineList>(engines);
+  metrics_.SetView(ToString(StoreTable::Engines), engines_.Version());
   listener_.onEngines_(engineList_);
 }
 
--- a/goldcrestcroft/src/Gateway/ControlPlane.h
+++ b/goldcrestcroft/src/Gateway/ControlPlane.h
@@ -3,6 +3,7 @@
 #include "../../Membership.h"
 #include "EngineRegistry.h"
 #include "FleetView.h"
+#include "GatewayMetrics.h"
 #include "HeldRequestRows.h"
 #include "NodeSettings.h"
 #include "PeerLink.h"
@@ -68,7 +69,7 @@
 
   ControlPlane(asio::io_context& aContext, Options aOptions,
                const PlatformCodec& aCodec, MetadataStore& aStore,
-               ControlListener aListener);
+               GatewayMetrics& aMetrics, ControlListener aListener);
 
   /** \brief Opens the peers' port and begins. Fails with Unavailable. */
   auto Start() -> Result<void>;
@@ -114,6 +115,7 @@
     std::uint64_t version_ = 0;
     bool known_ = false;
     bool answering_ = true;
+    std::optional<bool> reads_;
   };
 
   auto DecodeEngine(const std::string& aId, const std::string& aText) const
@@ -123,6 +125,8 @@
   auto ReadersAhead(StoreTable aTable) const -> std::size_t;
   auto IsReader(StoreTable aTable) const -> bool;
   auto PauseOfReader(StoreTable aTable) const -> Duration;
+  /** \brief Tells the log and the metrics where it has changed. */
+  auto NoteRole(StoreTable aTable, Followed& aFollowed) -> void;
   auto OnStoreReply(StoreTable aTable, Followed& aFollowed, bool aWhole,
                     const StoreReply& aReply) -> void;
   auto Announce() -> Task<void>;
@@ -192,6 +196,8 @@
   auto FindPermit(PermitWish aWish) -> Task<void>;
   auto AcceptPeers() -> Task<void>;
   auto FetchFrom(const std::string& aAddress, bool aWholeFleet) -> void;
+  /** \brief The fetch under way has not brought an answer. */
+  auto GiveUpFetch(TimePoint aNow) -> void;
   auto OnFrame(const std::shared_ptr<PeerLink>& aLink, const PeerFrame& aFrame)
     -> void;
   auto MakeLink(Tcp::socket aSocket) -> std::shared_ptr<PeerLink>;
@@ -200,6 +206,7 @@
   Options options_;
   const PlatformCodec& codec_;
   MetadataStore& store_;
+  GatewayMetrics& metrics_;
   ControlListener listener_;
   SuspendAwareClock clock_;
   FailureDetector peers_;
@@ -217,6 +224,7 @@
   Udp::socket beats_;
   std::optional<Tcp::acceptor> acceptor_;
   std::shared_ptr<PeerLink> fetch_;
+  std::string fetchedFrom_;
   TimePoint fetchStartedAt_;
   SuspectCounter counter_;
   SuspectBoard suspects_;
--- a/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
@@ -145,10 +145,9 @@
   if (fetch_ && fetch_->IsOpen() && now - fetchStartedAt_ < kFetchTimeout) {
     return;
   }
-  if (fetch_) {
-    fetch_->Close();
-  }
+  GiveUpFetch(now);
   fetchStartedAt_ = now;
+  fetchedFrom_ = aAddress;
   fetch_ = MakeLink(Tcp::socket(context_));
   fetch_->StartTo(aAddress);
   fetch_->Send(StateRequest{ .configurationRow_ = configuration_.version_,
@@ -156,6 +155,20 @@
                              .wholeFleet_ = aWholeFleet });
 }
 
+auto ControlPlane::GiveUpFetch(TimePoint aNow) -> void
+{
+  if (!fetch_) {
+    return;
+  }
+  Log::Write(
+    LogLevel::Info, "fetch_failed",
+    { { "peer", fetchedFrom_ },
+      { "connected", fetch_->WasConnected() ? "true" : "false" },
+      { "after_ms", std::to_string(ToMilliseconds(aNow - fetchStartedAt_)) } });
+  metrics_.Count("fetches_failed");
+  fetch_->Close();
+}
+
 auto ControlPlane::AdoptPacked(const StoreRow& aRow) -> bool
 {
   return Handle(
@@ -210,8 +223,11 @@
   fetch_->Close();
   fetch_.reset();
   if (news) {
-    Log::Write(LogLevel::Info, "state_from_peer",
-               { { "engine_rows", std::to_string(engines_.Version()) } });
+    Log::Write(
+      LogLevel::Info, "state_from_peer",
+      { { "peer", fetchedFrom_ },
+        { "configuration_row", std::to_string(configuration_.version_) },
+        { "engine_rows", std::to_string(engines_.Version()) } });
     BeatToSome();
   }
 }
--- a/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
@@ -6,25 +6,6 @@
 
 namespace goldcrestcroft {
 
-namespace {
-
-auto Name(StoreTable aTable) -> std::string
-{
-  switch (aTable) {
-    case StoreTable::Configuration:
-      return "configuration";
-    case StoreTable::Engines:
-      return "engines";
-    case StoreTable::HeldRequests:
-      return "held_requests";
-    case StoreTable::Hosts:
-      break;
-  }
-  return "hosts";
-}
-
-} // namespace
-
 auto ControlPlane::Pause(Duration aTime) -> Task<void>
 {
   asio::steady_timer timer(context_, aTime);
@@ -35,7 +16,7 @@
 {
   // By weight, alike on all hosts.
   const auto weight = [&](const std::string& aHost) {
-    return RendezvousWeight(Name(aTable), aHost);
+    return RendezvousWeight(ToString(aTable), aHost);
   };
   const auto own = weight(options_.settings_.host_);
   return static_cast<std::size_t>(std::count_if(
@@ -59,12 +40,28 @@
                                      : pause;
 }
 
+auto ControlPlane::NoteRole(StoreTable aTable, Followed& aFollowed) -> void
+{
+  const auto reads = IsReader(aTable);
+  if (aFollowed.reads_ == reads) {
+    return;
+  }
+  aFollowed.reads_ = reads;
+  metrics_.SetReader(ToString(aTable), reads);
+  Log::Write(LogLevel::Info, "reader_role",
+             { { "table", ToString(aTable) },
+               { "reads", reads ? "true" : "false" },
+               { "ahead", std::to_string(ReadersAhead(aTable)) },
+               { "hosts", std::to_string(published_.hosts_.size()) } });
+}
+
 auto ControlPlane::Follow(StoreTable aTable) -> Task<void>
 {
   constexpr auto kCheckRole = std::chrono::milliseconds{ 500 };
   Followed followed;
   auto pause = options_.leastPause_;
   for (;;) {
+    NoteRole(aTable, followed);
     if (followed.known_ && !IsReader(aTable)) {
       co_await Pause(kCheckRole);
       continue;
@@ -105,7 +102,7 @@
     aFollowed.answering_ = answering;
     Log::Write(answering ? LogLevel::Info : LogLevel::Warning,
                answering ? "store_regained" : "store_lost",
-               { { "table", Name(aTable) }, { "reason", aReply.detail_ } });
+               { { "table", ToString(aTable) }, { "reason", aReply.detail_ } });
   }
   if (!answering) {
     engines_.OnStoreTrouble(now);
@@ -113,7 +110,7 @@
   }
   if (aReply.end_ == StoreEnd::HistoryDropped) {
     Log::Write(LogLevel::Info, "store_history_dropped",
-               { { "table", Name(aTable) },
+               { { "table", ToString(aTable) },
                  { "version", std::to_string(aFollowed.version_) } });
     aFollowed.known_ = false;
     return;
@@ -171,6 +168,8 @@
                    { "packed", std::to_string(configuration_.value_.size()) },
                    { "took_ms", std::to_string(ToMilliseconds(clock_.Now() -
                                                               startedAt)) } });
+      metrics_.SetConfiguration(configurationVersion_);
+      metrics_.SetView(ToString(StoreTable::Configuration), aRow.version_);
       listener_.onRouting_(
         std::make_shared<const RoutingTable>(std::move(routing)));
       peers_.SetCallerAddress(options_.settings_.callers_);
--- a/goldcrestcroft/src/Gateway/EntryGateway.cpp
+++ b/goldcrestcroft/src/Gateway/EntryGateway.cpp
@@ -64,7 +64,7 @@
   , control_(controlContext_,
              { .settings_ = options_.settings_,
                .incarnation_ = options_.incarnation_ },
-             aCodec, *store_, Listener())
+             aCodec, *store_, metrics_, Listener())
   , ready_(trafficContext_, [this](const auto&) { return Ready(); })
   , directory_(trafficContext_,
                [this](const auto& aTarget) { return Directory(aTarget); })
--- a/goldcrestcroft/src/Gateway/GatewayMetrics.cpp
+++ b/goldcrestcroft/src/Gateway/GatewayMetrics.cpp
@@ -1,6 +1,7 @@
 #include "GatewayMetrics.h"
 
 #include <prometheus/counter.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
@@ -22,6 +23,22 @@
 {
 public:
   prometheus::Registry registry_;
+  // The first ones, as whoever collects them may cut the text.
+  prometheus::Family<prometheus::Gauge>& configuration_ =
+    prometheus::BuildGauge()
+      .Name("goldcrestcroft_configuration_version")
+      .Help("Configuration in force")
+      .Register(registry_);
+  prometheus::Family<prometheus::Gauge>& rows_ =
+    prometheus::BuildGauge()
+      .Name("goldcrestcroft_view_row")
+      .Help("Newest row known of a table of the store")
+      .Register(registry_);
+  prometheus::Family<prometheus::Gauge>& readers_ =
+    prometheus::BuildGauge()
+      .Name("goldcrestcroft_view_reader")
+      .Help("Whether the host waits at the store for changes of a table")
+      .Register(registry_);
   prometheus::Family<prometheus::Counter>& answers_ =
     prometheus::BuildCounter()
       .Name("goldcrestcroft_answers_total")
@@ -85,6 +102,22 @@
     .Observe(std::chrono::duration<double>(aLate).count());
 }
 
+auto GatewayMetrics::SetView(const std::string& aTable, std::uint64_t aRow)
+  -> void
+{
+  impl_->rows_.Add({ { "table", aTable } }).Set(static_cast<double>(aRow));
+}
+
+auto GatewayMetrics::SetConfiguration(std::uint64_t aVersion) -> void
+{
+  impl_->configuration_.Add({}).Set(static_cast<double>(aVersion));
+}
+
+auto GatewayMetrics::SetReader(const std::string& aTable, bool aReads) -> void
+{
+  impl_->readers_.Add({ { "table", aTable } }).Set(aReads ? 1.0 : 0.0);
+}
+
 auto GatewayMetrics::Expose() const -> std::string
 {
   return prometheus::TextSerializer().Serialize(impl_->registry_.Collect());
--- a/goldcrestcroft/src/Gateway/GatewayMetrics.h
+++ b/goldcrestcroft/src/Gateway/GatewayMetrics.h
@@ -27,6 +27,14 @@
   /** \brief A timer of the thread's loop fired so much after its time. */
   auto ObserveLag(const std::string& aThread, Duration aLate) -> void;
 
+  /** \brief What the host knows of a table of the store: the version of the
+   * newest row. */
+  auto SetView(const std::string& aTable, std::uint64_t aRow) -> void;
+  /** \brief The configuration in force. */
+  auto SetConfiguration(std::uint64_t aVersion) -> void;
+  /** \brief Whether the host waits at the store for changes of the table. */
+  auto SetReader(const std::string& aTable, bool aReads) -> void;
+
   /** \brief All of it in the text format of Prometheus. */
   [[nodiscard]] auto Expose() const -> std::string;
 
--- a/goldcrestcroft/src/Gateway/MetadataStore.h
+++ b/goldcrestcroft/src/Gateway/MetadataStore.h
@@ -21,6 +21,9 @@
   HeldRequests
 };
 
+/** \brief The table's name for logs and metrics. */
+auto ToString(StoreTable aTable) -> std::string;
+
 /** \brief One row, or the word that it was removed. */
 struct StoreRow
 {
