Show that hosts go by old versions where the store fails their readers

That the two hosts which the store answers do not ask is the fault.

The store of the stand-ins has doors for that: addresses of their own, each of which can be open, busy or silent.

--- a/test/platform/PlatformStandin.cpp
+++ b/test/platform/PlatformStandin.cpp
@@ -42,6 +42,9 @@
   : options_(std::move(aOptions))
 {
   store_ = std::make_unique<StoreStandin>(context_, StoreAddress());
+  for (std::size_t door = 0; door < options_.storeDoors_; ++door) {
+    store_->AddDoor(DoorAddress(door));
+  }
   auto port = options_.firstPort_;
   for (const auto* service : { "desk", "model", "cutter", "ranker" }) {
     for (std::size_t i = 0; i < options_.enginesOfEach_; ++i) {
@@ -74,6 +77,12 @@
   return options_.ip_ + ":" + std::to_string(options_.firstPort_);
 }
 
+auto PlatformStandin::DoorAddress(std::size_t aDoor) const -> std::string
+{
+  constexpr std::size_t kFirstDoor = 7200;
+  return options_.ip_ + ":" + std::to_string(kFirstDoor + aDoor);
+}
+
 auto PlatformStandin::PutConfig(unsigned aVersion,
                                 const std::string& aExtraPrefix,
                                 const std::vector<std::string>& aKeys,
--- a/test/platform/PlatformStandin.h
+++ b/test/platform/PlatformStandin.h
@@ -21,6 +21,8 @@
     std::size_t enginesOfEach_ = 2;
     /** Added to the ports that engines tell others, for proxies before them. */
     std::uint16_t publishedOffset_ = 0;
+    /** Further addresses of the store, on ports from 7200 on. */
+    std::size_t storeDoors_ = 0;
   };
 
   /** How long callers' connections may be idle. */
@@ -39,6 +41,7 @@
     return engines_[aService];
   }
   [[nodiscard]] auto StoreAddress() const -> std::string;
+  [[nodiscard]] auto DoorAddress(std::size_t aDoor) const -> std::string;
   /** \brief Writes the configuration; aExtraPrefix adds a plain route, aKeys
    * are the keys of workspace "w1", aIdleTime is the idle time of callers. */
   auto PutConfig(unsigned aVersion, const std::string& aExtraPrefix = "",
--- a/test/platform/StoreStandin.cpp
+++ b/test/platform/StoreStandin.cpp
@@ -41,6 +41,37 @@
 {
 }
 
+auto StoreStandin::AddDoor(const std::string& aAddress) -> void
+{
+  auto& door = *doors_.emplace_back(std::make_unique<Entrance>());
+  door.server_ = std::make_unique<HttpServer>(
+    context_, aAddress, [this, &door](Request aRequest) {
+      return HandleAt(door, std::move(aRequest));
+    });
+}
+
+auto StoreStandin::HandleAt(Entrance& aEntrance, Request aRequest)
+  -> Task<Reaction>
+{
+  ++aEntrance.calls_;
+  auto reaction = co_await Handle(std::move(aRequest));
+  switch (aEntrance.state_.load()) {
+    case Door::Busy:
+      co_return Reaction{ .status_ = 503 };
+    case Door::TooMany:
+      co_return Reaction{ .status_ = 429 };
+    case Door::Silent: {
+      // Its caller gives up long before.
+      asio::steady_timer timer(context_, std::chrono::hours{ 1 });
+      co_await timer.async_wait(kAsTuple);
+      co_return Reaction{ .drops_ = true };
+    }
+    case Door::Open:
+      break;
+  }
+  co_return reaction;
+}
+
 auto StoreStandin::Put(const std::string& aTable, const std::string& aKey,
                        const std::string& aValue) -> void
 {
--- a/test/platform/StoreStandin.h
+++ b/test/platform/StoreStandin.h
@@ -4,7 +4,9 @@
 
 #include <atomic>
 #include <map>
+#include <memory>
 #include <mutex>
+#include <vector>
 
 namespace standins {
 
@@ -13,9 +15,33 @@
 class StoreStandin
 {
 public:
+  /** \brief How it treats those who come by a door. */
+  enum class Door
+  {
+    Open,
+    /** Answers 503. */
+    Busy,
+    /** Answers 429. */
+    TooMany,
+    /** Answers nothing, not to calls that wait either. */
+    Silent
+  };
+
   StoreStandin(goldcrestcroft::asio::io_context& aContext,
                const std::string& aAddress);
 
+  /** \brief Another address to call it at, with a door of its own. Called
+   * before its context runs. */
+  auto AddDoor(const std::string& aAddress) -> void;
+  auto SetDoor(std::size_t aDoor, Door aState) -> void
+  {
+    doors_.at(aDoor)->state_ = aState;
+  }
+  [[nodiscard]] auto CallsAt(std::size_t aDoor) const -> std::uint64_t
+  {
+    return doors_.at(aDoor)->calls_;
+  }
+
   /** \brief Writes a row as the operator or an engine does. */
   auto Put(const std::string& aTable, const std::string& aKey,
            const std::string& aValue) -> void;
@@ -41,8 +67,16 @@
     bool removed_ = false;
   };
   using Table = std::map<std::string, Row>;
+  struct Entrance
+  {
+    std::atomic<Door> state_ = Door::Open;
+    std::atomic<std::uint64_t> calls_ = 0;
+    std::unique_ptr<HttpServer> server_;
+  };
 
   auto Handle(Request aRequest) -> goldcrestcroft::Task<Reaction>;
+  auto HandleAt(Entrance& aEntrance, Request aRequest)
+    -> goldcrestcroft::Task<Reaction>;
   auto Transact(const std::string& aBody) -> Reaction;
   auto RowsOf(const std::string& aTable, std::uint64_t aAfter, bool aRemoved)
     -> std::string;
@@ -52,6 +86,7 @@
   std::map<std::string, Table> tables_;
   std::uint64_t version_ = 0;
   HttpServer server_;
+  std::vector<std::unique_ptr<Entrance>> doors_;
 };
 
 } // namespace standins
--- /dev/null
+++ b/test/process/BlindReadersTest.cpp
@@ -0,0 +1,113 @@
+#include "EntryFleet.h"
+
+#include <goldcrestcroft/Core.h>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+namespace testing {
+
+namespace {
+
+using Door = standins::StoreStandin::Door;
+using std::chrono::milliseconds;
+
+/** More than all read the store by themselves. */
+constexpr std::size_t kHosts = 16;
+/** `config_ms` and `drain_ms` of fleets of this kind. */
+constexpr auto kBound = milliseconds{ 3000 };
+
+/** Hosts in the order in which they read the table. */
+auto ReadersOf(const std::string& aTable) -> std::vector<std::size_t>
+{
+  std::vector<std::size_t> hosts;
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    hosts.push_back(i);
+  }
+  const auto weight = [&](std::size_t aHost) {
+    return goldcrestcroft::RendezvousWeight(aTable,
+                                            "h" + std::to_string(aHost));
+  };
+  std::sort(hosts.begin(), hosts.end(), [&](auto aLeft, auto aRight) {
+    return weight(aLeft) > weight(aRight);
+  });
+  return hosts;
+}
+
+/** The store treats all but the last two in the order like this. */
+auto TurnAway(EntryFleet& aFleet, const std::string& aTable, Door aDoor) -> void
+{
+  const auto order = ReadersOf(aTable);
+  for (std::size_t i = 0; i + 2 < order.size(); ++i) {
+    aFleet.Platform().Store().SetDoor(order[i], aDoor);
+  }
+}
+
+auto StartFleet(EntryFleet& aFleet) -> void
+{
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    REQUIRE(aFleet.AwaitReady(i));
+  }
+  REQUIRE(aFleet.AwaitAcquainted());
+  // Calls that began while hosts knew few others are over by then.
+  std::this_thread::sleep_for(milliseconds{ 5000 });
+}
+
+/** Hosts that let a request in with a key that was taken away aBound ago. */
+auto HostsBehind(EntryFleet& aFleet) -> std::size_t
+{
+  aFleet.Platform().PutConfig(2, "", { "key2" });
+  std::this_thread::sleep_for(kBound);
+  std::size_t behind = 0;
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    const auto old = aFleet.Get(i, "/safe/x").status_;
+    const auto fresh = aFleet
+                         .Call(i, { .target_ = "/safe/y",
+                                    .headers_ = { { "X-Api-Key", "key2" } } })
+                         .status_;
+    behind += old != 401 || fresh != 200 ? 1 : 0;
+  }
+  return behind;
+}
+
+} // namespace
+
+TEST_CASE("a version is not in force in time where the store refuses the hosts "
+          "whose office it is to read it")
+{
+  EntryFleet fleet(kHosts, { .storeDoors_ = kHosts });
+  StartFleet(fleet);
+  TurnAway(fleet, "configuration", Door::TooMany);
+  CHECK(HostsBehind(fleet) == 0);
+}
+
+TEST_CASE("a version is not in force in time where the store does not answer "
+          "the hosts whose office it is to read it")
+{
+  EntryFleet fleet(kHosts, { .storeDoors_ = kHosts });
+  StartFleet(fleet);
+  TurnAway(fleet, "configuration", Door::Silent);
+  CHECK(HostsBehind(fleet) == 0);
+}
+
+TEST_CASE("an engine that drains gets requests where the store refuses the "
+          "hosts whose office it is to read that")
+{
+  EntryFleet fleet(kHosts, { .storeDoors_ = kHosts });
+  StartFleet(fleet);
+  TurnAway(fleet, "engines", Door::Busy);
+  auto& leaving = *fleet.Platform().Engines("desk")[0];
+  fleet.Platform().Store().Put("servers", leaving.Id(),
+                               leaving.Entry("desk", "draining"));
+  std::this_thread::sleep_for(kBound);
+  const auto before = leaving.Reached();
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    for (auto request = 0; request < 4; ++request) {
+      CHECK(fleet.Get(i, "/safe/x").status_ == 200);
+    }
+  }
+  CHECK(leaving.Reached() == before);
+}
+
+} // namespace testing
--- a/test/process/EntryFleet.cpp
+++ b/test/process/EntryFleet.cpp
@@ -77,8 +77,9 @@
 }
 
 EntryFleet::EntryFleet(std::size_t aHosts,
-                       standins::PlatformStandin::Options aPlatform)
-  : platform_(std::move(aPlatform))
+                       standins::PlatformStandin::Options aPlatform,
+                       const std::string& aSettings)
+  : platform_(aPlatform)
 {
   for (std::size_t i = 0; i < aHosts; ++i) {
     std::ofstream file(folder_.Path() + "/host-" + std::to_string(i) + ".json");
@@ -87,8 +88,10 @@
          << R"(", "readiness": ")" << Port(i, 1) << R"(", "directory": ")"
          << Port(i, 2) << R"(", "metrics": ")" << Port(i, 3)
          << R"(", "peer_port": )" << kFirstPort + i * kPortsOfHost + 5
-         << R"(, "store": ")" << platform_.StoreAddress()
-         << R"(", "grace_s": 5, "directory_keep_s": 0.3})";
+         << R"(, "store": ")"
+         << (i < aPlatform.storeDoors_ ? platform_.DoorAddress(i)
+                                       : platform_.StoreAddress())
+         << R"(", "grace_s": 5, "directory_keep_s": 0.3)" << aSettings << "}";
   }
   processes_.reserve(aHosts);
   for (std::size_t i = 0; i < aHosts; ++i) {
--- a/test/process/EntryFleet.h
+++ b/test/process/EntryFleet.h
@@ -35,8 +35,11 @@
 class EntryFleet
 {
 public:
+  /** \brief Hosts call the store each at a door of its own, as far as there
+   * are doors; aSettings are added to their settings. */
   explicit EntryFleet(std::size_t aHosts,
-                      standins::PlatformStandin::Options aPlatform = {});
+                      standins::PlatformStandin::Options aPlatform = {},
+                      const std::string& aSettings = "");
 
   auto Platform() -> standins::PlatformStandin& { return platform_; }
   auto Start(std::size_t aHost) -> void;
