--- a/test/platform/EngineStandin.cpp
+++ b/test/platform/EngineStandin.cpp
@@ -136,7 +136,8 @@
   }
   return { .body_ = json{ { "items", items } }.dump(),
            .delay_ = std::chrono::milliseconds{ callMs_ },
-           .repeatsLast_ = trouble_ == Trouble::Repeats };
+           .repeatsLast_ = trouble_ == Trouble::Repeats,
+           .repeatsId_ = repeatsId_ };
 }
 
 auto EngineStandin::Release(const Request& aRequest) -> Reaction
@@ -201,13 +202,23 @@
                         .ran_ = trouble != Trouble::Full });
   Reaction reaction{ .headers_ = { { kRequestId, id },
                                    { "Goldcrestcroft-Server-Load", "1,0,8" } },
-                     .delay_ = std::chrono::milliseconds{ delayMs_ } };
+                     .delay_ = std::chrono::milliseconds{ delayMs_ },
+                     .repeatsLast_ = trouble == Trouble::Repeats,
+                     .repeatsId_ = repeatsId_ };
   if (trouble == Trouble::Full) {
     reaction.status_ = 503;
     reaction.headers_.emplace_back(kNotRun, "1");
     return reaction;
   }
   ++runs_[id];
+  if (!resumedBytes_.empty() && !Header(aRequest, "Last-Event-Id").empty()) {
+    ++resumed_;
+    reaction.raw_ = resumedBytes_;
+    if (const auto at = reaction.raw_->find("@ID"); at != std::string::npos) {
+      reaction.raw_->replace(at, 3, id);
+    }
+    return reaction;
+  }
   if (trouble != Trouble::Fails && IsEndedBy(aRequest)) {
     BeginEnd(id);
     // Its connection is gone by then.
--- a/test/platform/EngineStandin.h
+++ b/test/platform/EngineStandin.h
@@ -103,6 +103,15 @@
   {
     return server_.EndlessOpen();
   }
+  /** \brief Streams that go on after an event are answered with these bytes
+   * from now on, "@ID" standing for the request's id, and closed. */
+  auto SetResumed(const std::string& aBytes) -> void
+  {
+    const std::lock_guard lock(mutex_);
+    resumedBytes_ = aBytes;
+  }
+  /** \brief How often that was done. */
+  [[nodiscard]] auto Resumed() const -> std::size_t { return resumed_; }
   auto SetMostConnections(std::size_t aMost) -> void
   {
     server_.mostConnections_ = aMost;
@@ -118,6 +127,8 @@
   [[nodiscard]] auto ReachedAt() -> std::vector<goldcrestcroft::TimePoint>;
 
   std::atomic<Trouble> trouble_ = Trouble::None;
+  /** Whether second copies of answers say whose they are. */
+  std::atomic<bool> repeatsId_ = true;
   std::atomic<int> delayMs_ = 0;
   /** What a call for pieces takes. */
   std::atomic<int> callMs_ = 20;
@@ -150,6 +161,8 @@
   std::uint64_t born_ = 0;
   std::uint64_t sequence_ = 0;
   std::optional<EndlessBytes> endless_;
+  std::string resumedBytes_;
+  std::atomic<std::size_t> resumed_ = 0;
   std::map<std::string, int> runs_;
   std::vector<Arrival> arrivals_;
   goldcrestcroft::http::fields lastHeaders_;
--- a/test/platform/HttpServer.cpp
+++ b/test/platform/HttpServer.cpp
@@ -152,8 +152,16 @@
       co_await http::async_write(socket, head, kAsTuple);
     }
     if (reaction.repeatsLast_ && last) {
+      if (!reaction.repeatsId_) {
+        last->erase("Goldcrestcroft-Request-Id");
+      }
       co_await http::async_write(socket, *last, kAsTuple);
     }
+    if (reaction.raw_) {
+      co_await asio::async_write(socket, asio::buffer(*reaction.raw_),
+                                 kAsTuple);
+      co_return;
+    }
     if (!reaction.chunks_.empty()) {
       const auto whole = co_await WriteChunks(context_, socket, reaction);
       if (!whole) {
--- a/test/platform/HttpServer.h
+++ b/test/platform/HttpServer.h
@@ -30,6 +30,10 @@
   std::optional<std::string> strayId_;
   /** A second copy of the connection's answer before is sent before it. */
   bool repeatsLast_ = false;
+  /** Whether that copy says whose answer it is. */
+  bool repeatsId_ = true;
+  /** Sent as it is in place of an answer, and closed. */
+  std::optional<std::string> raw_;
   /** Sent in place of all of the above. */
   std::optional<EndlessBytes> endless_;
 };
--- /dev/null
+++ b/test/process/RefusalCopiesTest.cpp
@@ -0,0 +1,81 @@
+#include "EntryFleet.h"
+
+#include <doctest/doctest.h>
+
+namespace testing {
+
+namespace {
+
+using Trouble = standins::EngineStandin::Trouble;
+
+auto SetRepeatsId(EntryFleet& aFleet, const std::string& aService, bool aSays)
+  -> void
+{
+  for (const auto& engine : aFleet.Platform().Engines(aService)) {
+    engine->repeatsId_ = aSays;
+  }
+}
+
+} // namespace
+
+TEST_CASE(
+  "a request that runs is said not to have run after an earlier refusal "
+  "came once more")
+{
+  for (const auto saysId : { true, false }) {
+    EntryFleet fleet(1);
+    REQUIRE(fleet.AwaitReady(0));
+    SetRepeatsId(fleet, "desk", saysId);
+    for (auto round = 0; round < 10; ++round) {
+      fleet.Platform().SetTrouble("desk", Trouble::Full);
+      CHECK(fleet.Get(0, "/unsafe/x").status_ == 503);
+      // Each engine writes its refusal again before its next answer.
+      fleet.Platform().SetTrouble("desk", Trouble::Repeats);
+      CAPTURE(saysId);
+      CAPTURE(round);
+      CallerAnswer answer;
+      REQUIRE(EntryFleet::Await([&] {
+        answer = fleet.Get(0, "/unsafe/x");
+        return fleet.RunsOf("desk", fleet.LastId()) > 0;
+      }));
+      CHECK(answer.status_ == 200);
+      CHECK(answer.body_.find(fleet.LastId() + " ") != std::string::npos);
+      CHECK(fleet.RunsOf("desk", fleet.LastId()) == 1);
+    }
+  }
+}
+
+TEST_CASE("pieces that are made are made again after an earlier refusal of "
+          "their engine came once more")
+{
+  EntryFleet fleet(1);
+  REQUIRE(fleet.AwaitReady(0));
+  const auto made = [&] {
+    std::size_t pieces = 0;
+    for (const auto* service : { "cutter", "ranker" }) {
+      for (const auto& engine : fleet.Platform().Engines(service)) {
+        pieces += engine->PiecesRun();
+      }
+    }
+    return pieces;
+  };
+  for (auto round = 0; round < 5; ++round) {
+    for (const auto* service : { "cutter", "ranker" }) {
+      fleet.Platform().SetTrouble(service, Trouble::Full);
+    }
+    fleet.Get(0, "/stream/x");
+    for (const auto* service : { "cutter", "ranker" }) {
+      fleet.Platform().SetTrouble(service, Trouble::Repeats);
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds{ 1500 });
+    const auto before = made();
+    const auto answer = fleet.Get(0, "/stream/x");
+    CAPTURE(round);
+    CHECK(answer.status_ == 200);
+    CHECK(answer.whole_);
+    // Two of the first stage and three of the second.
+    CHECK(made() - before == 5);
+  }
+}
+
+} // namespace testing
