Cut numbers that overflow, and take "nan" and "inf" for no number

Callers who sent a time left of "nan" were refused at once (503): on arm64 the cast makes it 0, on x86-64 it is undefined as well.

--- a/goldcrestcroft/src/Gateway/EngineExchange.cpp
+++ b/goldcrestcroft/src/Gateway/EngineExchange.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace goldcrestcroft {
 
@@ -31,7 +32,8 @@
   constexpr auto kMostSeconds = 86'400.0;
   auto seconds = 0.0;
   std::from_chars(aHeader.data(), aHeader.data() + aHeader.size(), seconds);
-  const auto bounded = std::clamp(seconds, 0.0, kMostSeconds);
+  const auto bounded =
+    std::isfinite(seconds) ? std::clamp(seconds, 0.0, kMostSeconds) : 0.0;
   return std::chrono::duration_cast<Duration>(
     std::chrono::duration<double>(bounded));
 }
--- a/goldcrestcroft/src/Gateway/RequestRun.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRun.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace goldcrestcroft {
 
@@ -28,7 +29,9 @@
   const auto* end = aText.data() + aText.size();
   const auto [stop, error] = std::from_chars(aText.data(), end, value);
   constexpr auto kMost = 1e9;
-  if (error != std::errc{} || stop != end || value < 0.0 || value > kMost) {
+  const auto valid = error == std::errc{} && stop == end &&
+                     std::isfinite(value) && value >= 0.0 && value <= kMost;
+  if (!valid) {
     return std::nullopt;
   }
   return Duration(static_cast<Duration::rep>(value * 1000.0));
