Let the soak's store turn most hosts away while keys are revoked

Now the store serves one host in eight for six seconds and refuses the others or leaves them without an answer, and a key is taken away at the begin. A host that is turned away still has to have the version in time, if the store serves one that is in touch all the while; for other hosts nothing is excused that was not before.

Two cases of unit.SoakChecker for the new excuse.

--- a/test/soak/Disturbances.h
+++ b/test/soak/Disturbances.h
@@ -64,6 +64,10 @@
 {
   return "store link " + std::to_string(aHost);
 }
+inline auto StoreDoorPart(std::size_t aHost) -> std::string
+{
+  return "store door " + std::to_string(aHost);
+}
 inline auto StopPart(std::size_t aHost) -> std::string
 {
   return "planned stop " + std::to_string(aHost);
--- a/test/soak/FaultInjector.cpp
+++ b/test/soak/FaultInjector.cpp
@@ -82,6 +82,8 @@
       return Drain(aFault);
     case FaultKind::EngineLimited:
       return Limit(aFault);
+    case FaultKind::StoreTurnsAway:
+      return TurnAway(aFault);
     case FaultKind::NewRoute:
     case FaultKind::KeyRevoked:
     case FaultKind::IdleTimeChanged:
--- a/test/soak/FaultInjector.h
+++ b/test/soak/FaultInjector.h
@@ -76,6 +76,9 @@
   auto Drain(Fault aFault) -> Task<void>;
   auto Limit(Fault aFault) -> Task<void>;
   auto HarmStore(Fault aFault) -> Task<void>;
+  /** \brief Most hosts get refusals or nothing at the store, and one key is
+   * taken away meanwhile. */
+  auto TurnAway(Fault aFault) -> Task<void>;
   auto ChangeConfig(const Fault& aFault) -> void;
   auto AwaitEnd(std::size_t aHost) -> Task<bool>;
   [[nodiscard]] auto Now() const -> TimePoint;
--- a/test/soak/FaultInjectorPlatform.cpp
+++ b/test/soak/FaultInjectorPlatform.cpp
@@ -1,5 +1,7 @@
 #include "FaultInjector.h"
 
+#include <array>
+
 namespace soak {
 
 using namespace goldcrestcroft;
@@ -133,6 +135,38 @@
   harm_.End(harm, Now());
 }
 
+auto FaultInjector::TurnAway(Fault aFault) -> Task<void>
+{
+  using Door = standins::StoreStandin::Door;
+  constexpr std::array kDoors = { Door::Busy, Door::TooMany, Door::Silent };
+  // A change at its begin is in force long before its end.
+  constexpr auto kLength = 6s;
+  constexpr std::size_t kServedInAll = 8;
+  auto& store = fleet_.Platform().Store();
+  const auto part = ToString(aFault.kind_);
+  if (active_[part]++ > 0) {
+    --active_[part];
+    co_return;
+  }
+  const auto hosts = fleet_.Hosts().size();
+  std::map<std::size_t, std::size_t> harms;
+  for (std::size_t i = 0; i < hosts; ++i) {
+    // One in eight is served, and one at least.
+    const auto place = (i + hosts - aFault.target_) % hosts;
+    if (place % kServedInAll != 0) {
+      store.SetDoor(i, kDoors.at(aFault.variant_ % kDoors.size()));
+      harms[i] = harm_.Begin(StoreDoorPart(i), Now());
+    }
+  }
+  ChangeConfig({ .kind_ = FaultKind::KeyRevoked });
+  co_await Sleep(context_, kLength);
+  for (const auto& [host, harm] : harms) {
+    store.SetDoor(host, Door::Open);
+    harm_.End(harm, Now());
+  }
+  --active_[part];
+}
+
 auto FaultInjector::NoteEnds() -> void
 {
   for (const auto& engine : fleet_.Engines()) {
--- a/test/soak/SoakChecker.cpp
+++ b/test/soak/SoakChecker.cpp
@@ -97,6 +97,7 @@
     }
   }
 
+  /** CONFIG and DENIED of the platform's pages. */
   auto CheckConfiguration(const CallRecord& aCall) -> void
   {
     const auto host =
@@ -106,7 +107,7 @@
       aCall.kind_ == CallKind::NewRoute || aCall.kind_ == CallKind::NewKey;
     const auto inForce =
       aCall.sentAt_ > aCall.changedAt_ + kConfigInForce &&
-      seen_.InTouch(aCall.host_, aCall.changedAt_, aCall.endedAt_);
+      seen_.CouldKnow(aCall.host_, aCall.changedAt_, aCall.endedAt_);
     if (isNew && old && inForce) {
       Add("config",
           aCall.id_ + " at host " + host + " was refused by an older version");
@@ -170,7 +171,7 @@
         const auto late =
           arrival.at_ > drain.from_ + kDrained && arrival.at_ < drain.to_;
         if (late && call != calls_.end() &&
-            seen_.InTouch(call->second->host_, drain.from_, arrival.at_) &&
+            seen_.CouldKnow(call->second->host_, drain.from_, arrival.at_) &&
             !seen_.harm_.Within({ EnginePart(drain.engine_) },
                                 drain.from_ - kContact, arrival.at_)) {
           Add("drain", arrival.requestId_ + " reached " + drain.engine_ +
--- a/test/soak/SoakEvidence.h
+++ b/test/soak/SoakEvidence.h
@@ -7,7 +7,7 @@
 /** Bound of the platform's pages for hosts in touch, as deployments set it. */
 inline constexpr Duration kContact = std::chrono::milliseconds{ 4000 };
 /** A version is in force this long after its writing. */
-inline constexpr Duration kConfigInForce = std::chrono::milliseconds{ 3000 };
+inline constexpr Duration kConfigInForce = SoakFleet::kNewsWithin;
 
 /** \brief All that was seen from outside in a run. */
 struct SoakEvidence
@@ -24,6 +24,7 @@
   /** When configurations were written. */
   std::vector<TimePoint> changes_;
   std::vector<LimitRecord> limits_ = {};
+  std::size_t hosts_ = 0;
 
   /** \brief Whether the host was in touch all the while. */
   [[nodiscard]] auto InTouch(std::size_t aHost, TimePoint aFrom,
@@ -34,6 +35,21 @@
                            kStorePart },
                          aFrom - kContact, aTo);
   }
+  /** \brief Whether news of the store could reach the host all the while: it
+   * was in touch, and the store served it or another one that was. */
+  [[nodiscard]] auto CouldKnow(std::size_t aHost, TimePoint aFrom,
+                               TimePoint aTo) const -> bool
+  {
+    const auto served = [&](std::size_t aOne) {
+      return InTouch(aOne, aFrom, aTo) &&
+             !harm_.Within({ StoreDoorPart(aOne) }, aFrom, aTo);
+    };
+    auto others = false;
+    for (std::size_t host = 0; host < hosts_; ++host) {
+      others = others || served(host);
+    }
+    return served(aHost) || (others && InTouch(aHost, aFrom, aTo));
+  }
 };
 
 } // namespace soak
--- a/test/soak/SoakFleet.cpp
+++ b/test/soak/SoakFleet.cpp
@@ -27,7 +27,8 @@
   , platform_({ .ip_ = options_.ip_,
                 .firstPort_ = kPlatformPort,
                 .enginesOfEach_ = options_.enginesOfEach_,
-                .publishedOffset_ = kPublishedOffset })
+                .publishedOffset_ = kPublishedOffset,
+                .storeDoors_ = options_.hosts_ })
 {
   std::size_t port = kPlatformPort;
   for (const auto* service : { "desk", "model", "cutter", "ranker" }) {
@@ -46,7 +47,7 @@
     callerLinks_.push_back(std::make_unique<LoopbackProxy>(
       aContext, CallerAddress(host), Local(HostPort(host, 0))));
     storeLinks_.push_back(std::make_unique<LoopbackProxy>(
-      aContext, Local(kStoreLinkPort + host), platform_.StoreAddress()));
+      aContext, Local(kStoreLinkPort + host), platform_.DoorAddress(host)));
     WriteSettings(host);
     hosts_.push_back({ .process_ = testing::Process() });
     Start(host);
@@ -88,7 +89,8 @@
                                  { "repeat_ratio", kRepeatRatio },
                                  { "repeat_slack", kRepeatSlack },
                                  { "repeat_window_s", kRepeatWindow.count() },
-                                 { "directory_keep_s", 0.3 } };
+                                 { "directory_keep_s", 0.3 },
+                                 { "news_within_ms", kNewsWithin.count() } };
   std::ofstream(SettingsFile(aHost)) << settings.dump(2);
 }
 
--- a/test/soak/SoakFleet.h
+++ b/test/soak/SoakFleet.h
@@ -60,6 +60,8 @@
   [[nodiscard]] auto ReadinessAddress(std::size_t aHost) const -> std::string;
 
   static constexpr auto kGrace = std::chrono::seconds{ 3 };
+  /** `config_ms`. */
+  static constexpr auto kNewsWithin = std::chrono::milliseconds{ 3000 };
   /** From the end of an engine to its next start. */
   static constexpr auto kEngineAway = std::chrono::milliseconds{ 1000 };
   static constexpr auto kPoisonMarker = "poison-";
--- a/test/soak/SoakPlan.cpp
+++ b/test/soak/SoakPlan.cpp
@@ -16,6 +16,7 @@
 constexpr Millis kPlannedGap{ 1500 };
 constexpr Millis kOverlapGap{ 4000 };
 constexpr Millis kLimitGap{ 2500 };
+constexpr Millis kTurnAwayGap{ 12'000 };
 constexpr Millis kShortest{ 100 };
 constexpr Millis kLongest{ 4000 };
 constexpr std::size_t kVariants = 64;
@@ -111,12 +112,13 @@
 auto ToString(FaultKind aKind) -> std::string
 {
   constexpr std::array kNames = {
-    "host_pause",  "host_kill",           "host_stop",
-    "host_reload", "engine_link",         "engine_trouble",
-    "engine_slow", "engine_restart",      "store_link",
-    "store_busy",  "store_loses_answers", "store_forgets",
-    "caller_link", "engine_drain",        "new_route",
-    "key_revoked", "idle_time_changed",   "engine_limited"
+    "host_pause",      "host_kill",           "host_stop",
+    "host_reload",     "engine_link",         "engine_trouble",
+    "engine_slow",     "engine_restart",      "store_link",
+    "store_busy",      "store_loses_answers", "store_forgets",
+    "caller_link",     "engine_drain",        "new_route",
+    "key_revoked",     "idle_time_changed",   "engine_limited",
+    "store_turns_away"
   };
   return kNames.at(static_cast<std::size_t>(aKind));
 }
@@ -139,8 +141,10 @@
   more.FillOverlaps(aLength);
   Planner limits(aSeed ^ (aSeed << 32U), aHosts, aEngines);
   limits.Fill(Millis{ 0 }, aLength, { FaultKind::EngineLimited }, kLimitGap);
+  Planner doors(aSeed ^ (~aSeed << 32U), aHosts, aEngines);
+  doors.Fill(Millis{ 0 }, aLength, { FaultKind::StoreTurnsAway }, kTurnAwayGap);
   auto faults = planner.Take();
-  for (const auto& added : { more.Take(), limits.Take() }) {
+  for (const auto& added : { more.Take(), limits.Take(), doors.Take() }) {
     faults.insert(faults.end(), added.begin(), added.end());
   }
   std::sort(faults.begin(), faults.end());
--- a/test/soak/SoakPlan.h
+++ b/test/soak/SoakPlan.h
@@ -31,7 +31,9 @@
   KeyRevoked,
   IdleTimeChanged,
   /** The engine names a limit for a while. */
-  EngineLimited
+  EngineLimited,
+  /** The store serves only some hosts, for longer than a change may take. */
+  StoreTurnsAway
 };
 
 auto ToString(FaultKind aKind) -> std::string;
@@ -55,7 +57,8 @@
  * Each phase harms two of hosts, engines, store and callers' connections, so
  * that the rules which excuse one kind of trouble still bind in some phases.
  * Faults of a phase overlap. In all phases a host is told to read again and to
- * stop at once beside a change of the configuration. */
+ * stop at once beside a change of the configuration, and now and then the store
+ * turns most hosts away. */
 auto MakeSoakPlan(std::uint64_t aSeed, Millis aLength, std::size_t aHosts,
                   std::size_t aEngines) -> std::vector<Fault>;
 
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -118,7 +118,8 @@
                          .harm_ = aInjector.Harm(),
                          .drains_ = aInjector.Drains(),
                          .changes_ = aInjector.Changes(),
-                         .limits_ = aInjector.Limits() };
+                         .limits_ = aInjector.Limits(),
+                         .hosts_ = aFleet.Hosts().size() };
   for (const auto& engine : aFleet.Engines()) {
     evidence.arrivals_[engine.standin_->Id()] = engine.standin_->Arrivals();
     evidence.ends_[engine.standin_->Id()] = engine.standin_->Ends();
--- a/test/unit/SoakCheckerTest.cpp
+++ b/test/unit/SoakCheckerTest.cpp
@@ -22,6 +22,7 @@
   std::vector<standins::EngineStandin::End> ends_;
   std::vector<TimePoint> changes_;
   std::vector<LimitRecord> limits_;
+  std::size_t hosts_ = 1;
 
   auto Call(CallKind aKind, int aStatus, Duration aSentAfter = {},
             Duration aTook = 10ms) -> CallRecord&
@@ -62,7 +63,8 @@
                            .serviceOfEngine_ = { { "e", "desk" } },
                            .ends_ = { { "e", ends_ } },
                            .changes_ = changes_,
-                           .limits_ = limits_ });
+                           .limits_ = limits_,
+                           .hosts_ = hosts_ });
     return broken.empty() ? "" : broken[0].substr(0, broken[0].find(':'));
   }
 };
@@ -111,6 +113,21 @@
     world.Arrive(world.Call(CallKind::OldKey, 200, 4s));
     CHECK(world.Broken().empty());
   }
+  SUBCASE("a host that the store turns away has it from another one")
+  {
+    world.harm_.Begin(soak::StoreDoorPart(0), kStart - 1s);
+    world.hosts_ = 2;
+    world.Arrive(world.Call(CallKind::OldKey, 200, 4s));
+    CHECK(world.Broken() == "config");
+  }
+  SUBCASE("not where the store turns all away")
+  {
+    world.harm_.Begin(soak::StoreDoorPart(0), kStart - 1s);
+    world.harm_.Begin(soak::StoreDoorPart(1), kStart - 1s);
+    world.hosts_ = 2;
+    world.Arrive(world.Call(CallKind::OldKey, 200, 4s));
+    CHECK(world.Broken().empty());
+  }
   SUBCASE("a new route is not known")
   {
     world.Call(CallKind::NewRoute, 404, 4s);
