Tell the news of a reading and its age with the same datagrams

A reader told three hosts of new rows and, right after, three hosts of the age of its view. The reply's news comes back from OnStoreReply, so that one push carries both.

--- a/goldcrestcroft/src/Gateway/ControlPlane.h
+++ b/goldcrestcroft/src/Gateway/ControlPlane.h
@@ -145,7 +145,8 @@
   /** \brief A call that waits for changes as aStep says, or one for all rows
    * where they are not known. */
   auto Read(StoreTable aTable, TableWatch::Step aStep) -> Task<StoreReply>;
-  auto OnStoreReply(StoreTable aTable, const StoreReply& aReply) -> void;
+  /** \brief Whether it brought anything new. */
+  auto OnStoreReply(StoreTable aTable, const StoreReply& aReply) -> bool;
   /** \brief Takes the rows over; whether any is new. */
   auto Adopt(StoreTable aTable, const StoreReply& aReply) -> bool;
   // Ages of views.
--- a/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
@@ -112,10 +112,11 @@
     } else {
       followed.watch_.OnFailed(now);
     }
-    OnStoreReply(aTable, reply);
+    const auto news = OnStoreReply(aTable, reply);
     // The word of a few readers is what keeps the views of all others new.
-    if (renewed || (reply.end_ == StoreEnd::Done && !whole &&
-                    published_.hosts_.size() > options_.smallFleet_)) {
+    const auto tells = reply.end_ == StoreEnd::Done && !whole &&
+                       published_.hosts_.size() > options_.smallFleet_;
+    if (news || renewed || tells) {
       BeatToSome();
     }
     if (reply.end_ == StoreEnd::Done) {
@@ -130,7 +131,7 @@
 }
 
 auto ControlPlane::OnStoreReply(StoreTable aTable, const StoreReply& aReply)
-  -> void
+  -> bool
 {
   auto& followed = FollowedOf(aTable);
   const auto answering =
@@ -143,21 +144,19 @@
   }
   if (!answering) {
     engines_.OnStoreTrouble(clock_.Now());
-    return;
+    return false;
   }
   if (aReply.end_ == StoreEnd::HistoryDropped) {
     Log::Write(LogLevel::Info, "store_history_dropped",
                { { "table", ToString(aTable) },
                  { "version", std::to_string(followed.version_) } });
     followed.known_ = false;
-    return;
+    return false;
   }
   const auto news = Adopt(aTable, aReply);
   followed.known_ = true;
   followed.version_ = std::max(followed.version_, aReply.version_);
-  if (news) {
-    BeatToSome();
-  }
+  return news;
 }
 
 auto ControlPlane::Adopt(StoreTable aTable, const StoreReply& aReply) -> bool
