End what is wrong with an engine and with its link apart in the soak

The hosts' logs show that one engine cut each of its streams from 2.3 s to the end of the run: its trouble (2,284 ms for 918 ms) had begun while the link to it was harmed (2,278 ms for 1,943 ms), both counted as one, and only the last to end, the link, was put right. So the engine was left in trouble with no harm on record, and the hosts were blamed for streams that the engine had cut. Ruled out: a fault of the hosts, which ended those streams as they must, and an end of the engine, whose start stays the same in all lines.

Each is counted for itself now, and ends itself. The check is unchanged.

--- a/test/soak/FaultInjectorPlatform.cpp
+++ b/test/soak/FaultInjectorPlatform.cpp
@@ -12,6 +12,12 @@
 
 constexpr auto kLongestDrain = std::chrono::milliseconds{ 6000 };
 
+/** What is wrong with a part and with the link to it end apart. */
+auto LinkOf(const std::string& aPart) -> std::string
+{
+  return "link to " + aPart;
+}
+
 auto LinkFaultOf(const Fault& aFault) -> LinkFault
 {
   constexpr std::array kFaults = {
@@ -27,10 +33,11 @@
                              Fault aFault) -> Task<void>
 {
   const auto harm = harm_.Begin(aPart, Now());
-  ++active_[aPart];
+  const auto link = LinkOf(aPart);
+  ++active_[link];
   aLink.Set(LinkFaultOf(aFault), aFault.for_ / 4);
   co_await Sleep(context_, aFault.for_);
-  if (--active_[aPart] == 0) {
+  if (--active_[link] == 0) {
     aLink.Set(LinkFault::None);
   }
   harm_.End(harm, Now());
@@ -55,7 +62,6 @@
   if (--active_[part] == 0) {
     engine.trouble_ = Trouble::None;
     engine.delayMs_ = 0;
-    fleet_.EngineLink(aFault.target_).Set(LinkFault::None);
   }
   harm_.End(harm, Now());
 }
@@ -65,10 +71,11 @@
   auto& engine = fleet_.Engines()[aFault.target_];
   const auto part = EnginePart(engine.standin_->Id());
   const auto harm = harm_.Begin(part, Now());
-  ++active_[part];
+  const auto link = LinkOf(part);
+  ++active_[link];
   fleet_.EngineLink(aFault.target_).Set(LinkFault::Reset);
   co_await Sleep(context_, aFault.for_);
-  if (--active_[part] == 0) {
+  if (--active_[link] == 0) {
     fleet_.EngineLink(aFault.target_).Set(LinkFault::None);
   }
   engine.standin_->Restart();
