--- a/goldcrestcroft/src/Gateway/ControlPlaneBeats.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneBeats.cpp
@@ -126,10 +126,9 @@
   for (const auto& permit : aBeat.permits_) {
     OnPermitAnswer(permit);
   }
-  const auto renewed =
-    HearAge(StoreTable::Configuration, aBeat.configurationRow_,
-            aBeat.configurationAge_) |
-    HearAge(StoreTable::Engines, aBeat.engineRows_, aBeat.engineAge_);
+  auto renewed = HearAge(StoreTable::Configuration, aBeat.configurationRow_,
+                         aBeat.configurationAge_);
+  renewed |= HearAge(StoreTable::Engines, aBeat.engineRows_, aBeat.engineAge_);
   if (renewed) {
     BeatToSome();
   }
--- a/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
@@ -226,20 +226,19 @@
   // One that could not be read is newer than this host's.
   const auto row =
     reply->configuration_.empty() ? 0 : reply->configuration_.back().version_;
-  const auto renewed =
-    HearAge(StoreTable::Configuration, row, reply->configurationAge_) |
-    HearAge(StoreTable::Engines, 0, reply->engineAge_);
+  auto renewed =
+    HearAge(StoreTable::Configuration, row, reply->configurationAge_);
+  renewed |= HearAge(StoreTable::Engines, 0, reply->engineAge_);
   fetch_->Close();
   fetch_.reset();
-  if (renewed && !news) {
-    BeatToSome();
-  }
   if (news) {
     Log::Write(
       LogLevel::Info, "state_from_peer",
       { { "peer", fetchedFrom_ },
         { "configuration_row", std::to_string(configuration_.version_) },
         { "engine_rows", std::to_string(engines_.Version()) } });
+  }
+  if (news || renewed) {
     BeatToSome();
   }
 }
--- a/test/process/StreamErrorsTest.cpp
+++ b/test/process/StreamErrorsTest.cpp
@@ -8,35 +8,43 @@
 
 using Trouble = standins::EngineStandin::Trouble;
 
+auto Answer(const std::string& aStatus, const std::string& aFields,
+            const std::string& aBody) -> std::string
+{
+  return "HTTP/1.1 " + aStatus + "\r\n" + aFields + "\r\n" + aBody;
+}
+
 /** What the next engine answers a stream that broke off after two events. */
-const std::vector<std::string> kErrors = {
-  "HTTP/1.1 500 Internal Server Error\r\nGoldcrestcroft-Request-Id: @ID\r\n"
-  "Goldcrestcroft-Server-Seal: s\r\nContent-Length: 11\r\n\r\nengine-fail",
-  "HTTP/1.1 503 Service Unavailable\r\nGoldcrestcroft-Request-Id: @ID\r\n"
-  "Goldcrestcroft-Not-Executed: 1\r\nContent-Length: 11\r\n\r\nengine-full",
-  "HTTP/1.1 500 Internal Server Error\r\nGoldcrestcroft-Request-Id: @ID\r\n"
-  "Goldcrestcroft-Server-Seal: s\r\n\r\nengine-fail until the close",
-  "HTTP/1.1 502 Bad Gateway\r\nGoldcrestcroft-Request-Id: @ID\r\n"
-  "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-  "1c\r\nid: 3\ndata: engine-fail\n\n.\n\n\r\n0\r\n\r\n",
-  "HTTP/1.1 200 OK\r\nGoldcrestcroft-Request-Id: @ID\r\nContent-Length: 27\r\n"
-  "\r\nid: 3\ndata: engine-fail\n\n.\n",
-  "HTTP/1.1 400 Bad Request\r\nGoldcrestcroft-Not-Executed: 1\r\n"
-  "Content-Length: 11\r\n\r\nengine-fail",
-  "HTTP/1.1 307 Temporary Redirect\r\nGoldcrestcroft-Request-Id: @ID\r\n"
-  "Location: /engine-fail\r\nContent-Length: 0\r\n\r\n",
-  "HTTP/1.1 500 Internal Server Error\r\nGoldcrestcroft-Request-Id: @ID\r\n"
-  "Goldcrestcroft-Server-Seal: s\r\nContent-Length: 100\r\n\r\nengine-fail",
-  "id: 3\ndata: engine-fail\n\n",
-  "HTTP/1.1 500"
-};
+auto Errors() -> std::vector<std::string>
+{
+  const std::string id = "Goldcrestcroft-Request-Id: @ID\r\n";
+  const std::string seal = id + "Goldcrestcroft-Server-Seal: s\r\n";
+  const std::string unrun = "Goldcrestcroft-Not-Executed: 1\r\n";
+  const std::string short11 = "Content-Length: 11\r\n";
+  const std::string event = "id: 3\ndata: engine-fail\n\n";
+  const std::string length = std::to_string(event.size());
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  constexpr auto kChunk = "19\r\nid: 3\ndata: engine-fail\n\n\r\n0\r\n\r\n";
+  return {
+    Answer("500 Failed", seal + short11, "engine-fail"),
+    Answer("503 Full", id + unrun + short11, "engine-full"),
+    Answer("500 Failed", seal, "engine-fail until the close"),
+    Answer("502 Failed", id + chunked, kChunk),
+    Answer("200 OK", id + "Content-Length: " + length + "\r\n", event),
+    Answer("400 Bad", unrun + short11, "engine-fail"),
+    Answer("307 Elsewhere", id + "Location: /x\r\nContent-Length: 0\r\n", ""),
+    Answer("500 Failed", seal + "Content-Length: 100\r\n", "engine-fail"),
+    event,
+    "HTTP/1.1 500"
+  };
+}
 
 } // namespace
 
 TEST_CASE("the error of the next engine gets into a stream that broke off, or "
           "ends it as if it were whole")
 {
-  for (const auto& error : kErrors) {
+  for (const auto& error : Errors()) {
     EntryFleet fleet(1);
     REQUIRE(fleet.AwaitReady(0));
     for (const auto& engine : fleet.Platform().Engines("model")) {
