Take a count out of ReadWorld that nothing reads

It was written for each version that a host had, and judged by nothing: what is late is counted as it is adopted. property.TableWatch as before, 268 of 268 assertions.

--- a/test/property/ReadWorld.cpp
+++ b/test/property/ReadWorld.cpp
@@ -250,7 +250,6 @@
     const auto took = clock_.Now() - changedAt_[version];
     outcome_.latest_ = std::max<Duration>(outcome_.latest_, took);
     outcome_.late_ += took > options_.bound_ ? 1 : 0;
-    ++known_[version];
   }
   host.version_ = aVersion;
   return true;
--- a/test/property/ReadWorld.h
+++ b/test/property/ReadWorld.h
@@ -100,7 +100,6 @@
   std::size_t readers_ = 0;
   std::uint64_t version_ = 0;
   std::map<std::uint64_t, TimePoint> changedAt_;
-  std::map<std::uint64_t, std::size_t> known_;
   std::vector<TimePoint> callsAt_;
   Outcome outcome_;
 };
