Say why each caller's connection ended, and what its engine did last

Callers saw requests without an answer of which no host had a line: ends of connections that were idle for this host were not told at all, and for those under a request the log said 'broken_off'.

CallerConnection::End is the one place that closes a caller's connection now, with a reason that is counted; a line is written where this host closed it without notice, or where bytes waited unread. caller_unanswered names the outcome, request_ended the version in force at the end and how long ago an engine's last bytes came, and is written for a request that failed with an exception too; attempt_ended tells silence, and bytes that waited unread when the time was over. No decision changes.

--- a/goldcrestcroft/src/Gateway/CallerConnection.cpp
+++ b/goldcrestcroft/src/Gateway/CallerConnection.cpp
@@ -8,18 +8,13 @@
 
 namespace {
 
-/** Bytes of a rejected request that are read away, so that the close does not
- * reset the connection before the caller has read the answer. */
+/** Bytes after the last answer that are read away, as much as a request that
+ * was rejected may still send. */
 constexpr std::size_t kMaxLingerBytes = 1U << 20U;
 constexpr auto kLinger = std::chrono::milliseconds{ 300 };
 /** A connection that has just been opened, or has just had an answer, may be
  * about to bring a request: one way between zones and a late loop. */
 constexpr auto kFresh = std::chrono::milliseconds{ 200 };
-/** What a connection's time is for. */
-constexpr std::string_view kIdle = "idle";
-constexpr std::string_view kHeader = "header";
-constexpr std::string_view kBody = "body";
-constexpr std::string_view kLastBytes = "last_bytes";
 
 auto MalformedRequest(const std::string& aProblem) -> OwnAnswer
 {
@@ -61,63 +56,31 @@
   : socket_(std::move(aSocket))
   , deadline_(socket_.get_executor(), [this] { return HasUnread(); })
   , traffic_(aTraffic)
+  , answeredAt_(aTraffic.Now())
   , limits_(aTraffic.Routing().Limits())
-  , idleSince_(aTraffic.Now())
+  , idleSince_(answeredAt_)
 {
   SetSocketOptions(socket_);
 }
 
-auto CallerConnection::Limits() const -> ClientLimits
-{
-  const auto& now = traffic_.Routing().Limits();
-  return { .maxHeaderBytes_ =
-             std::max(limits_.maxHeaderBytes_, now.maxHeaderBytes_),
-           .maxBodyBytes_ = std::max(limits_.maxBodyBytes_, now.maxBodyBytes_),
-           .headerTimeout_ =
-             std::max(limits_.headerTimeout_, now.headerTimeout_),
-           .idleTimeout_ = std::max(limits_.idleTimeout_, now.idleTimeout_) };
-}
-
-auto CallerConnection::HasUnread() -> bool
-{
-  return socket_.is_open() && ProbeIdle(socket_) == IdleState::HasBytes;
-}
-
-auto CallerConnection::CloseAfter(Duration aTime, std::string_view aPhase,
-                                  Duration aSpent) -> void
-{
-  deadline_.Arm(aTime - aSpent, [this, aTime, aPhase](auto aLate) {
-    OnTimeOver(aTime, aLate, aPhase);
-  });
-}
-
-auto CallerConnection::OnTimeOver(Duration aTime, Duration aLate,
-                                  std::string_view aPhase) -> void
-{
-  // Looked up only now: a new configuration must not touch every connection.
-  const auto limits = Limits();
-  const auto allowed = aPhase == kIdle || aPhase == kBody ? limits.idleTimeout_
-                       : aPhase == kHeader ? limits.headerTimeout_
-                                           : Duration{};
-  if (allowed > aTime + aLate) {
-    CloseAfter(allowed, aPhase, aTime + aLate);
-    return;
-  }
-  const auto unread = HasUnread();
-  if (aPhase != kIdle || unread || !serving_.empty()) {
-    Log::Write(LogLevel::Warning, "caller_timed_out",
-               { { "phase", std::string(aPhase) },
-                 { "late_ms", std::to_string(ToMilliseconds(aLate)) },
-                 { "unread", unread ? "true" : "false" },
-                 { "request", serving_ } });
+auto CallerConnection::End(CallerEnd aWhy, const std::string& aDetail) -> void
+{
+  if (!end_) {
+    end_ = aWhy;
+    whyEnded_ = aDetail.empty() ? ToString(aWhy) : aDetail;
+    traffic_.Metrics().Count("caller_connections_" +
+                             std::string(ToString(aWhy)));
+    const auto unread = HasUnread();
+    if (IsUnannounced(aWhy) || unread) {
+      Log::Write(LogLevel::Info, "caller_connection_ended",
+                 { { "why", std::string(ToString(aWhy)) },
+                   { "detail", aDetail },
+                   { "unread", unread ? "true" : "false" },
+                   { "request", serving_ },
+                   { "since_answer_ms", std::to_string(ToMilliseconds(
+                                          traffic_.Now() - answeredAt_)) } });
+    }
   }
-  traffic_.Metrics().Count("caller_timed_out_" + std::string(aPhase));
-  whyCut_ = "timed_out_" + std::string(aPhase);
-  Abort();
-}
-
-auto CallerConnection::Abort() -> void
-{
   boost::system::error_code ignored;
   socket_.close(ignored);
   deadline_.Disarm();
@@ -133,14 +96,14 @@
 {
   const auto fresh = idleSince_ && traffic_.Now() - *idleSince_ < kFresh;
   if (!fresh && IsIdle()) {
-    Abort();
+    End(CallerEnd::HostStops);
   }
 }
 
 auto CallerConnection::ReadRequest(CallerRequest& aRequest) -> Task<Intake>
 {
   if (buffer_.size() == 0) {
-    CloseAfter(Limits().idleTimeout_, kIdle);
+    CloseAfter(Limits().idleTimeout_, kIdlePhase);
     const auto [error] =
       co_await socket_.async_wait(Tcp::socket::wait_read, kAsTuple);
     if (error) {
@@ -149,7 +112,7 @@
   }
   idleSince_.reset();
   const auto limits = Limits();
-  CloseAfter(limits.headerTimeout_, kHeader);
+  CloseAfter(limits.headerTimeout_, kHeaderPhase);
   http::request_parser<http::string_body> parser;
   parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes_));
   parser.body_limit(limits.maxBodyBytes_);
@@ -167,7 +130,7 @@
   }
   while (!parser.is_done()) {
     // Each part of the body may take as long as a connection may be idle.
-    CloseAfter(Limits().idleTimeout_, kBody);
+    CloseAfter(Limits().idleTimeout_, kBodyPhase);
     std::tie(error, size) =
       co_await http::async_read_some(socket_, buffer_, parser, kAsTuple);
     if (error && IsProtocolError(error)) {
@@ -187,7 +150,6 @@
   traffic_.NoteRejected(aAnswer);
   auto answer = traffic_.MakeAnswer(aAnswer, "");
   co_await SendWhole(std::move(answer));
-  co_await Linger();
   co_return Intake::Rejected;
 }
 
@@ -195,7 +157,10 @@
 {
   boost::system::error_code ignored;
   socket_.shutdown(Tcp::socket::shutdown_send, ignored);
-  CloseAfter(kLinger, kLastBytes);
+  deadline_.Arm(kLinger, [this](auto) {
+    boost::system::error_code alreadyClosed;
+    socket_.close(alreadyClosed);
+  });
   char bytes[4096];
   for (std::size_t total = 0; total < kMaxLingerBytes;) {
     const auto [error, size] =
@@ -205,7 +170,6 @@
     }
     total += size;
   }
-  Abort();
 }
 
 auto CallerConnection::WatchForClose(std::shared_ptr<RequestRun> aRun) -> void
@@ -226,36 +190,55 @@
     });
 }
 
-auto CallerConnection::Run() -> Task<void>
+auto CallerConnection::ServeAll() -> Task<void>
 {
-  const auto self = shared_from_this();
   for (;;) {
     CallerRequest request;
-    idleSince_ = traffic_.Now();
+    answeredAt_ = traffic_.Now();
+    idleSince_ = answeredAt_;
     limits_ = traffic_.Routing().Limits();
+    saidClose_ = false;
+    answering_ = false;
+    answered_ = false;
     const auto intake = co_await ReadRequest(request);
-    if (intake != Intake::Whole) {
-      break;
+    if (intake == Intake::Ended) {
+      End(CallerEnd::CallerClosed);
+      co_return;
+    }
+    if (intake == Intake::Rejected) {
+      co_await Linger();
+      End(CallerEnd::Rejected);
+      co_return;
     }
     const auto callerKeeps = request.keep_alive();
-    const auto run =
-      std::make_shared<RequestRun>(traffic_, self, std::move(request));
+    const auto run = std::make_shared<RequestRun>(traffic_, shared_from_this(),
+                                                  std::move(request));
     serving_ = run->Id();
     WatchForClose(run);
     const auto goesOn = co_await Serve(run);
     serving_.clear();
     ++watch_;
-    if (!goesOn || !callerKeeps || saidClose_ || !socket_.is_open()) {
-      break;
+    if (end_) {
+      co_return;
+    }
+    if (!answered_) {
+      End(CallerEnd::AnswerUnwritten, whyEnded_);
+      co_return;
     }
     boost::system::error_code ignored;
     socket_.cancel(ignored); // Ends the watch.
+    if (!goesOn || !callerKeeps || saidClose_) {
+      socket_.shutdown(Tcp::socket::shutdown_send, ignored);
+      End(callerKeeps ? CallerEnd::Announced : CallerEnd::CallerAsked);
+      co_return;
+    }
   }
-  if (socket_.is_open()) {
-    boost::system::error_code ignored;
-    socket_.shutdown(Tcp::socket::shutdown_send, ignored);
-  }
-  Abort();
+}
+
+auto CallerConnection::Run() -> Task<void>
+{
+  const auto self = shared_from_this();
+  co_await ServeAll();
   traffic_.OnCallerEnd(self);
 }
 
--- a/goldcrestcroft/src/Gateway/CallerConnection.h
+++ b/goldcrestcroft/src/Gateway/CallerConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../../Routing.h"
+#include "CallerEnd.h"
 #include "Deadline.h"
 #include "OwnAnswer.h"
 
@@ -30,8 +31,9 @@
   {
     return idleSince_;
   }
-  /** \brief Breaks off whatever is under way. */
-  auto Abort() -> void;
+  /** \brief Closes the connection, and breaks off whatever is under way. Only
+   * the first reason counts; aDetail says more for the log. */
+  auto End(CallerEnd aWhy, const std::string& aDetail = "") -> void;
 
   auto SendWhole(http::response<http::string_body> aAnswer) -> Task<bool>;
   auto SendHeadOnly(http::response<http::empty_body> aAnswer) -> Task<bool>;
@@ -41,6 +43,11 @@
   auto SendLastChunk() -> Task<bool>;
 
 private:
+  /** What a connection's time is for. */
+  static constexpr std::string_view kIdlePhase = "idle";
+  static constexpr std::string_view kHeaderPhase = "header";
+  static constexpr std::string_view kBodyPhase = "body";
+
   enum class Intake
   {
     Whole,
@@ -50,6 +57,8 @@
     Rejected
   };
 
+  /** \brief Serves one request after the other until the connection ends. */
+  auto ServeAll() -> Task<void>;
   auto ReadRequest(CallerRequest& aRequest) -> Task<Intake>;
   auto Reject(OwnAnswer aAnswer) -> Task<Intake>;
   auto WatchForClose(std::shared_ptr<RequestRun> aRun) -> void;
@@ -70,13 +79,17 @@
   /** \brief Takes note of how the writing of an answer's end went. */
   auto NoteSent(const boost::system::error_code& aError, bool aIsEnd) -> bool;
   [[nodiscard]] auto HasUnread() -> bool;
+  /** \brief Reads away what still comes, so that the close does not reset the
+   * connection before the caller has read the answer. */
   auto Linger() -> Task<void>;
 
   Tcp::socket socket_;
   Deadline deadline_;
   beast::flat_buffer buffer_;
   Traffic& traffic_;
-  /** Those in force when the last answer ended. */
+  /** When the last answer ended. */
+  TimePoint answeredAt_;
+  /** Those in force then. */
   ClientLimits limits_;
   std::optional<TimePoint> idleSince_;
   /** Id of the request under way, for the log. */
@@ -87,8 +100,9 @@
   bool answering_ = false;
   /** Whether the answer to it has gone out to its end. */
   bool answered_ = false;
-  /** Why the connection ended under it, as far as is known here. */
-  std::string whyCut_;
+  std::optional<CallerEnd> end_;
+  /** More on the end of the connection, for the log. */
+  std::string whyEnded_;
   std::uint64_t watch_ = 0;
 };
 
--- a/goldcrestcroft/src/Gateway/CallerConnectionAnswer.cpp
+++ b/goldcrestcroft/src/Gateway/CallerConnectionAnswer.cpp
@@ -22,6 +22,7 @@
              { { "request", serving_ }, { "reason", aProblem } });
   traffic_.Metrics().Count("requests_failed");
   if (answering_) {
+    End(CallerEnd::Failed, aProblem);
     co_return;
   }
   auto answer = traffic_.MakeAnswer(
@@ -35,10 +36,6 @@
 
 auto CallerConnection::Serve(std::shared_ptr<RequestRun> aRun) -> Task<bool>
 {
-  saidClose_ = false;
-  answering_ = false;
-  answered_ = false;
-  whyCut_.clear();
   auto goesOn = false;
   std::optional<std::string> problem;
   try {
@@ -47,12 +44,13 @@
     problem = aProblem.what();
   }
   if (problem) {
+    aRun->OnFailed(*problem);
     co_await AnswerFailure(std::move(*problem));
   }
   if (!answered_) {
     Log::Write(LogLevel::Info, "caller_unanswered",
                { { "request", serving_ },
-                 { "reason", whyCut_.empty() ? "broken_off" : whyCut_ } });
+                 { "reason", whyEnded_.empty() ? "broken_off" : whyEnded_ } });
     traffic_.Metrics().Count("callers_unanswered");
   }
   co_return goesOn;
@@ -62,8 +60,8 @@
                                 bool aIsEnd) -> bool
 {
   answered_ = answered_ || (aIsEnd && !aError);
-  if (aError && whyCut_.empty()) {
-    whyCut_ = aError.message();
+  if (aError && whyEnded_.empty()) {
+    whyEnded_ = aError.message();
   }
   return !aError;
 }
--- a/goldcrestcroft/src/Gateway/EngineConnection.cpp
+++ b/goldcrestcroft/src/Gateway/EngineConnection.cpp
@@ -19,6 +19,7 @@
       return;
     }
     timedOut_ = true;
+    leftUnread_ = HasUnread();
     Close();
   });
 }
@@ -46,6 +47,7 @@
   writeBegun_ = false;
   writeDone_ = false;
   timedOut_ = false;
+  leftUnread_ = false;
 }
 
 auto EngineConnection::Connect(const std::string& aAddress, Duration aTimeout)
@@ -70,6 +72,7 @@
 auto EngineConnection::BeginWrite(std::string aBytes) -> Task<bool>
 {
   const auto self = shared_from_this();
+  NoteHeard();
   outgoing_ = std::move(aBytes);
   writeBegun_ = true;
   if (outgoing_.size() > kWriteAtOnce) {
--- a/goldcrestcroft/src/Gateway/EngineConnection.h
+++ b/goldcrestcroft/src/Gateway/EngineConnection.h
@@ -28,6 +28,11 @@
   auto SetOpenedAt(TimePoint aTime) -> void { openedAt_ = aTime; }
   /** \brief Whether it was closed because its time was over. */
   [[nodiscard]] auto TimedOut() const -> bool { return timedOut_; }
+  /** \brief Whether bytes waited to be read at that moment. */
+  [[nodiscard]] auto LeftUnread() const -> bool { return leftUnread_; }
+  /** \brief When bytes came last in this exchange, its beginning at first. */
+  [[nodiscard]] auto HeardAt() const -> TimePoint { return heardAt_; }
+  auto NoteHeard() -> void { heardAt_ = clock_.Now(); }
 
   /** \brief The error code is zero on success. */
   auto Connect(const std::string& aAddress, Duration aTimeout)
@@ -52,8 +57,11 @@
   beast::flat_buffer buffer_;
   Deadline deadline_;
   std::string outgoing_;
+  SuspendAwareClock clock_;
   TimePoint openedAt_;
+  TimePoint heardAt_;
   bool timedOut_ = false;
+  bool leftUnread_ = false;
   bool writeBegun_ = false;
   bool writeDone_ = false;
 };
--- a/goldcrestcroft/src/Gateway/EngineExchange.cpp
+++ b/goldcrestcroft/src/Gateway/EngineExchange.cpp
@@ -160,6 +160,9 @@
   const auto [error, size] = co_await connection.Socket().async_read_some(
     connection.Buffer().prepare(kReadBytes), kAsTuple);
   connection.Buffer().commit(size);
+  if (!error) {
+    connection.NoteHeard();
+  }
   co_return error;
 }
 
--- a/goldcrestcroft/src/Gateway/RequestRun.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRun.cpp
@@ -174,8 +174,10 @@
   if (current_) {
     current_->Close();
   }
-  if (streamBegun_ || aWhy == Aborted::CallerGone) {
-    caller_->Abort();
+  if (aWhy == Aborted::CallerGone) {
+    caller_->End(CallerEnd::CallerLeft);
+  } else if (streamBegun_) {
+    caller_->End(CallerEnd::AnswerBroken, BrokenOutcome());
   }
   wake_.cancel();
 }
@@ -199,6 +201,11 @@
   co_return kept;
 }
 
+auto RequestRun::OnFailed(const std::string& aProblem) -> void
+{
+  Finish("host_failed", aProblem);
+}
+
 auto RequestRun::Answer(OwnAnswer aAnswer) -> Task<bool>
 {
   Finish(aAnswer.reason_, aAnswer.message_);
--- a/goldcrestcroft/src/Gateway/RequestRun.h
+++ b/goldcrestcroft/src/Gateway/RequestRun.h
@@ -27,6 +27,8 @@
   auto OnHeldBack(std::uint64_t aFingerprint) -> void;
   /** \brief The caller's id of the request, as it was sent. */
   [[nodiscard]] auto Id() const -> std::string;
+  /** \brief Its serving ended in an exception. */
+  auto OnFailed(const std::string& aProblem) -> void;
 
 private:
   enum class Aborted
@@ -54,6 +56,8 @@
 
   auto Execute() -> Task<bool>;
   auto Conclude(AttemptEnd aEnd) -> Task<bool>;
+  /** \brief Outcome of a stream that has begun and is not finished. */
+  [[nodiscard]] auto BrokenOutcome() const -> std::string;
   /** \brief When an engine wants requests again, if none does now; later for
    * some requests, by their id. */
   [[nodiscard]] auto ComeBackAfter() const -> Duration;
@@ -163,6 +167,8 @@
   /** Sent to an engine whose answer is not known. */
   bool unsettled_ = false;
   std::string lastEngine_;
+  /** When the last bytes of an engine came. */
+  TimePoint heardAt_;
   /** Runs without a whole answer so far. */
   std::uint64_t lostRuns_ = 0;
   TimePoint stagesDoneAt_;
--- a/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
@@ -160,6 +160,13 @@
   co_return ended ? AttemptEnd::Delivered : AttemptEnd::Abandoned;
 }
 
+auto RequestRun::BrokenOutcome() const -> std::string
+{
+  return aborted_ == Aborted::TimeOver   ? "timeout"
+         : aborted_ == Aborted::HostEnds ? "host_ends_streaming"
+                                         : "stream_broken";
+}
+
 auto RequestRun::Conclude(AttemptEnd aEnd) -> Task<bool>
 {
   if (aborted_ == Aborted::CallerGone) {
@@ -168,11 +175,9 @@
   }
   if (streamBegun_) {
     // The caller must see that the answer is not whole.
-    Finish(aborted_ == Aborted::TimeOver   ? "timeout"
-           : aborted_ == Aborted::HostEnds ? "host_ends_streaming"
-                                           : "stream_broken",
-           stageProblem_ ? stageProblem_->message_ : "");
-    caller_->Abort();
+    const auto outcome = BrokenOutcome();
+    Finish(outcome, stageProblem_ ? stageProblem_->message_ : "");
+    caller_->End(CallerEnd::AnswerBroken, outcome);
     co_return false;
   }
   if (failureHead_) {
@@ -249,6 +254,7 @@
       { "detail", aDetail },
       { "route", route_ == nullptr ? "" : route_->name_ },
       { "configuration", std::to_string(routing_->Version()) },
+      { "configuration_now", std::to_string(traffic_.Routing().Version()) },
       { "workspace", workspace_ },
       { "rank", std::to_string(rank_) },
       { "engine", lastEngine_ },
@@ -256,6 +262,10 @@
       { "stages_ms", since(stagesDoneAt_) },
       { "first_event_ms", since(firstEventAt_) },
       { "events", std::to_string(relay_.Events()) },
+      { "engine_silent_ms",
+        heardAt_ == TimePoint{}
+          ? "-"
+          : fmt::format("{:.0f}", ToMilliseconds(now - heardAt_)) },
       { "left_ms", deadline_ == arrivedAt_
                      ? "-"
                      : fmt::format("{:.0f}", ToMilliseconds(TimeLeft())) },
--- a/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
@@ -80,6 +80,7 @@
   const auto end = co_await TalkTo(lease);
   --aEngine->ownRequests_;
   current_.reset();
+  heardAt_ = std::max(heardAt_, lease.connection_->HeardAt());
   if (end != AttemptEnd::Delivered) {
     Log::Write(
       LogLevel::Info, "attempt_ended",
@@ -87,6 +88,9 @@
         { "engine", entry.id_ },
         { "end", ToString(end) },
         { "timed_out", lease.connection_->TimedOut() ? "true" : "false" },
+        { "unread", lease.connection_->LeftUnread() ? "true" : "false" },
+        { "silent_ms", std::to_string(ToMilliseconds(
+                         traffic_.Now() - lease.connection_->HeardAt())) },
         { "left_ms", std::to_string(ToMilliseconds(TimeLeft())) } });
   }
   co_return end;
--- a/goldcrestcroft/src/Gateway/Traffic.cpp
+++ b/goldcrestcroft/src/Gateway/Traffic.cpp
@@ -134,7 +134,7 @@
     const auto longest = std::move(idle.back());
     idle.pop_back();
     if (longest->IsIdle()) {
-      longest->Abort();
+      longest->End(CallerEnd::MadeRoom);
       callers_.erase(longest);
       metrics_.Count("idle_callers_dropped");
       return true;
--- a/test/unit/LoopStall.cpp
+++ b/test/unit/LoopStall.cpp
@@ -68,7 +68,7 @@
 {
   // What the loop still holds refers to the traffic.
   for (const auto& connection : connections_) {
-    connection->Abort();
+    connection->End(CallerEnd::HostStops);
   }
   loop_.Poll();
 }
