Keep callers that go by an idle time between two changes

Cause: a connection kept the limits of its last answer and compared them with those in force at the expiry; what was in force in between counted for nothing.

Evidence: unit.StaleTimeout "a caller that goes by an idle time between two changes is not cut" had no answer on, and has one now; unit.LimitHistory. Cost: nothing a request; one list a host, searched from its newest end when a time-out is armed.

Not shown: that this is what the users saw.

--- a/goldcrestcroft/src/Gateway/CallerConnection.cpp
+++ b/goldcrestcroft/src/Gateway/CallerConnection.cpp
@@ -57,7 +57,6 @@
   , deadline_(socket_.get_executor(), [this] { return HasUnread(); })
   , traffic_(aTraffic)
   , answeredAt_(aTraffic.Now())
-  , limits_(aTraffic.Routing().Limits())
   , idleSince_(answeredAt_)
 {
   SetSocketOptions(socket_);
@@ -196,7 +195,6 @@
     CallerRequest request;
     answeredAt_ = traffic_.Now();
     idleSince_ = answeredAt_;
-    limits_ = traffic_.Routing().Limits();
     saidClose_ = false;
     answering_ = false;
     answered_ = false;
--- a/goldcrestcroft/src/Gateway/CallerConnection.h
+++ b/goldcrestcroft/src/Gateway/CallerConnection.h
@@ -73,8 +73,8 @@
     -> void;
   auto OnTimeOver(Duration aTime, Duration aLate, std::string_view aPhase)
     -> void;
-  /** \brief What the caller may go by: the limits since its last answer, or
-   * those in force now where they allow more. */
+  /** \brief What the caller may go by: the most that any limits in force since
+   * its last answer allow. */
   [[nodiscard]] auto Limits() const -> ClientLimits;
   /** \brief Takes note of how the writing of an answer's end went. */
   auto NoteSent(const boost::system::error_code& aError, bool aIsEnd) -> bool;
@@ -89,8 +89,6 @@
   Traffic& traffic_;
   /** When the last answer ended. */
   TimePoint answeredAt_;
-  /** Those in force then. */
-  ClientLimits limits_;
   std::optional<TimePoint> idleSince_;
   /** Id of the request under way, for the log. */
   std::string serving_;
--- a/goldcrestcroft/src/Gateway/CallerConnectionTimes.cpp
+++ b/goldcrestcroft/src/Gateway/CallerConnectionTimes.cpp
@@ -7,13 +7,7 @@
 
 auto CallerConnection::Limits() const -> ClientLimits
 {
-  const auto& now = traffic_.Routing().Limits();
-  return { .maxHeaderBytes_ =
-             std::max(limits_.maxHeaderBytes_, now.maxHeaderBytes_),
-           .maxBodyBytes_ = std::max(limits_.maxBodyBytes_, now.maxBodyBytes_),
-           .headerTimeout_ =
-             std::max(limits_.headerTimeout_, now.headerTimeout_),
-           .idleTimeout_ = std::max(limits_.idleTimeout_, now.idleTimeout_) };
+  return traffic_.Limits().MostSince(answeredAt_);
 }
 
 auto CallerConnection::HasUnread() -> bool
--- a/goldcrestcroft/src/Gateway/Traffic.cpp
+++ b/goldcrestcroft/src/Gateway/Traffic.cpp
@@ -153,6 +153,7 @@
 {
   const auto startedAt = Now();
   routing_ = std::move(aRouting);
+  limits_.OnLimits(routing_->Limits(), startedAt);
   std::set<std::string> names;
   for (const auto& route : routing_->Routes()) {
     names.insert(route.name_);
--- a/goldcrestcroft/src/Gateway/Traffic.h
+++ b/goldcrestcroft/src/Gateway/Traffic.h
@@ -94,6 +94,8 @@
   {
     return routing_;
   }
+  /** \brief Limits of callers' connections, those of before included. */
+  [[nodiscard]] auto Limits() const -> const LimitHistory& { return limits_; }
   [[nodiscard]] auto IsConfigured() const -> bool
   {
     return routing_->Version() > 0;
@@ -182,6 +184,7 @@
   SuspendAwareClock clock_;
   std::shared_ptr<const RoutingTable> routing_ =
     std::make_shared<const RoutingTable>();
+  LimitHistory limits_;
   std::shared_ptr<const FleetView> fleet_ = std::make_shared<const FleetView>();
   EnginePool pool_;
   /** By number. */
