Read away what comes after the last request of a connection

Callers saw the last answer of a connection cut short, where bytes came after its request (an extra line end, a next request): the host closed with these unread, the connection was reset, and the reset threw away what the caller had not taken yet. Only answers to requests that cannot be read were safe from it.

Each connection that ends after an answer lingers now as those did: its sending side is shut down, and what comes is read away for 300 ms or 1 MB at most.

Cost: connections that end stay for 300 ms at most where the caller does not close; kept ones are not touched.

--- a/goldcrestcroft/src/Gateway/CallerConnection.cpp
+++ b/goldcrestcroft/src/Gateway/CallerConnection.cpp
@@ -209,11 +209,12 @@
       co_return;
     }
     const auto callerKeeps = request.keep_alive();
-    const auto run = std::make_shared<RequestRun>(traffic_, shared_from_this(),
-                                                  std::move(request));
+    auto run = std::make_shared<RequestRun>(traffic_, shared_from_this(),
+                                            std::move(request));
     serving_ = run->Id();
     WatchForClose(run);
     const auto goesOn = co_await Serve(run);
+    run.reset();
     serving_.clear();
     ++watch_;
     if (end_) {
@@ -226,7 +227,7 @@
     boost::system::error_code ignored;
     socket_.cancel(ignored); // Ends the watch.
     if (!goesOn || !callerKeeps || saidClose_) {
-      socket_.shutdown(Tcp::socket::shutdown_send, ignored);
+      co_await Linger();
       End(callerKeeps ? CallerEnd::Announced : CallerEnd::CallerAsked);
       co_return;
     }
--- a/test/platform/EngineStandin.cpp
+++ b/test/platform/EngineStandin.cpp
@@ -18,6 +18,16 @@
   return std::string(aRequest[aName]);
 }
 
+auto WithId(std::string aBytes, const std::string& aId) -> std::string
+{
+  const std::string mark = "@ID";
+  for (auto at = aBytes.find(mark); at != std::string::npos;
+       at = aBytes.find(mark)) {
+    aBytes.replace(at, mark.size(), aId);
+  }
+  return aBytes;
+}
+
 /** Events from the one after the last that the caller has. */
 auto Events(const std::string& aLastId, const std::string& aId)
   -> std::vector<std::string>
@@ -160,6 +170,10 @@
   if (reaction.status_ == 200) {
     const std::lock_guard lock(mutex_);
     reaction.endless_ = endless_;
+    if (cutBytes_) {
+      reaction.raw_ = WithId(*cutBytes_, Header(aRequest, kRequestId));
+      reaction.resets_ = cutResets_;
+    }
   }
   if (leaving_) {
     // Either spelling has to do.
@@ -199,24 +213,21 @@
   arrivals_.push_back({ .requestId_ = id,
                         .workspace_ = Header(aRequest, "Goldcrestcroft-Tenant"),
                         .at_ = SuspendAwareClock{}.Now(),
-                        .ran_ = trouble != Trouble::Full });
+                        .ran_ = trouble != Trouble::Full && !inputsGone_ });
   Reaction reaction{ .headers_ = { { kRequestId, id },
                                    { "Goldcrestcroft-Server-Load", "1,0,8" } },
                      .delay_ = std::chrono::milliseconds{ delayMs_ },
                      .repeatsLast_ = trouble == Trouble::Repeats,
                      .repeatsId_ = repeatsId_ };
-  if (trouble == Trouble::Full) {
-    reaction.status_ = 503;
+  if (trouble == Trouble::Full || inputsGone_) {
+    reaction.status_ = inputsGone_ ? 409 : 503;
     reaction.headers_.emplace_back(kNotRun, "1");
     return reaction;
   }
   ++runs_[id];
   if (!resumedBytes_.empty() && !Header(aRequest, "Last-Event-Id").empty()) {
     ++resumed_;
-    reaction.raw_ = resumedBytes_;
-    if (const auto at = reaction.raw_->find("@ID"); at != std::string::npos) {
-      reaction.raw_->replace(at, 3, id);
-    }
+    reaction.raw_ = WithId(resumedBytes_, id);
     return reaction;
   }
   if (trouble != Trouble::Fails && IsEndedBy(aRequest)) {
@@ -231,7 +242,8 @@
   reaction.status_ = trouble == Trouble::Fails ? 500 : 200;
   reaction.drops_ = trouble == Trouble::Drops;
   reaction.cuts_ = trouble == Trouble::Cuts;
-  reaction.body_ = "answer to " + id + " " + aRequest.body();
+  reaction.body_ =
+    "answer to " + id + " " + aRequest.body() + std::string(padding_, 'x');
   if (trouble == Trouble::Stray) {
     reaction.strayId_ = "another";
   }
@@ -239,7 +251,16 @@
       trouble != Trouble::Fails) {
     reaction.headers_.emplace_back("Content-Type", "text/event-stream");
     reaction.chunks_ = Events(Header(aRequest, "Last-Event-Id"), id);
+    if (splitsEvents_ && reaction.chunks_.size() > 2) {
+      auto& second = reaction.chunks_[1];
+      auto& third = reaction.chunks_[2];
+      constexpr std::size_t kPart = 4;
+      second += third.substr(0, kPart);
+      third.erase(0, kPart);
+    }
     reaction.pause_ = std::chrono::milliseconds{ pauseMs_ };
+    reaction.stall_ =
+      std::chrono::milliseconds{ stallMs_ < 0 ? pauseMs_ : stallMs_ };
     if (reaction.cuts_) {
       reaction.chunks_.resize(2);
       reaction.chunks_.push_back("id: 3\nda");
--- a/test/platform/EngineStandin.h
+++ b/test/platform/EngineStandin.h
@@ -110,7 +110,16 @@
     const std::lock_guard lock(mutex_);
     resumedBytes_ = aBytes;
   }
-  /** \brief How often that was done. */
+  /** \brief All that it runs, calls of stages too, is answered with these
+   * bytes from now on, "@ID" standing for the request's id, and closed or
+   * reset. None for its own answers again. */
+  auto SetCut(std::optional<std::string> aBytes, bool aResets = false) -> void
+  {
+    const std::lock_guard lock(mutex_);
+    cutBytes_ = std::move(aBytes);
+    cutResets_ = aResets;
+  }
+  /** \brief How often streams went on, as SetResumed says. */
   [[nodiscard]] auto Resumed() const -> std::size_t { return resumed_; }
   auto SetMostConnections(std::size_t aMost) -> void
   {
@@ -134,6 +143,14 @@
   std::atomic<int> callMs_ = 20;
   /** Before each event of a stream. */
   std::atomic<int> pauseMs_ = 5;
+  /** Says that the results which a request needs are gone, unrun. */
+  std::atomic<bool> inputsGone_ = false;
+  /** Sends the beginning of a stream's third event before the pause. */
+  std::atomic<bool> splitsEvents_ = false;
+  /** Before the third event of a stream; as before each if negative. */
+  std::atomic<int> stallMs_ = -1;
+  /** Bytes added to the body of each answer that is no stream. */
+  std::atomic<std::size_t> padding_ = 0;
   /** All its answers say that it leaves. */
   std::atomic<bool> leaving_ = false;
   /** Requests a second that all its answers name as its limit; none if
@@ -162,6 +179,8 @@
   std::uint64_t sequence_ = 0;
   std::optional<EndlessBytes> endless_;
   std::string resumedBytes_;
+  std::optional<std::string> cutBytes_;
+  bool cutResets_ = false;
   std::atomic<std::size_t> resumed_ = 0;
   std::map<std::string, int> runs_;
   std::vector<Arrival> arrivals_;
--- a/test/platform/HttpServer.cpp
+++ b/test/platform/HttpServer.cpp
@@ -32,8 +32,11 @@
   head.chunked(true);
   http::response_serializer<http::empty_body> serializer(head);
   co_await http::async_write_header(aSocket, serializer, kAsTuple);
-  for (const auto& chunk : aReaction.chunks_) {
-    co_await Sleep(aContext, aReaction.pause_);
+  constexpr std::size_t kStallsBefore = 2;
+  for (std::size_t i = 0; i < aReaction.chunks_.size(); ++i) {
+    const auto& chunk = aReaction.chunks_[i];
+    co_await Sleep(aContext,
+                   i == kStallsBefore ? aReaction.stall_ : aReaction.pause_);
     const auto [error, size] = co_await asio::async_write(
       aSocket, http::make_chunk(asio::buffer(chunk)), kAsTuple);
     if (error) {
@@ -160,6 +163,12 @@
     if (reaction.raw_) {
       co_await asio::async_write(socket, asio::buffer(*reaction.raw_),
                                  kAsTuple);
+      if (reaction.resets_) {
+        // What was sent is to arrive before the reset.
+        co_await Sleep(context_, kLook);
+        socket.set_option(asio::socket_base::linger(true, 0));
+        socket.close();
+      }
       co_return;
     }
     if (!reaction.chunks_.empty()) {
--- a/test/platform/HttpServer.h
+++ b/test/platform/HttpServer.h
@@ -22,6 +22,8 @@
   /** Parts of a body that is sent in chunks, with a pause before each. */
   std::vector<std::string> chunks_;
   std::chrono::milliseconds pause_{ 0 };
+  /** Longer pause before the third of them. */
+  std::chrono::milliseconds stall_{ 0 };
   /** Closed without an answer. */
   bool drops_ = false;
   /** Closed in the middle of the answer. */
@@ -34,6 +36,8 @@
   bool repeatsId_ = true;
   /** Sent as it is in place of an answer, and closed. */
   std::optional<std::string> raw_;
+  /** The connection is reset after these bytes. */
+  bool resets_ = false;
   /** Sent in place of all of the above. */
   std::optional<EndlessBytes> endless_;
 };
--- /dev/null
+++ b/test/process/SlowCallerTest.cpp
@@ -0,0 +1,75 @@
+#include "EntryFleet.h"
+
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+
+namespace testing {
+
+namespace {
+
+using namespace goldcrestcroft;
+
+/** Sends the call and aAfter, and reads its answer only after aPause. */
+auto ReadLate(const std::string& aAddress, const CallerCall& aCall,
+              const std::string& aAfter, std::chrono::milliseconds aPause)
+  -> CallerAnswer
+{
+  asio::io_context context;
+  Tcp::socket socket(context);
+  socket.open(Tcp::v4());
+  // Small windows, as on the links of callers far away.
+  socket.set_option(asio::socket_base::receive_buffer_size(4096));
+  socket.connect(ParseTcpEndpoint(aAddress));
+  const timeval patience{ .tv_sec = 8 };
+  setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &patience,
+             sizeof(patience));
+  http::request<http::string_body> request(http::verb::post, aCall.target_, 11);
+  for (const auto& [name, value] : aCall.headers_) {
+    request.set(name, value);
+  }
+  request.body() = aCall.body_;
+  request.prepare_payload();
+  boost::system::error_code error;
+  http::write(socket, request, error);
+  asio::write(socket, asio::buffer(aAfter), error);
+  std::this_thread::sleep_for(aPause);
+  beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(boost::none);
+  http::read(socket, buffer, parser, error);
+  return { .status_ = static_cast<int>(parser.get().result_int()),
+           .body_ = parser.get().body(),
+           .whole_ = !error && parser.is_done() };
+}
+
+/** More than the buffers of a connection hold. */
+constexpr std::size_t kPadding = 8'000'000;
+
+auto PadAnswers(EntryFleet& aFleet) -> void
+{
+  for (const auto& engine : aFleet.Platform().Engines("desk")) {
+    engine->padding_ = kPadding;
+  }
+}
+
+} // namespace
+
+TEST_CASE("the last answer of a connection is cut by bytes that came after its "
+          "request")
+{
+  EntryFleet fleet(1);
+  INFO(fleet.Log(0));
+  REQUIRE(fleet.AwaitReady(0));
+  PadAnswers(fleet);
+  auto call = fleet.MakeCall("/unsafe/x");
+  call.headers_["Connection"] = "close";
+  constexpr std::size_t kMoreThanOneRead = 200'000;
+  const auto answer =
+    ReadLate(fleet.CallerAddress(0), call, std::string(kMoreThanOneRead, 'x'),
+             std::chrono::milliseconds{ 600 });
+  CHECK(answer.status_ == 200);
+  CHECK(answer.whole_);
+  CHECK(answer.body_.size() > kPadding);
+}
+
+} // namespace testing
