Leave callers that read slowly their time

Callers that took no bytes of an answer for little more than a second were cut off, although the host means to wait 20 s for them: the time that sent bytes may stay unacknowledged (TCP_USER_TIMEOUT, 1.2 s) also ends connections whose other end is alive and does not read, once the buffers between are full.

For callers' connections that option is the system's own now. A caller whose machine is gone is still noticed by probes within seconds while nothing is on its way to it, by the time for writing an answer otherwise, and by the request's own deadline in a stream. Engines, hosts and the store keep 1.2 s.

Ruled out: the time for writing an answer, which is 20 s.

--- a/goldcrestcroft/src/Gateway/CallerConnection.cpp
+++ b/goldcrestcroft/src/Gateway/CallerConnection.cpp
@@ -59,7 +59,9 @@
   , answeredAt_(aTraffic.Now())
   , idleSince_(answeredAt_)
 {
-  SetSocketOptions(socket_);
+  // A caller that reads slowly leaves bytes unacknowledged for long; the time
+  // for writing an answer bounds that.
+  SetSocketOptions(socket_, { .unacknowledged_ = {} });
 }
 
 auto CallerConnection::End(CallerEnd aWhy, const std::string& aDetail) -> void
--- a/goldcrestcroft/src/Gateway/Net.h
+++ b/goldcrestcroft/src/Gateway/Net.h
@@ -35,7 +35,8 @@
   /** Idle time before the first probe, and between probes. */
   std::chrono::seconds probeEvery_{ 1 };
   int probes_ = 2;
-  /** Time that sent bytes may stay unacknowledged. */
+  /** Time that sent bytes may stay unacknowledged, also where the other end
+   * does not read; zero for the system's own. */
   std::chrono::milliseconds unacknowledged_{ 1200 };
 };
 
--- a/test/process/SlowCallerTest.cpp
+++ b/test/process/SlowCallerTest.cpp
@@ -54,6 +54,20 @@
 
 } // namespace
 
+TEST_CASE("an answer is cut where its caller reads nothing for some seconds")
+{
+  EntryFleet fleet(1);
+  INFO(fleet.Log(0));
+  REQUIRE(fleet.AwaitReady(0));
+  PadAnswers(fleet);
+  const auto answer =
+    ReadLate(fleet.CallerAddress(0), fleet.MakeCall("/unsafe/x"), "",
+             std::chrono::seconds{ 4 });
+  CHECK(answer.status_ == 200);
+  CHECK(answer.whole_);
+  CHECK(answer.body_.size() > kPadding);
+}
+
 TEST_CASE("the last answer of a connection is cut by bytes that came after its "
           "request")
 {
