Answer a request that fails before it is served

A caller whose request ended in an exception outside of its serving (between the reading of it and the first look at its route) had neither an answer nor a close: the coroutine of the connection ended, and the open socket stayed in the list of callers.

What ends the coroutine is caught in one place: a request that was read has a 502, the connection lingers and ends as 'failed', and is taken off the list.

Evidence: unit.CallerEnds "a request that fails before it is served leaves its caller waiting": no answer and no end within 5 s before, a 502 and the end now.

--- a/goldcrestcroft/src/Gateway/CallerConnection.cpp
+++ b/goldcrestcroft/src/Gateway/CallerConnection.cpp
@@ -50,6 +50,19 @@
          aError != http::error::partial_message;
 }
 
+/** What the task fails with, if it does. */
+auto Try(Task<void> aTask) -> Task<std::optional<std::string>>
+{
+  try {
+    co_await std::move(aTask);
+  } catch (const std::exception& aProblem) {
+    co_return aProblem.what();
+  } catch (...) {
+    co_return "an exception of another type";
+  }
+  co_return std::nullopt;
+}
+
 } // namespace
 
 CallerConnection::CallerConnection(Tcp::socket aSocket, Traffic& aTraffic)
@@ -239,7 +252,17 @@
 auto CallerConnection::Run() -> Task<void>
 {
   const auto self = shared_from_this();
-  co_await ServeAll();
+  auto serving = ServeAll();
+  const auto problem = co_await Try(std::move(serving));
+  if (problem && !idleSince_) {
+    auto answering = AnswerFailure(*problem);
+    co_await Try(std::move(answering));
+    auto lingering = Linger();
+    co_await Try(std::move(lingering));
+  }
+  if (problem) {
+    End(CallerEnd::Failed, *problem);
+  }
   traffic_.OnCallerEnd(self);
 }
 
--- a/test/unit/ThrowingCodec.h
+++ b/test/unit/ThrowingCodec.h
@@ -11,6 +11,9 @@
 class ThrowingCodec : public goldcrestcroft::PlatformCodec
 {
 public:
+  /** \brief Fails before the serving begins, too. */
+  auto FailFromNowOn() -> void { failsAlways_ = true; }
+
   [[nodiscard]] auto ReadPrompt(std::string_view aHeader) const
     -> std::vector<goldcrestcroft::PromptPart> override
   {
@@ -20,6 +23,9 @@
   [[nodiscard]] auto Headers() const
     -> const goldcrestcroft::HeaderNames& override
   {
+    if (failsAlways_) {
+      throw std::runtime_error("a fault of the test");
+    }
     return codec_.Headers();
   }
   [[nodiscard]] auto DecodeRouting(const std::string& aText) const
@@ -110,6 +116,7 @@
 
 private:
   platform::TableCodec codec_;
+  bool failsAlways_ = false;
 };
 
 } // namespace testing
