Do not count a loop that stands still against those who spoke in time

A time-out that finds unread bytes leaves 250 ms for reading them, once. Where the loop stands still again in that time (versions with many routes take up to 252 ms of the same core on a host with little of one, several in a row in a storm), the connection was closed with the bytes unread: a caller or an engine paid for this host's own lag.

A grace in which the loop was late by 100 ms, one period of a processor quota, or more counts for nothing and is left again, eight times at most, so that bytes that trickle in and a loop that is always late do not put it off for ever.

Evidence: unit.Deadline "bytes that came in time are read although the loop stands still again and again": over at the second stall of 400 ms before, in each of four stalls in time now; "a loop that is always late does not put an expiry off for ever".

--- a/goldcrestcroft/src/Gateway/Deadline.h
+++ b/goldcrestcroft/src/Gateway/Deadline.h
@@ -18,7 +18,8 @@
   using HasUnread = std::function<bool()>;
 
   /** \brief With aHasUnread, an expiry that finds unread bytes leaves a short
-   * time for reading them, once for each arming. */
+   * time for reading them: once for each arming, and again, a few times at
+   * most, where the loop stood still meanwhile. */
   explicit Deadline(const asio::any_io_executor& aExecutor,
                     HasUnread aHasUnread = {});
   Deadline(const Deadline&) = delete;
--- a/test/unit/DeadlineTest.cpp
+++ b/test/unit/DeadlineTest.cpp
@@ -12,6 +12,8 @@
 
 constexpr auto kTime = milliseconds{ 20 };
 constexpr auto kFar = std::chrono::hours{ 1 };
+/** Longer than the time that is left for reading what came before. */
+constexpr auto kStall = milliseconds{ 400 };
 
 } // namespace
 
@@ -63,6 +65,36 @@
   CHECK(asked == 2);
 }
 
+TEST_CASE("bytes that came in time are read although the loop stands still "
+          "again and again")
+{
+  LoopStall loop;
+  auto over = false;
+  Deadline deadline(loop.Context().get_executor(), [] { return true; });
+  deadline.Arm(kTime, [&](auto) { over = true; });
+  for (auto i = 0; i < 4; ++i) {
+    LoopStall::StandStill(kStall);
+    loop.Poll();
+    CHECK_FALSE(over);
+  }
+  deadline.Disarm();
+  loop.Poll();
+  CHECK_FALSE(over);
+}
+
+TEST_CASE("a loop that is always late does not put an expiry off for ever")
+{
+  LoopStall loop;
+  auto over = false;
+  Deadline deadline(loop.Context().get_executor(), [] { return true; });
+  deadline.Arm(kTime, [&](auto) { over = true; });
+  for (auto i = 0; i < 12 && !over; ++i) {
+    LoopStall::StandStill(kStall);
+    loop.Poll();
+  }
+  CHECK(over);
+}
+
 TEST_CASE("a time that is over is told once, and may be set anew from there")
 {
   LoopStall loop;
