Take late in a stop only what must end before the host does

Cause: a stopping host admitted by twice what a kind of request had usually taken, learned from those that were delivered, until the end of the grace. The platform excuses a cut only for what was sent within 3 s of SIGTERM. An engine that has just become slow, or a route with one request so far, beat the estimate.

StopAdmission goes by the estimate for 2.5 s now (3 s less the signal's own way), only where there is one, and then takes only what must end in time by the caller's or the route's own deadline; the rest is refused at once, unrun, with 50 ms to come back. StopTimes holds the times of a stop in one place, as parts of the grace, since the excuse is its last sixth: a host with less than 6 s cut outside of it. Streams that have begun get until a twelfth (at most 0.7 s) before the end, where they were cut with 1 s left. Permits are not waited for while a host stops.

A test changed: unit.EngineConsent "a host that ends takes what will end before it does" asked that an estimate of 1.4 s be taken 4 s after SIGTERM under a deadline of 30 s. Nothing bounds such a request before the end, so this is now asked for 2.5 s after SIGTERM with 2 s, and a new case asks for each moment after it that nothing is taken by the estimate. What it costs: between 2.5 s and 6 s after SIGTERM, callers that go by an old list come back once.

--- a/goldcrestcroft/Engines.h
+++ b/goldcrestcroft/Engines.h
@@ -20,6 +20,7 @@
 #include "src/Engines/PromptPart.h"
 #include "src/Engines/RepeatWindow.h"
 #include "src/Engines/StopAdmission.h"
+#include "src/Engines/StopTimes.h"
 #include "src/Engines/SuspectBoard.h"
 #include "src/Engines/SuspectCounter.h"
 #include "src/Engines/SuspectNotice.h"
--- a/goldcrestcroft/src/Engines/StopAdmission.h
+++ b/goldcrestcroft/src/Engines/StopAdmission.h
@@ -1,55 +1,64 @@
 #pragma once
 
 #include "../../Core.h"
+#include "StopTimes.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace goldcrestcroft {
 
 /** \brief What a host that is about to end still takes.
  *
  * Callers keep its address for a while, so it serves on; but a request that
- * would not end before the host does is refused, since elsewhere it is served
+ * might not end before the host does is refused, since elsewhere it is served
  * whole. */
 class StopAdmission
 {
 public:
   struct Options
   {
-    /** Requests of the first part of the time are taken whatever they take: the
-     * platform leaves them the rest of it. */
+    /** Requests of the first part of the time are taken whatever they take. */
     Duration takeAllFor_ = std::chrono::milliseconds{ 1000 };
+    /** Then they are taken by what they usually take, for as long as the
+     * platform excuses that a request is broken off in the end: 3 s, less what
+     * the signal's own way may have taken. */
+    Duration estimateFor_ = std::chrono::milliseconds{ 2500 };
     /** Requests take up to so many times what they usually do. */
     double patience_ = 2.0;
   };
 
-  StopAdmission(TimePoint aStoppedAt, TimePoint aEnd)
-    : StopAdmission(Options{}, aStoppedAt, aEnd)
+  explicit StopAdmission(StopTimes aTimes)
+    : StopAdmission(Options{}, aTimes)
   {
   }
-  StopAdmission(Options aOptions, TimePoint aStoppedAt, TimePoint aEnd)
+  StopAdmission(Options aOptions, StopTimes aTimes)
     : options_(aOptions)
-    , stoppedAt_(aStoppedAt)
-    , end_(aEnd)
+    , times_(aTimes)
   {
   }
 
-  /** \brief Whether a request that comes now and usually takes aUsual will end
-   * in time; aLongest bounds what it may take. */
-  [[nodiscard]] auto Takes(Duration aUsual, Duration aLongest,
+  /** \brief Whether a request that comes now is taken: it usually takes aUsual,
+   * if that is known, and aLongest at most. */
+  [[nodiscard]] auto Takes(std::optional<Duration> aUsual, Duration aLongest,
                            TimePoint aNow) const -> bool
   {
-    const auto most = Duration(static_cast<Duration::rep>(
-      static_cast<double>(aUsual.count()) * options_.patience_));
-    return aNow + std::min(most, aLongest) <= end_ ||
-           aNow - stoppedAt_ < options_.takeAllFor_;
+    const auto since = aNow - times_.StoppedAt();
+    if (since < options_.takeAllFor_ ||
+        aNow + aLongest <= times_.EndAnswers()) {
+      return true;
+    }
+    const auto most = [&](Duration aTime) {
+      return Duration(static_cast<Duration::rep>(
+        static_cast<double>(aTime.count()) * options_.patience_));
+    };
+    return since <= options_.estimateFor_ && aUsual &&
+           aNow + most(*aUsual) <= times_.EndAnswers();
   }
-  [[nodiscard]] auto End() const -> TimePoint { return end_; }
 
 private:
   Options options_;
-  TimePoint stoppedAt_;
-  TimePoint end_;
+  StopTimes times_;
 };
 
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/EntryGateway.cpp
+++ b/goldcrestcroft/src/Gateway/EntryGateway.cpp
@@ -16,8 +16,6 @@
 /** Callers that keep an answer of the directory three times as long as it says
  * still find this host. */
 constexpr auto kKeepAnswers = 3;
-/** What is left of the grace period for the end of the process itself. */
-constexpr auto kExitMargin = std::chrono::milliseconds{ 800 };
 /** How soon a settings file that changed without a signal is read. */
 constexpr auto kLookAtSettings = std::chrono::seconds{ 1 };
 constexpr auto kLookForIdle = std::chrono::milliseconds{ 50 };
@@ -220,36 +218,40 @@
 
 auto EntryGateway::StopGracefully() -> Task<void>
 {
-  const auto startedAt = traffic_.Now();
+  const StopTimes times(traffic_.Now(), options_.settings_.grace_);
   Log::Write(LogLevel::Info, "stopping",
              { { "requests", std::to_string(traffic_.Running()) } });
-  traffic_.Stop();
+  traffic_.Stop(times);
   asio::post(controlContext_, [this] { control_.Leave(); });
   const auto serveUntil =
-    std::min<Duration>(options_.settings_.directoryKeep_ * kKeepAnswers,
-                       options_.settings_.grace_ - std::chrono::seconds{ 2 });
-  const auto last = startedAt + options_.settings_.grace_ - kExitMargin;
-  const auto endAnswers = startedAt + options_.settings_.grace_ - kEndMargin;
+    times.ServeUntil(options_.settings_.directoryKeep_ * kKeepAnswers);
   asio::steady_timer timer(trafficContext_);
   for (;;) {
     timer.expires_after(kLookForIdle);
     co_await timer.async_wait(kAsTuple);
     const auto now = traffic_.Now();
-    if (now >= endAnswers) {
+    if (now >= times.EndAnswers()) {
       traffic_.EndRequests();
     }
-    if (now - startedAt >= serveUntil) {
+    if (now >= times.EndStreams()) {
+      break;
+    }
+    if (now >= serveUntil) {
       traffic_.CloseIdle();
       if (traffic_.Running() == 0) {
         traffic_.StopAccepting();
       }
-      if (!traffic_.HasCallers() || now >= last) {
+      if (!traffic_.HasCallers()) {
         break;
       }
     }
   }
-  Log::Write(LogLevel::Info, "drained",
-             { { "cut", std::to_string(traffic_.Running()) } });
+  const auto cut = traffic_.Running();
+  traffic_.EndStreams();
+  // Their ends are logged.
+  timer.expires_after(kLookForIdle);
+  co_await timer.async_wait(kAsTuple);
+  Log::Write(LogLevel::Info, "drained", { { "cut", std::to_string(cut) } });
   controlContext_.stop();
   trafficContext_.stop();
 }
--- a/goldcrestcroft/src/Gateway/RequestRun.h
+++ b/goldcrestcroft/src/Gateway/RequestRun.h
@@ -22,6 +22,8 @@
   auto Serve() -> Task<bool>;
   auto OnCallerGone() -> void;
   auto OnHostEnds() -> void;
+  /** \brief Whether the caller has a part of its answer. */
+  [[nodiscard]] auto HasBegunAnswer() const -> bool { return streamBegun_; }
   /** \brief Copies of the request with this fingerprint are sent to no engine
    * from now on. */
   auto OnHeldBack(std::uint64_t aFingerprint) -> void;
--- a/goldcrestcroft/src/Gateway/RequestRunChoice.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunChoice.cpp
@@ -27,6 +27,10 @@
   // Most of the time is the engine's. What is urgent may take turns that are
   // further ahead, so it is served first where turns are few.
   constexpr auto kShareOfTime = 4;
+  // A stopping host answers what waits before it ends.
+  if (traffic_.IsStopping()) {
+    return {};
+  }
   const auto left = std::max<Duration>(TimeLeft(), {}) / kShareOfTime;
   return rank_ <= 0 ? left : left / 2;
 }
--- a/goldcrestcroft/src/Gateway/Traffic.cpp
+++ b/goldcrestcroft/src/Gateway/Traffic.cpp
@@ -205,10 +205,10 @@
   }
 }
 
-auto Traffic::Stop() -> void
+auto Traffic::Stop(const StopTimes& aTimes) -> void
 {
   stopping_ = true;
-  stopAdmission_.emplace(Now(), Now() + options_.settings_.grace_ - kEndMargin);
+  stopAdmission_.emplace(aTimes);
 }
 
 auto Traffic::Takes(const std::string& aRoute, Duration aLeft) const -> bool
@@ -219,10 +219,20 @@
   const auto known = answerTimes_.find(aRoute);
   const auto usual =
     known == answerTimes_.end() ? std::nullopt : known->second.Usual();
-  return stopAdmission_->Takes(usual.value_or(aLeft), aLeft, Now());
+  return stopAdmission_->Takes(usual, aLeft, Now());
 }
 
 auto Traffic::EndRequests() -> void
+{
+  const auto runs = runs_;
+  for (auto* run : runs) {
+    if (!run->HasBegunAnswer()) {
+      run->OnHostEnds();
+    }
+  }
+}
+
+auto Traffic::EndStreams() -> void
 {
   const auto runs = runs_;
   for (auto* run : runs) {
--- a/goldcrestcroft/src/Gateway/Traffic.h
+++ b/goldcrestcroft/src/Gateway/Traffic.h
@@ -34,11 +34,6 @@
   Duration leastFirst_ = std::chrono::milliseconds{ 2000 };
 };
 
-/** \brief How long before the end of its grace period a host gives what still
- * runs its answer: the platform excuses what an engine works on in the last
- * sixth of it. */
-inline constexpr Duration kEndMargin = std::chrono::milliseconds{ 1000 };
-
 /** \brief All that the traffic thread shares between requests. */
 class Traffic
 {
@@ -75,9 +70,11 @@
   /** \brief Takes the budget for repeats from changed settings. */
   auto SetSettings(const NodeSettings& aSettings) -> void;
   /** \brief Announces the end of each connection from now on. */
-  auto Stop() -> void;
-  /** \brief The host ends now: what has no answer yet gets one. */
+  auto Stop(const StopTimes& aTimes) -> void;
+  /** \brief The host ends soon: what has no answer yet gets one. */
   auto EndRequests() -> void;
+  /** \brief The host ends now: answers that have begun are broken off. */
+  auto EndStreams() -> void;
   /** \brief Takes the connections that wait, and no more. */
   auto StopAccepting() -> void;
   /** \brief Closes connections without a request that are not fresh. */
--- a/test/unit/EngineConsentTest.cpp
+++ b/test/unit/EngineConsentTest.cpp
@@ -103,20 +103,54 @@
 TEST_CASE("a host that ends takes what will end before it does")
 {
   VirtualClock clock;
-  const auto stopped = clock.Now();
-  const StopAdmission admission(stopped, stopped + seconds{ 7 });
+  const StopTimes times(clock.Now(), seconds{ 8 });
+  const StopAdmission admission(times);
   // The platform leaves the first ones the whole time.
-  CHECK(admission.Takes(seconds{ 30 }, seconds{ 30 }, stopped));
-  clock.Advance(seconds{ 4 });
-  CHECK(admission.Takes(milliseconds{ 1400 }, seconds{ 30 }, clock.Now()));
+  CHECK(admission.Takes(seconds{ 30 }, seconds{ 30 }, clock.Now()));
+  clock.Advance(milliseconds{ 2500 });
+  CHECK(admission.Takes(milliseconds{ 2000 }, seconds{ 30 }, clock.Now()));
   CHECK_FALSE(
-    admission.Takes(milliseconds{ 1600 }, seconds{ 30 }, clock.Now()));
+    admission.Takes(milliseconds{ 2300 }, seconds{ 30 }, clock.Now()));
+  CHECK_FALSE(admission.Takes(std::nullopt, seconds{ 30 }, clock.Now()));
   // Its own deadline bounds what it may take.
-  CHECK(admission.Takes(seconds{ 9 }, seconds{ 2 }, clock.Now()));
-  clock.Advance(seconds{ 3 });
+  CHECK(admission.Takes(seconds{ 9 }, seconds{ 3 }, clock.Now()));
+  CHECK(admission.Takes(std::nullopt, seconds{ 3 }, clock.Now()));
+  clock.Advance(seconds{ 4 });
   CHECK_FALSE(admission.Takes(milliseconds{ 1 }, seconds{ 30 }, clock.Now()));
 }
 
+TEST_CASE("what a stopping host takes by what it usually takes is cut by an "
+          "engine that has become slow")
+{
+  VirtualClock clock;
+  const StopTimes times(clock.Now(), seconds{ 8 });
+  const StopAdmission admission(times);
+  clock.Advance(milliseconds{ 2501 });
+  for (auto i = 0; i < 100; ++i) {
+    for (const auto longest : { 500, 1500, 4000, 20'000 }) {
+      const auto taken = admission.Takes(milliseconds{ 1 },
+                                         milliseconds{ longest }, clock.Now());
+      CHECK(taken ==
+            (clock.Now() + milliseconds{ longest } <= times.EndAnswers()));
+    }
+    clock.Advance(milliseconds{ 50 });
+  }
+}
+
+TEST_CASE("a stopping host breaks answers off in the last sixth of its time "
+          "only, however short that is")
+{
+  for (const auto grace : { 1, 2, 5, 8, 30 }) {
+    const TimePoint stopped = TimePoint{} + seconds{ 100 };
+    const StopTimes times(stopped, seconds{ grace });
+    const auto end = stopped + seconds{ grace };
+    CHECK(times.EndAnswers() >= end - Duration(seconds{ grace }) / 6);
+    CHECK(times.EndStreams() > times.EndAnswers());
+    CHECK(times.EndStreams() < end);
+    CHECK(times.ServeUntil(seconds{ 100 }) < times.EndAnswers());
+  }
+}
+
 TEST_CASE("what requests take is learned from those that ended")
 {
   UsualTime time;
