Keep a silent engine until another one has taken its request

Callers had a stream cut although its engine lived: a host left an engine that had been silent for 1.5 s, or six pauses of the route, as soon as another one could be asked. It closed the first, then asked, and where the second was full, could not be reached, or its inputs could not be made again, nobody had the request any more. The same for requests that may be repeated, with a 502. Beside a change of the configuration (weights, a route to another service, a release) and under bursts refusals are likelier, and so are silences: an engine that is short of memory puts a stream off and reads it in again.

Class: something that works is given up for something that is only hoped for.

The silent engine is parked now: its connection stays, the stages are made again and another engine is sent the request. If that one refuses, or cannot be reached, or the parked one speaks before anything was sent, the parked one goes on where it was. A stream returns only to an engine whose rival surely has not run it. One repeat is taken out of the budget for each try.

EngineConnection::PauseAfter ends a read and leaves the connection; EngineExchange can go on after it, between events, within one, before a head and within a body. RequestRun's attempts are split: TryEngine, Converse, Settle; RequestRunParked.cpp has the rest. New log lines engine_parked, engine_resumed, engine_left.

Evidence: process.SilentEngines on: streams of engines that are silent for 2 s cut in 4 of 4 ways then tried (the other refuses, breaks off, fails, resets), where the stages cannot be made, and where the engine speaks again meanwhile; repeatable requests failed in 2 of 2 ways. Now all are whole, also with a pause within an event, at a third engine after the first has ended, and at the second where it takes the stream. Two of the four ways (the other breaks off or fails) cut the stream as before, by choice: that one may have run it, so the test holds them for repeatable requests only.

Not shown: that this is what the users saw.

--- a/goldcrestcroft/src/Engines/AttemptPolicy.cpp
+++ b/goldcrestcroft/src/Engines/AttemptPolicy.cpp
@@ -19,6 +19,8 @@
       return "failure_answer";
     case AttemptEnd::Lost:
       return "lost";
+    case AttemptEnd::Parked:
+      return "parked";
     case AttemptEnd::Abandoned:
       break;
   }
@@ -46,6 +48,7 @@
       ++aRecord.ran_;
       break;
     case AttemptEnd::Abandoned:
+    case AttemptEnd::Parked:
       break;
   }
   return aRecord;
@@ -73,6 +76,7 @@
                     aRecord.ran_ < aRoute.maxAttempts_);
     case AttemptEnd::Delivered:
     case AttemptEnd::Abandoned:
+    case AttemptEnd::Parked:
       break;
   }
   return NextStep::Stop;
--- a/goldcrestcroft/src/Engines/AttemptPolicy.h
+++ b/goldcrestcroft/src/Engines/AttemptPolicy.h
@@ -26,7 +26,9 @@
   /** No whole answer: it may have run. */
   Lost,
   /** The caller left, or the time is over. */
-  Abandoned
+  Abandoned,
+  /** The engine is silent: it is kept while another one is asked. */
+  Parked
 };
 
 /** \brief The end as a stable lower-case word, for logs and counters. */
--- a/goldcrestcroft/src/Gateway/EngineConnection.cpp
+++ b/goldcrestcroft/src/Gateway/EngineConnection.cpp
@@ -12,6 +12,7 @@
 
 auto EngineConnection::CloseAfter(Duration aTime, Extension aExtension) -> void
 {
+  paused_ = false;
   deadline_.Arm(aTime, [this, extension = std::move(aExtension)](auto) {
     const auto more = extension ? extension() : Duration{};
     if (more > Duration{}) {
@@ -24,6 +25,25 @@
   });
 }
 
+auto EngineConnection::PauseAfter(Duration aTime, Extension aExtension) -> void
+{
+  paused_ = false;
+  deadline_.Arm(aTime, [this, extension = std::move(aExtension)](auto) {
+    const auto more = extension ? extension() : Duration{};
+    if (more > Duration{}) {
+      PauseAfter(more, extension);
+    } else if (writeDone_) {
+      paused_ = true;
+      boost::system::error_code ignored;
+      socket_.cancel(ignored);
+    } else {
+      // An engine that does not even read the request is not worth keeping.
+      timedOut_ = true;
+      Close();
+    }
+  });
+}
+
 auto EngineConnection::HasUnread() -> bool
 {
   return socket_.is_open() &&
@@ -48,6 +68,7 @@
   writeDone_ = false;
   timedOut_ = false;
   leftUnread_ = false;
+  paused_ = false;
 }
 
 auto EngineConnection::Connect(const std::string& aAddress, Duration aTimeout)
--- a/goldcrestcroft/src/Gateway/EngineConnection.h
+++ b/goldcrestcroft/src/Gateway/EngineConnection.h
@@ -21,6 +21,11 @@
   /** \brief Closes the connection unless Disarm comes within aTime. aExtension
    * is asked each time that is over. */
   auto CloseAfter(Duration aTime, Extension aExtension = {}) -> void;
+  /** \brief The same, but it ends the reading that is under way and leaves the
+   * connection as it is, if the request is written. */
+  auto PauseAfter(Duration aTime, Extension aExtension = {}) -> void;
+  /** \brief Whether PauseAfter has ended a reading since it was called. */
+  [[nodiscard]] auto IsPaused() const -> bool { return paused_; }
   auto Disarm() -> void;
   auto Close() -> void;
   [[nodiscard]] auto IsOpen() const -> bool { return socket_.is_open(); }
@@ -33,6 +38,8 @@
   /** \brief When bytes came last in this exchange, its beginning at first. */
   [[nodiscard]] auto HeardAt() const -> TimePoint { return heardAt_; }
   auto NoteHeard() -> void { heardAt_ = clock_.Now(); }
+  /** \brief Whether bytes have come that were not read yet. */
+  [[nodiscard]] auto HasUnread() -> bool;
 
   /** \brief The error code is zero on success. */
   auto Connect(const std::string& aAddress, Duration aTimeout)
@@ -51,8 +58,6 @@
   auto Buffer() -> beast::flat_buffer& { return buffer_; }
 
 private:
-  [[nodiscard]] auto HasUnread() -> bool;
-
   Tcp::socket socket_;
   beast::flat_buffer buffer_;
   Deadline deadline_;
@@ -61,6 +66,7 @@
   TimePoint openedAt_;
   TimePoint heardAt_;
   bool timedOut_ = false;
+  bool paused_ = false;
   bool leftUnread_ = false;
   bool writeBegun_ = false;
   bool writeDone_ = false;
--- a/goldcrestcroft/src/Gateway/EngineExchange.cpp
+++ b/goldcrestcroft/src/Gateway/EngineExchange.cpp
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 4096;
-/** The end of a chunk's data, which the parser takes with the next chunk. */
-constexpr std::size_t kChunkEndBytes = 2;
 
 /** The time that a Keep-Alive header names; zero without one. */
 auto ReadKeepFor(std::string_view aHeader) -> Duration
@@ -114,8 +112,12 @@
       }
     }
     const auto error = co_await Receive();
-    if (error) {
-      co_return ReadEnd::Broken;
+    const auto end = error ? EndOf(error) : ReadEnd::Done;
+    if (end == ReadEnd::Paused && begunAt) {
+      // A head that has begun is read to its end.
+      lease_.connection_->CloseAfter(bounds_.headTime_);
+    } else if (error) {
+      co_return end;
     }
   }
   co_return ReadEnd::Done;
@@ -142,6 +144,7 @@
     if (aRequestId.empty() ||
         std::string_view(echoed.data(), echoed.size()) == aRequestId) {
       TakeHead();
+      hasHead_ = true;
       co_return ReadEnd::Done;
     }
     if (++strays >= bounds_.strayAnswers_) {
@@ -149,7 +152,8 @@
     }
     end = co_await SkipBody();
     if (end != ReadEnd::Done) {
-      co_return end;
+      // Half a body cannot be gone on with as a head.
+      co_return end == ReadEnd::Paused ? ReadEnd::Broken : end;
     }
   }
 }
@@ -157,6 +161,9 @@
 auto EngineExchange::Receive() -> Task<boost::system::error_code>
 {
   auto& connection = *lease_.connection_;
+  if (connection.IsPaused()) {
+    co_return asio::error::operation_aborted;
+  }
   const auto [error, size] = co_await connection.Socket().async_read_some(
     connection.Buffer().prepare(kReadBytes), kAsTuple);
   connection.Buffer().commit(size);
@@ -166,6 +173,15 @@
   co_return error;
 }
 
+auto EngineExchange::EndOf(const boost::system::error_code& aError) const
+  -> ReadEnd
+{
+  return aError == asio::error::operation_aborted &&
+             lease_.connection_->IsPaused() && lease_.connection_->IsOpen()
+           ? ReadEnd::Paused
+           : ReadEnd::Broken;
+}
+
 auto EngineExchange::Parse(boost::system::error_code& aError) -> std::size_t
 {
   auto& buffer = lease_.connection_->Buffer();
@@ -174,126 +190,4 @@
   return size;
 }
 
-auto EngineExchange::FramingEnd(std::size_t aBytes) -> ReadEnd
-{
-  framingBytes_ += aBytes;
-  const auto waiting = lease_.connection_->Buffer().size();
-  if (waiting > bounds_.framingBytes_ ||
-      framingBytes_ >
-        bounds_.framingBytes_ + bounds_.framingOfBody_ * bodyBytes_) {
-    return Pass(AnswerBound::FramingBytes);
-  }
-  if (waiting <= kChunkEndBytes) {
-    framingAt_.reset();
-    return ReadEnd::Done;
-  }
-  framingAt_ = framingAt_.value_or(clock_.Now());
-  return clock_.Now() - *framingAt_ > bounds_.headTime_
-           ? Pass(AnswerBound::FramingTime)
-           : ReadEnd::Done;
-}
-
-auto EngineExchange::ReadSome(std::string& aInto) -> Task<ReadEnd>
-{
-  char bytes[kReadBytes];
-  while (!parser_->is_done()) {
-    auto ready = false;
-    if (lease_.connection_->Buffer().size() > 0) {
-      auto& body = parser_->get().body();
-      body.data = bytes;
-      body.size = sizeof(bytes);
-      boost::system::error_code error;
-      const auto size = Parse(error);
-      const auto got = sizeof(bytes) - body.size;
-      aInto.append(bytes, got);
-      bodyBytes_ += got;
-      const auto more = error == http::error::need_more;
-      if (error && !more && error != http::error::need_buffer) {
-        co_return ReadEnd::Garbled;
-      }
-      if (got > 0) {
-        framingAt_.reset();
-      }
-      const auto framing = FramingEnd(size - got);
-      if (framing != ReadEnd::Done || got > 0) {
-        co_return framing;
-      }
-      ready = size > 0 && !more;
-    }
-    if (ready || parser_->is_done()) {
-      continue;
-    }
-    auto error = co_await Receive();
-    if (error == asio::error::eof) {
-      error = {};
-      parser_->put_eof(error);
-    }
-    if (error) {
-      co_return ReadEnd::Broken;
-    }
-  }
-  co_return ReadEnd::Done;
-}
-
-auto EngineExchange::SkipBody() -> Task<ReadEnd>
-{
-  const auto begunAt = clock_.Now();
-  while (!parser_->is_done()) {
-    std::string dropped;
-    const auto end = co_await ReadSome(dropped);
-    if (end != ReadEnd::Done) {
-      co_return end;
-    }
-    if (bodyBytes_ > bounds_.otherBytes_) {
-      co_return Pass(AnswerBound::BodyBytes);
-    }
-    if (!parser_->is_done() && clock_.Now() - begunAt > bounds_.otherTime_) {
-      co_return Pass(AnswerBound::BodyTime);
-    }
-  }
-  co_return ReadEnd::Done;
-}
-
-auto EngineExchange::ReadAll(std::string& aInto, std::size_t aMost)
-  -> Task<ReadEnd>
-{
-  while (!parser_->is_done()) {
-    const auto before = aInto.size();
-    const auto end = co_await ReadSome(aInto);
-    if (held_.IsCut() || !held_.Grow(aInto.size() - before)) {
-      co_return Pass(AnswerBound::HeldBytes);
-    }
-    if (end != ReadEnd::Done) {
-      co_return end;
-    }
-    if (aInto.size() > aMost) {
-      co_return Pass(AnswerBound::BodyBytes);
-    }
-  }
-  held_.Settle();
-  co_return ReadEnd::Done;
-}
-
-auto EngineExchange::ReadFailure(std::string& aInto) -> Task<ReadEnd>
-{
-  const auto begunAt = clock_.Now();
-  while (!parser_->is_done()) {
-    const auto before = aInto.size();
-    const auto end = co_await ReadSome(aInto);
-    if (held_.IsCut() || !held_.Grow(aInto.size() - before)) {
-      co_return Pass(AnswerBound::HeldBytes);
-    }
-    if (end != ReadEnd::Done) {
-      co_return end;
-    }
-    if (aInto.size() > bounds_.otherBytes_) {
-      co_return Pass(AnswerBound::BodyBytes);
-    }
-    if (!parser_->is_done() && clock_.Now() - begunAt > bounds_.otherTime_) {
-      co_return Pass(AnswerBound::BodyTime);
-    }
-  }
-  co_return ReadEnd::Done;
-}
-
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/EngineExchange.h
+++ b/goldcrestcroft/src/Gateway/EngineExchange.h
@@ -30,6 +30,9 @@
 enum class ReadEnd
 {
   Done,
+  /** Nothing came in the time of EngineConnection::PauseAfter; reading may go
+   * on. */
+  Paused,
   /** The connection broke, or its time was over, before the end. */
   Broken,
   /** Bytes that are no answer, or too many. */
@@ -48,6 +51,12 @@
    * late to others. aHasNoBody is for HEAD requests. */
   auto ReadHead(std::string aRequestId, bool aHasNoBody) -> Task<ReadEnd>;
   [[nodiscard]] auto Head() const -> const EngineAnswerHead& { return head_; }
+  /** \brief Whether ReadHead has ended with Done. */
+  [[nodiscard]] auto HasHead() const -> bool { return hasHead_; }
+  /** \brief Bytes of the body that were read so far. */
+  [[nodiscard]] auto BodyBytes() const -> std::size_t { return bodyBytes_; }
+  /** \brief Where a body is gathered that is read as a whole. */
+  auto Body() -> std::string& { return body_; }
   /** \brief Next bytes of the body, into aInto; Done with none at its end. */
   auto ReadSome(std::string& aInto) -> Task<ReadEnd>;
   /** \brief The whole body, of at most aMost bytes. */
@@ -78,18 +87,24 @@
   auto TakeHead() -> void;
   /** \brief The head of the next answer, whosever it is. */
   auto ReadNextHead(bool aHasNoBody) -> Task<ReadEnd>;
-  /** \brief Waits for bytes of the connection. */
+  /** \brief Waits for bytes of the connection; operation_aborted if that was
+   * paused. */
   auto Receive() -> Task<boost::system::error_code>;
   /** \brief Gives the bytes that wait to the parser; returns how many it
    * took. */
   auto Parse(boost::system::error_code& aError) -> std::size_t;
   auto SkipBody() -> Task<ReadEnd>;
+  /** \brief How the reading ends after this error. */
+  [[nodiscard]] auto EndOf(const boost::system::error_code& aError) const
+    -> ReadEnd;
   [[nodiscard]] auto FramingEnd(std::size_t aBytes) -> ReadEnd;
 
   EngineLease lease_;
   const HeaderNames& names_;
   std::optional<http::response_parser<http::buffer_body>> parser_;
   EngineAnswerHead head_;
+  bool hasHead_ = false;
+  std::string body_;
   AnswerBounds bounds_;
   AnswerBound passed_ = AnswerBound::None;
   HeldBytes::Share held_;
--- a/goldcrestcroft/src/Gateway/RequestRun.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRun.cpp
@@ -8,13 +8,6 @@
 
 namespace {
 
-auto Text(const CallerRequest& aRequest, const std::string& aName)
-  -> std::string
-{
-  const auto value = aRequest[aName];
-  return { value.data(), value.size() };
-}
-
 /** What the JSON of a call to a stage engine carries unchanged. */
 auto IsVisibleAscii(std::string_view aText) -> bool
 {
@@ -65,9 +58,15 @@
   traffic_.OnRequestEnd(this);
 }
 
+auto RequestRun::Field(const std::string& aName) const -> std::string
+{
+  const auto value = request_[aName];
+  return { value.data(), value.size() };
+}
+
 auto RequestRun::Id() const -> std::string
 {
-  return Text(request_, traffic_.Codec().Headers().requestId_);
+  return Field(traffic_.Codec().Headers().requestId_);
 }
 
 auto RequestRun::Admit() -> std::optional<OwnAnswer>
@@ -85,7 +84,7 @@
                       .message_ = "send one request id" };
   }
   const auto target = std::string(request_.target());
-  route_ = routing_->FindRoute(Text(request_, "Host"), target);
+  route_ = routing_->FindRoute(Field("Host"), target);
   if (route_ == nullptr) {
     return OwnAnswer{ .status_ = 404,
                       .reason_ = "no_route",
@@ -93,7 +92,7 @@
   }
   rank_ = route_->rank_;
   if (routing_->AsksForKeys() && !route_->anonymous_) {
-    const auto* holder = routing_->FindKey(Text(request_, names.apiKey_));
+    const auto* holder = routing_->FindKey(Field(names.apiKey_));
     if (holder == nullptr) {
       return OwnAnswer{ .status_ = 401,
                         .reason_ = "unknown_key",
@@ -102,8 +101,8 @@
     workspace_ = holder->workspace_;
     rank_ = holder->rank_.value_or(rank_);
   }
-  const auto carried = IsVisibleAscii(requestId_) &&
-                       IsVisibleAscii(Text(request_, names.pieceKey_));
+  const auto carried =
+    IsVisibleAscii(requestId_) && IsVisibleAscii(Field(names.pieceKey_));
   if (!route_->stages_.empty() && !carried) {
     return OwnAnswer{ .status_ = 400,
                       .reason_ = "malformed_header",
@@ -128,7 +127,7 @@
 auto RequestRun::ReadTimes() -> void
 {
   const auto wait =
-    ReadMilliseconds(Text(request_, traffic_.Codec().Headers().timeLeft_));
+    ReadMilliseconds(Field(traffic_.Codec().Headers().timeLeft_));
   deadline_ = arrivedAt_ + route_->timeout_;
   if (wait) {
     deadline_ = std::min(deadline_, arrivedAt_ + *wait);
@@ -174,6 +173,9 @@
   if (current_) {
     current_->Close();
   }
+  if (parked_) {
+    parked_->exchange_->Lease().connection_->Close();
+  }
   if (aWhy == Aborted::CallerGone) {
     caller_->End(CallerEnd::CallerLeft);
   } else if (streamBegun_) {
@@ -203,6 +205,9 @@
 
 auto RequestRun::OnFailed(const std::string& aProblem) -> void
 {
+  if (parked_) {
+    LeaveParked(AttemptEnd::Abandoned);
+  }
   Finish("host_failed", aProblem);
 }
 
@@ -217,69 +222,4 @@
   co_return sent && !aAnswer.closes_;
 }
 
-auto RequestRun::Execute() -> Task<bool>
-{
-  traffic_.CountRequest(service_);
-  const auto& codec = traffic_.Codec();
-  prompt_ = codec.ReadPrompt(Text(request_, codec.Headers().promptParts_));
-  PlanHome();
-  if (!route_->stages_.empty()) {
-    const auto pieces =
-      codec.ReadPieceCounts(Text(request_, codec.Headers().pieceCounts_));
-    auto refusal = RefuseByForecast(pieces);
-    if (refusal) {
-      co_return co_await Answer(std::move(*refusal));
-    }
-    graph_.emplace(route_->stages_, pieces);
-    stageDue_.emplace(arrivedAt_, route_->objective_);
-    PlanStages();
-  }
-  for (;;) {
-    if (graph_) {
-      const auto made = co_await MakeStages();
-      if (made != StageEnd::Made) {
-        noMore_ = made == StageEnd::Refused ? "stages_refused" : "aborted";
-        co_return co_await Conclude(AttemptEnd::Abandoned);
-      }
-      stagesDoneAt_ = traffic_.Now();
-    }
-    // The verdict may have come while it waited or ran elsewhere.
-    if (IsStoppedAsSuspect()) {
-      noMore_ = "crashes_engines";
-      co_return co_await Conclude(AttemptEnd::Abandoned);
-    }
-    const auto engine = ChooseEngine();
-    if (!engine) {
-      noMore_ = "no_engine";
-      co_return co_await Conclude(AttemptEnd::Unreachable);
-    }
-    const auto end = co_await Attempt(engine);
-    traffic_.Metrics().CountAttempt(service_, ToString(end));
-    attempts_ = Count(attempts_, end);
-    if (end == AttemptEnd::Delivered) {
-      traffic_.NoteAnswerTime(route_->name_, traffic_.Now() - arrivedAt_);
-      Finish("ok");
-      co_return true;
-    }
-    const auto next = aborted_ == Aborted::No
-                        ? DecideNext(*route_, attempts_, end)
-                        : NextStep::Stop;
-    if (next == NextStep::RemakeInputs && graph_) {
-      graph_->OnFinalInputsGone();
-      if (streamBegun_) {
-        stageDue_->OnResumed(traffic_.Now());
-      }
-    }
-    if (next == NextStep::Stop) {
-      noMore_ = aborted_ != Aborted::No ? "aborted" : WhyStopped(*route_, end);
-      co_return co_await Conclude(end);
-    }
-    const auto paid = std::exchange(repeatTaken_, false);
-    if (WasSent(end) && !paid && !traffic_.TryRepeat(service_)) {
-      noMore_ = "budget_used";
-      co_return co_await Conclude(end);
-    }
-  }
-}
-
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/RequestRun.h
+++ b/goldcrestcroft/src/Gateway/RequestRun.h
@@ -48,6 +48,8 @@
     Aborted
   };
 
+  /** \brief A field of the request's head; empty without it. */
+  [[nodiscard]] auto Field(const std::string& aName) const -> std::string;
   auto Admit() -> std::optional<OwnAnswer>;
   auto ReadTimes() -> void;
   auto Abort(Aborted aWhy) -> void;
@@ -57,6 +59,9 @@
   auto Answer(OwnAnswer aAnswer) -> Task<bool>;
 
   auto Execute() -> Task<bool>;
+  /** \brief Makes the stages and sends it to one engine; none if that came to
+   * nothing before an engine was chosen, and noMore_ says why. */
+  auto TryEngine() -> Task<std::optional<AttemptEnd>>;
   auto Conclude(AttemptEnd aEnd) -> Task<bool>;
   /** \brief Outcome of a stream that has begun and is not finished. */
   [[nodiscard]] auto BrokenOutcome() const -> std::string;
@@ -103,11 +108,22 @@
   [[nodiscard]] auto BytesMoved(std::size_t aStage) const -> double;
   auto Attempt(std::shared_ptr<EngineState> aEngine) -> Task<AttemptEnd>;
   auto TalkTo(const EngineLease& aLease) -> Task<AttemptEnd>;
+  /** \brief Takes the answer to a request that was sent. */
+  auto Converse(std::shared_ptr<EngineExchange> aExchange, TimePoint aBegan)
+    -> Task<AttemptEnd>;
+  auto AwaitHead(EngineExchange& aExchange) -> Task<ReadEnd>;
+  auto NoteLoad(const EngineExchange& aExchange) -> void;
+  /** \brief Takes note of how the exchange ended for its engine. */
+  auto Settle(const EngineExchange& aExchange, AttemptEnd aResult,
+              TimePoint aBegan) -> void;
+  auto LogEnd(const EngineLease& aLease, AttemptEnd aEnd) -> void;
   auto MakeForwarded(const EngineEntry& aEngine) const -> std::string;
   auto TimeForHead() const -> Duration;
   /** \brief Closes the engine's connection after aTime of silence, or at the
    * deadline where no other engine can take the request by then. */
   auto CloseIfSilent(const EngineLease& aLease, Duration aTime) -> void;
+  /** \brief The same, but the exchange can go on. */
+  auto PauseIfSilent(const EngineLease& aLease, Duration aTime) -> void;
   /** \brief Whether another engine may take the request now; takes the repeat
    * out of the budget if so. */
   auto CanGoElsewhere() -> bool;
@@ -124,6 +140,24 @@
   [[nodiscard]] auto TimeLeft() const -> Duration;
   [[nodiscard]] auto HasAttemptsLeft() const -> bool;
 
+  // An engine that has fallen silent, kept until another one has its request.
+  struct ParkedAttempt
+  {
+    std::shared_ptr<EngineExchange> exchange_;
+    TimePoint began_;
+  };
+  auto Park(std::shared_ptr<EngineExchange> aExchange, TimePoint aBegan)
+    -> AttemptEnd;
+  /** \brief Whether it has spoken since, or its connection has ended. */
+  [[nodiscard]] auto ParkedSpeaks() -> bool;
+  /** \brief Goes on with it once the try at another one has come to nothing,
+   * unless the inputs of that one have to be made again first. */
+  auto ReturnToParked(std::optional<AttemptEnd> aTried)
+    -> Task<std::optional<AttemptEnd>>;
+  auto ResumeParked() -> Task<AttemptEnd>;
+  /** \brief Closes its connection. */
+  auto LeaveParked(AttemptEnd aEnd) -> void;
+
   Traffic& traffic_;
   std::shared_ptr<CallerConnection> caller_;
   CallerRequest request_;
@@ -158,6 +192,7 @@
   std::string zone_;
   std::string home_;
 
+  std::optional<ParkedAttempt> parked_;
   AttemptRecord attempts_;
   /** Why no further engine was tried, as a word for the log. */
   std::string noMore_;
--- a/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
@@ -36,14 +36,18 @@
   if (succeeded && head.signed_ && route_->kind_ == RouteKind::Streaming) {
     co_return co_await RelayStream(aExchange);
   }
-  std::string body;
-  CloseIfSilent(aExchange.Lease(), TimeForHead());
+  auto& body = aExchange.Body();
   auto end = ReadEnd::Broken;
   if (succeeded) {
+    PauseIfSilent(aExchange.Lease(), TimeForHead());
     end = co_await aExchange.ReadAll(body, traffic_.Options().maxAnswerBytes_);
   } else {
+    CloseIfSilent(aExchange.Lease(), TimeForHead());
     end = co_await aExchange.ReadFailure(body);
   }
+  if (end == ReadEnd::Paused) {
+    co_return AttemptEnd::Parked;
+  }
   if (head.notRun_) {
     co_return graph_ && (head.status_ == 409 || head.status_ == 400)
       ? AttemptEnd::InputsGone
@@ -95,7 +99,9 @@
     options.leastStall_,
     Duration(static_cast<Duration::rep>(static_cast<double>(gap.count()) *
                                         options.stallPauses_)));
-  relay_.DropPartial();
+  if (aExchange.BodyBytes() == 0) {
+    relay_.DropPartial();
+  }
   const AnswerBounds bounds;
   EventWatch watch(bounds);
   auto heard = relay_.EventsWithData();
@@ -105,14 +111,19 @@
     // that are no event do not break it.
     const auto patience =
       std::max<Duration>(stall - (traffic_.Now() - heardAt), Duration{});
-    CloseIfSilent(aExchange.Lease(), HasAttemptsLeft()
-                                       ? std::min(patience, TimeLeft())
-                                       : TimeLeft());
+    if (HasAttemptsLeft()) {
+      PauseIfSilent(aExchange.Lease(), patience);
+    } else {
+      CloseIfSilent(aExchange.Lease(), TimeLeft());
+    }
     std::string bytes;
     const auto end = co_await aExchange.ReadSome(bytes);
     // A caller that is slow to take them says nothing about the engine.
     aExchange.Lease().connection_->Disarm();
     auto events = relay_.Feed(bytes);
+    if (end == ReadEnd::Paused) {
+      co_return AttemptEnd::Parked;
+    }
     const auto passed = watch.Check(relay_, traffic_.Now());
     if (passed != AnswerBound::None) {
       aExchange.Pass(passed);
@@ -169,6 +180,9 @@
 
 auto RequestRun::Conclude(AttemptEnd aEnd) -> Task<bool>
 {
+  if (parked_) {
+    LeaveParked(AttemptEnd::Abandoned);
+  }
   if (aborted_ == Aborted::CallerGone) {
     Finish("caller_gone");
     co_return false;
--- a/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
@@ -7,6 +7,13 @@
 
 namespace goldcrestcroft {
 
+namespace {
+
+/** How soon it is asked again whether another engine takes the request. */
+constexpr Duration kAskAgain = std::chrono::milliseconds{ 250 };
+
+} // namespace
+
 auto RequestRun::HasAttemptsLeft() const -> bool
 {
   return route_->IsIdempotent() && attempts_.ran_ + 1 < route_->maxAttempts_;
@@ -45,8 +52,6 @@
 auto RequestRun::CloseIfSilent(const EngineLease& aLease, Duration aTime)
   -> void
 {
-  // How soon it is asked again whether another engine takes the request.
-  static constexpr Duration kAskAgain = std::chrono::milliseconds{ 250 };
   aLease.connection_->CloseAfter(aTime, [weak = weak_from_this()]() {
     const auto self = weak.lock();
     // An engine that is only slow is better than none.
@@ -56,6 +61,16 @@
   });
 }
 
+auto RequestRun::PauseIfSilent(const EngineLease& aLease, Duration aTime)
+  -> void
+{
+  aLease.connection_->PauseAfter(aTime, [weak = weak_from_this()]() {
+    const auto self = weak.lock();
+    // The deadline is told by its own timer.
+    return !self || self->CanGoElsewhere() ? Duration{} : kAskAgain;
+  });
+}
+
 auto RequestRun::Attempt(std::shared_ptr<EngineState> aEngine)
   -> Task<AttemptEnd>
 {
@@ -64,38 +79,49 @@
   // Plain services take few connections from all hosts together; engines of
   // streams have far more places for connections than hosts use.
   const auto isStream = route_->kind_ == RouteKind::Streaming;
-  const OpenWish wish{ .settles_ = !isStream, .patience_ = patience_ };
+  // While another engine is kept, nothing is sent in vain and nothing waits.
+  const OpenWish wish{ .settles_ = !isStream || parked_,
+                       .patience_ = parked_ ? Duration{} : patience_ };
   const auto lease = co_await traffic_.Pool().Open(aEngine, wish);
   if (!lease.connection_) {
     co_return lease.denied_ ? AttemptEnd::Denied : AttemptEnd::Unreachable;
   }
-  // Either may have come while the connection was made.
+  // Any of it may have come while the connection was made.
   if (aborted_ != Aborted::No || IsStoppedAsSuspect()) {
     traffic_.Pool().Drop(lease);
     co_return AttemptEnd::Unreachable;
   }
+  if (ParkedSpeaks()) {
+    traffic_.Pool().Drop(lease);
+    tried_.erase(entry.id_);
+    co_return AttemptEnd::Unreachable;
+  }
   lastEngine_ = entry.id_;
   current_ = lease.connection_;
-  ++aEngine->ownRequests_;
   const auto end = co_await TalkTo(lease);
-  --aEngine->ownRequests_;
   current_.reset();
-  heardAt_ = std::max(heardAt_, lease.connection_->HeardAt());
-  if (end != AttemptEnd::Delivered) {
-    Log::Write(
-      LogLevel::Info, "attempt_ended",
-      { { "request", requestId_ },
-        { "engine", entry.id_ },
-        { "end", ToString(end) },
-        { "timed_out", lease.connection_->TimedOut() ? "true" : "false" },
-        { "unread", lease.connection_->LeftUnread() ? "true" : "false" },
-        { "silent_ms", std::to_string(ToMilliseconds(
-                         traffic_.Now() - lease.connection_->HeardAt())) },
-        { "left_ms", std::to_string(ToMilliseconds(TimeLeft())) } });
-  }
+  LogEnd(lease, end);
   co_return end;
 }
 
+auto RequestRun::LogEnd(const EngineLease& aLease, AttemptEnd aEnd) -> void
+{
+  const auto& connection = *aLease.connection_;
+  heardAt_ = std::max(heardAt_, connection.HeardAt());
+  if (aEnd == AttemptEnd::Delivered) {
+    return;
+  }
+  Log::Write(LogLevel::Info, "attempt_ended",
+             { { "request", requestId_ },
+               { "engine", aLease.engine_->entry_.id_ },
+               { "end", ToString(aEnd) },
+               { "timed_out", connection.TimedOut() ? "true" : "false" },
+               { "unread", connection.LeftUnread() ? "true" : "false" },
+               { "silent_ms", std::to_string(ToMilliseconds(
+                                traffic_.Now() - connection.HeardAt())) },
+               { "left_ms", std::to_string(ToMilliseconds(TimeLeft())) } });
+}
+
 auto RequestRun::MakeForwarded(const EngineEntry& aEngine) const -> std::string
 {
   const auto& names = traffic_.Codec().Headers();
@@ -148,109 +174,27 @@
   return std::move(bytes).str();
 }
 
-auto RequestRun::NotePassed(const EngineLease& aLease, AnswerBound aBound)
-  -> void
-{
-  if (aBound == AnswerBound::None) {
-    return;
-  }
-  traffic_.Pool().CountCut(ToString(aBound));
-  Log::Write(LogLevel::Info, "engine_answer_cut",
-             { { "request", requestId_ },
-               { "engine", aLease.engine_->entry_.id_ },
-               { "bound", ToString(aBound) },
-               { "remedy", Remedy(aBound) } });
-}
-
-auto RequestRun::NoteLoss(const EngineLease& aLease, TimePoint aBegan) -> void
-{
-  const auto& entry = aLease.engine_->entry_;
-  const auto broke = aborted_ == Aborted::No && !aLease.connection_->TimedOut();
-  const LostRun run{ .request_ = fingerprint_,
-                     .run_ = Fingerprint(requestId_, ++lostRuns_),
-                     .began_ = aBegan,
-                     .ended_ = traffic_.Now() };
-  Log::Write(LogLevel::Info, "run_lost",
-             { { "request", requestId_ },
-               { "fingerprint", ToHex(fingerprint_) },
-               { "run", ToHex(run.run_) },
-               { "engine", entry.id_ },
-               { "started_at", std::to_string(entry.startedAt_) },
-               { "broke", broke ? "true" : "false" } });
-  traffic_.NoteUnanswered(run, broke, aLease.engine_);
-}
-
 auto RequestRun::TalkTo(const EngineLease& aLease) -> Task<AttemptEnd>
 {
-  auto& pool = traffic_.Pool();
-  auto& health = aLease.engine_->health_;
   const auto began = traffic_.Now();
-  EngineExchange exchange(aLease, traffic_.Codec().Headers(), pool.Held());
+  const auto exchange = std::make_shared<EngineExchange>(
+    aLease, traffic_.Codec().Headers(), traffic_.Pool().Held());
   CloseIfSilent(aLease, TimeForHead());
   unsettled_ = true;
-  auto end = ReadEnd::Broken;
   auto forwarded = MakeForwarded(aLease.engine_->entry_);
   if (aLease.engine_->limit_) {
     traffic_.Metrics().Count("requests_to_limited_engines");
   }
-  if (co_await aLease.connection_->BeginWrite(std::move(forwarded))) {
-    end = co_await exchange.ReadHead(requestId_,
-                                     request_.method() == http::verb::head);
-  }
-  if (end != ReadEnd::Done) {
-    NotePassed(aLease, exchange.Passed());
-    pool.Drop(aLease);
-    health.OnFailure(traffic_.Now());
-    NoteLoss(aLease, began);
+  ++aLease.engine_->ownRequests_;
+  // The repeat that was taken when the engine before was parked is this one.
+  repeatTaken_ = repeatTaken_ && !parked_;
+  const auto written =
+    co_await aLease.connection_->BeginWrite(std::move(forwarded));
+  if (!written) {
+    Settle(*exchange, AttemptEnd::Lost, began);
     co_return AttemptEnd::Lost;
   }
-  traffic_.NoteHeard(aLease);
-  const auto& head = exchange.Head();
-  pool.Heed(aLease, head);
-  const auto loadText = head.fields_[traffic_.Codec().Headers().engineLoad_];
-  if (const auto load =
-        traffic_.Codec().ReadLoad({ loadText.data(), loadText.size() })) {
-    aLease.engine_->report_ = *load;
-    aLease.engine_->reportedAt_ = traffic_.Now();
-  }
-  const auto result = co_await HandOver(exchange);
-  NotePassed(aLease, exchange.Passed());
-  unsettled_ = result == AttemptEnd::Lost || result == AttemptEnd::Abandoned;
-  if (exchange.IsReusable()) {
-    pool.Keep(aLease, head.keepFor_);
-  } else {
-    pool.Drop(aLease);
-  }
-  switch (result) {
-    case AttemptEnd::Delivered:
-      health.OnSuccess();
-      traffic_.NoteCompleted(fingerprint_);
-      break;
-    case AttemptEnd::FailureAnswer:
-      health.OnFailure(traffic_.Now());
-      break;
-    case AttemptEnd::Rejected:
-      // One that asks for a pause is well, and gets one.
-      if (aLease.engine_->consent_.MayReceive(traffic_.Now())) {
-        health.OnFailure(traffic_.Now());
-      }
-      break;
-    case AttemptEnd::Lost:
-      health.OnFailure(traffic_.Now());
-      NoteLoss(aLease, began);
-      break;
-    case AttemptEnd::Abandoned:
-      // The caller may have left before an answer that is whole.
-      if (exchange.IsComplete()) {
-        traffic_.NoteCompleted(fingerprint_);
-      } else {
-        NoteLoss(aLease, began);
-      }
-      break;
-    default:
-      break;
-  }
-  co_return result;
+  co_return co_await Converse(exchange, began);
 }
 
 } // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Gateway/RequestRunParked.cpp
@@ -0,0 +1,103 @@
+#include "../Observability/Log.h"
+#include "RequestRun.h"
+
+namespace goldcrestcroft {
+
+namespace {
+
+auto LogParked(std::string_view aEvent, const std::string& aRequest,
+               const EngineLease& aLease, TimePoint aNow) -> void
+{
+  const auto silent = aNow - aLease.connection_->HeardAt();
+  Log::Write(LogLevel::Info, aEvent,
+             { { "request", aRequest },
+               { "engine", aLease.engine_->entry_.id_ },
+               { "silent_ms", std::to_string(ToMilliseconds(silent)) } });
+}
+
+} // namespace
+
+auto RequestRun::Park(std::shared_ptr<EngineExchange> aExchange,
+                      TimePoint aBegan) -> AttemptEnd
+{
+  const auto& lease = aExchange->Lease();
+  LogParked("engine_parked", requestId_, lease, traffic_.Now());
+  // Ends a wait for stages, which are not needed if it speaks again.
+  lease.connection_->Socket().async_wait(
+    Tcp::socket::wait_read, [weak = weak_from_this()](auto aError) {
+      const auto self = weak.lock();
+      if (!aError && self) {
+        self->wake_.cancel();
+      }
+    });
+  parked_ = { .exchange_ = std::move(aExchange), .began_ = aBegan };
+  return AttemptEnd::Parked;
+}
+
+auto RequestRun::ParkedSpeaks() -> bool
+{
+  if (!parked_) {
+    return false;
+  }
+  auto& connection = *parked_->exchange_->Lease().connection_;
+  return !connection.IsOpen() ||
+         ProbeIdle(connection.Socket()) != IdleState::Quiet;
+}
+
+auto RequestRun::ReturnToParked(std::optional<AttemptEnd> aTried)
+  -> Task<std::optional<AttemptEnd>>
+{
+  if (aborted_ != Aborted::No) {
+    noMore_ = "aborted";
+    co_return std::nullopt;
+  }
+  if (aTried && WasSent(*aTried)) {
+    traffic_.Metrics().CountAttempt(service_, ToString(*aTried));
+    attempts_ = Count(attempts_, *aTried);
+  }
+  std::vector<EngineEntry> others;
+  const auto remakes = aTried == AttemptEnd::InputsGone && graph_ &&
+                       attempts_.remade_ <= AttemptLimits{}.mostRemade_ &&
+                       !Candidates(others).empty() &&
+                       traffic_.TryRepeat(service_);
+  if (remakes) {
+    repeatTaken_ = true;
+    graph_->OnFinalInputsGone();
+    if (streamBegun_) {
+      stageDue_->OnResumed(traffic_.Now());
+    }
+    co_return AttemptEnd::Parked;
+  }
+  stageProblem_.reset();
+  noMore_.clear();
+  co_return co_await ResumeParked();
+}
+
+auto RequestRun::ResumeParked() -> Task<AttemptEnd>
+{
+  const auto exchange = parked_->exchange_;
+  const auto began = parked_->began_;
+  parked_.reset();
+  const auto& lease = exchange->Lease();
+  LogParked("engine_resumed", requestId_, lease, traffic_.Now());
+  traffic_.Metrics().Count("engines_resumed");
+  current_ = lease.connection_;
+  lastEngine_ = lease.engine_->entry_.id_;
+  const auto end = co_await Converse(exchange, began);
+  current_.reset();
+  LogEnd(lease, end);
+  co_return end;
+}
+
+auto RequestRun::LeaveParked(AttemptEnd aEnd) -> void
+{
+  const auto exchange = parked_->exchange_;
+  const auto began = parked_->began_;
+  parked_.reset();
+  LogParked("engine_left", requestId_, exchange->Lease(), traffic_.Now());
+  traffic_.Metrics().CountAttempt(service_, ToString(aEnd));
+  attempts_ = Count(attempts_, aEnd);
+  Settle(*exchange, aEnd, began);
+}
+
+} // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/RequestRunStages.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunStages.cpp
@@ -69,8 +69,9 @@
       CancelOrders();
       co_return StageEnd::Aborted;
     }
-    if (stageProblem_ || IsStoppedAsSuspect()) {
+    if (stageProblem_ || IsStoppedAsSuspect() || ParkedSpeaks()) {
       CancelOrders();
+      graph_->OnCancelled();
       co_return StageEnd::Refused;
     }
     for (const auto stage : graph_->TakeReady()) {
--- a/goldcrestcroft/src/Staging/StageGraph.cpp
+++ b/goldcrestcroft/src/Staging/StageGraph.cpp
@@ -147,6 +147,18 @@
   }
 }
 
+auto StageGraph::OnCancelled() -> void
+{
+  for (auto& stage : stages_) {
+    if (!stage.IsMade()) {
+      stage.started_ = false;
+      for (std::size_t i = 0; i < stage.handles_.size(); ++i) {
+        stage.begun_[i] = !stage.handles_[i].empty();
+      }
+    }
+  }
+}
+
 auto StageGraph::OnFinalInputsGone() -> void
 {
   for (std::size_t i = 0; i < stages_.size(); ++i) {
--- a/goldcrestcroft/src/Staging/StageGraph.h
+++ b/goldcrestcroft/src/Staging/StageGraph.h
@@ -52,6 +52,9 @@
   auto OnBegun(std::size_t aStage, std::uint32_t aPiece) -> void;
   /** \brief Inputs of the stage are gone: it and what it needs run again. */
   auto OnInputsGone(std::size_t aStage) -> void;
+  /** \brief Nothing is being made any more: stages that are not made may start
+   * again. */
+  auto OnCancelled() -> void;
   /** \brief Results of the last stages are gone. */
   auto OnFinalInputsGone() -> void;
 
--- /dev/null
+++ b/test/process/SilentEnginesTest.cpp
@@ -0,0 +1,181 @@
+#include "EntryFleet.h"
+
+#include <doctest/doctest.h>
+
+namespace testing {
+
+namespace {
+
+using Trouble = standins::EngineStandin::Trouble;
+using Engine = standins::EngineStandin;
+
+constexpr auto kId = "Goldcrestcroft-Request-Id";
+/** Longer than a host waits for an event before it asks another engine, and
+ * less than the route's time. */
+constexpr auto kStallMs = 2000;
+
+/** Sends the call; once an engine of the service runs it, aThen gets the
+ * others. */
+auto CallAnd(EntryFleet& aFleet, const std::string& aService,
+             const CallerCall& aCall, const std::function<void(Engine&)>& aThen)
+  -> CallerAnswer
+{
+  CallerAnswer answer;
+  std::thread caller(
+    [&] { answer = SendCall(aFleet.CallerAddress(0), aCall); });
+  const auto& id = aCall.headers_.at(kId);
+  CHECK(EntryFleet::Await([&] { return aFleet.RunsOf(aService, id) == 1; }));
+  for (const auto& engine : aFleet.Platform().Engines(aService)) {
+    if (!engine->Runs().contains(id)) {
+      aThen(*engine);
+    }
+  }
+  caller.join();
+  return answer;
+}
+
+auto StallStreams(EntryFleet& aFleet, int aStallMs) -> void
+{
+  for (const auto& engine : aFleet.Platform().Engines("model")) {
+    engine->stallMs_ = aStallMs;
+  }
+}
+
+auto CheckWhole(const CallerAnswer& aStream, const std::string& aId) -> void
+{
+  CHECK(aStream.status_ == 200);
+  CHECK(aStream.whole_);
+  CHECK(CountOf(aStream.body_, "data: " + aId) == 6);
+}
+
+} // namespace
+
+TEST_CASE("a stream is cut when its silent engine is left for one that does "
+          "not take it")
+{
+  const std::map<std::string, std::function<void(Engine&)>> harms{
+    { "refuses", [](auto& aOther) { aOther.trouble_ = Trouble::Full; } },
+    { "resets", [](auto& aOther) { aOther.SetMostConnections(0); } }
+  };
+  for (const auto& [name, harm] : harms) {
+    CAPTURE(name);
+    EntryFleet fleet(1);
+    INFO(fleet.Log(0));
+    REQUIRE(fleet.AwaitReady(0));
+    StallStreams(fleet, kStallMs);
+    auto call = fleet.MakeCall("/stream/x");
+    call.headers_["Goldcrestcroft-Deadline-Ms"] = "3000";
+    CheckWhole(CallAnd(fleet, "model", call, harm), call.headers_.at(kId));
+  }
+}
+
+TEST_CASE("a stream is cut when its silent engine is left for one whose inputs "
+          "cannot be made")
+{
+  EntryFleet fleet(1);
+  INFO(fleet.Log(0));
+  REQUIRE(fleet.AwaitReady(0));
+  StallStreams(fleet, kStallMs);
+  auto call = fleet.MakeCall("/stream/x");
+  call.headers_["Goldcrestcroft-Deadline-Ms"] = "3000";
+  const auto stream = CallAnd(fleet, "model", call, [&](auto& aOther) {
+    aOther.inputsGone_ = true;
+    fleet.Platform().SetTrouble("cutter", Trouble::Full);
+  });
+  CheckWhole(stream, call.headers_.at(kId));
+  CHECK(fleet.RunsOf("model", call.headers_.at(kId)) == 1);
+}
+
+TEST_CASE("a stream that stalls within an event is cut when its engine is left "
+          "for one that does not take it")
+{
+  EntryFleet fleet(1);
+  INFO(fleet.Log(0));
+  REQUIRE(fleet.AwaitReady(0));
+  StallStreams(fleet, kStallMs);
+  for (const auto& engine : fleet.Platform().Engines("model")) {
+    engine->splitsEvents_ = true;
+  }
+  auto call = fleet.MakeCall("/stream/x");
+  call.headers_["Goldcrestcroft-Deadline-Ms"] = "3000";
+  const auto stream = CallAnd(fleet, "model", call, [](auto& aOther) {
+    aOther.trouble_ = Trouble::Full;
+  });
+  CheckWhole(stream, call.headers_.at(kId));
+}
+
+TEST_CASE("a stream goes on at a third engine when its first one speaks again "
+          "and then ends")
+{
+  EntryFleet fleet(1, { .enginesOfEach_ = 3 });
+  INFO(fleet.Log(0));
+  REQUIRE(fleet.AwaitReady(0));
+  StallStreams(fleet, 1800);
+  fleet.Platform().SetTrouble("model", Trouble::Cuts);
+  for (const auto& engine : fleet.Platform().Engines("cutter")) {
+    engine->callMs_ = 450;
+  }
+  auto call = fleet.MakeCall("/stream/x");
+  call.headers_["Goldcrestcroft-Deadline-Ms"] = "3000";
+  std::size_t others = 0;
+  const auto stream = CallAnd(fleet, "model", call, [&](auto& aOther) {
+    aOther.trouble_ = Trouble::None;
+    aOther.stallMs_ = 5;
+    aOther.inputsGone_ = others++ == 0;
+  });
+  CheckWhole(stream, call.headers_.at(kId));
+}
+
+TEST_CASE("an engine that speaks again before another has the stream goes on")
+{
+  EntryFleet fleet(1);
+  INFO(fleet.Log(0));
+  REQUIRE(fleet.AwaitReady(0));
+  StallStreams(fleet, kStallMs);
+  auto call = fleet.MakeCall("/stream/x");
+  call.headers_["Goldcrestcroft-Deadline-Ms"] = "3000";
+  const auto stream = CallAnd(fleet, "model", call, [&](auto& aOther) {
+    aOther.inputsGone_ = true;
+    for (const auto& engine : fleet.Platform().Engines("cutter")) {
+      engine->callMs_ = 900;
+    }
+  });
+  CheckWhole(stream, call.headers_.at(kId));
+  CHECK(fleet.RunsOf("model", call.headers_.at(kId)) == 1);
+}
+
+TEST_CASE("a stream whose engine stays silent goes on at the one that takes it")
+{
+  EntryFleet fleet(1);
+  INFO(fleet.Log(0));
+  REQUIRE(fleet.AwaitReady(0));
+  StallStreams(fleet, 10'000);
+  auto call = fleet.MakeCall("/stream/x");
+  call.headers_["Goldcrestcroft-Deadline-Ms"] = "3000";
+  const auto stream =
+    CallAnd(fleet, "model", call, [](auto& aOther) { aOther.stallMs_ = 5; });
+  CheckWhole(stream, call.headers_.at(kId));
+  CHECK(fleet.RunsOf("model", call.headers_.at(kId)) == 2);
+}
+
+TEST_CASE("a repeatable request fails when its slow engine is left for one "
+          "that does not take it")
+{
+  for (const auto trouble : { Trouble::Full, Trouble::Drops, Trouble::Fails }) {
+    EntryFleet fleet(1);
+    INFO(fleet.Log(0));
+    REQUIRE(fleet.AwaitReady(0));
+    for (const auto& engine : fleet.Platform().Engines("desk")) {
+      engine->delayMs_ = 1600;
+    }
+    const auto call = fleet.MakeCall("/safe/x");
+    const auto answer = CallAnd(fleet, "desk", call, [&](auto& aOther) {
+      aOther.delayMs_ = 0;
+      aOther.trouble_ = trouble;
+    });
+    CHECK(answer.status_ == 200);
+    CHECK(answer.whole_);
+  }
+}
+
+} // namespace testing
--- a/test/unit/StageGraphTest.cpp
+++ b/test/unit/StageGraphTest.cpp
@@ -164,4 +164,21 @@
   CHECK_FALSE(proved());
 }
 
+TEST_CASE("a stage that was cancelled while it was made never starts again")
+{
+  StageGraph graph(
+    { { .service_ = "a" }, { .service_ = "b", .after_ = { 0 } } }, { 2, 1 });
+  CHECK(graph.TakeReady() == Stages{ 0 });
+  graph.OnMade(0, 1, "a1");
+  graph.OnCancelled();
+  CHECK(graph.TakeReady() == Stages{ 0 });
+  CHECK(graph.MissingPieces(0) == std::vector<std::uint32_t>{ 0 });
+  graph.OnMade(0, 0, "a0");
+  CHECK(graph.TakeReady() == Stages{ 1 });
+  graph.OnMade(1, 0, "b0");
+  graph.OnCancelled();
+  CHECK(graph.TakeReady().empty());
+  CHECK(graph.IsDone());
+}
+
 } // namespace testing
