Show that answers that stop midway are never framed as whole

Links between hosts are not covered: their frames carry a length, and a link that ends within one is dropped with the frame.

The stand-in's reset is a close of its own, as Asio takes the linger option back when a socket is destroyed.

--- a/test/unit/StoreClientTest.cpp
+++ b/test/unit/StoreClientTest.cpp
@@ -71,6 +71,24 @@
 
 } // namespace
 
+TEST_CASE("an answer of the store that stops midway is taken for whole")
+{
+  const auto whole = Answer(Empty(7));
+  const auto chunked =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "10\r\n{\"rows\": [], \"ver\r\n8\r\n\": 7    }\r\n0\r\n\r\n";
+  for (const std::string& answer : { whole, std::string(chunked) }) {
+    for (std::size_t size = 0; size < answer.size(); size += 3) {
+      CAPTURE(answer.substr(0, size));
+      StoreWorld world([&](int) {
+        return Reaction{ .raw_ = answer.substr(0, size),
+                         .resets_ = size % 2 == 0 };
+      });
+      CHECK(world.ReadAll().end_ != StoreEnd::Done);
+    }
+  }
+}
+
 TEST_CASE("bytes after an answer of the store are not the next answer")
 {
   StoreWorld world([](int aCall) {
