Keep the counts of suspected requests in the store

Cause: only verdicts had rows in the store. The count of a suspicion was told from host to host and ended with the last host that knew it, so that counting began anew.

Now the two keepers of a request write a row for a suspicion as for a verdict, again as more is counted, and remove it once it is cleared or expired; hosts that start read it with the verdicts. The maintenance compares what is known with what the store has, most urgent first, and is woken by news instead of looking each second. Waves of ends make hundreds of new suspicions of two coincidences, most cleared within seconds: all hosts together make 40 calls a second for these, a named constant, a tenth of what the platform allows. Counts of three and verdicts are few and written at once.

Ruled out: hosts that hand their counts to the store as they leave; killed ones do not leave.

--- a/goldcrestcroft/src/Engines/SuspectBoard.cpp
+++ b/goldcrestcroft/src/Engines/SuspectBoard.cpp
@@ -116,20 +116,30 @@
            .left_ = entry.until_ - aNow };
 }
 
-auto SuspectBoard::HeldBack(std::size_t aMost, TimePoint aNow) const
-  -> std::vector<SuspectNotice>
+auto SuspectBoard::Find(std::uint64_t aRequest, TimePoint aNow) const
+  -> std::optional<SuspectNotice>
 {
-  std::vector<SuspectNotice> held;
+  if (LevelOf(aRequest, aNow) == SuspectLevel::Cleared) {
+    return std::nullopt;
+  }
+  return NoticeOf(*entries_.find(aRequest), aNow);
+}
+
+auto SuspectBoard::AtLevel(SuspectLevel aLevel, std::size_t aMost,
+                           TimePoint aNow) const -> std::vector<SuspectNotice>
+{
+  std::vector<SuspectNotice> notices;
   for (const auto& item : entries_) {
-    if (held.size() == aMost) {
-      break;
-    }
-    if (item.second.level_ == SuspectLevel::HeldBack &&
-        aNow < item.second.until_) {
-      held.push_back(NoticeOf(item, aNow));
+    if (item.second.level_ == aLevel && aNow < item.second.until_) {
+      notices.push_back(NoticeOf(item, aNow));
     }
   }
-  return held;
+  std::sort(notices.begin(), notices.end(),
+            [](const SuspectNotice& aLeft, const SuspectNotice& aRight) {
+              return aLeft.count_ > aRight.count_;
+            });
+  notices.resize(std::min(notices.size(), aMost));
+  return notices;
 }
 
 auto SuspectBoard::Tell(std::size_t aMost, TimePoint aNow)
--- a/goldcrestcroft/src/Engines/SuspectBoard.h
+++ b/goldcrestcroft/src/Engines/SuspectBoard.h
@@ -53,8 +53,14 @@
    * merged and passed on instead. */
   [[nodiscard]] auto Recall(std::uint64_t aRequest, TimePoint aNow) const
     -> std::optional<SuspectNotice>;
-  /** \brief Notices of up to aMost requests that are held back. */
-  [[nodiscard]] auto HeldBack(std::size_t aMost, TimePoint aNow) const
+  /** \brief What is known of the request; none unless it is suspected or held
+   * back. */
+  [[nodiscard]] auto Find(std::uint64_t aRequest, TimePoint aNow) const
+    -> std::optional<SuspectNotice>;
+  /** \brief Notices of up to aMost requests of the level, those of the highest
+   * count. */
+  [[nodiscard]] auto AtLevel(SuspectLevel aLevel, std::size_t aMost,
+                             TimePoint aNow) const
     -> std::vector<SuspectNotice>;
   /** \brief Up to aMost notices to tell now. */
   auto Tell(std::size_t aMost, TimePoint aNow) -> std::vector<SuspectNotice>;
--- a/goldcrestcroft/src/Gateway/ControlPlane.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlane.cpp
@@ -29,11 +29,11 @@
                  } })
   , beats_(aContext)
   , heldRows_(aContext,
-              { .isHeld_ =
+              { .known_ =
                   [this](std::uint64_t aRequest) {
-                    return suspects_.LevelOf(aRequest, clock_.Now()) ==
-                           SuspectLevel::HeldBack;
-                  } },
+                    return suspects_.Find(aRequest, clock_.Now());
+                  },
+                .hosts_ = [this] { return peers_.Size(); } },
               aCodec, aStore)
   , lastBeat_(clock_.Now())
   , startedAt_(lastBeat_)
--- a/goldcrestcroft/src/Gateway/ControlPlaneSuspects.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneSuspects.cpp
@@ -33,10 +33,12 @@
   issuer_.SetHosts(keepers, keepers.front());
   reports_.SetHosts(std::move(keepers));
   // Those who have kept the rows so far may be gone.
-  for (const auto& notice :
-       suspects_.HeldBack(heldRows_.MostKept(), clock_.Now())) {
-    if (!heldRows_.IsKept(notice.request_)) {
-      KeepRow(notice);
+  for (const auto level : { SuspectLevel::HeldBack, SuspectLevel::Suspected }) {
+    for (const auto& notice :
+         suspects_.AtLevel(level, heldRows_.MostKept(), clock_.Now())) {
+      if (!heldRows_.IsKept(notice.request_)) {
+        KeepRow(notice);
+      }
     }
   }
 }
@@ -87,9 +89,8 @@
   }
   const auto notices = co_await heldRows_.ReadAll();
   for (const auto& notice : notices) {
-    if (LearnSuspect(notice)) {
-      heldRows_.Keep(notice, true);
-    }
+    LearnSuspect(notice);
+    heldRows_.KeepRead(notice);
   }
 }
 
@@ -102,7 +103,7 @@
   counter_.OnNotice(aNotice, now);
   if (aNotice.level_ == SuspectLevel::Cleared) {
     reports_.Forget(aNotice.request_);
-  } else if (aNotice.level_ == SuspectLevel::HeldBack) {
+  } else {
     KeepRow(aNotice);
   }
   listener_.onSuspect_(aNotice);
--- a/goldcrestcroft/src/Gateway/HeldRequestRows.cpp
+++ b/goldcrestcroft/src/Gateway/HeldRequestRows.cpp
@@ -3,23 +3,54 @@
 #include "../Observability/Log.h"
 #include "BackgroundTask.h"
 
+#include <algorithm>
+#include <tuple>
+
 namespace goldcrestcroft {
 
-auto HeldRequestRows::Pause() -> Task<void>
+auto HeldRequestRows::IsNew(const SuspectNotice& aNotice) const -> bool
+{
+  return aNotice.level_ == SuspectLevel::Suspected &&
+         aNotice.count_ <= options_.newCount_;
+}
+
+auto HeldRequestRows::HasRoom(const SuspectNotice& aNotice) const -> bool
+{
+  const auto kept =
+    std::count_if(rows_.begin(), rows_.end(), [&](const auto& aRow) {
+      return aRow.first != aNotice.request_ &&
+             aRow.second.isNew_ == IsNew(aNotice);
+    });
+  return static_cast<std::size_t>(kept) < options_.mostKept_;
+}
+
+auto HeldRequestRows::NewPause() const -> Duration
 {
-  asio::steady_timer timer(context_, options_.lookEvery_);
-  co_await timer.async_wait(kAsTuple);
+  return Duration{ std::chrono::seconds{ 1 } } *
+         static_cast<Duration::rep>(options_.hosts_()) /
+         static_cast<Duration::rep>(options_.newCallsPerSecond_);
 }
 
-auto HeldRequestRows::Keep(const SuspectNotice& aNotice, bool aIsThere) -> void
+auto HeldRequestRows::Keep(const SuspectNotice& aNotice) -> void
 {
-  if (rows_.size() >= options_.mostKept_) {
+  if (!HasRoom(aNotice)) {
     Log::Write(LogLevel::Warning, "held_request_not_stored",
                { { "fingerprint", ToHex(aNotice.request_) },
-                 { "reason", "too many are held back" } });
+                 { "level", ToString(aNotice.level_) },
+                 { "reason", "too many are kept" } });
     return;
   }
-  rows_[aNotice.request_] = { .notice_ = aNotice, .isThere_ = aIsThere };
+  auto& row = rows_[aNotice.request_];
+  row.isNew_ = IsNew(aNotice);
+  // Hosts that learn many at once do not all call at once.
+  constexpr std::uint64_t kParts = 1024;
+  row.tryAt_ =
+    row.isNew_
+      ? clock_.Now() + NewPause() *
+                         static_cast<Duration::rep>(aNotice.request_ % kParts) /
+                         static_cast<Duration::rep>(kParts)
+      : TimePoint{};
+  wake_.cancel();
   if (!maintaining_) {
     maintaining_ = true;
     asio::co_spawn(
@@ -29,28 +60,98 @@
   }
 }
 
+auto HeldRequestRows::KeepRead(const SuspectNotice& aNotice) -> void
+{
+  if (!IsKept(aNotice.request_) && HasRoom(aNotice)) {
+    rows_[aNotice.request_] = { .stored_ = aNotice, .mayBeThere_ = true };
+    Keep(aNotice);
+  }
+}
+
+auto HeldRequestRows::NextStep() -> std::optional<Step>
+{
+  const auto now = clock_.Now();
+  std::optional<Step> next;
+  auto best = std::tuple(-1, 0U);
+  for (auto it = rows_.begin(); it != rows_.end();) {
+    auto& [request, row] = *it;
+    const auto known = options_.known_(request);
+    if (!known && !row.mayBeThere_) {
+      it = rows_.erase(it);
+      continue;
+    }
+    ++it;
+    const auto isThere = known && row.stored_ &&
+                         row.stored_->generation_ == known->generation_ &&
+                         row.stored_->level_ == known->level_ &&
+                         row.stored_->count_ == known->count_;
+    if (isThere || now < row.tryAt_ || (row.isNew_ && now < nextNew_)) {
+      continue;
+    }
+    const auto isVerdict = known && known->level_ == SuspectLevel::HeldBack;
+    const auto rank = std::tuple(!known      ? 0
+                                 : isVerdict ? 2
+                                             : 1,
+                                 known ? known->count_ : 0);
+    if (rank > best) {
+      best = rank;
+      next =
+        Step{ .request_ = request, .wanted_ = known, .isNew_ = row.isNew_ };
+    }
+  }
+  return next;
+}
+
+auto HeldRequestRows::Do(Step aStep) -> Task<void>
+{
+  if (aStep.isNew_) {
+    nextNew_ = clock_.Now() + NewPause();
+  }
+  auto& before = rows_.at(aStep.request_);
+  before.stored_.reset();
+  before.mayBeThere_ = true;
+  const auto notice =
+    aStep.wanted_.value_or(SuspectNotice{ .request_ = aStep.request_ });
+  auto [key, value] = codec_.EncodeHeldRequest(notice);
+  std::optional<std::string> wish;
+  if (aStep.wanted_) {
+    wish = std::move(value);
+  }
+  const auto done = co_await Put(key, std::move(wish));
+  auto& row = rows_.at(aStep.request_);
+  if (done) {
+    row.stored_ = aStep.wanted_;
+    row.mayBeThere_ = aStep.wanted_.has_value();
+  } else {
+    // A write without an answer may have been done.
+    row.tryAt_ = clock_.Now() + options_.lookEvery_;
+  }
+}
+
+auto HeldRequestRows::Pause() -> Task<void>
+{
+  const auto now = clock_.Now();
+  auto until = now + options_.lookEvery_;
+  const auto wakeAt = [&](TimePoint aMoment) {
+    until = aMoment > now ? std::min(until, aMoment) : until;
+  };
+  wakeAt(nextNew_);
+  for (const auto& [request, row] : rows_) {
+    wakeAt(row.tryAt_);
+  }
+  wake_.expires_after(until - now);
+  co_await wake_.async_wait(kAsTuple);
+}
+
 auto HeldRequestRows::Maintain() -> Task<void>
 {
   while (!rows_.empty()) {
-    std::vector<std::uint64_t> requests;
-    for (const auto& [request, row] : rows_) {
-      requests.push_back(request);
-    }
-    for (const auto request : requests) {
-      const auto row = rows_.at(request);
-      const auto held = options_.isHeld_(request);
-      auto [key, value] = codec_.EncodeHeldRequest(row.notice_);
-      if (held && !row.isThere_) {
-        rows_.at(request).isThere_ = co_await Put(key, value);
-      } else if (!held) {
-        // A write without an answer may have been done.
-        const auto removed = co_await Put(key, std::nullopt);
-        if (removed) {
-          rows_.erase(request);
-        }
-      }
+    const auto step = NextStep();
+    if (step) {
+      co_await Do(*step);
+    } else {
+      co_await Pause();
     }
-    co_await Pause();
   }
   maintaining_ = false;
 }
@@ -71,7 +172,8 @@
 {
   auto reply = co_await store_.ReadAll(StoreTable::HeldRequests);
   while (reply.end_ != StoreEnd::Done) {
-    co_await Pause();
+    asio::steady_timer timer(context_, options_.lookEvery_);
+    co_await timer.async_wait(kAsTuple);
     reply = co_await store_.ReadAll(StoreTable::HeldRequests);
   }
   std::vector<SuspectNotice> notices;
--- a/goldcrestcroft/src/Gateway/MetadataStore.h
+++ b/goldcrestcroft/src/Gateway/MetadataStore.h
@@ -17,7 +17,7 @@
   Engines,
   /** The entry hosts, each under its name. */
   Hosts,
-  /** Requests that are held back, by fingerprint. */
+  /** Requests that are suspected or held back, by fingerprint. */
   HeldRequests
 };
 
--- a/goldcrestcroft/src/Gateway/PlatformCodec.h
+++ b/goldcrestcroft/src/Gateway/PlatformCodec.h
@@ -59,7 +59,8 @@
                                         const std::string& aText) const
     -> Result<HostCard> = 0;
 
-  /** \brief Key and value of the row of a request that is held back. */
+  /** \brief Key and value of the row of a request that is suspected or held
+   * back. */
   [[nodiscard]] virtual auto EncodeHeldRequest(const SuspectNotice& aNotice)
     const -> std::pair<std::string, std::string> = 0;
   /** \brief Fails with Protocol. */
--- a/test/platform/StoreStandin.cpp
+++ b/test/platform/StoreStandin.cpp
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 
+#include <algorithm>
+
 namespace standins {
 
 using namespace goldcrestcroft;
@@ -86,6 +88,15 @@
   tables_[aTable][aKey] = { .version_ = ++version_, .removed_ = true };
 }
 
+auto StoreStandin::CountRows(const std::string& aTable) -> std::size_t
+{
+  const std::lock_guard lock(mutex_);
+  const auto& rows = tables_[aTable];
+  return static_cast<std::size_t>(
+    std::count_if(rows.begin(), rows.end(),
+                  [](const auto& aRow) { return !aRow.second.removed_; }));
+}
+
 auto StoreStandin::Has(const std::string& aTable, const std::string& aKey)
   -> bool
 {
--- a/test/platform/StoreStandin.h
+++ b/test/platform/StoreStandin.h
@@ -48,6 +48,8 @@
   auto Remove(const std::string& aTable, const std::string& aKey) -> void;
   [[nodiscard]] auto Has(const std::string& aTable, const std::string& aKey)
     -> bool;
+  /** \brief Rows of the table that are not removed. */
+  [[nodiscard]] auto CountRows(const std::string& aTable) -> std::size_t;
 
   /** \brief Every call gets 503 while set. */
   std::atomic<bool> busy_ = false;
--- /dev/null
+++ b/test/unit/HeldRequestRowsTest.cpp
@@ -0,0 +1,151 @@
+#include <doctest/doctest.h>
+#include <goldcrestcroft/Gateway.h>
+#include <platform/TableCodec.h>
+
+#include <algorithm>
+#include <map>
+
+namespace testing {
+
+namespace {
+
+using namespace goldcrestcroft;
+
+/** \brief A store that notes the calls. */
+class NotedStore : public MetadataStore
+{
+public:
+  auto ReadAll(StoreTable) -> Task<StoreReply> override { co_return Done(); }
+  auto Follow(StoreTable, std::uint64_t, Duration) -> Task<StoreReply> override
+  {
+    co_return Done();
+  }
+  auto Abandon(StoreTable) -> void override {}
+  auto Write(StoreTable, std::string aKey, std::optional<std::string> aValue)
+    -> Task<StoreReply> override
+  {
+    calls_.push_back(aKey);
+    if (aValue) {
+      rows_[aKey] = *aValue;
+    } else {
+      rows_.erase(aKey);
+    }
+    co_return Done();
+  }
+
+  std::vector<std::string> calls_;
+  std::map<std::string, std::string> rows_;
+
+private:
+  static auto Done() -> StoreReply
+  {
+    StoreReply reply;
+    reply.end_ = StoreEnd::Done;
+    return reply;
+  }
+};
+
+/** \brief Rows of one host of a fleet. */
+class RowsWorld
+{
+public:
+  explicit RowsWorld(std::size_t aHosts)
+    : rows_(context_,
+            { .known_ =
+                [this](std::uint64_t aRequest) {
+                  return board_.Find(aRequest, clock_.Now());
+                },
+              .hosts_ = [aHosts] { return aHosts; } },
+            codec_, store_)
+  {
+  }
+
+  auto Learn(SuspectNotice aNotice) -> void
+  {
+    aNotice.left_ = std::chrono::minutes{ 10 };
+    board_.Merge(aNotice, clock_.Now());
+    rows_.Keep(aNotice);
+  }
+  auto Complete(std::uint64_t aRequest) -> void
+  {
+    board_.Merge(*board_.OnCompleted(aRequest, clock_.Now()), clock_.Now());
+  }
+  auto RunFor(Duration aTime) -> void { context_.run_for(aTime); }
+  auto RowOf(std::uint64_t aRequest) -> std::optional<SuspectNotice>
+  {
+    const auto row = store_.rows_.find(ToHex(aRequest));
+    return row == store_.rows_.end()
+             ? std::nullopt
+             : std::optional(
+                 codec_.DecodeHeldRequest(row->first, row->second).value());
+  }
+  auto Store() -> NotedStore& { return store_; }
+
+private:
+  asio::io_context context_;
+  SuspendAwareClock clock_;
+  platform::TableCodec codec_;
+  NotedStore store_;
+  SuspectBoard board_;
+  HeldRequestRows rows_;
+};
+
+auto Suspected(std::uint64_t aRequest, std::uint32_t aCount) -> SuspectNotice
+{
+  return { .request_ = aRequest,
+           .level_ = SuspectLevel::Suspected,
+           .count_ = aCount };
+}
+
+} // namespace
+
+TEST_CASE("held request rows: a wave of suspicions takes more writes than all "
+          "hosts together may make")
+{
+  constexpr std::size_t kSuspicions = 60;
+  constexpr std::size_t kHosts = 40; // One call a second each.
+  RowsWorld world(kHosts);
+  for (std::uint64_t i = 1; i <= kSuspicions; ++i) {
+    world.Learn(Suspected(i, 2));
+  }
+  world.RunFor(std::chrono::milliseconds{ 2500 });
+  CHECK(!world.Store().calls_.empty());
+  CHECK(world.Store().calls_.size() <= 3);
+}
+
+TEST_CASE("held request rows: a count short of the verdict waits for others")
+{
+  constexpr std::size_t kHosts = 640;
+  RowsWorld world(kHosts);
+  for (std::uint64_t i = 1; i <= 60; ++i) {
+    world.Learn(Suspected(i, 2));
+  }
+  world.RunFor(std::chrono::milliseconds{ 100 });
+  constexpr std::uint64_t kGuilty = 1000;
+  world.Learn(Suspected(kGuilty, 3));
+  world.RunFor(std::chrono::milliseconds{ 100 });
+  const auto row = world.RowOf(kGuilty);
+  REQUIRE(row);
+  CHECK(*row == Suspected(kGuilty, 3));
+}
+
+TEST_CASE("held request rows: a row goes on with an old count, or stays when "
+          "its request is cleared")
+{
+  RowsWorld world(1);
+  world.Learn(Suspected(1, 2));
+  world.RunFor(std::chrono::milliseconds{ 200 });
+  CHECK(world.RowOf(1) == Suspected(1, 2));
+  world.Learn(Suspected(1, 3));
+  world.RunFor(std::chrono::milliseconds{ 200 });
+  CHECK(world.RowOf(1) == Suspected(1, 3));
+  world.Learn({ .request_ = 1, .level_ = SuspectLevel::HeldBack });
+  world.RunFor(std::chrono::milliseconds{ 200 });
+  CHECK(world.RowOf(1) ==
+        SuspectNotice{ .request_ = 1, .level_ = SuspectLevel::HeldBack });
+  world.Complete(1);
+  world.RunFor(std::chrono::milliseconds{ 1500 });
+  CHECK_FALSE(world.RowOf(1));
+}
+
+} // namespace testing
