Check in the soak that a planned stop in calm loses no request

Engines note when an answer was written whole.

After the faults, in the recovery, one host is stopped with a grace of 6 s and nothing else harmed; twelve callers press it with requests that take up to 2.5 s. Limits of time go by what a request's caller said, the same as before for other callers.

--- a/test/platform/EngineStandin.cpp
+++ b/test/platform/EngineStandin.cpp
@@ -12,12 +12,24 @@
 constexpr auto kRequestId = "Goldcrestcroft-Request-Id";
 constexpr auto kSignature = "Goldcrestcroft-Server-Seal";
 constexpr auto kNotRun = "Goldcrestcroft-Not-Executed";
+/** Of each stream. */
+constexpr auto kEvents = 6;
 
 auto Header(const Request& aRequest, const char* aName) -> std::string
 {
   return std::string(aRequest[aName]);
 }
 
+/** What the caller asked for with "take_ms=N" in its target; 0 if nothing. */
+auto TakeOf(const std::string& aTarget) -> std::chrono::milliseconds
+{
+  const std::string name = "take_ms=";
+  const auto at = aTarget.find(name);
+  return std::chrono::milliseconds{
+    at == std::string::npos ? 0 : std::stoi(aTarget.substr(at + name.size()))
+  };
+}
+
 auto WithId(std::string aBytes, const std::string& aId) -> std::string
 {
   const std::string mark = "@ID";
@@ -32,7 +44,6 @@
 auto Events(const std::string& aLastId, const std::string& aId)
   -> std::vector<std::string>
 {
-  constexpr auto kEvents = 6;
   std::vector<std::string> events;
   for (auto i = aLastId.empty() ? 1 : std::stoi(aLastId) + 1; i <= kEvents;
        ++i) {
@@ -247,6 +258,11 @@
   if (trouble == Trouble::Stray) {
     reaction.strayId_ = "another";
   }
+  reaction.onDone_ = [this, arrival = arrivals_.size() - 1] {
+    const std::lock_guard lock(mutex_);
+    arrivals_[arrival].doneAt_ = SuspendAwareClock{}.Now();
+  };
+  const auto takes = TakeOf(target);
   if (target.find("/stream/") != std::string::npos &&
       trouble != Trouble::Fails) {
     reaction.headers_.emplace_back("Content-Type", "text/event-stream");
@@ -258,13 +274,16 @@
       second += third.substr(0, kPart);
       third.erase(0, kPart);
     }
-    reaction.pause_ = std::chrono::milliseconds{ pauseMs_ };
+    reaction.pause_ =
+      std::max(std::chrono::milliseconds{ pauseMs_ }, takes / kEvents);
     reaction.stall_ =
-      std::chrono::milliseconds{ stallMs_ < 0 ? pauseMs_ : stallMs_ };
+      stallMs_ < 0 ? reaction.pause_ : std::chrono::milliseconds{ stallMs_ };
     if (reaction.cuts_) {
       reaction.chunks_.resize(2);
       reaction.chunks_.push_back("id: 3\nda");
     }
+  } else {
+    reaction.delay_ += takes;
   }
   return reaction;
 }
--- a/test/platform/EngineStandin.h
+++ b/test/platform/EngineStandin.h
@@ -11,7 +11,8 @@
 namespace standins {
 
 /** \brief A model engine, a plain service and a stage engine in one: what it
- * does follows from the call. Counts what it ran. */
+ * does follows from the call. Counts what it ran. A target with "take_ms=N"
+ * asks for an answer that takes so long. */
 class EngineStandin
 {
 public:
@@ -42,6 +43,8 @@
     goldcrestcroft::TimePoint at_;
     /** False where the engine refused it, unrun. */
     bool ran_ = true;
+    /** When its whole answer was written; never if it was broken off. */
+    goldcrestcroft::TimePoint doneAt_ = goldcrestcroft::TimePoint::max();
   };
 
   /** \brief It ended, and under which requests with the marker. */
--- a/test/platform/HttpServer.cpp
+++ b/test/platform/HttpServer.cpp
@@ -176,6 +176,9 @@
       if (!whole) {
         co_return;
       }
+      if (reaction.onDone_) {
+        reaction.onDone_();
+      }
       continue;
     }
     auto answer = MakeHead(reaction);
@@ -189,6 +192,9 @@
     if (writeError || reaction.cuts_) {
       co_return;
     }
+    if (reaction.onDone_) {
+      reaction.onDone_();
+    }
     last = std::move(answer);
   }
 }
--- a/test/platform/HttpServer.h
+++ b/test/platform/HttpServer.h
@@ -40,6 +40,8 @@
   bool resets_ = false;
   /** Sent in place of all of the above. */
   std::optional<EndlessBytes> endless_;
+  /** Called once its whole answer is written. */
+  std::function<void()> onDone_;
 };
 
 /** \brief An HTTP server for stand-ins, on its owner's context. */
--- a/test/soak/CallRecord.h
+++ b/test/soak/CallRecord.h
@@ -19,7 +19,7 @@
   Poison
 };
 
-/** How long callers say that they wait. */
+/** How long most callers say that they wait. */
 inline constexpr auto kTimeLeft = std::chrono::milliseconds{ 1500 };
 
 /** \brief One request, as its caller saw it. */
@@ -33,6 +33,8 @@
   /** When the change on which the outcome depends was in the store. */
   TimePoint changedAt_;
   TimePoint sentAt_;
+  /** How long its caller said that it waits. */
+  Duration timeLeft_ = kTimeLeft;
   TimePoint endedAt_;
   /** 0 where no whole head came. */
   int status_ = 0;
--- a/test/soak/ChangeCheck.cpp
+++ b/test/soak/ChangeCheck.cpp
@@ -42,7 +42,7 @@
 {
   const auto took = aCall.endedAt_ - aCall.sentAt_;
   const auto used = static_cast<double>(took.count()) /
-                    static_cast<double>(Duration(kTimeLeft).count());
+                    static_cast<double>(aCall.timeLeft_.count());
   if (aCall.whole_ || used > kMostTimeUsed) {
     return false;
   }
--- a/test/soak/Disturbances.h
+++ b/test/soak/Disturbances.h
@@ -76,6 +76,11 @@
 {
   return "engine " + aEngine;
 }
+/** When the engine, or the link to it, may break requests off. */
+inline auto BreakPart(const std::string& aEngine) -> std::string
+{
+  return "break at " + aEngine;
+}
 inline constexpr auto kStorePart = "store";
 
 } // namespace soak
--- a/test/soak/FaultInjector.cpp
+++ b/test/soak/FaultInjector.cpp
@@ -60,9 +60,7 @@
     case FaultKind::HostReload:
       return Reload(aFault);
     case FaultKind::EngineLink:
-      return HarmLink(
-        fleet_.EngineLink(aFault.target_),
-        EnginePart(fleet_.Engines()[aFault.target_].standin_->Id()), aFault);
+      return HarmEngineLink(aFault);
     case FaultKind::EngineTrouble:
     case FaultKind::EngineSlow:
       return HarmEngine(aFault);
@@ -121,11 +119,11 @@
 {
   auto& host = fleet_.Hosts()[aHost];
   const auto from = Now();
-  auto until = from + SoakFleet::kGrace + kStopSlack;
+  auto until = from + host.grace_ + kStopSlack;
   while (host.process_.IsRunning()) {
     // A host that stands still cannot end.
     if (harm_.Within({ HostPart(aHost) }, Now(), Now())) {
-      until = Now() + SoakFleet::kGrace + kStopSlack;
+      until = Now() + host.grace_ + kStopSlack;
     }
     if (Now() > until) {
       co_return false;
@@ -144,6 +142,11 @@
   }
   host.down_ = true;
   const auto stop = harm_.Begin(StopPart(number), Now());
+  const auto record = stopRecords_.size();
+  stopRecords_.push_back({ .host_ = number,
+                           .life_ = host.life_,
+                           .at_ = Now(),
+                           .grace_ = host.grace_ });
   host.process_.Signal(SIGTERM);
   enum : std::size_t
   {
@@ -173,6 +176,7 @@
                           std::to_string(host.process_.ExitCode()));
     }
   }
+  stopRecords_[record].endedAt_ = Now();
   co_await Sleep(context_, aFault.for_);
   fleet_.Start(number);
   harm_.End(stop, Now());
--- a/test/soak/FaultInjector.h
+++ b/test/soak/FaultInjector.h
@@ -25,6 +25,18 @@
   TimePoint to_ = TimePoint::max();
 };
 
+/** \brief A host was told to stop. */
+struct StopRecord
+{
+  std::size_t host_ = 0;
+  /** Process of that host, counted from its first start. */
+  unsigned life_ = 0;
+  TimePoint at_;
+  Duration grace_ = SoakFleet::kGrace;
+  /** When its process was seen to have ended. */
+  TimePoint endedAt_ = TimePoint::max();
+};
+
 /** \brief Brings about the faults of a plan, and notes when what was harmed. */
 class FaultInjector
 {
@@ -57,6 +69,10 @@
   {
     return limits_;
   }
+  [[nodiscard]] auto Stops() const -> const std::vector<StopRecord>&
+  {
+    return stopRecords_;
+  }
   /** \brief What it saw of processes that breaks a promise. */
   [[nodiscard]] auto Problems() const -> const std::vector<std::string>&
   {
@@ -71,6 +87,7 @@
   auto Reload(Fault aFault) -> Task<void>;
   auto HarmLink(LoopbackProxy& aLink, std::string aPart, Fault aFault)
     -> Task<void>;
+  auto HarmEngineLink(Fault aFault) -> Task<void>;
   auto HarmEngine(Fault aFault) -> Task<void>;
   auto RestartEngine(Fault aFault) -> Task<void>;
   auto Drain(Fault aFault) -> Task<void>;
@@ -89,6 +106,7 @@
   Disturbances harm_;
   std::vector<DrainRecord> drains_;
   std::vector<LimitRecord> limits_;
+  std::vector<StopRecord> stopRecords_;
   std::vector<TimePoint> changes_;
   std::vector<std::string> problems_;
   /** Faults under way, by the part; the last one ends the harm. */
--- a/test/soak/FaultInjectorPlatform.cpp
+++ b/test/soak/FaultInjectorPlatform.cpp
@@ -43,6 +43,17 @@
   harm_.End(harm, Now());
 }
 
+auto FaultInjector::HarmEngineLink(Fault aFault) -> Task<void>
+{
+  const auto id = fleet_.Engines()[aFault.target_].standin_->Id();
+  const auto fault = LinkFaultOf(aFault);
+  // Bytes that wait arrive in the end.
+  const auto waits = fault == LinkFault::Delayed || fault == LinkFault::Held;
+  const auto breaks = harm_.Begin(waits ? LinkOf(id) : BreakPart(id), Now());
+  co_await HarmLink(fleet_.EngineLink(aFault.target_), EnginePart(id), aFault);
+  harm_.End(breaks, Now());
+}
+
 auto FaultInjector::HarmEngine(Fault aFault) -> Task<void>
 {
   constexpr std::array kTroubles = { Trouble::Drops, Trouble::Cuts,
@@ -52,17 +63,23 @@
   auto& engine = *fleet_.Engines()[aFault.target_].standin_;
   const auto part = EnginePart(engine.Id());
   const auto harm = harm_.Begin(part, Now());
+  const auto trouble = kTroubles.at(aFault.variant_ % kTroubles.size());
+  const auto breaks = aFault.kind_ == FaultKind::EngineTrouble &&
+                      (trouble == Trouble::Drops || trouble == Trouble::Cuts);
+  const auto breaking =
+    breaks ? harm_.Begin(BreakPart(engine.Id()), Now()) : harm;
   ++active_[part];
   if (aFault.kind_ == FaultKind::EngineSlow) {
     engine.delayMs_ = static_cast<int>(aFault.variant_ * 100 % kSlowest);
   } else {
-    engine.trouble_ = kTroubles.at(aFault.variant_ % kTroubles.size());
+    engine.trouble_ = trouble;
   }
   co_await Sleep(context_, aFault.for_);
   if (--active_[part] == 0) {
     engine.trouble_ = Trouble::None;
     engine.delayMs_ = 0;
   }
+  harm_.End(breaking, Now());
   harm_.End(harm, Now());
 }
 
@@ -71,6 +88,7 @@
   auto& engine = fleet_.Engines()[aFault.target_];
   const auto part = EnginePart(engine.standin_->Id());
   const auto harm = harm_.Begin(part, Now());
+  const auto breaks = harm_.Begin(BreakPart(engine.standin_->Id()), Now());
   const auto link = LinkOf(part);
   ++active_[link];
   fleet_.EngineLink(aFault.target_).Set(LinkFault::Reset);
@@ -84,6 +102,7 @@
     engine.standin_->Entry(engine.service_,
                            engine.draining_ ? "draining" : "ready"));
   harm_.End(harm, Now());
+  harm_.End(breaks, Now());
 }
 
 auto FaultInjector::Drain(Fault aFault) -> Task<void>
@@ -177,9 +196,11 @@
 auto FaultInjector::NoteEnds() -> void
 {
   for (const auto& engine : fleet_.Engines()) {
-    const auto part = EnginePart(engine.standin_->Id());
+    const auto& id = engine.standin_->Id();
     for (const auto& end : engine.standin_->Ends()) {
-      harm_.End(harm_.Begin(part, end.at_), end.at_ + SoakFleet::kEngineAway);
+      for (const auto& part : { EnginePart(id), BreakPart(id) }) {
+        harm_.End(harm_.Begin(part, end.at_), end.at_ + SoakFleet::kEngineAway);
+      }
     }
   }
 }
--- a/test/soak/SoakCaller.cpp
+++ b/test/soak/SoakCaller.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <array>
+
 namespace soak {
 
 using namespace goldcrestcroft;
@@ -21,6 +23,13 @@
 constexpr int kEvents = 6;
 constexpr int kPercent = 100;
 constexpr int kGiveUpPercent = 2;
+/** What long answers take at most, and what the route allows. */
+constexpr int kLongestMs = 2500;
+constexpr std::chrono::milliseconds kRouteTime{ 3000 };
+/** Beyond what the answer takes, for the way to it. */
+constexpr int kSpareMs = 500;
+/** Callers of one host use a connection for as many requests at most. */
+constexpr int kMostPressed = 8;
 
 auto IsWholeStream(const std::string& aBody, const std::string& aId) -> bool
 {
@@ -36,13 +45,14 @@
 SoakCaller::SoakCaller(asio::io_context& aContext, SoakFleet& aFleet,
                        const OperatorState& aOperator,
                        std::vector<CallRecord>& aRecords, std::uint64_t aSeed,
-                       CallerManner aManner)
+                       CallerManner aManner, std::optional<std::size_t> aHost)
   : context_(aContext)
   , fleet_(aFleet)
   , operator_(aOperator)
   , records_(aRecords)
   , random_(aSeed)
   , manner_(aManner)
+  , host_(aHost)
   , name_("caller-" + std::to_string(aSeed))
 {
 }
@@ -57,7 +67,8 @@
   co_await Sleep(context_, aAfter);
   while (!stops_) {
     const auto hosts = static_cast<int>(fleet_.Hosts().size());
-    co_await UseConnection(static_cast<std::size_t>(Pick(hosts)));
+    co_await UseConnection(
+      host_.value_or(static_cast<std::size_t>(Pick(hosts))));
     const auto pause = manner_ == CallerManner::Poisons ? Think() : kBackOff;
     co_await Sleep(context_, pause);
   }
@@ -65,14 +76,37 @@
 
 auto SoakCaller::Think() -> std::chrono::milliseconds
 {
+  if (manner_ == CallerManner::Presses) {
+    return {};
+  }
   const auto isLong =
     manner_ == CallerManner::Poisons ||
     (manner_ == CallerManner::Keeps && Pick(kPercent) < kLongThinkPercent);
   return std::chrono::milliseconds{ Pick(isLong ? kLongThinkMs : kThinkMs) };
 }
 
+auto SoakCaller::PickLong() -> Form
+{
+  constexpr std::array kForms = { std::pair{ CallKind::Safe, "/safe/x" },
+                                  std::pair{ CallKind::Unsafe, "/unsafe/x" },
+                                  std::pair{ CallKind::Stream, "/stream/x" } };
+  const auto& [kind, target] =
+    kForms.at(static_cast<std::size_t>(Pick(static_cast<int>(kForms.size()))));
+  const auto takes = Pick(2) * Pick(kLongestMs);
+  const auto waits =
+    Pick(2) == 0 ? kRouteTime : std::chrono::milliseconds{ takes + kSpareMs };
+  return { .kind_ = kind,
+           .target_ = target + ("?take_ms=" + std::to_string(takes)),
+           .key_ = "key1",
+           .since_ = {},
+           .timeLeft_ = waits };
+}
+
 auto SoakCaller::PickForm() -> Form
 {
+  if (manner_ == CallerManner::Presses) {
+    return PickLong();
+  }
   if (manner_ == CallerManner::Poisons) {
     // One of them may be sent twice for a copy.
     const auto which = Pick(kPoisons);
@@ -108,13 +142,15 @@
   aRecord.kind_ = form.kind_;
   aRecord.changedAt_ = form.since_;
   aRecord.poison_ = form.poison_;
+  aRecord.timeLeft_ = form.timeLeft_;
   const auto isPoison = !form.poison_.empty();
   const auto posts = form.kind_ == CallKind::Unsafe || isPoison;
   HttpCall call(posts ? http::verb::post : http::verb::get, form.target_, 11);
   call.set("Host", "try.example");
   call.set("X-Api-Key", form.key_);
   call.set("Goldcrestcroft-Request-Id", aRecord.id_);
-  call.set("Goldcrestcroft-Deadline-Ms", std::to_string(kTimeLeft.count()));
+  call.set("Goldcrestcroft-Deadline-Ms",
+           std::to_string(form.timeLeft_.count()));
   call.set("Goldcrestcroft-Pieces", "2,3");
   call.set("Goldcrestcroft-Piece-Key", aRecord.id_);
   call.body() = isPoison ? form.poison_ : posts ? "body of " + aRecord.id_ : "";
@@ -155,7 +191,9 @@
     co_return;
   }
   beast::flat_buffer buffer;
-  auto left = manner_ == CallerManner::Poisons ? 1 : kMostCallsOfConnection;
+  auto left = manner_ == CallerManner::Poisons   ? 1
+              : manner_ == CallerManner::Presses ? 1 + Pick(kMostPressed)
+                                                 : kMostCallsOfConnection;
   while (!stops_ && (left-- > 0 || manner_ == CallerManner::Keeps)) {
     CallRecord record{ .host_ = aHost, .life_ = fleet_.Hosts()[aHost].life_ };
     const auto call = MakeCall(record);
--- a/test/soak/SoakCaller.h
+++ b/test/soak/SoakCaller.h
@@ -3,6 +3,7 @@
 #include "CallRecord.h"
 #include "SoakFleet.h"
 
+#include <optional>
 #include <random>
 
 namespace soak {
@@ -27,7 +28,10 @@
    * idle. */
   Keeps,
   /** Sends bodies that end engines, each again and again at any host. */
-  Poisons
+  Poisons,
+  /** Calls one host on open and new connections, without a pause, for answers
+   * that take from no time to most of what the route allows. */
+  Presses
 };
 
 /** \brief A caller that keeps its connections open until they end, sends one
@@ -37,7 +41,8 @@
 public:
   SoakCaller(asio::io_context& aContext, SoakFleet& aFleet,
              const OperatorState& aOperator, std::vector<CallRecord>& aRecords,
-             std::uint64_t aSeed, CallerManner aManner);
+             std::uint64_t aSeed, CallerManner aManner,
+             std::optional<std::size_t> aHost = {});
 
   /** \brief Calls from so much later until Stop. */
   auto Run(Duration aAfter) -> Task<void>;
@@ -52,12 +57,14 @@
     std::string key_;
     TimePoint since_;
     std::string poison_{};
+    std::chrono::milliseconds timeLeft_ = kTimeLeft;
   };
   using HttpCall =
     goldcrestcroft::http::request<goldcrestcroft::http::string_body>;
 
   auto UseConnection(std::size_t aHost) -> Task<void>;
   auto PickForm() -> Form;
+  auto PickLong() -> Form;
   auto MakeCall(CallRecord& aRecord) -> HttpCall;
   auto Think() -> std::chrono::milliseconds;
   auto Judge(const goldcrestcroft::http::response<
@@ -71,6 +78,8 @@
   std::vector<CallRecord>& records_;
   std::mt19937_64 random_;
   CallerManner manner_;
+  /** Any other one at a time if none. */
+  std::optional<std::size_t> host_;
   std::string name_;
   unsigned calls_ = 0;
   bool stops_ = false;
--- a/test/soak/SoakChecker.cpp
+++ b/test/soak/SoakChecker.cpp
@@ -3,6 +3,7 @@
 #include "ChangeCheck.h"
 #include "LimitCheck.h"
 #include "PoisonCheck.h"
+#include "StopCheck.h"
 
 #include <algorithm>
 #include <unordered_map>
@@ -122,7 +123,7 @@
   /** Whether the request was answered in time, and not cut. */
   auto CheckEnd(const CallRecord& aCall) -> void
   {
-    const auto deadline = aCall.sentAt_ + kTimeLeft;
+    const auto deadline = aCall.sentAt_ + aCall.timeLeft_;
     const auto untouched = !seen_.harm_.Within(
       { HostPart(aCall.host_), CallerLinkPart(aCall.host_) },
       aCall.sentAt_ - kContact, aCall.endedAt_);
@@ -260,6 +261,9 @@
   for (auto& line : FindLostBesideChanges(aEvidence)) {
     broken.push_back(std::move(line));
   }
+  for (auto& line : FindLostAtStops(aEvidence)) {
+    broken.push_back(std::move(line));
+  }
   for (auto& line : FindLimitsPassed(aEvidence)) {
     broken.push_back(std::move(line));
   }
--- a/test/soak/SoakEvidence.h
+++ b/test/soak/SoakEvidence.h
@@ -25,6 +25,7 @@
   std::vector<TimePoint> changes_;
   std::vector<LimitRecord> limits_ = {};
   std::size_t hosts_ = 0;
+  std::vector<StopRecord> stops_ = {};
 
   /** \brief Whether the host was in touch all the while. */
   [[nodiscard]] auto InTouch(std::size_t aHost, TimePoint aFrom,
--- a/test/soak/SoakFleet.cpp
+++ b/test/soak/SoakFleet.cpp
@@ -48,7 +48,7 @@
       aContext, CallerAddress(host), Local(HostPort(host, 0))));
     storeLinks_.push_back(std::make_unique<LoopbackProxy>(
       aContext, Local(kStoreLinkPort + host), platform_.DoorAddress(host)));
-    WriteSettings(host);
+    WriteSettings(host, kGrace);
     hosts_.push_back({ .process_ = testing::Process() });
     Start(host);
   }
@@ -74,7 +74,8 @@
   return options_.folder_ + "/host-" + std::to_string(aHost) + ".json";
 }
 
-auto SoakFleet::WriteSettings(std::size_t aHost) const -> void
+auto SoakFleet::WriteSettings(std::size_t aHost,
+                              std::chrono::seconds aGrace) const -> void
 {
   const nlohmann::json settings{ { "host", "h" + std::to_string(aHost) },
                                  { "availability_zone", "z1" },
@@ -85,7 +86,7 @@
                                  { "metrics", Local(HostPort(aHost, 3)) },
                                  { "peer_port", HostPort(aHost, 5) },
                                  { "store", Local(kStoreLinkPort + aHost) },
-                                 { "grace_s", kGrace.count() },
+                                 { "grace_s", aGrace.count() },
                                  { "repeat_ratio", kRepeatRatio },
                                  { "repeat_slack", kRepeatSlack },
                                  { "repeat_window_s", kRepeatWindow.count() },
@@ -94,6 +95,12 @@
   std::ofstream(SettingsFile(aHost)) << settings.dump(2);
 }
 
+auto SoakFleet::SetGrace(std::size_t aHost, std::chrono::seconds aGrace) -> void
+{
+  WriteSettings(aHost, aGrace);
+  hosts_[aHost].grace_ = aGrace;
+}
+
 auto SoakFleet::Start(std::size_t aHost) -> void
 {
   auto& host = hosts_[aHost];
--- a/test/soak/SoakFleet.h
+++ b/test/soak/SoakFleet.h
@@ -12,6 +12,11 @@
 class SoakFleet
 {
 public:
+  static constexpr auto kGrace = std::chrono::seconds{ 3 };
+  /** In the calm stop: requests are sent later than the 3 s for which the rules
+   * excuse some. */
+  static constexpr auto kCalmGrace = std::chrono::seconds{ 6 };
+
   struct Options
   {
     std::string program_;
@@ -28,6 +33,7 @@
     bool down_ = false;
     unsigned life_ = 0;
     TimePoint startedAt_;
+    Duration grace_ = kGrace;
   };
   /** An engine and the service that it serves. */
   struct Engine
@@ -40,6 +46,8 @@
   SoakFleet(asio::io_context& aContext, Options aOptions);
 
   auto Start(std::size_t aHost) -> void;
+  /** \brief The host reads it within a second. */
+  auto SetGrace(std::size_t aHost, std::chrono::seconds aGrace) -> void;
   auto Hosts() -> std::vector<Host>& { return hosts_; }
   auto Engines() -> std::vector<Engine>& { return engines_; }
   auto Platform() -> standins::PlatformStandin& { return platform_; }
@@ -59,7 +67,6 @@
   [[nodiscard]] auto CallerAddress(std::size_t aHost) const -> std::string;
   [[nodiscard]] auto ReadinessAddress(std::size_t aHost) const -> std::string;
 
-  static constexpr auto kGrace = std::chrono::seconds{ 3 };
   /** `config_ms`. */
   static constexpr auto kNewsWithin = std::chrono::milliseconds{ 3000 };
   /** From the end of an engine to its next start. */
@@ -71,7 +78,8 @@
 
 private:
   [[nodiscard]] auto Local(std::size_t aPort) const -> std::string;
-  auto WriteSettings(std::size_t aHost) const -> void;
+  auto WriteSettings(std::size_t aHost, std::chrono::seconds aGrace) const
+    -> void;
   [[nodiscard]] auto SettingsFile(std::size_t aHost) const -> std::string;
 
   Options options_;
--- a/test/soak/SoakPlan.cpp
+++ b/test/soak/SoakPlan.cpp
@@ -151,4 +151,17 @@
   return faults;
 }
 
+auto MakeCalmStop(std::uint64_t aSeed, std::size_t aHosts) -> Fault
+{
+  // Told twice in a third of the seeds, never killed too.
+  constexpr std::size_t kFirstForm = 1;
+  constexpr std::size_t kForms = 3;
+  constexpr Millis kCalmBefore{ 4500 };
+  return { .at_ = kCalmBefore,
+           .for_ = kShortest,
+           .kind_ = FaultKind::HostStop,
+           .target_ = aSeed % aHosts,
+           .variant_ = kFirstForm + aSeed / aHosts % kForms };
+}
+
 } // namespace soak
--- a/test/soak/SoakPlan.h
+++ b/test/soak/SoakPlan.h
@@ -62,4 +62,8 @@
 auto MakeSoakPlan(std::uint64_t aSeed, Millis aLength, std::size_t aHosts,
                   std::size_t aEngines) -> std::vector<Fault>;
 
+/** \brief After all faults, and once nothing excuses anything: one host is
+ * told to stop, and nothing else happens. */
+auto MakeCalmStop(std::uint64_t aSeed, std::size_t aHosts) -> Fault;
+
 } // namespace soak
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -1,6 +1,7 @@
 #include "../process/EntryFleet.h"
 #include "../process/TempFolder.h"
 #include "SoakChecker.h"
+#include "StopCheck.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -28,6 +29,9 @@
 /** Requests under way at the end are answered within this. */
 constexpr Duration kLastAnswers = 2s;
 constexpr std::size_t kPoisonCallers = 3;
+constexpr std::size_t kPressingCallers = 12;
+/** So that the host has learned what their requests take when it stops. */
+constexpr Duration kPressFrom = 2s;
 constexpr auto kLook = std::chrono::milliseconds{ 200 };
 /** Part of the share served before the faults that must be served after. */
 constexpr auto kShareOfBefore = 0.9;
@@ -88,17 +92,43 @@
   }
 }
 
-/** Calm, faults, recovery, calm. */
+/** One host is stopped in calm, while callers press it until it is gone. */
+auto PlayCalmStop(asio::io_context& aContext, SoakFleet& aFleet,
+                  FaultInjector& aInjector, std::vector<CallRecord>& aCalls,
+                  std::vector<std::unique_ptr<SoakCaller>>& aCallers)
+  -> Task<void>
+{
+  const auto seed = absl::GetFlag(FLAGS_seed);
+  const auto stop = MakeCalmStop(seed, aFleet.Hosts().size());
+  aFleet.SetGrace(stop.target_, SoakFleet::kCalmGrace);
+  const auto first = aCallers.size();
+  for (std::size_t i = 0; i < kPressingCallers; ++i) {
+    aCallers.push_back(std::make_unique<SoakCaller>(
+      aContext, aFleet, aInjector.Operator(), aCalls, seed * 1000 + first + i,
+      CallerManner::Presses, stop.target_));
+    asio::co_spawn(aContext, aCallers.back()->Run(kPressFrom), asio::detached);
+  }
+  std::vector<Fault> plan{ stop };
+  co_await aInjector.Run(std::move(plan));
+  for (auto i = first; i < aCallers.size(); ++i) {
+    aCallers[i]->Stop();
+  }
+}
+
+/** Calm, faults, a stop in calm during the recovery, calm. */
 auto Play(asio::io_context& aContext, SoakFleet& aFleet,
           FaultInjector& aInjector, std::vector<Fault> aPlan,
           std::vector<std::unique_ptr<SoakCaller>>& aCallers,
-          const std::vector<CallRecord>& aCalls, Shares& aShares) -> Task<void>
+          std::vector<CallRecord>& aCalls, Shares& aShares) -> Task<void>
 {
   co_await Sleep(aContext, kCalm);
   aShares.before_ = ShareServed(aCalls, 0);
   co_await aInjector.Run(std::move(aPlan));
   const auto recovery = SuspendAwareClock{}.Now() + kRecover;
   aShares.allReady_ = co_await AwaitAllReady(aContext, aFleet);
+  co_await PlayCalmStop(aContext, aFleet, aInjector, aCalls, aCallers);
+  const auto again = co_await AwaitAllReady(aContext, aFleet);
+  aShares.allReady_ = aShares.allReady_ && again;
   co_await Sleep(aContext, recovery - SuspendAwareClock{}.Now());
   const auto from = aCalls.size();
   co_await Sleep(aContext, kCalm);
@@ -119,7 +149,8 @@
                          .drains_ = aInjector.Drains(),
                          .changes_ = aInjector.Changes(),
                          .limits_ = aInjector.Limits(),
-                         .hosts_ = aFleet.Hosts().size() };
+                         .hosts_ = aFleet.Hosts().size(),
+                         .stops_ = aInjector.Stops() };
   for (const auto& engine : aFleet.Engines()) {
     evidence.arrivals_[engine.standin_->Id()] = engine.standin_->Arrivals();
     evidence.ends_[engine.standin_->Id()] = engine.standin_->Ends();
@@ -202,6 +233,7 @@
     ends += each.size();
   }
   Summarise(calls, shares, ends);
+  std::cout << TellOfStops(evidence) << std::endl;
   auto broken = FindBrokenPromises(evidence);
   for (const auto& problem : injector.Problems()) {
     broken.push_back("process: " + problem);
