Let the soak pass over a SIGTERM that meets a program being loaded

The signal came while the program was loaded: the dynamic linker runs for some 14 ms before main holds signals back. Callers saw nothing of it: no port was open, so no request was taken.

Weighed: holding signals back before the constructors of libraries (.preinit_array).

So the check was wrong for a process that has not run its own code. It passes over an end by SIGTERM only where the process has not written a byte and none of its four ports was open when it was sent; all other codes, an end by SIGTERM after a line or with an open port, and a slow end are reported as before, and each case passed over is printed.

--- /dev/null
+++ b/test/process/StopWhileLoadedTest.cpp
@@ -0,0 +1,57 @@
+#include "../soak/HostEnd.h"
+#include "EntryFleet.h"
+#include "TempFolder.h"
+
+#include <doctest/doctest.h>
+
+#include <filesystem>
+
+namespace testing {
+
+using namespace std::chrono_literals;
+
+TEST_CASE("SIGTERM while a host is loaded or starts ends it with nothing lost")
+{
+  EntryFleet fleet(1);
+  REQUIRE(fleet.AwaitReady(0));
+  constexpr auto kRounds = 3;
+  auto loaded = 0;
+  auto started = 0;
+  for (const auto after : { 0ms, 1ms, 2ms, 5ms, 10ms, 20ms, 50ms }) {
+    for (auto i = 0; i < kRounds; ++i) {
+      fleet.ProcessOf(0).Kill();
+      const auto log = fleet.Log(0).size();
+      fleet.Start(0);
+      std::this_thread::sleep_for(after);
+      const auto wasOpen = soak::IsOpen(fleet.CallerAddress(0));
+      fleet.ProcessOf(0).Signal(SIGTERM);
+      const soak::HostEnd end{ .code_ = fleet.ProcessOf(0).Wait(),
+                               .wasOpen_ = wasOpen,
+                               .hasSpoken_ = fleet.Log(0).size() > log };
+      CHECK(end.Problem().value_or("") == "");
+      loaded += end.IsBeforeServing() ? 1 : 0;
+      started += end.code_ == 0 ? 1 : 0;
+    }
+  }
+  MESSAGE(loaded << " ended while loaded, " << started << " after that");
+}
+
+TEST_CASE("a host that ends by SIGTERM after its first line is reported")
+{
+  TempFolder folder;
+  const auto log = folder.Path() + "/log";
+  Process process("/bin/sh", { "-c", "echo started; exec sleep 60" }, log);
+  const auto size = [&] {
+    std::error_code none;
+    const auto bytes = std::filesystem::file_size(log, none);
+    return none ? 0 : bytes;
+  };
+  REQUIRE(EntryFleet::Await([&] { return size() > 0; }));
+  process.Signal(SIGTERM);
+  const soak::HostEnd end{ .code_ = process.Wait(), .hasSpoken_ = size() > 0 };
+  CHECK(end.code_ == -SIGTERM);
+  CHECK(end.Problem());
+  CHECK_FALSE(end.IsBeforeServing());
+}
+
+} // namespace testing
--- a/test/soak/FaultInjector.cpp
+++ b/test/soak/FaultInjector.cpp
@@ -1,5 +1,7 @@
 #include "FaultInjector.h"
 
+#include "HostEnd.h"
+
 #include <csignal>
 #include <iostream>
 
@@ -133,6 +135,16 @@
   co_return true;
 }
 
+auto FaultInjector::NoteEnd(std::size_t aHost, const HostEnd& aEnd) -> void
+{
+  const auto host = "host " + std::to_string(aHost);
+  if (const auto problem = aEnd.Problem()) {
+    problems_.push_back(host + " " + *problem);
+  } else if (aEnd.IsBeforeServing()) {
+    std::cout << host << " got SIGTERM while it was loaded" << std::endl;
+  }
+}
+
 auto FaultInjector::StopHost(Fault aFault) -> Task<void>
 {
   const auto number = aFault.target_;
@@ -147,6 +159,7 @@
                            .life_ = host.life_,
                            .at_ = Now(),
                            .grace_ = host.grace_ });
+  const auto wasOpen = fleet_.IsOpen(number);
   host.process_.Signal(SIGTERM);
   enum : std::size_t
   {
@@ -170,10 +183,10 @@
       problems_.push_back("host " + std::to_string(number) +
                           " does not end after SIGTERM");
       host.process_.Kill();
-    } else if (host.process_.ExitCode() != 0) {
-      problems_.push_back("host " + std::to_string(number) +
-                          " ends after SIGTERM with code " +
-                          std::to_string(host.process_.ExitCode()));
+    } else {
+      NoteEnd(number, { .code_ = host.process_.ExitCode(),
+                        .wasOpen_ = wasOpen,
+                        .hasSpoken_ = fleet_.HasSpoken(number) });
     }
   }
   stopRecords_[record].endedAt_ = Now();
--- a/test/soak/FaultInjector.h
+++ b/test/soak/FaultInjector.h
@@ -8,6 +8,8 @@
 
 namespace soak {
 
+struct HostEnd;
+
 /** \brief An engine was told to drain. */
 struct DrainRecord
 {
@@ -97,6 +99,7 @@
    * taken away meanwhile. */
   auto TurnAway(Fault aFault) -> Task<void>;
   auto ChangeConfig(const Fault& aFault) -> void;
+  auto NoteEnd(std::size_t aHost, const HostEnd& aEnd) -> void;
   auto AwaitEnd(std::size_t aHost) -> Task<bool>;
   [[nodiscard]] auto Now() const -> TimePoint;
 
--- a/test/soak/SoakFleet.cpp
+++ b/test/soak/SoakFleet.cpp
@@ -1,7 +1,10 @@
 #include "SoakFleet.h"
 
+#include "HostEnd.h"
+
 #include <nlohmann/json.hpp>
 
+#include <filesystem>
 #include <fstream>
 
 namespace soak {
@@ -12,6 +15,8 @@
 constexpr std::uint16_t kPublishedOffset = 100;
 constexpr std::uint16_t kHostPort = 8500;
 constexpr std::uint16_t kPortsOfHost = 10;
+/** For callers, readiness, the directory and metrics. */
+constexpr std::size_t kOpenPorts = 4;
 constexpr std::uint16_t kCallerLinkPort = 9000;
 constexpr std::uint16_t kStoreLinkPort = 9100;
 
@@ -20,6 +25,13 @@
   return kHostPort + aHost * kPortsOfHost + aUse;
 }
 
+auto SizeOf(const std::string& aFile) -> std::uintmax_t
+{
+  std::error_code none; // A file that is not there has nothing in it.
+  const auto size = std::filesystem::file_size(aFile, none);
+  return none ? 0 : size;
+}
+
 } // namespace
 
 SoakFleet::SoakFleet(asio::io_context& aContext, Options aOptions)
@@ -95,6 +107,25 @@
   std::ofstream(SettingsFile(aHost)) << settings.dump(2);
 }
 
+auto SoakFleet::LogFile(std::size_t aHost) const -> std::string
+{
+  return options_.folder_ + "/log-" + std::to_string(aHost);
+}
+
+auto SoakFleet::IsOpen(std::size_t aHost) const -> bool
+{
+  auto open = false;
+  for (std::size_t use = 0; use < kOpenPorts; ++use) {
+    open = open || soak::IsOpen(Local(HostPort(aHost, use)));
+  }
+  return open;
+}
+
+auto SoakFleet::HasSpoken(std::size_t aHost) const -> bool
+{
+  return SizeOf(LogFile(aHost)) > hosts_[aHost].logAtStart_;
+}
+
 auto SoakFleet::SetGrace(std::size_t aHost, std::chrono::seconds aGrace) -> void
 {
   WriteSettings(aHost, aGrace);
@@ -104,9 +135,9 @@
 auto SoakFleet::Start(std::size_t aHost) -> void
 {
   auto& host = hosts_[aHost];
-  host.process_ =
-    testing::Process(options_.program_, { "entry", SettingsFile(aHost) },
-                     options_.folder_ + "/log-" + std::to_string(aHost));
+  host.logAtStart_ = SizeOf(LogFile(aHost));
+  host.process_ = testing::Process(
+    options_.program_, { "entry", SettingsFile(aHost) }, LogFile(aHost));
   host.down_ = false;
   ++host.life_;
   host.startedAt_ = goldcrestcroft::SuspendAwareClock{}.Now();
--- a/test/soak/SoakFleet.h
+++ b/test/soak/SoakFleet.h
@@ -34,6 +34,8 @@
     unsigned life_ = 0;
     TimePoint startedAt_;
     Duration grace_ = kGrace;
+    /** Bytes of the log when it was started. */
+    std::uintmax_t logAtStart_ = 0;
   };
   /** An engine and the service that it serves. */
   struct Engine
@@ -63,6 +65,10 @@
   {
     return *engineLinks_[aEngine];
   }
+  /** \brief Whether a port of the host's process is open. */
+  [[nodiscard]] auto IsOpen(std::size_t aHost) const -> bool;
+  /** \brief Whether the host's process has written anything. */
+  [[nodiscard]] auto HasSpoken(std::size_t aHost) const -> bool;
   /** \brief Where callers reach the host, through its proxy. */
   [[nodiscard]] auto CallerAddress(std::size_t aHost) const -> std::string;
   [[nodiscard]] auto ReadinessAddress(std::size_t aHost) const -> std::string;
@@ -81,6 +87,7 @@
   auto WriteSettings(std::size_t aHost, std::chrono::seconds aGrace) const
     -> void;
   [[nodiscard]] auto SettingsFile(std::size_t aHost) const -> std::string;
+  [[nodiscard]] auto LogFile(std::size_t aHost) const -> std::string;
 
   Options options_;
   standins::PlatformStandin platform_;
