Use no long-rested connection after an engine forgot one

What callers saw: 502 engine_lost for requests that may run once, where engines forget connections that rested for a while and reset what comes next. Such a request must not be sent again and cannot be called not run, so each rested connection in the pool cost one.

RestLimit learns per service, at each host: a kept connection that breaks within 250 ms of a send with no byte of an answer bounds the rest of connections that are used to 50 ms, or to half of that rest if less. It holds 10 s for all requests and 20 s for those that no repeat can mend, so that what may be repeated is the first to try longer rests again; where that fails, the time doubles up to 80 s. What is not used is closed, so that the number of connections at an engine stays.

Before the first loss rested connections are used as before: opening anew for all that may run once would cost each such request 6 ms and engines a connection, always, against one request a service and host while there is trouble. Hosts do not tell each other what they learned.

attempt_ended and run_lost say whether the connection was kept and for how long it had rested; connection_forgotten says what was learned. The stand-in forgets connections that rest longer than it is told to, and resets what comes next unread.

The bound of the test, one loss a host and service, is the design's own: nothing is known before the first. With unused connections left in the pool instead of closed, the test with two places at an engine is red (503).

EnginePoolKept.cpp takes what concerns kept connections out of EnginePool.cpp; what was there before is unchanged but for TakeKept and Keep.

--- a/goldcrestcroft/Engines.h
+++ b/goldcrestcroft/Engines.h
@@ -19,6 +19,7 @@
 #include "src/Engines/PermitIssuer.h"
 #include "src/Engines/PromptPart.h"
 #include "src/Engines/RepeatWindow.h"
+#include "src/Engines/RestLimit.h"
 #include "src/Engines/StopAdmission.h"
 #include "src/Engines/StopTimes.h"
 #include "src/Engines/SuspectBoard.h"
--- a/goldcrestcroft/src/Gateway/EngineConnection.cpp
+++ b/goldcrestcroft/src/Gateway/EngineConnection.cpp
@@ -94,6 +94,7 @@
 {
   const auto self = shared_from_this();
   NoteHeard();
+  heard_ = false;
   outgoing_ = std::move(aBytes);
   writeBegun_ = true;
   if (outgoing_.size() > kWriteAtOnce) {
--- a/goldcrestcroft/src/Gateway/EngineConnection.h
+++ b/goldcrestcroft/src/Gateway/EngineConnection.h
@@ -37,7 +37,13 @@
   [[nodiscard]] auto LeftUnread() const -> bool { return leftUnread_; }
   /** \brief When bytes came last in this exchange, its beginning at first. */
   [[nodiscard]] auto HeardAt() const -> TimePoint { return heardAt_; }
-  auto NoteHeard() -> void { heardAt_ = clock_.Now(); }
+  auto NoteHeard() -> void
+  {
+    heardAt_ = clock_.Now();
+    heard_ = true;
+  }
+  /** \brief Whether any bytes came in this exchange. */
+  [[nodiscard]] auto HasHeard() const -> bool { return heard_; }
   /** \brief Whether bytes have come that were not read yet. */
   [[nodiscard]] auto HasUnread() -> bool;
 
@@ -65,6 +71,7 @@
   SuspendAwareClock clock_;
   TimePoint openedAt_;
   TimePoint heardAt_;
+  bool heard_ = false;
   bool timedOut_ = false;
   bool paused_ = false;
   bool leftUnread_ = false;
--- a/goldcrestcroft/src/Gateway/EnginePool.cpp
+++ b/goldcrestcroft/src/Gateway/EnginePool.cpp
@@ -47,15 +47,8 @@
     return now - aItem.second >= options_.rememberLeaving_;
   });
   limits_.Expire(now);
-}
-
-auto EnginePool::CloseKept(EngineState& aEngine) -> void
-{
-  for (const auto& kept : aEngine.kept_) {
-    kept.connection_->Close();
-    --aEngine.openConnections_;
-  }
-  aEngine.kept_.clear();
+  std::erase_if(restLimits_,
+                [&](const auto& aItem) { return aItem.second.IsOver(now); });
 }
 
 auto EnginePool::OnLeaving(const std::string& aId, std::uint64_t aStartedAt)
@@ -121,26 +114,6 @@
   return state;
 }
 
-auto EnginePool::TakeKept(EngineState& aEngine)
-  -> std::shared_ptr<EngineConnection>
-{
-  const auto now = clock_.Now();
-  while (!aEngine.kept_.empty()) {
-    auto kept = std::move(aEngine.kept_.back());
-    aEngine.kept_.pop_back();
-    const auto usable =
-      now < kept.until_ && kept.connection_->IsOpen() &&
-      kept.connection_->Buffer().size() == 0 &&
-      ProbeIdle(kept.connection_->Socket()) == IdleState::Quiet;
-    if (usable) {
-      return kept.connection_;
-    }
-    kept.connection_->Close();
-    --aEngine.openConnections_;
-  }
-  return nullptr;
-}
-
 auto EnginePool::IsSettled(EngineConnection& aConnection) -> Task<bool>
 {
   asio::steady_timer timer(context_, options_.settleTime_);
@@ -149,20 +122,22 @@
     ProbeIdle(aConnection.Socket()) == IdleState::Quiet;
 }
 
-auto EnginePool::Connect(std::shared_ptr<EngineState> aEngine, bool aSettles)
-  -> Task<EngineLease>
+auto EnginePool::Connect(std::shared_ptr<EngineState> aEngine,
+                         const OpenWish& aWish) -> Task<EngineLease>
 {
-  auto connection = TakeKept(*aEngine);
-  if (connection) {
-    connection->Renew();
-    co_return EngineLease{ .engine_ = aEngine, .connection_ = connection };
+  if (const auto kept = TakeKept(*aEngine, aWish.once_)) {
+    kept->connection_->Renew();
+    co_return EngineLease{ .engine_ = aEngine,
+                           .connection_ = kept->connection_,
+                           .rested_ = clock_.Now() - kept->since_ };
   }
-  connection = std::make_shared<EngineConnection>(context_);
+  const auto settles = aWish.settles_;
+  const auto connection = std::make_shared<EngineConnection>(context_);
   ++aEngine->openConnections_;
   auto error = co_await connection->Connect(aEngine->entry_.address_,
                                             options_.connectTimeout_);
   connection->SetOpenedAt(clock_.Now());
-  if (!error && aSettles) {
+  if (!error && settles) {
     const auto settled = co_await IsSettled(*connection);
     if (!settled) {
       error = asio::error::connection_reset;
@@ -212,7 +187,7 @@
     }
   }
   const auto turnAt = clock_.Now();
-  auto lease = co_await Connect(aEngine, aWish.settles_);
+  auto lease = co_await Connect(aEngine, aWish);
   if (!lease.connection_) {
     co_return lease;
   }
@@ -232,48 +207,4 @@
   co_return lease;
 }
 
-auto EnginePool::Reaches(std::shared_ptr<EngineState> aEngine) -> Task<bool>
-{
-  // One that is kept for later has broken with the process that held it.
-  const auto stands =
-    std::any_of(aEngine->kept_.begin(), aEngine->kept_.end(), [](auto& aKept) {
-      return aKept.connection_->IsOpen() &&
-             ProbeIdle(aKept.connection_->Socket()) == IdleState::Quiet;
-    });
-  if (stands) {
-    co_return true;
-  }
-  const auto connection = std::make_shared<EngineConnection>(context_);
-  const auto error = co_await connection->Connect(aEngine->entry_.address_,
-                                                  options_.connectTimeout_);
-  connection->Close();
-  // Anything else may be the link or this host; the store tells in time.
-  co_return error != asio::error::connection_refused;
-}
-
-auto EnginePool::Keep(const EngineLease& aLease, Duration aKeepFor) -> void
-{
-  auto& engine = *aLease.engine_;
-  const auto asked = aKeepFor > Duration{} ? aKeepFor : options_.defaultKeep_;
-  const auto keepFor = asked - options_.keepMargin_;
-  const auto clean = aLease.connection_->Buffer().size() == 0 &&
-                     aLease.connection_->WriteDone() &&
-                     engines_->Contains(engine.entry_) &&
-                     !engine.consent_.IsLeaving();
-  if (!clean || keepFor <= Duration{} ||
-      engine.kept_.size() >= options_.mostKept_) {
-    Drop(aLease);
-    return;
-  }
-  aLease.connection_->Disarm();
-  engine.kept_.push_back(
-    { .connection_ = aLease.connection_, .until_ = clock_.Now() + keepFor });
-}
-
-auto EnginePool::Drop(const EngineLease& aLease) -> void
-{
-  aLease.connection_->Close();
-  --aLease.engine_->openConnections_;
-}
-
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/EnginePool.h
+++ b/goldcrestcroft/src/Gateway/EnginePool.h
@@ -31,6 +31,7 @@
   {
     std::shared_ptr<EngineConnection> connection_;
     TimePoint until_;
+    TimePoint since_;
   };
   std::deque<Kept> kept_;
 
@@ -45,6 +46,8 @@
 {
   std::shared_ptr<EngineState> engine_;
   std::shared_ptr<EngineConnection> connection_;
+  /** How long the connection was kept unused before; none for a new one. */
+  std::optional<Duration> rested_;
   /** There is no connection since all requests that the engine takes from all
    * hosts together are given away. */
   bool denied_ = false;
@@ -58,6 +61,9 @@
   /** A new connection is handed out only once the engine would have reset it,
    * for what must not be sent in vain. */
   bool settles_ = false;
+  /** No repeat could mend a loss: no connection that has rested for longer
+   * than is safe. */
+  bool once_ = false;
   /** How long it may wait for its turn at an engine that names a limit. */
   Duration patience_{};
 };
@@ -78,6 +84,7 @@
      * request meets the close. */
     Duration keepMargin_ = std::chrono::milliseconds{ 1000 };
     std::size_t mostKept_ = 8;
+    RestLimit::Options rest_;
     /** Longest pause that an engine may ask for. */
     Duration longestPause_ = std::chrono::seconds{ 60 };
     /** Starts of engines that leave are remembered for this long, whatever
@@ -122,6 +129,9 @@
   auto Keep(const EngineLease& aLease, Duration aKeepFor) -> void;
   /** \brief False only if its address surely takes no connections. */
   auto Reaches(std::shared_ptr<EngineState> aEngine) -> Task<bool>;
+  /** \brief The exchange on it ended without a whole answer, and not by this
+   * host; it may have been forgotten by the engine. */
+  auto NoteBroken(const EngineLease& aLease) -> void;
   /** \brief Closes the connection. */
   auto Drop(const EngineLease& aLease) -> void;
   /** \brief Takes what the engine says of itself in an answer: that it leaves,
@@ -144,9 +154,11 @@
   auto OnLeaving(const std::string& aId, std::uint64_t aStartedAt) -> void;
 
 private:
+  using Kept = EngineState::Kept;
+
   auto IsSettled(EngineConnection& aConnection) -> Task<bool>;
   auto CloseKept(EngineState& aEngine) -> void;
-  auto Connect(std::shared_ptr<EngineState> aEngine, bool aSettles)
+  auto Connect(std::shared_ptr<EngineState> aEngine, const OpenWish& aWish)
     -> Task<EngineLease>;
   auto HeedLimit(const EngineLease& aLease, const EngineAnswerHead& aHead)
     -> void;
@@ -159,7 +171,9 @@
   /** \brief Whether the engine's turn for one more request has come. */
   auto AwaitTurn(std::shared_ptr<EngineState> aEngine, Duration aPatience)
     -> Task<bool>;
-  auto TakeKept(EngineState& aEngine) -> std::shared_ptr<EngineConnection>;
+  /** \brief The one that has rested least, if it may be used. Closes those
+   * that may not. */
+  auto TakeKept(EngineState& aEngine, bool aOnce) -> std::optional<Kept>;
 
   asio::io_context& context_;
   Options options_;
@@ -171,6 +185,8 @@
   /** By id and start, with when it was heard. */
   std::map<EngineStart, TimePoint> leaving_;
   LimitBoard limits_;
+  /** By service; only of those where one was lost lately. */
+  std::map<std::string, RestLimit> restLimits_;
 };
 
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
@@ -81,6 +81,7 @@
   const auto isStream = route_->kind_ == RouteKind::Streaming;
   // While another engine is kept, nothing is sent in vain and nothing waits.
   const OpenWish wish{ .settles_ = !isStream || parked_,
+                       .once_ = !HasAttemptsLeft(),
                        .patience_ = parked_ ? Duration{} : patience_ };
   const auto lease = co_await traffic_.Pool().Open(aEngine, wish);
   if (!lease.connection_) {
@@ -111,15 +112,19 @@
   if (aEnd == AttemptEnd::Delivered) {
     return;
   }
-  Log::Write(LogLevel::Info, "attempt_ended",
-             { { "request", requestId_ },
-               { "engine", aLease.engine_->entry_.id_ },
-               { "end", ToString(aEnd) },
-               { "timed_out", connection.TimedOut() ? "true" : "false" },
-               { "unread", connection.LeftUnread() ? "true" : "false" },
-               { "silent_ms", std::to_string(ToMilliseconds(
-                                traffic_.Now() - connection.HeardAt())) },
-               { "left_ms", std::to_string(ToMilliseconds(TimeLeft())) } });
+  Log::Write(
+    LogLevel::Info, "attempt_ended",
+    { { "request", requestId_ },
+      { "engine", aLease.engine_->entry_.id_ },
+      { "end", ToString(aEnd) },
+      { "kept", aLease.rested_ ? "true" : "false" },
+      { "rested_ms",
+        std::to_string(ToMilliseconds(aLease.rested_.value_or(Duration{}))) },
+      { "timed_out", connection.TimedOut() ? "true" : "false" },
+      { "unread", connection.LeftUnread() ? "true" : "false" },
+      { "silent_ms",
+        std::to_string(ToMilliseconds(traffic_.Now() - connection.HeardAt())) },
+      { "left_ms", std::to_string(ToMilliseconds(TimeLeft())) } });
 }
 
 auto RequestRun::MakeForwarded(const EngineEntry& aEngine) const -> std::string
--- a/goldcrestcroft/src/Gateway/RequestRunExchange.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunExchange.cpp
@@ -57,7 +57,13 @@
                { "run", ToHex(run.run_) },
                { "engine", entry.id_ },
                { "started_at", std::to_string(entry.startedAt_) },
-               { "broke", broke ? "true" : "false" } });
+               { "broke", broke ? "true" : "false" },
+               { "kept", aLease.rested_ ? "true" : "false" },
+               { "rested_ms", std::to_string(ToMilliseconds(
+                                aLease.rested_.value_or(Duration{}))) } });
+  if (broke) {
+    traffic_.Pool().NoteBroken(aLease);
+  }
   traffic_.NoteUnanswered(run, broke, aLease.engine_);
 }
 
--- a/goldcrestcroft/src/Gateway/StageDeskCalls.cpp
+++ b/goldcrestcroft/src/Gateway/StageDeskCalls.cpp
@@ -70,6 +70,9 @@
                  { "bound", ToString(bound) },
                  { "remedy", Remedy(bound) } });
   }
+  if (end == ReadEnd::Broken) {
+    pool_.NoteBroken(aLease);
+  }
   if (end == ReadEnd::Done) {
     answer.status_ = exchange.Head().status_;
     answer.reusable_ = exchange.IsReusable();
--- a/test/platform/EngineStandin.h
+++ b/test/platform/EngineStandin.h
@@ -128,6 +128,16 @@
   {
     server_.mostConnections_ = aMost;
   }
+  /** \brief Forgets connections that rest longer; never if negative. */
+  auto SetForgetsAfter(std::chrono::milliseconds aRest) -> void
+  {
+    server_.forgetsAfterMs_ = static_cast<int>(aRest.count());
+  }
+  /** \brief Requests that it reset unread, since it had forgotten. */
+  [[nodiscard]] auto Forgotten() const -> std::size_t
+  {
+    return server_.Forgotten();
+  }
   [[nodiscard]] auto PiecesRun() -> std::size_t;
   [[nodiscard]] auto CallsRun() -> std::size_t;
   [[nodiscard]] auto ResultsHeld() -> std::size_t;
--- a/test/platform/HttpServer.cpp
+++ b/test/platform/HttpServer.cpp
@@ -117,13 +117,20 @@
   auto& socket = *aSocket;
   beast::flat_buffer buffer;
   std::optional<http::response<http::string_body>> last;
-  for (;;) {
+  const SuspendAwareClock clock;
+  for (auto isNew = true;; isNew = false) {
+    const auto restsSince = clock.Now();
     Request request;
     const auto [error, size] =
       co_await http::async_read(socket, buffer, request, kAsTuple);
     if (error) {
       co_return;
     }
+    if (!isNew && Forgets(clock.Now() - restsSince)) {
+      ++forgotten_;
+      socket.set_option(asio::socket_base::linger(true, 0));
+      co_return;
+    }
     const auto reads = co_await AwaitOpen(socket);
     if (!reads) {
       co_return;
--- a/test/platform/HttpServer.h
+++ b/test/platform/HttpServer.h
@@ -62,6 +62,9 @@
   /** \brief Neither reads nor writes any more until Close. */
   auto FallSilent() -> void { silent_ = true; }
 
+  /** \brief Requests on connections that it had forgotten, reset unread. */
+  [[nodiscard]] auto Forgotten() const -> std::size_t { return forgotten_; }
+
   /** \brief Callers that left before their answer. */
   [[nodiscard]] auto Abandoned() const -> std::size_t { return abandoned_; }
 
@@ -73,11 +76,19 @@
 
   /** Callers beyond it are reset as soon as they have connected. */
   std::atomic<std::size_t> mostConnections_ = 1000;
+  /** Connections that rest longer after an answer are forgotten: what comes
+   * next is reset. Milliseconds; never if negative. */
+  std::atomic<int> forgetsAfterMs_ = -1;
 
 private:
   auto Accept() -> goldcrestcroft::Task<void>;
   auto Serve(std::shared_ptr<goldcrestcroft::Tcp::socket> aSocket)
     -> goldcrestcroft::Task<void>;
+  [[nodiscard]] auto Forgets(goldcrestcroft::Duration aRest) const -> bool
+  {
+    return forgetsAfterMs_ >= 0 &&
+           aRest > std::chrono::milliseconds{ forgetsAfterMs_ };
+  }
   /** \brief Waits while silent; whether the connection is still there. */
   auto AwaitOpen(const goldcrestcroft::Tcp::socket& aSocket)
     -> goldcrestcroft::Task<bool>;
@@ -90,6 +101,7 @@
   bool silent_ = false;
   std::size_t connections_ = 0;
   std::atomic<std::size_t> abandoned_ = 0;
+  std::atomic<std::size_t> forgotten_ = 0;
   EndlessStandin endless_;
 };
 
--- /dev/null
+++ b/test/process/RestedConnectionsTest.cpp
@@ -0,0 +1,127 @@
+#include "EntryFleet.h"
+
+#include <doctest/doctest.h>
+
+#include <sstream>
+
+namespace testing {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr auto kForgetsAfter = milliseconds{ 300 };
+const std::vector<std::string> kServices = { "desk", "model" };
+
+auto SetForgetsAfter(EntryFleet& aFleet, milliseconds aRest) -> void
+{
+  for (const auto& service : kServices) {
+    for (const auto& engine : aFleet.Platform().Engines(service)) {
+      engine->SetForgetsAfter(aRest);
+    }
+  }
+}
+
+auto Forgotten(EntryFleet& aFleet, const std::string& aService) -> std::size_t
+{
+  std::size_t sum = 0;
+  for (const auto& engine : aFleet.Platform().Engines(aService)) {
+    sum += engine->Forgotten();
+  }
+  return sum;
+}
+
+/** Calls that ended otherwise than with a whole success, by status. */
+using Failures = std::map<int, int>;
+
+/** \brief Requests that may run once to both services after each rest. */
+auto CallAfterRests(EntryFleet& aFleet, std::size_t aHosts, int aRounds)
+  -> Failures
+{
+  Failures failures;
+  for (auto i = 0; i < aRounds; ++i) {
+    for (const auto rest : { 450, 20, 250, 350, 600 }) {
+      std::this_thread::sleep_for(milliseconds{ rest });
+      for (std::size_t host = 0; host < aHosts; ++host) {
+        for (const auto& answer :
+             { aFleet.Call(host, { .method_ = "POST", .target_ = "/unsafe/x" }),
+               aFleet.Get(host, "/once/stream/x") }) {
+          if (answer.status_ != 200 || !answer.whole_) {
+            ++failures[answer.status_];
+          }
+        }
+      }
+    }
+  }
+  return failures;
+}
+
+} // namespace
+
+TEST_CASE("engines that forget rested connections cost a host one request of "
+          "each service, not one for each rest")
+{
+  constexpr std::size_t kHosts = 2;
+  constexpr auto kRounds = 3;
+  EntryFleet fleet(kHosts);
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    REQUIRE(fleet.AwaitReady(host));
+  }
+  REQUIRE(CallAfterRests(fleet, kHosts, 1).empty());
+  SetForgetsAfter(fleet, kForgetsAfter);
+  const auto failures = CallAfterRests(fleet, kHosts, kRounds);
+  CAPTURE(fleet.Log(0));
+  // Before the first loss nothing tells a host, and nothing is sent twice.
+  const auto most = static_cast<int>(kHosts * kServices.size());
+  const auto lost = failures.contains(502) ? failures.at(502) : 0;
+  CAPTURE(lost);
+  CHECK(lost <= most);
+  CHECK(failures.size() == (lost > 0 ? 1 : 0));
+  for (const auto& service : kServices) {
+    CHECK(Forgotten(fleet, service) <= kHosts);
+  }
+}
+
+TEST_CASE("a loss on a rested connection says for how long that had rested")
+{
+  EntryFleet fleet(1);
+  REQUIRE(fleet.AwaitReady(0));
+  REQUIRE(fleet.Get(0, "/once/stream/x").status_ == 200);
+  SetForgetsAfter(fleet, milliseconds{ 0 });
+  CHECK(EntryFleet::Await([&] {
+    fleet.Get(0, "/once/stream/x");
+    return fleet.Log(0).find("connection_forgotten") != std::string::npos;
+  }));
+  for (const auto* const event : { "attempt_ended", "run_lost" }) {
+    CAPTURE(event);
+    std::istringstream lines(fleet.Log(0));
+    auto told = false;
+    for (std::string line; std::getline(lines, line);) {
+      told |= line.find(event) != std::string::npos &&
+              line.find("\"kept\":\"true\"") != std::string::npos &&
+              line.find("\"rested_ms\":") != std::string::npos;
+    }
+    CHECK(told);
+  }
+}
+
+TEST_CASE("connections that are not used for their rest leave their places at "
+          "an engine that takes few")
+{
+  EntryFleet fleet(1);
+  REQUIRE(fleet.AwaitReady(0));
+  // One in use and one that is being closed.
+  for (const auto& service : kServices) {
+    for (const auto& engine : fleet.Platform().Engines(service)) {
+      engine->SetMostConnections(2);
+    }
+  }
+  SetForgetsAfter(fleet, kForgetsAfter);
+  constexpr auto kRounds = 3;
+  const auto failures = CallAfterRests(fleet, 1, kRounds);
+  CAPTURE(fleet.Log(0));
+  CHECK_FALSE(failures.contains(503));
+  CHECK_FALSE(failures.contains(0));
+}
+
+} // namespace testing
