--- a/goldcrestcroft/src/Gateway/Traffic.cpp
+++ b/goldcrestcroft/src/Gateway/Traffic.cpp
@@ -2,7 +2,6 @@
 
 #include "../Observability/Log.h"
 #include "BackgroundTask.h"
-#include "RequestRun.h"
 
 #include <spdlog/fmt/fmt.h>
 
@@ -100,24 +99,6 @@
   asio::co_spawn(context_, caller->Run(), LogFailure{ "caller" });
 }
 
-auto Traffic::StopAccepting() -> void
-{
-  if (!acceptor_->is_open()) {
-    return;
-  }
-  // Those that wait here count as connected on their side.
-  boost::system::error_code error;
-  acceptor_->non_blocking(true, error);
-  while (!error && callers_.size() < options_.settings_.mostCallers_) {
-    Tcp::socket socket(context_);
-    acceptor_->accept(socket, error);
-    if (!error) {
-      Take(std::move(socket));
-    }
-  }
-  acceptor_->close(error);
-}
-
 auto Traffic::DropIdle() -> bool
 {
   // The longest idle first: a connection that has just been opened is about to
@@ -205,49 +186,6 @@
   }
 }
 
-auto Traffic::Stop(const StopTimes& aTimes) -> void
-{
-  stopping_ = true;
-  stopAdmission_.emplace(aTimes);
-}
-
-auto Traffic::Takes(const std::string& aRoute, Duration aLeft) const -> bool
-{
-  if (!stopAdmission_) {
-    return true;
-  }
-  const auto known = answerTimes_.find(aRoute);
-  const auto usual =
-    known == answerTimes_.end() ? std::nullopt : known->second.Usual();
-  return stopAdmission_->Takes(usual, aLeft, Now());
-}
-
-auto Traffic::EndRequests() -> void
-{
-  const auto runs = runs_;
-  for (auto* run : runs) {
-    if (!run->HasBegunAnswer()) {
-      run->OnHostEnds();
-    }
-  }
-}
-
-auto Traffic::EndStreams() -> void
-{
-  const auto runs = runs_;
-  for (auto* run : runs) {
-    run->OnHostEnds();
-  }
-}
-
-auto Traffic::CloseIdle() -> void
-{
-  const auto callers = callers_;
-  for (const auto& caller : callers) {
-    caller->CloseWhenIdle();
-  }
-}
-
 auto Traffic::NoteRejected(const OwnAnswer& aAnswer) -> void
 {
   metrics_.CountAnswer("none", aAnswer.reason_, {});
--- /dev/null
+++ b/goldcrestcroft/src/Gateway/TrafficStop.cpp
@@ -0,0 +1,67 @@
+#include "RequestRun.h"
+#include "Traffic.h"
+
+namespace goldcrestcroft {
+
+auto Traffic::StopAccepting() -> void
+{
+  if (!acceptor_->is_open()) {
+    return;
+  }
+  // Those that wait here count as connected on their side.
+  boost::system::error_code error;
+  acceptor_->non_blocking(true, error);
+  while (!error && callers_.size() < options_.settings_.mostCallers_) {
+    Tcp::socket socket(context_);
+    acceptor_->accept(socket, error);
+    if (!error) {
+      Take(std::move(socket));
+    }
+  }
+  acceptor_->close(error);
+}
+
+auto Traffic::Stop(const StopTimes& aTimes) -> void
+{
+  stopping_ = true;
+  stopAdmission_.emplace(aTimes);
+}
+
+auto Traffic::Takes(const std::string& aRoute, Duration aLeft) const -> bool
+{
+  if (!stopAdmission_) {
+    return true;
+  }
+  const auto known = answerTimes_.find(aRoute);
+  const auto usual =
+    known == answerTimes_.end() ? std::nullopt : known->second.Usual();
+  return stopAdmission_->Takes(usual, aLeft, Now());
+}
+
+auto Traffic::EndRequests() -> void
+{
+  const auto runs = runs_;
+  for (auto* run : runs) {
+    if (!run->HasBegunAnswer()) {
+      run->OnHostEnds();
+    }
+  }
+}
+
+auto Traffic::EndStreams() -> void
+{
+  const auto runs = runs_;
+  for (auto* run : runs) {
+    run->OnHostEnds();
+  }
+}
+
+auto Traffic::CloseIdle() -> void
+{
+  const auto callers = callers_;
+  for (const auto& caller : callers) {
+    caller->CloseWhenIdle();
+  }
+}
+
+} // namespace goldcrestcroft
