Excuse a stop's loss only if the engines broke off all runs

StopCheck excused a request as soon as one engine that it reached had broken off, even where it went on at another one, which the host then left. Now each run that could still give an answer must have been broken off by its engine; what an engine refused, or had done before the next engine was asked, does not count.

Evidence: unit.SoakStopCheck has a case of each side (a second engine still ran it; one broke off and another refused it; one failed it and the other broke off).

--- a/test/soak/StopCheck.cpp
+++ b/test/soak/StopCheck.cpp
@@ -43,14 +43,27 @@
                                  aCall.endedAt_);
 }
 
+/** Whether the engines broke off all runs that could still give an answer. */
 auto HasBrokenOff(const SoakEvidence& aEvidence, const Meeting& aMeeting)
   -> bool
 {
-  return std::any_of(
-    aMeeting.runs_.begin(), aMeeting.runs_.end(), [&](const Run& aRun) {
-      return aEvidence.harm_.Within({ BreakPart(aRun.engine_) },
-                                    aRun.arrival_.at_, aMeeting.call_.endedAt_);
-    });
+  auto last = TimePoint::min();
+  for (const auto& run : aMeeting.runs_) {
+    last = std::max(last, run.arrival_.at_);
+  }
+  auto brokenOff = false;
+  for (const auto& [engine, arrival] : aMeeting.runs_) {
+    // What was done before another engine was asked was no answer to pass on.
+    if (!arrival.ran_ || arrival.doneAt_ <= last) {
+      continue;
+    }
+    if (!aEvidence.harm_.Within({ BreakPart(engine) }, arrival.at_,
+                                aMeeting.call_.endedAt_)) {
+      return false;
+    }
+    brokenOff = true;
+  }
+  return brokenOff;
 }
 
 auto IsAtWorkAtTheEnd(const Meeting& aMeeting) -> bool
--- a/test/unit/SoakStopCheckTest.cpp
+++ b/test/unit/SoakStopCheckTest.cpp
@@ -21,6 +21,8 @@
   StopRecord stop_{ .life_ = 1, .at_ = kSigterm, .grace_ = kGrace };
   Disturbances harm_;
   std::vector<standins::EngineStandin::Arrival> arrivals_;
+  /** At another engine. */
+  std::vector<standins::EngineStandin::Arrival> elsewhere_;
 
   /** Times are from SIGTERM on; the connection ends without an answer. */
   auto Cut(Duration aSent, Duration aEnded) -> void
@@ -37,14 +39,21 @@
         .at_ = kSigterm + aFrom,
         .doneAt_ = aDone ? kSigterm + *aDone : TimePoint::max() });
   }
+  auto RunElsewhere(Duration aFrom, bool aRan) -> void
+  {
+    elsewhere_.push_back({ .requestId_ = call_.id_,
+                           .workspace_ = "w1",
+                           .at_ = kSigterm + aFrom,
+                           .ran_ = aRan });
+  }
   [[nodiscard]] auto Seen(const std::vector<CallRecord>& aCalls) const
     -> SoakEvidence
   {
     return { .calls_ = aCalls,
              .harm_ = harm_,
              .drains_ = kNoDrains,
-             .arrivals_ = { { "e", arrivals_ } },
-             .serviceOfEngine_ = { { "e", "desk" } },
+             .arrivals_ = { { "e", arrivals_ }, { "f", elsewhere_ } },
+             .serviceOfEngine_ = { { "e", "desk" }, { "f", "desk" } },
              .hosts_ = 1,
              .stops_ = { stop_ } };
   }
@@ -99,6 +108,20 @@
     world.Cut(4500ms, 6900ms);
     world.Run(4510ms);
   }
+  SUBCASE("one that another engine still ran after the first broke off")
+  {
+    world.Cut(100ms, 500ms);
+    world.Run(110ms);
+    world.harm_.Begin(BreakPart("e"), kSigterm + 200ms);
+    world.RunElsewhere(210ms, true);
+  }
+  SUBCASE("one whose engine broke off before it was asked")
+  {
+    world.Cut(100ms, 500ms);
+    world.Run(110ms);
+    world.harm_.End(world.harm_.Begin(BreakPart("e"), kSigterm),
+                    kSigterm + 105ms);
+  }
   SUBCASE("a stream that has begun")
   {
     world.call_.kind_ = CallKind::Stream;
@@ -146,6 +169,18 @@
     world.Run(110ms);
     world.harm_.Begin(BreakPart("e"), kSigterm + 400ms);
   }
+  SUBCASE("the engine broke off and another one refused it")
+  {
+    world.Run(110ms);
+    world.harm_.Begin(BreakPart("e"), kSigterm + 200ms);
+    world.RunElsewhere(210ms, false);
+  }
+  SUBCASE("one engine failed it and the other broke off")
+  {
+    world.Run(110ms, 150ms);
+    world.RunElsewhere(160ms, true);
+    world.harm_.Begin(BreakPart("f"), kSigterm + 400ms);
+  }
   SUBCASE("the deadline was reached")
   {
     world.Run(110ms);
