Do not take bytes that are no event for a parked engine speaking again

Cause: goes back to a parked engine as soon as bytes of it wait. An engine that was given up just because its bytes are no events always has some.

An engine whose last bytes came after its last event is parked with that note, and only the end of its connection counts as its speaking; it still goes on where the other one does not take the stream.

Ruled out: load alone; the log shows engine_parked with 99 ms of silence and engine_resumed 5 ms later.

--- a/goldcrestcroft/src/Gateway/RequestRun.h
+++ b/goldcrestcroft/src/Gateway/RequestRun.h
@@ -145,6 +145,8 @@
   {
     std::shared_ptr<EngineExchange> exchange_;
     TimePoint began_;
+    /** It sends bytes that are no event, so more of them say nothing. */
+    bool sendsNoEvents_ = false;
   };
   auto Park(std::shared_ptr<EngineExchange> aExchange, TimePoint aBegan)
     -> AttemptEnd;
@@ -206,6 +208,9 @@
   std::string lastEngine_;
   /** When the last bytes of an engine came. */
   TimePoint heardAt_;
+  /** When the last event of the engine that streams came; the end of time
+   * before it streams. */
+  TimePoint eventAt_ = TimePoint::max();
   /** Runs without a whole answer so far. */
   std::uint64_t lostRuns_ = 0;
   TimePoint stagesDoneAt_;
--- a/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
@@ -105,12 +105,12 @@
   const AnswerBounds bounds;
   EventWatch watch(bounds);
   auto heard = relay_.EventsWithData();
-  auto heardAt = traffic_.Now();
+  eventAt_ = traffic_.Now();
   while (!aExchange.IsComplete()) {
     // Only where it could go on elsewhere is silence a reason to leave. Bytes
     // that are no event do not break it.
     const auto patience =
-      std::max<Duration>(stall - (traffic_.Now() - heardAt), Duration{});
+      std::max<Duration>(stall - (traffic_.Now() - eventAt_), Duration{});
     if (HasAttemptsLeft()) {
       PauseIfSilent(aExchange.Lease(), patience);
     } else {
@@ -158,7 +158,7 @@
     }
     if (relay_.EventsWithData() != heard) {
       heard = relay_.EventsWithData();
-      heardAt = traffic_.Now();
+      eventAt_ = traffic_.Now();
     }
     if (aborted_ != Aborted::No) {
       co_return AttemptEnd::Abandoned;
--- a/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
@@ -186,6 +186,7 @@
     aLease, traffic_.Codec().Headers(), traffic_.Pool().Held());
   CloseIfSilent(aLease, TimeForHead());
   unsettled_ = true;
+  eventAt_ = TimePoint::max();
   auto forwarded = MakeForwarded(aLease.engine_->entry_);
   if (aLease.engine_->limit_) {
     traffic_.Metrics().Count("requests_to_limited_engines");
--- a/goldcrestcroft/src/Gateway/RequestRunParked.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunParked.cpp
@@ -30,7 +30,10 @@
         self->wake_.cancel();
       }
     });
-  parked_ = { .exchange_ = std::move(aExchange), .began_ = aBegan };
+  const auto sendsNoEvents = lease.connection_->HeardAt() > eventAt_;
+  parked_ = { .exchange_ = std::move(aExchange),
+              .began_ = aBegan,
+              .sendsNoEvents_ = sendsNoEvents };
   return AttemptEnd::Parked;
 }
 
@@ -40,8 +43,12 @@
     return false;
   }
   auto& connection = *parked_->exchange_->Lease().connection_;
-  return !connection.IsOpen() ||
-         ProbeIdle(connection.Socket()) != IdleState::Quiet;
+  if (!connection.IsOpen()) {
+    return true;
+  }
+  const auto state = ProbeIdle(connection.Socket());
+  return state == IdleState::Closed ||
+         (state == IdleState::HasBytes && !parked_->sendsNoEvents_);
 }
 
 auto RequestRun::ReturnToParked(std::optional<AttemptEnd> aTried)
--- a/test/process/StalledStreamsTest.cpp
+++ b/test/process/StalledStreamsTest.cpp
@@ -43,6 +43,24 @@
   }
 }
 
+TEST_CASE(
+  "a stream stays at an engine that sends bytes but no event, since these "
+  "are taken for its speaking again")
+{
+  EntryFleet fleet(1);
+  INFO(fleet.Log(0));
+  REQUIRE(fleet.AwaitReady(0));
+  fleet.Platform().Engines("model")[0]->SetEndless(
+    standins::EndlessBytes{ .begin_ = kBegin,
+                            .unit_ = ":\n\n",
+                            .pause_ = std::chrono::milliseconds{ 2 } });
+  for (auto i = 0; i < 2; ++i) {
+    const auto stream = GetStream(fleet, "/stream/x");
+    CHECK(stream.whole_);
+    CHECK(CountOf(stream.body_, "data: " + fleet.LastId()) == 6);
+  }
+}
+
 TEST_CASE("a stream that is slow and sound is not cut")
 {
   EntryFleet fleet(1);
