Log the prompt parts and the progress of each lost run

The logs named the fingerprint of each lost request, which differs for each, so they could not tell whether the crashes had anything in common. No decision changes.

--- a/goldcrestcroft/src/Engines/PromptPart.h
+++ b/goldcrestcroft/src/Engines/PromptPart.h
@@ -21,4 +21,9 @@
  * belongs to the request alone. Empty for prompts without shared parts. */
 auto SharedPartId(const std::vector<PromptPart>& aParts) -> std::string;
 
+/** \brief Ids of the parts that the prompt may share with others: all but the
+ * last, each once, in the order of the prompt. */
+auto SharedPartIds(const std::vector<PromptPart>& aParts)
+  -> std::vector<std::string>;
+
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/EngineExchange.h
+++ b/goldcrestcroft/src/Gateway/EngineExchange.h
@@ -55,6 +55,17 @@
   [[nodiscard]] auto HasHead() const -> bool { return hasHead_; }
   /** \brief Bytes of the body read so far. */
   [[nodiscard]] auto BodyBytes() const -> std::size_t { return bodyBytes_; }
+  /** \brief Records that an event with data has arrived. */
+  auto OnEvent(TimePoint aNow) -> void
+  {
+    firstEventAt_ = firstEventAt_.value_or(aNow);
+  }
+  /** \brief When the first event with data arrived; none before it, and for
+   * responses that are no streams. */
+  [[nodiscard]] auto FirstEventAt() const -> std::optional<TimePoint>
+  {
+    return firstEventAt_;
+  }
   /** \brief Buffer for a body that is read completely. */
   auto Body() -> std::string& { return body_; }
   /** \brief Appends the next bytes of the body to aInto; Done without bytes at
@@ -108,6 +119,7 @@
   std::optional<http::response_parser<http::buffer_body>> parser_;
   EngineResponseHead head_;
   bool hasHead_ = false;
+  std::optional<TimePoint> firstEventAt_;
   std::string body_;
   ResponseLimits bounds_;
   ResponseLimit exceeded_ = ResponseLimit::None;
--- a/goldcrestcroft/src/Gateway/RequestRun.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRun.cpp
@@ -66,6 +66,18 @@
   return { value.data(), value.size() };
 }
 
+auto RequestRun::JoinedField(const std::string& aName) const -> std::string
+{
+  std::string joined;
+  const auto range = request_.equal_range(aName);
+  for (auto it = range.first; it != range.second; ++it) {
+    const auto value = it->value();
+    joined += joined.empty() ? "" : ",";
+    joined.append(value.data(), value.size());
+  }
+  return joined;
+}
+
 auto RequestRun::Id() const -> std::string
 {
   return Field(traffic_.Codec().Headers().requestId_);
@@ -112,6 +124,7 @@
                                    "stages in visible ASCII" };
   }
   service_ = ChooseService(*route_, UniformFraction(requestId_));
+  prompt_ = traffic_.Codec().ReadPrompt(JoinedField(names.promptParts_));
   fingerprint_ =
     Fingerprint(target + "\n" + workspace_ + "\n" + request_.body());
   if (CheckQuarantined()) {
--- a/goldcrestcroft/src/Gateway/RequestRun.h
+++ b/goldcrestcroft/src/Gateway/RequestRun.h
@@ -55,6 +55,9 @@
 
   /** \brief Value of a header field of the request; empty if it is absent. */
   [[nodiscard]] auto Field(const std::string& aName) const -> std::string;
+  /** \brief Values of all header fields of that name, which together are one
+   * comma-separated list. */
+  [[nodiscard]] auto JoinedField(const std::string& aName) const -> std::string;
   /** \brief Finds route, workspace and service and checks the request; returns
    * the reply if it is refused. */
   auto Admit() -> std::optional<LocalReply>;
@@ -168,7 +171,7 @@
   auto ReportExceededBound(const EngineLease& aLease, ResponseLimit aBound)
     -> void;
   /** \brief Logs and reports a run that has no complete response. */
-  auto ReportLostRun(const EngineLease& aLease, TimePoint aBegan) -> void;
+  auto ReportLostRun(const EngineExchange& aExchange, TimePoint aBegan) -> void;
   /** \brief Whether the request is quarantined, so that no further attempt is
    * allowed. Remembers it for the reply. */
   auto CheckQuarantined() -> bool;
--- a/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
@@ -160,6 +160,7 @@
     if (relay_.EventsWithData() != eventsSeen) {
       eventsSeen = relay_.EventsWithData();
       lastEventAt_ = traffic_.Now();
+      aExchange.OnEvent(lastEventAt_);
     }
     if (aborted_ != Aborted::No) {
       co_return AttemptOutcome::Abandoned;
--- a/goldcrestcroft/src/Gateway/RequestRunExchange.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunExchange.cpp
@@ -14,6 +14,20 @@
  * resumed in quick succession. */
 constexpr Duration kMinHeadTimeout = std::chrono::milliseconds{ 250 };
 
+/** The shared parts of the prompt, as many as a log line may have. */
+auto FirstPartsForLog(const std::vector<PromptPart>& aPrompt) -> std::string
+{
+  constexpr std::size_t kMaxParts = 8;
+  constexpr std::size_t kMaxIdLength = 32;
+  std::string list;
+  auto ids = SharedPartIds(aPrompt);
+  ids.resize(std::min(ids.size(), kMaxParts));
+  for (const auto& id : ids) {
+    list += (list.empty() ? "" : " ") + id.substr(0, kMaxIdLength);
+  }
+  return list;
+}
+
 auto IsSuccess(ReadOutcome aEnd, const EngineResponseHead& aHead) -> bool
 {
   return aEnd == ReadOutcome::Done && aHead.status_ >= 200 &&
@@ -41,31 +55,38 @@
                { "remedy", Remedy(aBound) } });
 }
 
-auto RequestRun::ReportLostRun(const EngineLease& aLease, TimePoint aBegan)
-  -> void
+auto RequestRun::ReportLostRun(const EngineExchange& aExchange,
+                               TimePoint aBegan) -> void
 {
-  const auto& entry = aLease.engine_->entry_;
-  const auto& connection = *aLease.connection_;
+  const auto& lease = aExchange.Lease();
+  const auto& entry = lease.engine_->entry_;
+  const auto& connection = *lease.connection_;
   const auto broke =
     aborted_ == Aborted::No && !connection.TimedOut() && !connection.IsPaused();
   const LostRun run{ .request_ = fingerprint_,
                      .run_ = Fingerprint(requestId_, ++lostRuns_),
                      .began_ = aBegan,
                      .ended_ = traffic_.Now() };
+  const auto firstEvent = aExchange.FirstEventAt();
   Log::Write(LogLevel::Info, "run_lost",
              { { "request", requestId_ },
                { "fingerprint", ToHex(fingerprint_) },
                { "run", ToHex(run.run_) },
                { "engine", entry.id_ },
+               { "parts", FirstPartsForLog(prompt_) },
+               { "head", aExchange.HasHead() ? "true" : "false" },
+               { "events_for_ms", firstEvent ? std::to_string(ToMilliseconds(
+                                                 run.ended_ - *firstEvent))
+                                             : "-" },
                { "started_at", std::to_string(entry.startedAt_) },
                { "broke", broke ? "true" : "false" },
-               { "kept", aLease.idleFor_ ? "true" : "false" },
+               { "kept", lease.idleFor_ ? "true" : "false" },
                { "rested_ms", std::to_string(ToMilliseconds(
-                                aLease.idleFor_.value_or(Duration{}))) } });
+                                lease.idleFor_.value_or(Duration{}))) } });
   if (broke) {
-    traffic_.Pool().NoteBroken(aLease);
+    traffic_.Pool().NoteBroken(lease);
   }
-  traffic_.ReportUnansweredRun(run, broke, aLease.engine_);
+  traffic_.ReportUnansweredRun(run, broke, lease.engine_);
 }
 
 auto RequestRun::RecordLoad(const EngineExchange& aExchange) -> void
@@ -162,14 +183,14 @@
       break;
     case AttemptOutcome::Lost:
       health.OnFailure(traffic_.Now());
-      ReportLostRun(lease, aBegan);
+      ReportLostRun(aExchange, aBegan);
       break;
     case AttemptOutcome::Abandoned:
       // The caller may have left while a complete response was sent to it.
       if (aExchange.IsComplete()) {
         traffic_.OnRequestCompleted(fingerprint_);
       } else {
-        ReportLostRun(lease, aBegan);
+        ReportLostRun(aExchange, aBegan);
       }
       break;
     default:
--- a/goldcrestcroft/src/Gateway/RequestRunExecute.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunExecute.cpp
@@ -30,7 +30,6 @@
 {
   traffic_.CountRequest(service_);
   const auto& codec = traffic_.Codec();
-  prompt_ = codec.ReadPrompt(Field(codec.Headers().promptParts_));
   PlanHome();
   if (!route_->stages_.empty()) {
     const auto pieces =
