Treat a stream that ends inside an event as broken off

What callers saw: a stream whose engine stopped in the middle of an event came as complete, with half an event at its end, where the response has no length, or where its framing was complete. Cause: the relay appended the bytes after the last event once the response was complete, and the end of the connection completes a body without a length. Change: bytes after the last event at the end of a stream mean that the engine broke off. The stream resumes at another engine where its route allows it, and is cut otherwise. Complete streams and plain responses without a length still pass at an orderly close, and not at a reset. Why it works: an event ends with an empty line, so whatever follows the last one is not whole, however the response is framed.

--- a/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
@@ -128,10 +128,11 @@
       aExchange.Pass(passed);
       co_return AttemptOutcome::Lost;
     }
-    if (aExchange.IsComplete()) {
-      events += relay_.Partial();
-    }
-    if (!streamBegun_ && (!events.empty() || aExchange.IsComplete()) &&
+    // An engine that breaks off closes its connection in the same way as one
+    // whose response has no length.
+    const auto brokeOff = aExchange.IsComplete() && !relay_.Partial().empty();
+    if (!streamBegun_ &&
+        (!events.empty() || (aExchange.IsComplete() && !brokeOff)) &&
         end == ReadOutcome::Done) {
       streamBegun_ = true;
       firstEventAt_ = traffic_.Now();
@@ -167,7 +168,7 @@
     if (aborted_ != Aborted::No) {
       co_return AttemptOutcome::Abandoned;
     }
-    if (end != ReadOutcome::Done) {
+    if (end != ReadOutcome::Done || brokeOff) {
       co_return AttemptOutcome::Lost;
     }
   }
--- /dev/null
+++ b/test/process/StreamEndTest.cpp
@@ -0,0 +1,107 @@
+#include "EntryFleet.h"
+
+#include <doctest/doctest.h>
+
+namespace testing {
+
+namespace {
+
+const std::string kHead = "HTTP/1.1 200 OK\r\n"
+                          "Goldcrestcroft-Request-Id: @ID\r\n"
+                          "Goldcrestcroft-Server-Seal: s\r\n";
+const std::string kEvent = "id: 1\ndata: @ID\n\n";
+
+/** Entry host in front of engines that all respond with the same bytes. */
+class RawFleet
+{
+public:
+  RawFleet()
+    : fleet_(1, { .enginesPerService_ = 4 })
+  {
+    REQUIRE(fleet_.AwaitReady(0));
+  }
+  auto Get(const std::string& aTarget, const std::string& aBytes,
+           bool aResets = false) -> CallerResponse
+  {
+    for (const auto* service : { "desk", "model" }) {
+      for (const auto& engine : fleet_.Platform().Engines(service)) {
+        engine->SetRawResponse(aBytes, aResets);
+      }
+    }
+    return fleet_.Get(0, aTarget);
+  }
+  [[nodiscard]] auto LastId() const -> std::string { return fleet_.LastId(); }
+
+private:
+  EntryFleet fleet_;
+};
+
+auto IsComplete(const CallerResponse& aResponse) -> bool
+{
+  return aResponse.status_ == 200 && aResponse.whole_;
+}
+
+/** The body as one chunk and the last chunk. */
+auto Chunked(const std::string& aBody) -> std::string
+{
+  std::ostringstream size;
+  size << std::hex << aBody.size();
+  return size.str() + "\r\n" + aBody + "\r\n0\r\n\r\n";
+}
+
+} // namespace
+
+TEST_CASE("a stream that ends inside an event is not delivered as complete")
+{
+  const std::string crlfEvent = "id: 2\r\ndata: 2\r\n\r\n";
+  const std::vector<std::string> parts{ "i",
+                                        "id: 2",
+                                        "id: 2\n",
+                                        "id: 2\nda",
+                                        "data: 2\n",
+                                        "id: 2\ndata: 2\n",
+                                        "id: 2\r\n",
+                                        "id: 2\r\ndata: 2\r",
+                                        ": a comment",
+                                        "id: 2\r\ndata: 2\r\n",
+                                        "id: 2\r\ndata: 2\r\n\r" };
+  for (const auto* target : { "/stream/x", "/once/stream/x" }) {
+    for (const auto& before : { std::string(), kEvent, kEvent + crlfEvent }) {
+      // A fleet for each, since engines that fail repeatedly are suspended.
+      RawFleet fleet;
+      for (const auto& part : parts) {
+        CAPTURE(target);
+        CAPTURE(before);
+        CAPTURE(part);
+        // @ID is replaced by 16 characters at the engine.
+        const auto body = before.empty() ? part : ": a\n\n" + part;
+        CHECK_FALSE(
+          IsComplete(fleet.Get(target, kHead + "\r\n" + before + part)));
+        CHECK_FALSE(IsComplete(
+          fleet.Get(target, kHead + "Transfer-Encoding: chunked\r\n\r\n" +
+                              Chunked(body))));
+        CHECK_FALSE(IsComplete(fleet.Get(
+          target, kHead + "Content-Length: " + std::to_string(body.size()) +
+                    "\r\n\r\n" + body)));
+      }
+    }
+  }
+}
+
+TEST_CASE("a response without a length is complete only at an orderly close")
+{
+  RawFleet fleet;
+  for (const auto* target : { "/stream/x", "/once/stream/x", "/safe/x" }) {
+    CAPTURE(target);
+    const auto closed = fleet.Get(target, kHead + "\r\n" + kEvent + kEvent);
+    CHECK(IsComplete(closed));
+    CHECK(CountOf(closed.body_, "data: " + fleet.LastId() + "\n\n") == 2);
+  }
+  for (const auto* target : { "/stream/x", "/once/stream/x", "/safe/x" }) {
+    CAPTURE(target);
+    CHECK_FALSE(
+      IsComplete(fleet.Get(target, kHead + "\r\n" + kEvent + kEvent, true)));
+  }
+}
+
+} // namespace testing
