--- a/test/soak/PoisonCheck.cpp
+++ b/test/soak/PoisonCheck.cpp
@@ -12,7 +12,8 @@
 constexpr std::size_t kPartCrashes = 5;
 constexpr std::size_t kMaxLaterSends = 3;
 
-/** Requests that crash engines, by their id, and what in them does so. */
+/** Requests that crash engines, by their id, and what in them does so: the
+ * body, or a part of the prompt. */
 using CrashingCalls =
   std::unordered_map<std::string, std::pair<const CallRecord*, std::string>>;
 
