Count crashes of engines whose next incarnation drains

Cause: the crash detector and the hosts that runs are delegated to drop the runs of engines that drain, since a planned end is no crash. They asked by the id of the engine only. An engine that crashed, started again and was then told to drain before the store had listed its new incarnation was taken for one that drains, and the run that had crashed it was dropped.

Change: EngineList::IsDraining takes the incarnation. Runs of another one count as those of any engine whose incarnation is no longer listed.

--- a/goldcrestcroft/src/Engines/CrashDetector.cpp
+++ b/goldcrestcroft/src/Engines/CrashDetector.cpp
@@ -61,7 +61,7 @@
   -> std::vector<LostRun>
 {
   std::erase_if(runs_, [&](const auto& aItem) {
-    return aEngines.IsDraining(aItem.engine_) ||
+    return aEngines.IsDraining(aItem.engine_, aItem.startedAt_) ||
            aNow - aItem.run_.ended_ >= options_.watchPeriod_;
   });
   return Extract(runs_, [&](const auto& aItem) {
--- a/goldcrestcroft/src/Engines/CrashDetector.h
+++ b/goldcrestcroft/src/Engines/CrashDetector.h
@@ -66,8 +66,8 @@
    * crashed during them. */
   auto OnUnreachable(const EngineEntry& aEngine) -> std::vector<LostRun>;
   /** \brief Takes the engines that the store currently lists. Returns the runs
-   * whose engine incarnation is no longer listed. Runs of draining engines are
-   * dropped. */
+   * whose engine incarnation is no longer listed. Runs of incarnations that
+   * drain are dropped. */
   auto OnEngines(const EngineList& aEngines, TimePoint aNow)
     -> std::vector<LostRun>;
   [[nodiscard]] auto Size() const -> std::size_t { return runs_.size(); }
--- a/goldcrestcroft/src/Engines/DelegatedRuns.h
+++ b/goldcrestcroft/src/Engines/DelegatedRuns.h
@@ -49,7 +49,7 @@
     std::erase_if(runs_, [&](const DelegatedRun& aItem) {
       const auto& run = aItem.run_;
       if (aNow - run.run_.ended_ >= options_.retention_ ||
-          aEngines.IsDraining(run.engine_)) {
+          aEngines.IsDraining(run.engine_, run.startedAt_)) {
         return true;
       }
       const auto isLost = listKnown &&
--- a/goldcrestcroft/src/Routing/EngineList.cpp
+++ b/goldcrestcroft/src/Routing/EngineList.cpp
@@ -31,10 +31,10 @@
   return found != listed_.end() && found->second.startedAt_ == aStartedAt;
 }
 
-auto EngineList::IsDraining(const std::string& aId) const -> bool
+auto EngineList::IsDraining(const std::string& aId,
+                            std::uint64_t aStartedAt) const -> bool
 {
-  const auto found = listed_.find(aId);
-  return found != listed_.end() && found->second.draining_;
+  return IsRegistered(aId, aStartedAt) && listed_.at(aId).draining_;
 }
 
 auto EngineList::Contains(const EngineEntry& aEngine) const -> bool
--- a/goldcrestcroft/src/Routing/EngineList.h
+++ b/goldcrestcroft/src/Routing/EngineList.h
@@ -24,8 +24,10 @@
    * not. */
   [[nodiscard]] auto IsRegistered(const std::string& aId,
                                   std::uint64_t aStartedAt) const -> bool;
-  /** \brief Whether the engine has advertised that it is draining. */
-  [[nodiscard]] auto IsDraining(const std::string& aId) const -> bool;
+  /** \brief Whether this incarnation of the engine has advertised that it is
+   * draining. */
+  [[nodiscard]] auto IsDraining(const std::string& aId,
+                                std::uint64_t aStartedAt) const -> bool;
   [[nodiscard]] auto size() const -> std::size_t { return size_; }
 
 private:
--- a/test/unit/CrashDetectorTest.cpp
+++ b/test/unit/CrashDetectorTest.cpp
@@ -92,4 +92,17 @@
   CHECK(lost[0].run_ == 2);
 }
 
+TEST_CASE("an engine has crashed although its next incarnation drains by the "
+          "time that it is listed")
+{
+  CrashDetector detector;
+  detector.Add(Run(1, true), kNow);
+  auto draining = kEngine;
+  draining.draining_ = true;
+  ++draining.startedAt_;
+  const auto lost = detector.OnEngines(EngineList({ draining }), kNow);
+  REQUIRE(lost.size() == 1);
+  CHECK(lost[0].run_ == 1);
+}
+
 } // namespace testing
--- a/test/unit/DelegatedRunsTest.cpp
+++ b/test/unit/DelegatedRunsTest.cpp
@@ -82,6 +82,17 @@
   CHECK(runs.Size() == 0);
 }
 
+TEST_CASE("delegated runs count although the next incarnation of the engine "
+          "drains")
+{
+  DelegatedRuns runs;
+  runs.Add(Run(1), "host");
+  const EngineList engines(
+    { { .id_ = kEngine, .draining_ = true, .startedAt_ = kIncarnation + 1 },
+      { .id_ = "another", .service_ = "s" } });
+  CHECK(runs.TakeOver(engines, kNow, kGone) == std::vector{ Run(1).run_ });
+}
+
 TEST_CASE("delegated runs are bounded and the newest are kept")
 {
   DelegatedRuns runs({ .capacity_ = 2 });
