Pass evidence on from owner to owner as hosts come and go

A lost run is reported to new owners by the host that lost it only, so it is forgotten with that host and the first owners, although some host that could have learned of it was up at each moment.

Change: owners report what others have reported to hosts that become owners later. A host that is leaving owns nothing, so that it passes on what it knows while it is up. Broken runs are delegated to two hosts besides their own and passed on in the same way.

Unit cases for both classes.

Why it works: a run is forgotten only if all hosts that know it are gone before the others have noticed that one of them is.

Cost: a run is reported again to each new owner by those who know it, of two in as many requests as there are hosts for each host that joins or leaves.

--- a/goldcrestcroft/src/Engines/DelegatedRuns.h
+++ b/goldcrestcroft/src/Engines/DelegatedRuns.h
@@ -3,6 +3,7 @@
 #include "CrashDetector.h"
 
 #include <deque>
+#include <set>
 #include <string>
 
 namespace goldcrestcroft {
@@ -12,7 +13,8 @@
  *
  * A live host detects the crash itself (CrashDetector) and reports the run.
  * Once that host is gone, the run counts as lost as soon as the store no longer
- * lists that incarnation of the engine. */
+ * lists that incarnation of the engine. As the owners change, the hosts that
+ * know a run pass it on, so that it outlives each of them. */
 class DelegatedRuns
 {
 public:
@@ -34,9 +36,24 @@
   {
   }
 
-  /** \brief Keeps a run for aHost, which identifies one incarnation of a
-   * host. */
-  auto Add(const UnansweredRun& aRun, const std::string& aHost) -> void;
+  /** \brief Keeps a run for aHost, which identifies one incarnation of a host;
+   * aOwners have received the run, too. */
+  auto Add(const UnansweredRun& aRun, const std::string& aHost,
+           const std::vector<std::string>& aOwners = {}) -> void;
+  /** \brief Calls aSend with each run and each of its owners, as returned by
+   * aOwnersOf(request), that has not received it; aSend returns whether it was
+   * sent. Call when the live hosts have changed. */
+  template<typename Owners, typename Send>
+  auto PassOn(Owners aOwnersOf, Send aSend) -> void
+  {
+    for (auto& item : runs_) {
+      for (const auto& owner : aOwnersOf(item.run_.run_.request_)) {
+        if (!item.recipients_.contains(owner) && aSend(item.run_, owner)) {
+          item.recipients_.insert(owner);
+        }
+      }
+    }
+  }
   /** \brief Removes and returns the runs whose engines have crashed and whose
    * hosts are gone. aIsLive tells whether a host is still alive. */
   template<typename IsLive>
@@ -69,6 +86,8 @@
   {
     UnansweredRun run_;
     std::string host_;
+    /** Hosts that have received the run. */
+    std::set<std::string> recipients_;
   };
 
   Options options_;
--- a/goldcrestcroft/src/Engines/LostRunReports.cpp
+++ b/goldcrestcroft/src/Engines/LostRunReports.cpp
@@ -26,14 +26,39 @@
   return owners;
 }
 
-auto LostRunReports::Add(const LostRun& aRun) -> void
+auto LostRunReports::Insert(const LostRun& aRun) -> bool
 {
+  if (!known_.insert(KeyOf(aRun)).second) {
+    return false;
+  }
   if (runs_.size() >= options_.capacity_) {
-    runs_.pop_front();
-    ++first_;
+    RemoveOldest();
   }
   runs_.push_back({ .run_ = aRun });
-  AssignOwners(first_ + runs_.size() - 1);
+  return true;
+}
+
+auto LostRunReports::RemoveOldest() -> void
+{
+  known_.erase(KeyOf(runs_.front().run_));
+  runs_.pop_front();
+  ++first_;
+}
+
+auto LostRunReports::Add(const LostRun& aRun) -> void
+{
+  if (Insert(aRun)) {
+    AssignOwners(first_ + runs_.size() - 1);
+  }
+}
+
+auto LostRunReports::AddReported(const LostRun& aRun) -> void
+{
+  if (OutlivesOwners(aRun.request_) && Insert(aRun)) {
+    for (const auto& owner : Owners(aRun.request_)) {
+      runs_.back().sendCounts_[owner] = options_.sendsPerOwner_;
+    }
+  }
 }
 
 auto LostRunReports::Forget(std::uint64_t aRequest) -> void
@@ -52,13 +77,25 @@
   return OwnersOf(aRequest, hosts_, options_.owners_);
 }
 
-auto LostRunReports::SetHosts(std::vector<std::string> aHosts) -> void
+auto LostRunReports::OtherOwners(std::uint64_t aRequest,
+                                 const std::string& aSelf) const
+  -> std::vector<std::string>
+{
+  auto owners = OwnersOf(aRequest, hosts_, options_.owners_ + 1);
+  std::erase(owners, aSelf);
+  owners.resize(std::min(owners.size(), options_.owners_));
+  return owners;
+}
+
+auto LostRunReports::SetHosts(std::vector<std::string> aHosts) -> bool
 {
   std::sort(aHosts.begin(), aHosts.end());
-  if (aHosts != hosts_) {
-    hosts_ = std::move(aHosts);
-    hostsChanged_ = true;
+  if (aHosts == hosts_) {
+    return false;
   }
+  hosts_ = std::move(aHosts);
+  hostsChanged_ = true;
+  return true;
 }
 
 auto LostRunReports::AssignOwners(std::uint64_t aNumber) -> void
@@ -90,8 +127,7 @@
 {
   while (!runs_.empty() &&
          runs_.front().run_.ended_ + options_.retention_ <= aNow) {
-    runs_.pop_front();
-    ++first_;
+    RemoveOldest();
   }
   if (std::exchange(hostsChanged_, false)) {
     pending_.clear();
--- a/goldcrestcroft/src/Gateway/ControlPlane.h
+++ b/goldcrestcroft/src/Gateway/ControlPlane.h
@@ -220,6 +220,9 @@
   [[nodiscard]] auto AddressOfOwner(const std::string& aOwner) const
     -> std::string;
   auto SendTo(const std::string& aOwner, const Payload& aPayload) -> void;
+  auto SendDelegated(const UnansweredRun& aRun, const std::string& aOwner)
+    -> bool;
+  auto PassOnDelegatedRuns() -> void;
   auto TakeOverRuns() -> void;
   /** \brief Has the verdict stored if this host is an owner of the request. */
   auto TrackIfOwner(const SuspectNotice& aNotice) -> void;
@@ -278,6 +281,7 @@
   SuspectTable suspects_;
   LostRunReports reports_;
   DelegatedRuns delegatedRuns_;
+  bool ownersChanged_ = false;
   HeldRequestRows heldRows_;
   RepeatedUpdates<LeavingEngine> leavingEngines_;
   LimitTable limits_;
--- a/goldcrestcroft/src/Gateway/ControlPlaneHeartbeats.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneHeartbeats.cpp
@@ -109,7 +109,8 @@
   }
   for (const auto& report : aHeartbeat.unanswered_) {
     delegatedRuns_.Add(FromReport(report, now),
-                       OwnerIdOf(aHeartbeat.probe_.sender_));
+                       OwnerIdOf(aHeartbeat.probe_.sender_),
+                       reports_.Owners(report.run_.request_));
   }
   for (const auto& notice : aHeartbeat.suspects_) {
     MergeSuspect(notice);
--- a/goldcrestcroft/src/Gateway/ControlPlaneSuspects.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneSuspects.cpp
@@ -26,13 +26,22 @@
 {
   // A restarted host knows nothing, so it is a new owner and is sent the
   // reports again.
-  std::vector<std::string> owners;
-  owners.push_back(OwnerIdOf(peers_.Self()));
+  std::vector<std::string> hosts;
+  std::vector<std::string> staying;
+  const auto add = [&](const PeerRecord& aRecord) {
+    hosts.push_back(OwnerIdOf(aRecord));
+    if (!aRecord.leaving_) {
+      staying.push_back(hosts.back());
+    }
+  };
+  add(peers_.Self());
   for (const auto& update : peers_.Peers(clock_.Now())) {
-    owners.push_back(OwnerIdOf(update.record_));
+    add(update.record_);
   }
-  issuer_.SetHosts(owners, owners.front());
-  reports_.SetHosts(std::move(owners));
+  issuer_.SetHosts(hosts, hosts.front());
+  // A host that is leaving passes on what it knows while it is still up.
+  ownersChanged_ |=
+    reports_.SetHosts(staying.empty() ? hosts : std::move(staying));
   // The hosts that have maintained the rows so far may be gone.
   for (const auto level :
        { SuspectLevel::Quarantined, SuspectLevel::Suspected }) {
@@ -65,6 +74,7 @@
 auto ControlPlane::CountLost(const LostRun& aRun) -> void
 {
   const auto now = clock_.Now();
+  reports_.AddReported(aRun);
   if (const auto notice = counter_.OnLost(aRun, now)) {
     AnnounceVerdict(*notice);
   }
@@ -153,18 +163,42 @@
 
 auto ControlPlane::DelegateToOwners(const UnansweredRun& aRun) -> void
 {
-  const auto report = ToReport(aRun, clock_.Now());
+  const auto self = OwnerIdOf(peers_.Self());
+  const auto owners = reports_.OtherOwners(aRun.run_.request_, self);
   std::string recipients;
-  for (const auto& owner : reports_.Owners(aRun.run_.request_)) {
-    if (const auto address = AddressOfOwner(owner); !address.empty()) {
-      SendDirect(address, { .unanswered_ = { report } });
+  for (const auto& owner : owners) {
+    if (SendDelegated(aRun, owner)) {
       recipients += (recipients.empty() ? "" : " ") + HostOfOwner(owner);
     }
   }
+  // For owners to come.
+  delegatedRuns_.Add(aRun, self, owners);
   Log::Write(LogLevel::Info, "run_entrusted",
              { { "run", ToHex(aRun.run_.run_) }, { "keepers", recipients } });
 }
 
+auto ControlPlane::SendDelegated(const UnansweredRun& aRun,
+                                 const std::string& aOwner) -> bool
+{
+  const auto address = AddressOfOwner(aOwner);
+  if (!address.empty()) {
+    SendDirect(address, { .unanswered_ = { ToReport(aRun, clock_.Now()) } });
+  }
+  return !address.empty();
+}
+
+auto ControlPlane::PassOnDelegatedRuns() -> void
+{
+  const auto self = OwnerIdOf(peers_.Self());
+  delegatedRuns_.PassOn(
+    [&](std::uint64_t aRequest) {
+      return reports_.OtherOwners(aRequest, self);
+    },
+    [&](const UnansweredRun& aRun, const std::string& aOwner) {
+      return OutlivesOwners(aRun.run_.request_) && SendDelegated(aRun, aOwner);
+    });
+}
+
 auto ControlPlane::TakeOverRuns() -> void
 {
   const auto lost = delegatedRuns_.TakeOver(
@@ -184,6 +218,9 @@
   counter_.Expire(now);
   suspects_.Expire(now);
   TakeOverRuns();
+  if (std::exchange(ownersChanged_, false)) {
+    PassOnDelegatedRuns();
+  }
   for (const auto& notice : counter_.Due(now)) {
     AnnounceVerdict(notice);
   }
--- a/test/property/SuspectHost.h
+++ b/test/property/SuspectHost.h
@@ -133,14 +133,14 @@
       }
     }
     for (const auto& lost : aDatagram.lost_) {
-      const auto notice = counter_.OnLost({ .request_ = lost.request_,
-                                            .run_ = lost.run_,
-                                            .began_ = aNow - lost.beganAgo_,
-                                            .ended_ = aNow - lost.endedAgo_,
-                                            .lastPart_ = lost.lastPart_,
-                                            .responding_ = lost.responding_ },
-                                          aNow);
-      for (auto& message : Disseminate(notice, aNow)) {
+      const goldcrestcroft::LostRun run{ .request_ = lost.request_,
+                                         .run_ = lost.run_,
+                                         .began_ = aNow - lost.beganAgo_,
+                                         .ended_ = aNow - lost.endedAgo_,
+                                         .lastPart_ = lost.lastPart_,
+                                         .responding_ = lost.responding_ };
+      reports_.AddReported(run);
+      for (auto& message : Disseminate(counter_.OnLost(run, aNow), aNow)) {
         out.push_back(std::move(message));
       }
     }
--- a/test/unit/DelegatedRunsTest.cpp
+++ b/test/unit/DelegatedRunsTest.cpp
@@ -93,6 +93,30 @@
   CHECK(runs.TakeOver(engines, kNow, kGone) == std::vector{ Run(1).run_ });
 }
 
+TEST_CASE("delegated runs outlive the hosts that keep them, as long as these "
+          "are not gone at once")
+{
+  using Sent = std::vector<std::pair<std::uint64_t, std::string>>;
+  DelegatedRuns runs;
+  runs.Add(Run(1), "host", { "a", "b" });
+  runs.Add(Run(1), "a", { "a", "b" });
+  CHECK(runs.Size() == 1);
+  const auto passOn = [&](const std::vector<std::string>& aOwners,
+                          bool aReached) {
+    Sent sent;
+    runs.PassOn([&](std::uint64_t) { return aOwners; },
+                [&](const UnansweredRun& aRun, const std::string& aOwner) {
+                  sent.emplace_back(aRun.run_.run_, aOwner);
+                  return aReached;
+                });
+    return sent;
+  };
+  CHECK(passOn({ "a", "b" }, true).empty());
+  CHECK(passOn({ "b", "c" }, false) == Sent{ { 1, "c" } });
+  CHECK(passOn({ "b", "c" }, true) == Sent{ { 1, "c" } });
+  CHECK(passOn({ "c", "a" }, true).empty());
+}
+
 TEST_CASE("delegated runs are bounded and the newest are kept")
 {
   DelegatedRuns runs({ .capacity_ = 2 });
--- a/test/unit/LostRunReportsTest.cpp
+++ b/test/unit/LostRunReportsTest.cpp
@@ -88,4 +88,59 @@
   CHECK(reports.Size() == 0);
 }
 
+TEST_CASE("lost runs: an owner passes on what others have reported to hosts "
+          "that become owners, once")
+{
+  LostRunReports owner;
+  owner.SetHosts({ "a", "b" });
+  owner.AddReported(Run(1));
+  owner.AddReported(Run(1));
+  CHECK(owner.Size() == 1);
+  // The host that lost the run sends it to the present owners.
+  CHECK(owner.Due(Run(1).ended_).empty());
+  CHECK(owner.SetHosts({ "c" }));
+  CHECK_FALSE(owner.SetHosts({ "c" }));
+  for (auto i = 0; i < 3; ++i) {
+    const auto due = owner.Due(Run(1).ended_);
+    REQUIRE(due.size() == 1);
+    CHECK(due[0].owner_ == "c");
+    CHECK(due[0].runs_ == std::vector{ Run(1) });
+  }
+  CHECK(owner.Due(Run(1).ended_).empty());
+}
+
+TEST_CASE(
+  "lost runs: an owner does not pass on runs of parts of prompts, which "
+  "a new owner may not be able to explain")
+{
+  LostRunReports owner;
+  owner.SetHosts({ "a", "b" });
+  owner.AddReported(Run(1, PromptPartFingerprint("part")));
+  CHECK(owner.Size() == 0);
+}
+
+TEST_CASE("lost runs: one loss reported for several suspects is sent for each")
+{
+  LostRunReports reports;
+  reports.SetHosts({ "a" });
+  reports.Add(Run(1));
+  reports.Add(Run(1, 8));
+  const auto due = reports.Due(Run(1).ended_);
+  REQUIRE(due.size() == 1);
+  CHECK(due[0].runs_.size() == 2);
+}
+
+TEST_CASE(
+  "lost runs: an owner that keeps a run names another host in its place")
+{
+  const std::vector<std::string> hosts{ "a", "b", "c", "d" };
+  LostRunReports reports;
+  reports.SetHosts(hosts);
+  const auto order = OwnersOf(kRequest, hosts, 3);
+  CHECK(reports.OtherOwners(kRequest, order[0]) ==
+        std::vector{ order[1], order[2] });
+  CHECK(reports.OtherOwners(kRequest, order[2]) ==
+        std::vector{ order[0], order[1] });
+}
+
 } // namespace testing
