--- a/test/unit/StoreClientTest.cpp
+++ b/test/unit/StoreClientTest.cpp
@@ -41,6 +41,27 @@
     context_.run();
     return reply;
   }
+  /** \brief Writes two rows at once; returns the replies of some seconds. */
+  auto WriteTwo() -> std::vector<StoreReply>
+  {
+    std::vector<StoreReply> replies;
+    for (const auto* key : { "a", "b" }) {
+      asio::co_spawn(
+        context_,
+        [&, key]() -> Task<void> {
+          replies.push_back(
+            co_await client_.Write(StoreTable::Hosts, key, "value"));
+        },
+        [&](const auto&) {
+          if (replies.size() == 2) {
+            context_.stop();
+          }
+        });
+    }
+    context_.restart();
+    context_.run_for(std::chrono::seconds{ 5 });
+    return replies;
+  }
   [[nodiscard]] auto Calls() const -> int { return calls_; }
 
 private:
@@ -134,4 +155,22 @@
   CHECK(fixture.Calls() < 60);
 }
 
+TEST_CASE(
+  "a write without a response times out although another one at the same "
+  "time gets its response")
+{
+  constexpr auto kUnanswered = 4;
+  StoreFixture fixture([](int aCall) {
+    return ResponsePlan{ .body_ = EmptyReply(aCall),
+                         .delay_ = std::chrono::milliseconds{
+                           aCall == kUnanswered ? 60'000 : 20 } };
+  });
+  REQUIRE(fixture.WriteTwo().size() == 2);
+  // Now a connection is open that both might use.
+  const auto replies = fixture.WriteTwo();
+  REQUIRE(replies.size() == 2);
+  CHECK(replies[0].end_ == StoreOutcome::Done);
+  CHECK(replies[1].end_ == StoreOutcome::Unanswered);
+}
+
 } // namespace testing
