--- a/goldcrestcroft/src/Gateway/ControlPlane.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlane.cpp
@@ -108,7 +108,7 @@
     Log::Write(LogLevel::Info, "engine_state",
                { { "engine", aEngine },
                  { "state", aState },
-                 { "version", std::to_string(engines_.Version()) } });
+                 { "version", ToString(engines_.Version()) } });
   };
   for (const auto& [id, state] : states) {
     const auto known = engineStates_.find(id);
@@ -123,7 +123,7 @@
   }
   engineStates_ = std::move(states);
   engineList_ = std::make_shared<const EngineList>(engines);
-  metrics_.SetView(ToString(StoreTable::Engines), engines_.Version());
+  metrics_.SetView(ToString(StoreTable::Engines), engines_.Version().number_);
   listener_.onEngines_(engineList_);
 }
 
--- a/goldcrestcroft/src/Gateway/ControlPlane.h
+++ b/goldcrestcroft/src/Gateway/ControlPlane.h
@@ -1,8 +1,9 @@
 #pragma once
 
 #include "../../Membership.h"
+#include "ConfigurationView.h"
+#include "ControlListener.h"
 #include "EngineRegistry.h"
-#include "FleetView.h"
 #include "GatewayMetrics.h"
 #include "HeldRequestRows.h"
 #include "NodeSettings.h"
@@ -16,19 +17,6 @@
 
 namespace goldcrestcroft {
 
-/** \brief Callbacks by which the control thread informs the traffic thread;
- * called on the control thread. */
-struct ControlListener
-{
-  std::function<void(std::shared_ptr<const RoutingTable>)> onRouting_;
-  std::function<void(std::shared_ptr<const EngineList>)> onEngines_;
-  std::function<void(std::shared_ptr<const FleetView>)> onFleet_;
-  std::function<void(const SuspectNotice&)> onSuspect_;
-  std::function<void(const LeavingEngine&)> onLeaving_;
-  std::function<void(const EngineLimit&)> onLimit_;
-  std::function<void(const PermitReply&)> onPermit_;
-};
-
 /** \brief Owns the control state: configuration, engines and entry hosts.
  *
  * It follows the store, communicates with the other hosts, and publishes
@@ -126,7 +114,7 @@
     }
 
     TableWatch watch_;
-    std::uint64_t version_ = 0;
+    StoreVersion version_;
     /** Whether it was read completely. */
     bool known_ = false;
     bool answering_ = true;
@@ -145,7 +133,7 @@
   auto IsReader(StoreTable aTable) const -> bool;
   auto ReaderDelay(StoreTable aTable) const -> Duration;
   /** \brief Version of the newest row that is known of the table. */
-  [[nodiscard]] auto NewestRow(StoreTable aTable) const -> std::uint64_t;
+  [[nodiscard]] auto NewestRow(StoreTable aTable) const -> StoreVersion;
   auto FollowedOf(StoreTable aTable) -> FollowedTable&
   {
     return tables_.at(aTable);
@@ -158,12 +146,20 @@
   auto OnStoreReply(StoreTable aTable, const StoreReply& aReply) -> bool;
   /** \brief Adopts the rows; returns whether any is new. */
   auto Adopt(StoreTable aTable, const StoreReply& aReply) -> bool;
+  // Eras of the store.
+  /** \brief Turns a reply of an earlier era into a failure, and one to a call
+   * for changes of another era into the loss of the history. */
+  auto CheckEra(StoreTable aTable, bool aReadsAll, StoreReply& aReply) -> void;
+  /** \brief Call with each era that the store or a peer reports. If it is later
+   * than the known ones, tables are read, and rows written, again. */
+  auto OnEra(std::uint64_t aEra, const std::string& aSource) -> void;
+  auto RegisterAgain() -> Task<void>;
   // Ages of views.
   /** \brief Time since the view of the table was known to be complete. */
   [[nodiscard]] auto AgeOf(StoreTable aTable) const -> Duration;
   /** \brief Handles a peer's report that aAge ago the store contained nothing
    * newer than aRow. Returns whether a stale view has become current. */
-  auto OnPeerViewAge(StoreTable aTable, std::uint64_t aRow, Duration aAge)
+  auto OnPeerViewAge(StoreTable aTable, const StoreVersion& aRow, Duration aAge)
     -> bool;
   /** \brief Abandons calls that keep a view stale; logs and counts views that
    * become stale or current. */
@@ -266,9 +262,9 @@
     std::make_shared<const EngineList>();
   /** The last logged state of each engine. */
   std::map<std::string, std::string> engineStates_;
-  /** The configuration in force, its value packed for the peers. */
-  StoreRow configuration_;
-  VersionNumber configurationVersion_ = 0;
+  ConfigurationView configuration_;
+  /** The latest era of the store that is known. */
+  std::optional<std::uint64_t> storeEra_;
   /** Peers' addresses by host, from the store. */
   std::map<std::string, std::string> hostRows_;
   std::vector<std::string> addresses_;
--- a/goldcrestcroft/src/Gateway/ControlPlaneHeartbeats.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneHeartbeats.cpp
@@ -51,7 +51,8 @@
 
 auto ControlPlane::SetView(FleetHeartbeat& aHeartbeat) const -> void
 {
-  aHeartbeat.configurationRow_ = configuration_.version_;
+  aHeartbeat.configurationRow_ = configuration_.Row().version_;
+  aHeartbeat.configurationVersion_ = configuration_.Version();
   aHeartbeat.engineRows_ = engines_.Version();
   aHeartbeat.configurationAge_ = AgeOf(StoreTable::Configuration);
   aHeartbeat.engineAge_ = AgeOf(StoreTable::Engines);
@@ -129,7 +130,17 @@
   for (const auto& permit : aHeartbeat.permits_) {
     OnPermitReply(permit);
   }
+  // Stores that report eras begin with 1. Hosts of the previous release report
+  // none.
+  const auto era =
+    std::max(aHeartbeat.configurationRow_.era_, aHeartbeat.engineRows_.era_);
+  if (era > 0) {
+    OnEra(era, aHeartbeat.probe_.sender_.host_.value_);
+  }
+  const auto lacksConfiguration = configuration_.OnPeer(
+    aHeartbeat.configurationRow_, aHeartbeat.configurationVersion_);
   auto renewed =
+    !lacksConfiguration &&
     OnPeerViewAge(StoreTable::Configuration, aHeartbeat.configurationRow_,
                   aHeartbeat.configurationAge_);
   renewed |= OnPeerViewAge(StoreTable::Engines, aHeartbeat.engineRows_,
@@ -137,8 +148,8 @@
   if (renewed) {
     PushHeartbeats();
   }
-  const auto behind = aHeartbeat.configurationRow_ > configuration_.version_ ||
-                      aHeartbeat.engineRows_ > engines_.Version();
+  const auto behind =
+    lacksConfiguration || aHeartbeat.engineRows_ > engines_.Version();
   const auto fewHosts = peers_.IsFarBehind(aHeartbeat.probe_);
   if (behind || fewHosts) {
     FetchFrom(aHeartbeat.probe_.sender_.peerAddress_, fewHosts);
--- a/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
@@ -151,8 +151,9 @@
   fetchedFrom_ = aAddress;
   fetch_ = MakeLink(Tcp::socket(context_));
   fetch_->ConnectTo(aAddress);
-  fetch_->Send(StateRequest{ .configurationRow_ = configuration_.version_,
+  fetch_->Send(StateRequest{ .configurationRow_ = configuration_.Row().version_,
                              .engineRows_ = engines_.Version(),
+                             .configurationVersion_ = configuration_.Version(),
                              .wholeFleet_ = aWholeFleet });
 }
 
@@ -191,10 +192,15 @@
 {
   if (const auto* request = std::get_if<StateRequest>(&aFrame)) {
     StateReply reply{ .engines_ = engines_.RowsAfter(request->engineRows_),
+                      .configurationRow_ = configuration_.Row().version_,
+                      .engineRows_ = engines_.Version(),
+                      .wholeEngines_ =
+                        request->engineRows_.era_ < engines_.Version().era_,
                       .configurationAge_ = AgeOf(StoreTable::Configuration),
                       .engineAge_ = AgeOf(StoreTable::Engines) };
-    if (configuration_.version_ > request->configurationRow_) {
-      reply.configuration_.push_back(configuration_);
+    if (configuration_.IsNewerThan(request->configurationRow_,
+                                   request->configurationVersion_)) {
+      reply.configuration_.push_back(configuration_.Row());
     }
     if (request->wholeFleet_) {
       reply.hosts_ = peers_.WholeList();
@@ -219,24 +225,26 @@
   for (const auto& row : reply->configuration_) {
     adopted |= AdoptPacked(row);
   }
-  if (engines_.Apply(reply->engines_, clock_.Now())) {
+  const auto now = clock_.Now();
+  if (reply->wholeEngines_
+        ? engines_.ApplyAll(reply->engines_, reply->engineRows_, now)
+        : engines_.Apply(reply->engines_, now)) {
     adopted = true;
     PublishEngines();
   }
-  // A row that could not be read is newer than this host's row.
-  const auto row =
-    reply->configuration_.empty() ? 0 : reply->configuration_.back().version_;
   auto renewed =
-    OnPeerViewAge(StoreTable::Configuration, row, reply->configurationAge_);
-  renewed |= OnPeerViewAge(StoreTable::Engines, 0, reply->engineAge_);
+    OnPeerViewAge(StoreTable::Configuration, reply->configurationRow_,
+                  reply->configurationAge_);
+  renewed |=
+    OnPeerViewAge(StoreTable::Engines, reply->engineRows_, reply->engineAge_);
   fetch_->Close();
   fetch_.reset();
   if (adopted) {
     Log::Write(
       LogLevel::Info, "state_from_peer",
       { { "peer", fetchedFrom_ },
-        { "configuration_row", std::to_string(configuration_.version_) },
-        { "engine_rows", std::to_string(engines_.Version()) } });
+        { "configuration_row", ToString(configuration_.Row().version_) },
+        { "engine_rows", ToString(engines_.Version()) } });
   }
   if (adopted || renewed) {
     PushHeartbeats();
--- a/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
@@ -41,11 +41,11 @@
            : pause;
 }
 
-auto ControlPlane::NewestRow(StoreTable aTable) const -> std::uint64_t
+auto ControlPlane::NewestRow(StoreTable aTable) const -> StoreVersion
 {
-  return aTable == StoreTable::Configuration ? configuration_.version_
+  return aTable == StoreTable::Configuration ? configuration_.Row().version_
          : aTable == StoreTable::Engines     ? engines_.Version()
-                                             : 0;
+                                             : StoreVersion{};
 }
 
 auto ControlPlane::NextRead(StoreTable aTable) -> TableWatch::Step
@@ -103,7 +103,8 @@
     }
     const auto readsAll = !followed.known_;
     const auto sentAt = clock_.Now();
-    const auto reply = co_await Read(aTable, step);
+    auto reply = co_await Read(aTable, step);
+    CheckEra(aTable, readsAll, reply);
     const auto now = clock_.Now();
     auto renewed = false;
     if (reply.end_ == StoreOutcome::Done) {
@@ -152,7 +153,7 @@
   if (aReply.end_ == StoreOutcome::HistoryDropped) {
     Log::Write(LogLevel::Info, "store_history_dropped",
                { { "table", ToString(aTable) },
-                 { "version", std::to_string(followed.version_) } });
+                 { "version", ToString(followed.version_) } });
     followed.known_ = false;
     return false;
   }
@@ -195,29 +196,32 @@
                                       const std::optional<std::string>& aPacked)
   -> bool
 {
-  if (aRow.key_ != "config" || aRow.removed_ ||
-      aRow.version_ <= configuration_.version_) {
+  if (aRow.key_ != "config" || (!aPacked && !configuration_.MayBeNew(aRow))) {
     return false;
   }
   return Handle(
     [&]() -> Result<bool> {
       const auto startedAt = clock_.Now();
       BOOST_LEAF_AUTO(routing, codec_.DecodeRouting(aRow.value_));
-      if (routing.Version() <= configurationVersion_) {
+      if (!configuration_.Adopt(aRow, routing.Version())) {
+        Log::Write(LogLevel::Info, "configuration_kept",
+                   { { "version", std::to_string(configuration_.Version()) },
+                     { "offered", std::to_string(routing.Version()) },
+                     { "row", ToString(aRow.version_) } });
         return false;
       }
-      configuration_ = aRow;
-      configuration_.value_ = aPacked ? *aPacked : Pack(aRow.value_);
-      configurationVersion_ = routing.Version();
-      Log::Write(LogLevel::Info, "configuration_adopted",
-                 { { "version", std::to_string(configurationVersion_) },
-                   { "row", std::to_string(aRow.version_) },
-                   { "bytes", std::to_string(aRow.value_.size()) },
-                   { "packed", std::to_string(configuration_.value_.size()) },
-                   { "took_ms", std::to_string(ToMilliseconds(clock_.Now() -
-                                                              startedAt)) } });
-      metrics_.SetConfiguration(configurationVersion_);
-      metrics_.SetView(ToString(StoreTable::Configuration), aRow.version_);
+      configuration_.SetPacked(aPacked ? *aPacked : Pack(aRow.value_));
+      Log::Write(
+        LogLevel::Info, "configuration_adopted",
+        { { "version", std::to_string(configuration_.Version()) },
+          { "row", ToString(aRow.version_) },
+          { "bytes", std::to_string(aRow.value_.size()) },
+          { "packed", std::to_string(configuration_.Row().value_.size()) },
+          { "took_ms",
+            std::to_string(ToMilliseconds(clock_.Now() - startedAt)) } });
+      metrics_.SetConfiguration(configuration_.Version());
+      metrics_.SetView(ToString(StoreTable::Configuration),
+                       configuration_.Row().version_.number_);
       listener_.onRouting_(
         std::make_shared<const RoutingTable>(std::move(routing)));
       peers_.SetCallerAddress(options_.settings_.callers_);
@@ -273,11 +277,14 @@
   while (!leaving_) {
     const auto reply =
       co_await store_.Write(StoreTable::Hosts, settings.host_, card);
-    if (reply.end_ == StoreOutcome::Done) {
+    const auto isLost = storeEra_ && reply.version_.era_ < *storeEra_;
+    if (reply.end_ == StoreOutcome::Done && !isLost) {
       co_return;
     }
     Log::Write(LogLevel::Warning, "host_row_not_written",
-               { { "reason", reply.detail_ } });
+               { { "reason", reply.end_ == StoreOutcome::Done
+                               ? "written in an earlier era of the store"
+                               : reply.detail_ } });
     co_await Pause(pause);
     pause = std::min(pause * 2, options_.maxRetryDelay_);
   }
--- a/goldcrestcroft/src/Gateway/ControlPlaneViews.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneViews.cpp
@@ -9,15 +9,16 @@
   return asOf ? clock_.Now() - *asOf : kNeverComplete;
 }
 
-auto ControlPlane::OnPeerViewAge(StoreTable aTable, std::uint64_t aRow,
+auto ControlPlane::OnPeerViewAge(StoreTable aTable, const StoreVersion& aRow,
                                  Duration aAge) -> bool
 {
   const auto now = clock_.Now();
   // Datagrams that were queued while this process was paused are older than the
   // ages in them say.
   const auto wasPaused = now - lastTick_ > options_.maxProcessPause_;
-  if (aAge == kNeverComplete || aAge < Duration{} || aRow > NewestRow(aTable) ||
-      wasPaused) {
+  const auto newest = NewestRow(aTable);
+  if (aAge == kNeverComplete || aAge < Duration{} || aRow > newest ||
+      aRow.era_ != newest.era_ || wasPaused) {
     return false;
   }
   return FollowedOf(aTable).watch_.OnPeerView(now - aAge, now);
@@ -71,7 +72,7 @@
                stale ? "view_stale" : "view_renewed",
                { { "table", ToString(table) },
                  { "age_ms", std::to_string(ToMilliseconds(now - since)) },
-                 { "row", std::to_string(NewestRow(table)) } });
+                 { "row", ToString(NewestRow(table)) } });
   }
 }
 
--- a/goldcrestcroft/src/Gateway/EngineRegistry.cpp
+++ b/goldcrestcroft/src/Gateway/EngineRegistry.cpp
@@ -4,9 +4,10 @@
 
 namespace goldcrestcroft {
 
-auto EngineRegistry::Remove(Entry& aEntry, std::uint64_t aVersion,
+auto EngineRegistry::Remove(Entry& aEntry, const StoreVersion& aVersion,
                             TimePoint aNow) -> void
 {
+  aEntry.usedFrom_.reset();
   aEntry.row_.removed_ = true;
   aEntry.row_.version_ = aVersion;
   aEntry.removedAt_ = aNow;
@@ -20,6 +21,46 @@
   }
 }
 
+auto EngineRegistry::DecodeRow(const StoreRow& aRow)
+  -> std::optional<EngineEntry>
+{
+  return Handle(
+    [&]() -> Result<std::optional<EngineEntry>> {
+      BOOST_LEAF_AUTO(engine, options_.decode_(aRow.key_, aRow.value_));
+      return std::optional(std::move(engine));
+    },
+    [&](const Error&) -> std::optional<EngineEntry> {
+      ++unreadable_;
+      return std::nullopt;
+    });
+}
+
+auto EngineRegistry::AdoptRestored(Entry& aEntry, const StoreRow& aRow,
+                                   EngineEntry& aEngine, TimePoint aNow) const
+  -> bool
+{
+  const auto& last = *aEntry.last_;
+  const auto isSame = aEngine.startedAt_ == last.startedAt_;
+  const auto isEarlier = aEngine.startedAt_ < last.startedAt_;
+  aEngine.draining_ |= isSame && last.draining_;
+  if (!aEntry.IsGone()) {
+    const auto isKept = isEarlier || (isSame && last.draining_);
+    if (isKept) {
+      aEntry.row_.version_ = aRow.version_;
+    }
+    return isKept;
+  }
+  // Numbers up to the last known one may be those of the copy. Higher ones were
+  // assigned later.
+  if (isEarlier || (isSame && aRow.version_.number_ <= aEntry.lastNumber_)) {
+    aEntry.row_ = aRow;
+    aEntry.restored_ = aEngine;
+    aEntry.usedFrom_ = aNow + options_.restoredEntryDelay_;
+    return true;
+  }
+  return false;
+}
+
 auto EngineRegistry::Adopt(const StoreRow& aRow, TimePoint aNow) -> bool
 {
   auto& entry = entries_[aRow.key_];
@@ -31,17 +72,18 @@
     Remove(entry, aRow.version_, aNow);
     return true;
   }
+  auto engine = DecodeRow(aRow);
+  const auto isOtherEra = aRow.version_.era_ != entry.row_.version_.era_;
+  if (isOtherEra && engine && entry.last_ &&
+      AdoptRestored(entry, aRow, *engine, aNow)) {
+    return true;
+  }
   entry.row_ = aRow;
+  entry.last_ = engine;
+  entry.lastNumber_ = aRow.version_.number_;
   entry.heldUntil_.reset();
-  entry.engine_ = Handle(
-    [&]() -> Result<std::optional<EngineEntry>> {
-      BOOST_LEAF_AUTO(engine, options_.decode_(aRow.key_, aRow.value_));
-      return std::optional(std::move(engine));
-    },
-    [&](const Error&) -> std::optional<EngineEntry> {
-      ++unreadable_;
-      return std::nullopt;
-    });
+  entry.usedFrom_.reset();
+  entry.engine_ = std::move(engine);
   return true;
 }
 
@@ -50,14 +92,17 @@
 {
   auto changed = false;
   for (const auto& row : aRows) {
-    changed |= Adopt(row, aNow);
-    version_ = std::max(version_, row.version_);
+    if (row.version_.era_ <= version_.era_) {
+      changed |= Adopt(row, aNow);
+      version_ = std::max(version_, row.version_);
+    }
   }
   return changed;
 }
 
 auto EngineRegistry::ApplyAll(const std::vector<StoreRow>& aRows,
-                              std::uint64_t aVersion, TimePoint aNow) -> bool
+                              const StoreVersion& aVersion, TimePoint aNow)
+  -> bool
 {
   if (aVersion < version_) {
     return false;
@@ -66,7 +111,10 @@
   for (const auto& row : aRows) {
     present.insert(row.key_);
   }
-  auto changed = false;
+  auto changed = aVersion.era_ > version_.era_;
+  if (changed) {
+    version_ = { .era_ = aVersion.era_ };
+  }
   for (auto& [key, entry] : entries_) {
     if (!entry.row_.removed_ && !present.contains(key)) {
       Remove(entry, aVersion, aNow);
@@ -86,6 +134,12 @@
       entry.engine_.reset();
       changed = true;
     }
+    if (entry.usedFrom_ && *entry.usedFrom_ <= aNow) {
+      entry.usedFrom_.reset();
+      entry.heldUntil_.reset();
+      entry.engine_ = entry.last_ = std::move(entry.restored_);
+      changed = true;
+    }
   }
   std::erase_if(entries_, [&](const auto& aItem) {
     const auto& entry = aItem.second;
@@ -95,7 +149,7 @@
   return changed;
 }
 
-auto EngineRegistry::RowsAfter(std::uint64_t aVersion) const
+auto EngineRegistry::RowsAfter(const StoreVersion& aVersion) const
   -> std::vector<StoreRow>
 {
   std::vector<StoreRow> rows;
--- a/goldcrestcroft/src/Gateway/EngineRegistry.h
+++ b/goldcrestcroft/src/Gateway/EngineRegistry.h
@@ -13,7 +13,12 @@
  * Rows are only replaced by newer ones, from the store or from a peer. An entry
  * that disappears shortly after a store failure may have expired only because
  * its engine could not renew it. It stays in use for a short time, since a live
- * engine registers again within that time. */
+ * engine registers again within that time.
+ *
+ * A store that was restored from an older copy lists engines as they were when
+ * the copy was made. An engine that is known to drain, to be gone or to have
+ * restarted since then stays so. All rows of an era are known once the complete
+ * table was read in it, from the store or from a peer. */
 class EngineRegistry
 {
 public:
@@ -28,6 +33,10 @@
     Duration holdAfterFailure_ = std::chrono::milliseconds{ 2200 };
     /** Removals are kept this long for peers that lag behind. */
     Duration removalRetention_ = std::chrono::seconds{ 60 };
+    /** How long an engine that is gone is not used although a restored store
+     * lists it. The store removes the entries of engines that are silent for
+     * three of their heartbeat intervals. */
+    Duration restoredEntryDelay_ = std::chrono::seconds{ 10 };
   };
 
   explicit EngineRegistry(Options aOptions)
@@ -35,22 +44,25 @@
   {
   }
 
-  /** \brief Applies changes, in order. Returns whether any was new. */
+  /** \brief Applies changes, in order, except those of an era whose complete
+   * table is not known. Returns whether any was new. */
   auto Apply(const std::vector<StoreRow>& aRows, TimePoint aNow) -> bool;
   /** \brief Applies the complete table as of aVersion: entries that are not in
    * it are removed. Returns whether anything changed. */
-  auto ApplyAll(const std::vector<StoreRow>& aRows, std::uint64_t aVersion,
-                TimePoint aNow) -> bool;
+  auto ApplyAll(const std::vector<StoreRow>& aRows,
+                const StoreVersion& aVersion, TimePoint aNow) -> bool;
   /** \brief A call to the store failed at this time. */
   auto OnStoreFailure(TimePoint aNow) -> void { storeFailedAt_ = aNow; }
-  /** \brief Removes held entries whose time has expired; returns whether there
-   * were any. */
+  /** \brief Removes held entries, and uses restored ones, whose time has
+   * expired; returns whether there were any. */
   auto Tick(TimePoint aNow) -> bool;
 
   /** \brief Version of the newest known change; all changes before it are
    * known. */
-  [[nodiscard]] auto Version() const -> std::uint64_t { return version_; }
-  [[nodiscard]] auto RowsAfter(std::uint64_t aVersion) const
+  [[nodiscard]] auto Version() const -> StoreVersion { return version_; }
+  /** \brief The newer rows. They are the complete table if aVersion is of an
+   * earlier era than Version(). */
+  [[nodiscard]] auto RowsAfter(const StoreVersion& aVersion) const
     -> std::vector<StoreRow>;
   [[nodiscard]] auto Engines() const -> std::vector<EngineEntry>;
   /** \brief Number of entries read so far that could not be decoded. */
@@ -67,14 +79,34 @@
     TimePoint removedAt_;
     /** Until when the entry stays in use although it was removed. */
     std::optional<TimePoint> heldUntil_;
+    /** The engine as last listed, kept when the entry is removed, and the
+     * number of that row. */
+    std::optional<EngineEntry> last_;
+    std::uint64_t lastNumber_ = 0;
+    /** An engine that was gone, as a restored store lists it, and when it is
+     * used if the store still does. */
+    std::optional<EngineEntry> restored_;
+    std::optional<TimePoint> usedFrom_;
+
+    [[nodiscard]] auto IsGone() const -> bool
+    {
+      return row_.removed_ || usedFrom_;
+    }
   };
 
   auto Adopt(const StoreRow& aRow, TimePoint aNow) -> bool;
-  auto Remove(Entry& aEntry, std::uint64_t aVersion, TimePoint aNow) -> void;
+  auto Remove(Entry& aEntry, const StoreVersion& aVersion, TimePoint aNow)
+    -> void;
+  auto DecodeRow(const StoreRow& aRow) -> std::optional<EngineEntry>;
+  /** \brief Handles a row of a later era, which may be older than what is known
+   * of the engine. Returns whether that remains in use. */
+  [[nodiscard]] auto AdoptRestored(Entry& aEntry, const StoreRow& aRow,
+                                   EngineEntry& aEngine, TimePoint aNow) const
+    -> bool;
 
   Options options_;
   std::map<std::string, Entry> entries_;
-  std::uint64_t version_ = 0;
+  StoreVersion version_;
   std::size_t unreadable_ = 0;
   std::optional<TimePoint> storeFailedAt_;
 };
--- a/goldcrestcroft/src/Gateway/GatewayMetrics.cpp
+++ b/goldcrestcroft/src/Gateway/GatewayMetrics.cpp
@@ -24,6 +24,11 @@
 public:
   prometheus::Registry registry_;
   // These come first, because a collector may truncate the text.
+  prometheus::Family<prometheus::Gauge>& eras_ =
+    prometheus::BuildGauge()
+      .Name("goldcrestcroft_store_era")
+      .Help("Latest known era of the store, which rises when it is restored")
+      .Register(registry_);
   prometheus::Family<prometheus::Gauge>& configuration_ =
     prometheus::BuildGauge()
       .Name("goldcrestcroft_configuration_version")
@@ -113,6 +118,11 @@
   impl_->rows_.Add({ { "table", aTable } }).Set(static_cast<double>(aRow));
 }
 
+auto GatewayMetrics::SetStoreEra(std::uint64_t aEra) -> void
+{
+  impl_->eras_.Add({}).Set(static_cast<double>(aEra));
+}
+
 auto GatewayMetrics::SetConfiguration(std::uint64_t aVersion) -> void
 {
   impl_->configuration_.Add({}).Set(static_cast<double>(aVersion));
--- a/goldcrestcroft/src/Gateway/GatewayMetrics.h
+++ b/goldcrestcroft/src/Gateway/GatewayMetrics.h
@@ -32,6 +32,8 @@
   /** \brief Sets the version of the newest row that the host knows of a table
    * of the store. */
   auto SetView(const std::string& aTable, std::uint64_t aRow) -> void;
+  /** \brief Sets the latest era of the store that the host knows. */
+  auto SetStoreEra(std::uint64_t aEra) -> void;
   /** \brief Sets the version of the configuration in force. */
   auto SetConfiguration(std::uint64_t aVersion) -> void;
   /** \brief Sets the time since the host last had a complete view of the table.
--- a/goldcrestcroft/src/Gateway/HeldRequestRows.cpp
+++ b/goldcrestcroft/src/Gateway/HeldRequestRows.cpp
@@ -31,6 +31,27 @@
          static_cast<Duration::rep>(options_.newCallsPerSecond_);
 }
 
+auto HeldRequestRows::SpreadOver(Duration aTime, std::uint64_t aRequest)
+  -> Duration
+{
+  constexpr std::uint64_t kSlots = 1024;
+  return aTime * static_cast<Duration::rep>(aRequest % kSlots) /
+         static_cast<Duration::rep>(kSlots);
+}
+
+auto HeldRequestRows::OnStoreRestored(std::uint64_t aEra) -> void
+{
+  era_ = aEra;
+  const auto spread =
+    NewWriteInterval() * static_cast<Duration::rep>(rows_.size());
+  for (auto& [request, row] : rows_) {
+    row.stored_.reset();
+    row.mayExist_ = true;
+    row.notBefore_ = clock_.Now() + SpreadOver(spread, request);
+  }
+  wake_.cancel();
+}
+
 auto HeldRequestRows::Track(const SuspectNotice& aNotice) -> void
 {
   if (!HasCapacity(aNotice)) {
@@ -42,15 +63,9 @@
   }
   auto& row = rows_[aNotice.request_];
   row.isNew_ = IsNew(aNotice);
-  // Spreads the calls, so that hosts that learn of many requests at once do not
-  // all call at once.
-  constexpr std::uint64_t kSlots = 1024;
   row.notBefore_ =
-    row.isNew_
-      ? clock_.Now() + NewWriteInterval() *
-                         static_cast<Duration::rep>(aNotice.request_ % kSlots) /
-                         static_cast<Duration::rep>(kSlots)
-      : TimePoint{};
+    row.isNew_ ? clock_.Now() + SpreadOver(NewWriteInterval(), aNotice.request_)
+               : TimePoint{};
   wake_.cancel();
   if (!maintaining_) {
     maintaining_ = true;
@@ -163,17 +178,21 @@
 {
   const auto reply =
     co_await store_.Write(StoreTable::HeldRequests, aKey, std::move(aValue));
-  if (reply.end_ != StoreOutcome::Done) {
+  const auto isDone = reply.end_ == StoreOutcome::Done;
+  const auto isLost = isDone && reply.version_.era_ < era_;
+  if (!isDone || isLost) {
     Log::Write(LogLevel::Warning, "held_request_not_stored",
-               { { "fingerprint", aKey }, { "reason", reply.detail_ } });
+               { { "fingerprint", aKey },
+                 { "reason", isLost ? "written in an earlier era of the store"
+                                    : reply.detail_ } });
   }
-  co_return reply.end_ == StoreOutcome::Done;
+  co_return isDone && !isLost;
 }
 
 auto HeldRequestRows::ReadAll() -> Task<std::vector<SuspectNotice>>
 {
   auto reply = co_await store_.ReadAll(StoreTable::HeldRequests);
-  while (reply.end_ != StoreOutcome::Done) {
+  while (reply.end_ != StoreOutcome::Done || reply.version_.era_ < era_) {
     asio::steady_timer timer(context_, options_.checkInterval_);
     co_await timer.async_wait(kAsTuple);
     reply = co_await store_.ReadAll(StoreTable::HeldRequests);
--- a/goldcrestcroft/src/Gateway/HeldRequestRows.h
+++ b/goldcrestcroft/src/Gateway/HeldRequestRows.h
@@ -62,6 +62,10 @@
   {
     return options_.maxTracked_;
   }
+  /** \brief The store was restored from an older copy and is in this era: all
+   * rows are written or removed again, each host at most one in the interval
+   * between two calls for new suspicions on average. */
+  auto OnStoreRestored(std::uint64_t aEra) -> void;
   /** \brief Reads the verdicts in the store; waits until the store replies. */
   auto ReadAll() -> Task<std::vector<SuspectNotice>>;
 
@@ -90,6 +94,10 @@
   [[nodiscard]] auto HasCapacity(const SuspectNotice& aNotice) const -> bool;
   /** \brief Interval between two calls of one host for new suspicions. */
   [[nodiscard]] auto NewWriteInterval() const -> Duration;
+  /** \brief A fixed fraction of the time for each request. Spreads the calls,
+   * so that hosts that have many to make at once do not all call at once. */
+  [[nodiscard]] static auto SpreadOver(Duration aTime, std::uint64_t aRequest)
+    -> Duration;
   /** \brief Brings the store up to date with what is known, one call at a
    * time. */
   auto Maintain() -> Task<void>;
@@ -113,6 +121,8 @@
   /** No call for a new suspicion is made before this time. */
   TimePoint nextNewWriteAt_;
   bool maintaining_ = false;
+  /** The latest known era of the store. */
+  std::uint64_t era_ = 0;
 };
 
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/MetadataStore.h
+++ b/goldcrestcroft/src/Gateway/MetadataStore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Net.h"
+#include "StoreVersion.h"
 
 #include <optional>
 #include <string>
@@ -29,7 +30,7 @@
 {
   std::string key_;
   std::string value_;
-  std::uint64_t version_ = 0;
+  StoreVersion version_;
   bool removed_ = false;
 
   auto operator<=>(const StoreRow&) const = default;
@@ -53,8 +54,9 @@
 {
   StoreOutcome end_ = StoreOutcome::Unanswered;
   std::vector<StoreRow> rows_;
-  /** Newest version of the store at the time of its reply. */
-  std::uint64_t version_ = 0;
+  /** Newest version of the store at the time of its reply. Its number is set
+   * if the call is done, its era with any reply. */
+  StoreVersion version_;
   /** Description of the failure, for logs. */
   std::string detail_;
 };
@@ -68,11 +70,11 @@
   auto operator=(const MetadataStore&) -> MetadataStore& = delete;
   virtual ~MetadataStore() = default;
 
-  /** \brief Reads all rows of a table. */
+  /** \brief Reads all rows of a table, as of one era. */
   virtual auto ReadAll(StoreTable aTable) -> Task<StoreReply> = 0;
   /** \brief Waits up to aWait for rows that changed after aVersion. */
-  virtual auto Follow(StoreTable aTable, std::uint64_t aVersion, Duration aWait)
-    -> Task<StoreReply> = 0;
+  virtual auto Follow(StoreTable aTable, const StoreVersion& aVersion,
+                      Duration aWait) -> Task<StoreReply> = 0;
   /** \brief Ends the pending read of the table, as unanswered, and closes the
    * connection that was kept for the next one. */
   virtual auto Abandon(StoreTable aTable) -> void = 0;
--- a/goldcrestcroft/src/Gateway/PeerArchive.h
+++ b/goldcrestcroft/src/Gateway/PeerArchive.h
@@ -4,6 +4,7 @@
 #include "PeerFrames.h"
 
 #include <cmath>
+#include <sstream>
 #include <stdexcept>
 
 namespace goldcrestcroft::internal {
@@ -16,6 +17,11 @@
                 .remedy_ = "run the same release on all entry hosts" });
 }
 
+inline auto HasMore(std::istringstream& aIn) -> bool
+{
+  return aIn.peek() != std::istringstream::traits_type::eof();
+}
+
 /** Archives text of any length up to that of a frame, in chunks that the
  * bounded archive accepts, so that no length from the network causes a large
  * allocation. */
@@ -73,7 +79,7 @@
 {
   ArchiveMany(aArchive, aRows, [](auto& aEach, StoreRow& aRow) {
     auto key = Bounded(aRow.key_);
-    aEach(key, aRow.version_, aRow.removed_);
+    aEach(key, aRow.version_.number_, aRow.removed_);
     ArchiveLong(aEach, aRow.value_);
   });
 }
--- a/goldcrestcroft/src/Gateway/PeerFrames.cpp
+++ b/goldcrestcroft/src/Gateway/PeerFrames.cpp
@@ -14,7 +14,8 @@
 template<typename Ar>
 auto ArchiveFrame(Ar& aArchive, StateRequest& aFrame) -> void
 {
-  aArchive(aFrame.configurationRow_, aFrame.engineRows_, aFrame.wholeFleet_);
+  aArchive(aFrame.configurationRow_.number_, aFrame.engineRows_.number_,
+           aFrame.wholeFleet_);
 }
 
 template<typename Ar>
@@ -98,17 +99,49 @@
   ArchiveTime(aArchive, aFrame.dueIn_);
 }
 
+/** Fields that follow those of the previous release, whose hosts ignore them
+ * and do not send them. */
+template<typename Ar>
+auto ArchiveEras(Ar& aArchive, StateRequest& aFrame) -> void
+{
+  aArchive(aFrame.configurationRow_.era_, aFrame.engineRows_.era_,
+           aFrame.configurationVersion_);
+}
+
+template<typename Ar>
+auto ArchiveEras(Ar& aArchive, StateReply& aFrame) -> void
+{
+  for (auto* rows : { &aFrame.configuration_, &aFrame.engines_ }) {
+    for (auto& row : *rows) {
+      aArchive(row.version_.era_);
+    }
+  }
+  for (auto* version : { &aFrame.configurationRow_, &aFrame.engineRows_ }) {
+    aArchive(version->era_, version->number_);
+  }
+  aArchive(aFrame.wholeEngines_);
+}
+
+template<typename Ar, typename Frame>
+auto ArchiveEras(Ar&, Frame&) -> void
+{
+}
+
 template<std::size_t Index = 0>
-auto DecodeKind(InputArchive& aArchive, std::uint8_t aKind) -> PeerFrame
+auto DecodeKind(std::istringstream& aIn, InputArchive& aArchive,
+                std::uint8_t aKind) -> PeerFrame
 {
   if constexpr (Index == std::variant_size_v<PeerFrame>) {
     throw std::out_of_range("frame kind");
   } else {
     if (aKind != Index) {
-      return DecodeKind<Index + 1>(aArchive, aKind);
+      return DecodeKind<Index + 1>(aIn, aArchive, aKind);
     }
     std::variant_alternative_t<Index, PeerFrame> frame;
     ArchiveFrame(aArchive, frame);
+    if (HasMore(aIn)) {
+      ArchiveEras(aArchive, frame);
+    }
     return frame;
   }
 }
@@ -125,6 +158,7 @@
       [&](const auto& aKind) {
         auto kind = aKind;
         ArchiveFrame(archive, kind);
+        ArchiveEras(archive, kind);
       },
       aFrame);
   }
@@ -144,7 +178,7 @@
     InputArchive archive(in);
     std::uint8_t kind = 0;
     archive(kind);
-    return DecodeKind(archive, kind);
+    return DecodeKind(in, archive, kind);
   } catch (const std::exception&) {
     return MalformedFrame();
   }
--- a/goldcrestcroft/src/Gateway/PeerFrames.h
+++ b/goldcrestcroft/src/Gateway/PeerFrames.h
@@ -3,6 +3,7 @@
 #include "../../Engines.h"
 #include "../../Membership.h"
 #include "../../Staging.h"
+#include "ConfigurationView.h"
 #include "LostRunReport.h"
 #include "MetadataStore.h"
 #include "PermitMessages.h"
@@ -30,8 +31,10 @@
 {
   ProbeMessage probe_;
   /** Store versions of the sender's state in force. */
-  std::uint64_t configurationRow_ = 0;
-  std::uint64_t engineRows_ = 0;
+  StoreVersion configurationRow_;
+  StoreVersion engineRows_;
+  /** The operator's version of the configuration in force. */
+  VersionNumber configurationVersion_ = ConfigurationView::kUnreported;
   /** Time since the store was known to contain nothing newer. */
   Duration configurationAge_ = kNeverComplete;
   Duration engineAge_ = kNeverComplete;
@@ -52,8 +55,9 @@
 /** \brief Asks a peer for its state beyond these versions. */
 struct StateRequest
 {
-  std::uint64_t configurationRow_ = 0;
-  std::uint64_t engineRows_ = 0;
+  StoreVersion configurationRow_;
+  StoreVersion engineRows_;
+  VersionNumber configurationVersion_ = ConfigurationView::kUnreported;
   /** Whether to send the full host list; the sender knows far fewer hosts than
    * the peer. */
   bool wholeFleet_ = false;
@@ -67,6 +71,12 @@
   /** Its value is packed. */
   std::vector<StoreRow> configuration_;
   std::vector<StoreRow> engines_;
+  /** Versions of the sender's state in force. */
+  StoreVersion configurationRow_;
+  StoreVersion engineRows_;
+  /** Whether the rows of the engines are the complete table, since the
+   * requested version is of an earlier era. */
+  bool wholeEngines_ = false;
   /** Time since the sender's rows were known to be complete. */
   Duration configurationAge_ = kNeverComplete;
   Duration engineAge_ = kNeverComplete;
--- a/goldcrestcroft/src/Gateway/PeerHeartbeat.cpp
+++ b/goldcrestcroft/src/Gateway/PeerHeartbeat.cpp
@@ -29,7 +29,8 @@
   }
   probe.kind_ = static_cast<ProbeKind>(kind);
   ArchiveUpdates(aArchive, probe.updates_);
-  aArchive(aHeartbeat.configurationRow_, aHeartbeat.engineRows_);
+  aArchive(aHeartbeat.configurationRow_.number_,
+           aHeartbeat.engineRows_.number_);
   ArchiveTime(aArchive, aHeartbeat.configurationAge_);
   ArchiveTime(aArchive, aHeartbeat.engineAge_);
   ArchiveMany(aArchive, aHeartbeat.lostRuns_,
@@ -84,6 +85,14 @@
   }
 }
 
+/** Fields that follow those. */
+template<typename Ar>
+auto ArchiveEras(Ar& aArchive, FleetHeartbeat& aHeartbeat) -> void
+{
+  aArchive(aHeartbeat.configurationRow_.era_, aHeartbeat.engineRows_.era_,
+           aHeartbeat.configurationVersion_);
+}
+
 } // namespace
 
 auto EncodeHeartbeat(const FleetHeartbeat& aHeartbeat) -> std::string
@@ -93,6 +102,7 @@
   auto heartbeat = aHeartbeat;
   ArchiveHeartbeat(archive, heartbeat);
   ArchivePromptParts(archive, heartbeat);
+  ArchiveEras(archive, heartbeat);
   return std::move(out).str();
 }
 
@@ -103,9 +113,12 @@
     cereal::PortableBinaryInputArchive archive(in);
     FleetHeartbeat heartbeat;
     ArchiveHeartbeat(archive, heartbeat);
-    if (in.peek() != std::istringstream::traits_type::eof()) {
+    if (HasMore(in)) {
       ArchivePromptParts(archive, heartbeat);
     }
+    if (HasMore(in)) {
+      ArchiveEras(archive, heartbeat);
+    }
     return heartbeat;
   } catch (const std::exception&) {
     return MalformedFrame();
--- a/test/platform/StoreStandin.cpp
+++ b/test/platform/StoreStandin.cpp
@@ -38,8 +38,9 @@
 StoreStandin::StoreStandin(asio::io_context& aContext,
                            const std::string& aAddress)
   : context_(aContext)
-  , server_(aContext, aAddress,
-            [this](Request aRequest) { return Handle(std::move(aRequest)); })
+  , server_(aContext, aAddress, [this](Request aRequest) {
+    return Serve(contents_, std::move(aRequest));
+  })
 {
 }
 
@@ -56,12 +57,14 @@
   -> Task<ResponsePlan>
 {
   ++aEndpoint.calls_;
-  auto reaction = co_await Handle(std::move(aRequest));
+  auto& contents =
+    aEndpoint.notRestored_ && wasRestored_ ? replaced_ : contents_;
+  auto reaction = co_await Serve(contents, std::move(aRequest));
   switch (aEndpoint.state_.load()) {
     case EndpointState::Busy:
-      co_return ResponsePlan{ .status_ = 503 };
+      co_return ResponsePlan{ .status_ = 503, .headers_ = reaction.headers_ };
     case EndpointState::TooMany:
-      co_return ResponsePlan{ .status_ = 429 };
+      co_return ResponsePlan{ .status_ = 429, .headers_ = reaction.headers_ };
     case EndpointState::Silent: {
       // The caller times out long before.
       asio::steady_timer timer(context_, std::chrono::hours{ 1 });
@@ -74,24 +77,75 @@
   co_return reaction;
 }
 
+auto StoreStandin::CopyContents() -> void
+{
+  constexpr std::chrono::seconds kMaxAge{ 30 };
+  const auto now = std::chrono::steady_clock::now();
+  copies_.push_back({ .madeAt_ = now, .contents_ = contents_ });
+  // The last one of the older copies still shows the rows at that age.
+  while (copies_.size() > 1 && now - copies_[1].madeAt_ > kMaxAge) {
+    copies_.pop_front();
+  }
+}
+
+auto StoreStandin::Restore(std::chrono::milliseconds aAge) -> void
+{
+  const std::lock_guard lock(mutex_);
+  const auto at = std::chrono::steady_clock::now() - aAge;
+  const auto later =
+    std::find_if(copies_.begin(), copies_.end(),
+                 [&](const Copy& aCopy) { return aCopy.madeAt_ > at; });
+  const auto era = contents_.era_ + 1;
+  replaced_ = std::move(contents_);
+  contents_ = later == copies_.begin() ? Contents{} : (later - 1)->contents_;
+  contents_.era_ = era;
+  copies_.erase(later, copies_.end());
+  wasRestored_ = true;
+}
+
+auto StoreStandin::RewriteLost() -> void
+{
+  const std::lock_guard lock(mutex_);
+  for (const auto& [table, rows] : written_) {
+    for (const auto& [key, row] : rows) {
+      auto& known = contents_.tables_[table][key];
+      if (known.value_ != row.value_ || known.removed_ != row.removed_) {
+        known = row;
+        known.version_ = ++contents_.version_;
+      }
+    }
+  }
+  CopyContents();
+}
+
+auto StoreStandin::Write(const std::string& aTable, const std::string& aKey,
+                         Row aRow) -> void
+{
+  const std::lock_guard lock(mutex_);
+  aRow.version_ = ++contents_.version_;
+  contents_.tables_[aTable][aKey] = aRow;
+  if (aTable == "op" || aTable == "servers") {
+    written_[aTable][aKey] = std::move(aRow);
+  }
+  CopyContents();
+}
+
 auto StoreStandin::Put(const std::string& aTable, const std::string& aKey,
                        const std::string& aValue) -> void
 {
-  const std::lock_guard lock(mutex_);
-  tables_[aTable][aKey] = { .value_ = Encode(aValue), .version_ = ++version_ };
+  Write(aTable, aKey, { .value_ = Encode(aValue) });
 }
 
 auto StoreStandin::Remove(const std::string& aTable, const std::string& aKey)
   -> void
 {
-  const std::lock_guard lock(mutex_);
-  tables_[aTable][aKey] = { .version_ = ++version_, .removed_ = true };
+  Write(aTable, aKey, { .removed_ = true });
 }
 
 auto StoreStandin::CountRows(const std::string& aTable) -> std::size_t
 {
   const std::lock_guard lock(mutex_);
-  const auto& rows = tables_[aTable];
+  const auto& rows = contents_.tables_[aTable];
   return static_cast<std::size_t>(
     std::count_if(rows.begin(), rows.end(),
                   [](const auto& aRow) { return !aRow.second.removed_; }));
@@ -101,17 +155,24 @@
   -> bool
 {
   const std::lock_guard lock(mutex_);
-  const auto& table = tables_[aTable];
+  const auto& table = contents_.tables_[aTable];
   const auto row = table.find(aKey);
   return row != table.end() && !row->second.removed_;
 }
 
-auto StoreStandin::RowsOf(const std::string& aTable, std::uint64_t aAfter,
-                          bool aRemoved) -> std::string
+auto StoreStandin::LacksVersion(const Contents& aContents,
+                                std::uint64_t aVersion) -> bool
+{
+  const std::lock_guard lock(mutex_);
+  return aVersion > aContents.version_;
+}
+
+auto StoreStandin::RowsOf(Contents& aContents, const std::string& aTable,
+                          std::uint64_t aAfter, bool aRemoved) -> ResponsePlan
 {
   const std::lock_guard lock(mutex_);
   auto rows = json::array();
-  for (const auto& [key, row] : tables_[aTable]) {
+  for (const auto& [key, row] : aContents.tables_[aTable]) {
     if (row.version_ > aAfter && (aRemoved || !row.removed_)) {
       json item{ { "table", aTable },
                  { "part", "" },
@@ -125,68 +186,90 @@
       rows.push_back(std::move(item));
     }
   }
-  return json{
-    { "rows", std::move(rows) },
-    { "truncated", false },
-    { "ver", version_ },
-    { "now_ms", 1 }
-  }.dump();
+  return Respond(aContents, json{ { "rows", std::move(rows) },
+                                  { "truncated", false },
+                                  { "ver", aContents.version_ },
+                                  { "now_ms", 1 } }
+                              .dump());
 }
 
-auto StoreStandin::Transact(const std::string& aBody) -> ResponsePlan
+auto StoreStandin::Transact(Contents& aContents, const std::string& aBody)
+  -> ResponsePlan
 {
   const auto call = json::parse(aBody);
   const std::lock_guard lock(mutex_);
-  ++version_;
+  const auto version = ++aContents.version_;
   for (const auto& row : call.at("writes")) {
-    tables_[row.at("table")][row.at("key")] = { .value_ = row.at("value"),
-                                                .version_ = version_ };
+    aContents.tables_[row.at("table")][row.at("key")] = { .value_ =
+                                                            row.at("value"),
+                                                          .version_ = version };
   }
   for (const auto& row : call.at("remove")) {
-    tables_[row.at("table")][row.at("key")] = { .version_ = version_,
-                                                .removed_ = true };
+    aContents.tables_[row.at("table")][row.at("key")] = { .version_ = version,
+                                                          .removed_ = true };
+  }
+  if (&aContents == &contents_) {
+    CopyContents();
   }
-  return { .body_ = json{ { "ver", version_ }, { "now_ms", 1 } }.dump(),
-           .drops_ = losesAnswers_ };
+  auto response =
+    Respond(aContents, json{ { "ver", version }, { "now_ms", 1 } }.dump());
+  response.drops_ = losesAnswers_;
+  return response;
 }
 
-auto StoreStandin::Handle(Request aRequest) -> Task<ResponsePlan>
+auto StoreStandin::Respond(const Contents& aContents, std::string aBody)
+  -> ResponsePlan
+{
+  return { .headers_ = { { "Store-Era", std::to_string(aContents.era_) } },
+           .body_ = std::move(aBody) };
+}
+
+auto StoreStandin::RespondStatus(const Contents& aContents, int aStatus)
+  -> ResponsePlan
+{
+  const std::lock_guard lock(mutex_);
+  auto response = Respond(aContents, "");
+  response.status_ = aStatus;
+  return response;
+}
+
+auto StoreStandin::Serve(Contents& aContents, Request aRequest)
+  -> Task<ResponsePlan>
 {
   ++calls_;
   const std::string target(aRequest.target());
   if (busy_) {
-    co_return ResponsePlan{ .status_ = 503 };
+    co_return RespondStatus(aContents, 503);
   }
   if (target.starts_with("/rows-tx")) {
-    co_return Transact(aRequest.body());
+    co_return Transact(aContents, aRequest.body());
   }
   const auto table = Query(target, "table");
   if (target.starts_with("/rows-get")) {
-    auto body = RowsOf(table, 0, false);
-    const auto delay = table == "servers" ? enginesDelayMs_.load() : 0;
-    co_return ResponsePlan{ .body_ = std::move(body),
-                            .delay_ = std::chrono::milliseconds{ delay } };
-  }
-  if (historyLost_) {
-    co_return ResponsePlan{ .status_ = 410 };
+    auto response = RowsOf(aContents, table, 0, false);
+    response.delay_ =
+      std::chrono::milliseconds{ table == "servers" ? enginesDelayMs_.load()
+                                                    : 0 };
+    co_return response;
   }
   const auto after = std::stoull(Query(target, "after"));
   auto left = std::stoi(Query(target, "wait_ms"));
   constexpr auto kPollInterval = 5;
-  for (; left > 0 && !busy_ && !historyLost_; left -= kPollInterval) {
-    auto body = RowsOf(table, after, true);
-    if (body.find("\"key\"") != std::string::npos) {
-      co_return ResponsePlan{ .body_ = std::move(body) };
+  for (;; left -= kPollInterval) {
+    if (busy_) {
+      co_return RespondStatus(aContents, 503);
+    }
+    if (historyLost_ || LacksVersion(aContents, after)) {
+      co_return RespondStatus(aContents, 410);
+    }
+    auto response = RowsOf(aContents, table, after, true);
+    if (left <= 0 || response.body_.find("\"key\"") != std::string::npos) {
+      co_return response;
     }
     asio::steady_timer timer(context_,
                              std::chrono::milliseconds{ kPollInterval });
     co_await timer.async_wait(kAsTuple);
   }
-  auto body = RowsOf(table, after, true);
-  co_return ResponsePlan{ .status_ = historyLost_ ? 410
-                                     : busy_      ? 503
-                                                  : 200,
-                          .body_ = std::move(body) };
 }
 
 } // namespace standins
--- a/test/platform/StoreStandin.h
+++ b/test/platform/StoreStandin.h
@@ -3,6 +3,7 @@
 #include "HttpServer.h"
 
 #include <atomic>
+#include <deque>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -42,6 +43,19 @@
     return endpoints_.at(aIndex)->calls_;
   }
 
+  /** \brief Restores the copy of the rows that was made aAge ago and begins a
+   * new era: later writes are lost, and their versions are assigned again. */
+  auto Restore(std::chrono::milliseconds aAge) -> void;
+  /** \brief Writes again what the operator and the engines had written and
+   * restores have lost. */
+  auto RewriteLost() -> void;
+  /** \brief While set, the additional endpoint serves the rows, and the era,
+   * from before the last restore. */
+  auto SetNotRestored(std::size_t aIndex, bool aIsNot) -> void
+  {
+    endpoints_.at(aIndex)->notRestored_ = aIsNot;
+  }
+
   /** \brief Writes a row, as the operator or an engine would. */
   auto Put(const std::string& aTable, const std::string& aKey,
            const std::string& aValue) -> void;
@@ -69,24 +83,52 @@
     bool removed_ = false;
   };
   using Table = std::map<std::string, Row>;
+  struct Contents
+  {
+    std::map<std::string, Table> tables_;
+    std::uint64_t version_ = 0;
+    std::uint64_t era_ = 1;
+  };
+  struct Copy
+  {
+    std::chrono::steady_clock::time_point madeAt_;
+    Contents contents_;
+  };
   struct Endpoint
   {
     std::atomic<EndpointState> state_ = EndpointState::Open;
+    std::atomic<bool> notRestored_ = false;
     std::atomic<std::uint64_t> calls_ = 0;
     std::unique_ptr<HttpServer> server_;
   };
 
-  auto Handle(Request aRequest) -> goldcrestcroft::Task<ResponsePlan>;
+  auto Serve(Contents& aContents, Request aRequest)
+    -> goldcrestcroft::Task<ResponsePlan>;
+  /** \brief A response of the contents' era; mutex_ is held. */
+  static auto Respond(const Contents& aContents, std::string aBody)
+    -> ResponsePlan;
+  auto RespondStatus(const Contents& aContents, int aStatus) -> ResponsePlan;
   auto HandleAt(Endpoint& aEndpoint, Request aRequest)
     -> goldcrestcroft::Task<ResponsePlan>;
-  auto Transact(const std::string& aBody) -> ResponsePlan;
-  auto RowsOf(const std::string& aTable, std::uint64_t aAfter, bool aRemoved)
-    -> std::string;
+  auto Transact(Contents& aContents, const std::string& aBody) -> ResponsePlan;
+  auto RowsOf(Contents& aContents, const std::string& aTable,
+              std::uint64_t aAfter, bool aRemoved) -> ResponsePlan;
+  /** \brief Whether the contents lack the version. */
+  auto LacksVersion(const Contents& aContents, std::uint64_t aVersion) -> bool;
+  auto Write(const std::string& aTable, const std::string& aKey, Row aRow)
+    -> void;
+  /** \brief Copies the contents after each change. */
+  auto CopyContents() -> void;
 
   goldcrestcroft::asio::io_context& context_;
   std::mutex mutex_;
-  std::map<std::string, Table> tables_;
-  std::uint64_t version_ = 0;
+  Contents contents_;
+  /** What the last restore has replaced. */
+  Contents replaced_;
+  std::atomic<bool> wasRestored_ = false;
+  /** What the operator and the engines have written. */
+  std::map<std::string, Table> written_;
+  std::deque<Copy> copies_;
   HttpServer server_;
   std::vector<std::unique_ptr<Endpoint>> endpoints_;
 };
--- a/test/unit/EngineRegistryTest.cpp
+++ b/test/unit/EngineRegistryTest.cpp
@@ -17,7 +17,11 @@
           if (aText == "bad") {
             return Fail({ .kind_ = ErrorKind::Protocol });
           }
-          return EngineEntry{ .id_ = aId, .service_ = "s", .address_ = aText };
+          return EngineEntry{ .id_ = aId,
+                              .service_ = "s",
+                              .address_ = aText,
+                              .draining_ = aText.ends_with("draining"),
+                              .startedAt_ = std::stoull(aText) };
         } })
   {
   }
@@ -31,20 +35,65 @@
     return names;
   }
 
+  /** \brief Ids of the engines that requests may be sent to. */
+  auto Ready() const -> std::string
+  {
+    std::string names;
+    for (const auto& engine : registry_.Engines()) {
+      names += engine.draining_ ? "" : engine.id_;
+    }
+    return names;
+  }
+
   EngineRegistry registry_;
   TimePoint now_{ std::chrono::hours{ 1 } };
 };
 
 auto Row(std::string aKey, std::uint64_t aVersion) -> StoreRow
 {
-  return { .key_ = std::move(aKey), .value_ = "1:1", .version_ = aVersion };
+  return { .key_ = std::move(aKey),
+           .value_ = "1:1",
+           .version_ = { .number_ = aVersion } };
 }
 
 auto Removal(std::string aKey, std::uint64_t aVersion) -> StoreRow
 {
-  return { .key_ = std::move(aKey), .version_ = aVersion, .removed_ = true };
+  return { .key_ = std::move(aKey),
+           .version_ = { .number_ = aVersion },
+           .removed_ = true };
 }
 
+/** \brief A row of the second era, in which a copy was restored. Its value
+ * begins with the start time of the engine. */
+auto Restored(std::string aKey, std::uint64_t aNumber,
+              std::string aValue = "1:1") -> StoreRow
+{
+  return { .key_ = std::move(aKey),
+           .value_ = std::move(aValue),
+           .version_ = { .era_ = 2, .number_ = aNumber } };
+}
+
+auto Before(std::string aKey, std::uint64_t aNumber, std::string aValue = "1:1")
+  -> StoreRow
+{
+  auto row = Restored(std::move(aKey), aNumber, std::move(aValue));
+  row.version_.era_ = 1;
+  return row;
+}
+
+/** \brief A registry that has read the first era to version 60. */
+struct RegistryOfFirstEra : Registry
+{
+  explicit RegistryOfFirstEra(const std::vector<StoreRow>& aRows)
+  {
+    registry_.ApplyAll(aRows, { .era_ = 1, .number_ = 60 }, now_);
+  }
+  auto Restore(const std::vector<StoreRow>& aRows) -> void
+  {
+    registry_.ApplyAll(aRows, { .era_ = 2, .number_ = 50 }, now_);
+  }
+};
+
 } // namespace
 
 TEST_CASE("a row is only replaced by a newer one, whatever its source")
@@ -54,16 +103,16 @@
   CHECK(r.registry_.Apply({ Removal("a", 8) }, r.now_));
   CHECK_FALSE(r.registry_.Apply({ Row("a", 7) }, r.now_));
   CHECK(r.Names() == "b");
-  CHECK(r.registry_.Version() == 8);
+  CHECK(r.registry_.Version() == StoreVersion{ .number_ = 8 });
 }
 
 TEST_CASE("a complete table older than the state from peers changes nothing")
 {
   Registry r;
   r.registry_.Apply({ Row("a", 5), Row("b", 9) }, r.now_);
-  CHECK_FALSE(r.registry_.ApplyAll({ Row("a", 5) }, 8, r.now_));
+  CHECK_FALSE(r.registry_.ApplyAll({ Row("a", 5) }, { .number_ = 8 }, r.now_));
   CHECK(r.Names() == "ab");
-  CHECK(r.registry_.ApplyAll({ Row("a", 5) }, 10, r.now_));
+  CHECK(r.registry_.ApplyAll({ Row("a", 5) }, { .number_ = 10 }, r.now_));
   CHECK(r.Names() == "a");
 }
 
@@ -109,10 +158,112 @@
 {
   Registry r;
   r.registry_.Apply({ Row("a", 5), Row("b", 6), Removal("a", 7) }, r.now_);
-  const auto rows = r.registry_.RowsAfter(5);
+  const auto rows = r.registry_.RowsAfter({ .number_ = 5 });
   REQUIRE(rows.size() == 2);
   CHECK(rows[0].removed_);
-  CHECK(r.registry_.RowsAfter(7).empty());
+  CHECK(r.registry_.RowsAfter({ .number_ = 7 }).empty());
+}
+
+TEST_CASE("rows of a restored store are adopted although their versions are "
+          "lower")
+{
+  RegistryOfFirstEra r({ Before("a", 60), Before("b", 58) });
+  r.Restore({ Restored("a", 40), Restored("c", 45) });
+  CHECK(r.Names() == "ac");
+  CHECK(r.registry_.Version() == StoreVersion{ .era_ = 2, .number_ = 50 });
+  r.registry_.Apply({ Restored("d", 51) }, r.now_);
+  CHECK(r.Names() == "acd");
+}
+
+TEST_CASE("a delayed row of an earlier era changes nothing")
+{
+  RegistryOfFirstEra r({ Before("a", 60) });
+  r.Restore({ Restored("a", 40, "2:2") });
+  CHECK_FALSE(r.registry_.Apply({ Before("a", 61, "3:3") }, r.now_));
+  CHECK_FALSE(r.registry_.ApplyAll({}, { .era_ = 1, .number_ = 70 }, r.now_));
+  REQUIRE(r.registry_.Engines().size() == 1);
+  CHECK(r.registry_.Engines()[0].startedAt_ == 2);
+}
+
+TEST_CASE("single rows of an era whose table is not known are not adopted")
+{
+  RegistryOfFirstEra r({ Before("a", 60) });
+  CHECK_FALSE(r.registry_.Apply({ Restored("b", 55) }, r.now_));
+  CHECK(r.registry_.Version().era_ == 1);
+  r.Restore({});
+  CHECK(r.registry_.Version().era_ == 2);
+  CHECK(r.registry_.Apply({ Restored("b", 55) }, r.now_));
+}
+
+TEST_CASE("an engine that drains does so although the restored store lists it "
+          "as ready, until it has restarted")
+{
+  RegistryOfFirstEra r({ Before("a", 60, "1:draining"), Before("b", 59) });
+  r.Restore({ Restored("a", 40), Restored("b", 41) });
+  CHECK(r.Ready() == "b");
+  CHECK(r.Names() == "ab");
+  SUBCASE("the restart is in a row of its own")
+  {
+    r.registry_.Apply({ Restored("a", 52, "2:1") }, r.now_);
+    CHECK(r.Ready() == "ab");
+  }
+  SUBCASE("peers learn that it drains")
+  {
+    Registry peer;
+    peer.registry_.ApplyAll(r.registry_.RowsAfter({}), r.registry_.Version(),
+                            r.now_);
+    CHECK(peer.Ready() == "b");
+  }
+}
+
+TEST_CASE("an engine that has restarted since the copy is used as known")
+{
+  RegistryOfFirstEra r({ Before("a", 60, "5:5") });
+  r.Restore({ Restored("a", 40, "4:4") });
+  REQUIRE(r.registry_.Engines().size() == 1);
+  CHECK(r.registry_.Engines()[0].startedAt_ == 5);
+}
+
+TEST_CASE("an engine that is gone is not used when the restored store lists it")
+{
+  RegistryOfFirstEra r({ Before("a", 55) });
+  r.registry_.Apply({ { .key_ = "a",
+                        .version_ = { .era_ = 1, .number_ = 61 },
+                        .removed_ = true } },
+                    r.now_);
+  r.Restore({ Restored("a", 55) });
+  CHECK(r.Names().empty());
+  SUBCASE("unless it registers again")
+  {
+    r.registry_.Apply({ Restored("a", 56) }, r.now_);
+    CHECK(r.Names() == "a");
+  }
+  SUBCASE("unless the store lists it for longer than a silent engine")
+  {
+    CHECK_FALSE(r.registry_.Tick(r.now_ + milliseconds{ 9900 }));
+    CHECK(r.registry_.Tick(r.now_ + milliseconds{ 10'000 }));
+    CHECK(r.Names() == "a");
+  }
+  SUBCASE("and not later if the store removes its entry")
+  {
+    auto removal = Restored("a", 53);
+    removal.removed_ = true;
+    removal.version_.number_ = 58;
+    r.registry_.Apply({ removal }, r.now_);
+    r.registry_.Tick(r.now_ + milliseconds{ 20'000 });
+    CHECK(r.Names().empty());
+  }
+}
+
+TEST_CASE("an entry that the restored store lacks is held until a live engine "
+          "would have registered again")
+{
+  RegistryOfFirstEra r({ Before("a", 60) });
+  r.registry_.OnStoreFailure(r.now_);
+  r.Restore({});
+  CHECK(r.Names() == "a");
+  r.registry_.Tick(r.now_ + milliseconds{ 2200 });
+  CHECK(r.Names().empty());
 }
 
 } // namespace testing
--- a/test/unit/GatewayPartsTest.cpp
+++ b/test/unit/GatewayPartsTest.cpp
@@ -125,11 +125,22 @@
   const PeerFrame state = StateReply{
     .configuration_ = { { .key_ = "c",
                           .value_ = std::string(100'000, 'x'),
-                          .version_ = 3 } },
-    .engines_ = { { .key_ = "e", .version_ = 4, .removed_ = true } },
+                          .version_ = { .era_ = 2, .number_ = 3 } } },
+    .engines_ = { { .key_ = "e",
+                    .version_ = { .era_ = 1, .number_ = 4 },
+                    .removed_ = true } },
+    .configurationRow_ = { .era_ = 2, .number_ = 3 },
+    .engineRows_ = { .era_ = 2, .number_ = 7 },
+    .wholeEngines_ = true,
     .hosts_ = { { .record_ = { .host_ = { "i" } } } }
   };
   CHECK(roundTrip(state) == state);
+  const PeerFrame question =
+    StateRequest{ .configurationRow_ = { .era_ = 2, .number_ = 3 },
+                  .engineRows_ = { .era_ = 1, .number_ = 7 },
+                  .configurationVersion_ = 9,
+                  .wholeFleet_ = true };
+  CHECK(roundTrip(question) == question);
   const PeerFrame backlog =
     StageBacklog{ .service_ = "s",
                   .waits_ = { { 0, Duration{ 5 } }, { 2, Duration{ 9 } } } };
@@ -142,7 +153,9 @@
                 .hosts_ = 9,
                 .updates_ = { { .record_ = { .host_ = { "i" } },
                                 .state_ = PeerState::Suspected } } },
-    .engineRows_ = 5,
+    .configurationRow_ = { .era_ = 3, .number_ = 4 },
+    .engineRows_ = { .era_ = 2, .number_ = 5 },
+    .configurationVersion_ = 6,
     .lostRuns_ = { { .request_ = 1,
                      .run_ = 2,
                      .beganAgo_ = std::chrono::seconds{ 3 },
--- a/test/unit/HeldRequestRowsTest.cpp
+++ b/test/unit/HeldRequestRowsTest.cpp
@@ -16,7 +16,8 @@
 {
 public:
   auto ReadAll(StoreTable) -> Task<StoreReply> override { co_return Done(); }
-  auto Follow(StoreTable, std::uint64_t, Duration) -> Task<StoreReply> override
+  auto Follow(StoreTable, const StoreVersion&, Duration)
+    -> Task<StoreReply> override
   {
     co_return Done();
   }
@@ -35,12 +36,14 @@
 
   std::vector<std::string> calls_;
   std::map<std::string, std::string> rows_;
+  std::uint64_t era_ = 1;
 
 private:
-  static auto Done() -> StoreReply
+  auto Done() const -> StoreReply
   {
     StoreReply reply;
     reply.end_ = StoreOutcome::Done;
+    reply.version_.era_ = era_;
     return reply;
   }
 };
@@ -70,6 +73,14 @@
   {
     table_.Merge(*table_.OnCompleted(aRequest, clock_.Now()), clock_.Now());
   }
+  /** \brief The store returns to an empty copy. */
+  auto RestoreStore() -> void
+  {
+    store_.rows_.clear();
+    store_.calls_.clear();
+    rows_.OnStoreRestored(++store_.era_);
+  }
+  auto Rows() -> HeldRequestRows& { return rows_; }
   auto RunFor(Duration aTime) -> void { context_.run_for(aTime); }
   auto RowOf(std::uint64_t aRequest) -> std::optional<SuspectNotice>
   {
@@ -150,4 +161,38 @@
   CHECK_FALSE(fixture.RowOf(1));
 }
 
+TEST_CASE("held request rows: what a restored store lacks is written again, "
+          "once, and no faster than all hosts together may write")
+{
+  constexpr std::size_t kHosts = 40; // One call a second each.
+  constexpr std::uint64_t kVerdicts = 4;
+  RowsFixture fixture(kHosts);
+  for (std::uint64_t i = 1; i <= kVerdicts; ++i) {
+    // Requests are hashes, so that their calls are spread evenly.
+    fixture.Learn({ .request_ = Fingerprint(std::to_string(i)),
+                    .level_ = SuspectLevel::Quarantined });
+  }
+  fixture.RunFor(std::chrono::milliseconds{ 200 });
+  REQUIRE(fixture.Store().rows_.size() == kVerdicts);
+  fixture.RestoreStore();
+  fixture.RunFor(std::chrono::milliseconds{ 100 });
+  CHECK(fixture.Store().calls_.size() < kVerdicts);
+  fixture.RunFor(std::chrono::seconds{ kVerdicts });
+  CHECK(fixture.Store().rows_.size() == kVerdicts);
+  CHECK(fixture.Store().calls_.size() == kVerdicts);
+}
+
+TEST_CASE("held request rows: a write that was confirmed in an earlier era is "
+          "made again")
+{
+  RowsFixture fixture(1);
+  fixture.Rows().OnStoreRestored(2);
+  fixture.Learn({ .request_ = 1, .level_ = SuspectLevel::Quarantined });
+  fixture.RunFor(std::chrono::milliseconds{ 200 });
+  CHECK(fixture.Store().calls_.size() == 1);
+  fixture.Store().era_ = 2;
+  fixture.RunFor(std::chrono::milliseconds{ 2500 });
+  CHECK(fixture.Store().calls_.size() == 2);
+}
+
 } // namespace testing
--- a/test/unit/LoopStallTest.cpp
+++ b/test/unit/LoopStallTest.cpp
@@ -231,7 +231,8 @@
     asio::co_spawn(
       loop.Context(),
       [&]() -> Task<void> {
-        reply = co_await store.Follow(StoreTable::Engines, 1, {});
+        reply =
+          co_await store.Follow(StoreTable::Engines, { .number_ = 1 }, {});
       },
       asio::detached);
   };
--- a/test/unit/PlatformAdapterTest.cpp
+++ b/test/unit/PlatformAdapterTest.cpp
@@ -193,10 +193,11 @@
         "truncated":true,"ver":9,"now_ms":1})",
     reply, truncated));
   CHECK(truncated);
-  CHECK(reply.version_ == 9);
+  CHECK(reply.version_.number_ == 9);
   REQUIRE(reply.rows_.size() >= 2);
-  CHECK(reply.rows_[0] ==
-        StoreRow{ .key_ = "k", .value_ = "node-1", .version_ = 4 });
+  CHECK(reply.rows_[0] == StoreRow{ .key_ = "k",
+                                    .value_ = "node-1",
+                                    .version_ = { .number_ = 4 } });
   CHECK(reply.rows_[1].removed_);
   CHECK_FALSE(platform::ReadRows("<html>", reply, truncated));
   const auto body =
--- a/test/unit/StoreClientTest.cpp
+++ b/test/unit/StoreClientTest.cpp
@@ -120,8 +120,8 @@
                            .unit_ = "",
                            .pause_ = std::chrono::milliseconds{ 20 } } };
   });
-  CHECK(fixture.ReadAll().version_ == 1);
-  CHECK(fixture.ReadAll().version_ == 2);
+  CHECK(fixture.ReadAll().version_.number_ == 1);
+  CHECK(fixture.ReadAll().version_.number_ == 2);
   CHECK(fixture.Calls() == 2);
 }
 
@@ -155,6 +155,50 @@
   CHECK(fixture.Calls() < 60);
 }
 
+TEST_CASE("the era of a response applies to all its rows, and a response with "
+          "an unreadable era is not accepted")
+{
+  const auto body = R"({"rows": [{"table": "servers", "part": "", "key": "e",)"
+                    R"( "ver": 4, "value": ""}], "ver": 7})";
+  std::string era;
+  StoreFixture fixture([&](int) {
+    return ResponsePlan{ .headers_ = { { "Store-Era", era } }, .body_ = body };
+  });
+  era = "3";
+  const auto reply = fixture.ReadAll();
+  CHECK(reply.end_ == StoreOutcome::Done);
+  CHECK(reply.version_ == StoreVersion{ .era_ = 3, .number_ = 7 });
+  REQUIRE(reply.rows_.size() == 1);
+  CHECK(reply.rows_[0].version_ == StoreVersion{ .era_ = 3, .number_ = 4 });
+  for (const auto* unreadable : { "", "x", "3x", "-1" }) {
+    CAPTURE(unreadable);
+    era = unreadable;
+    CHECK(fixture.ReadAll().end_ == StoreOutcome::Unanswered);
+  }
+}
+
+TEST_CASE("failures of the store report its era")
+{
+  for (const auto status : { 410, 412, 503 }) {
+    StoreFixture fixture([&](int) {
+      return ResponsePlan{ .status_ = status,
+                           .headers_ = { { "Store-Era", "5" } } };
+    });
+    CHECK(fixture.ReadAll().version_.era_ == 5);
+  }
+}
+
+TEST_CASE("pages of two eras are not one table")
+{
+  StoreFixture fixture([](int aCall) {
+    auto page = Page("a" + std::to_string(aCall), 4);
+    page.headers_ = { { "Store-Era", std::to_string(aCall) } };
+    return page;
+  });
+  CHECK(fixture.ReadAll().end_ == StoreOutcome::HistoryDropped);
+  CHECK(fixture.Calls() == 2);
+}
+
 TEST_CASE(
   "a write without a response times out although another one at the same "
   "time gets its response")
