Restore the store from older copies in the fault soak

One seed in four has faults of the kind store_restored: the store is away for 0.3 s and returns to a copy 0.5 to 8 s old, one host's endpoint later than the others; the operator and the engines write their rows again. The kind has a generator of its own, so that the other faults of a seed stay the same, and only some seeds have it, since the checks excuse what depends on the store meanwhile.

--- a/test/soak/FaultInjector.cpp
+++ b/test/soak/FaultInjector.cpp
@@ -85,6 +85,8 @@
       return LimitEngine(aFault);
     case FaultKind::StoreTurnsAway:
       return RefuseHosts(aFault);
+    case FaultKind::StoreRestored:
+      return RestoreStore(aFault);
     case FaultKind::NewRoute:
     case FaultKind::KeyRevoked:
     case FaultKind::IdleTimeChanged:
--- a/test/soak/FaultInjector.h
+++ b/test/soak/FaultInjector.h
@@ -101,6 +101,10 @@
   /** \brief Makes the store refuse most hosts or leave them without a reply,
    * and revokes one key meanwhile. */
   auto RefuseHosts(Fault aFault) -> Task<void>;
+  /** \brief Has the store return to an older copy, one host's endpoint later
+   * than the others. The operator and the engines then write their rows
+   * again. */
+  auto RestoreStore(Fault aFault) -> Task<void>;
   auto ChangeConfig(const Fault& aFault) -> void;
   auto RecordExit(std::size_t aHost, const HostExit& aEnd) -> void;
   auto AwaitExit(std::size_t aHost) -> Task<bool>;
--- a/test/soak/FaultInjectorPlatform.cpp
+++ b/test/soak/FaultInjectorPlatform.cpp
@@ -200,6 +200,28 @@
   --active_[part];
 }
 
+auto FaultInjector::RestoreStore(Fault aFault) -> Task<void>
+{
+  constexpr auto kAway = 300ms;
+  constexpr std::array kAges = { 500ms, 1500ms, 4000ms, 8000ms };
+  auto& store = fleet_.Platform().Store();
+  const auto busy = ToString(FaultKind::StoreBusy);
+  const auto interval = faultLog_.Begin(kStorePart, Now());
+  ++active_[busy];
+  store.busy_ = true;
+  co_await Sleep(context_, kAway);
+  store.SetNotRestored(aFault.target_, true);
+  store.Restore(kAges.at(aFault.variant_ % kAges.size()));
+  if (--active_[busy] == 0) {
+    store.busy_ = false;
+  }
+  co_await Sleep(context_, aFault.for_ / 2);
+  store.SetNotRestored(aFault.target_, false);
+  co_await Sleep(context_, aFault.for_ / 2);
+  store.RewriteLost();
+  faultLog_.End(interval, Now());
+}
+
 auto FaultInjector::LogEngineCrashes() -> void
 {
   for (const auto& engine : fleet_.Engines()) {
--- a/test/soak/SoakPlan.cpp
+++ b/test/soak/SoakPlan.cpp
@@ -17,6 +17,8 @@
 constexpr Millis kOverlapGap{ 4000 };
 constexpr Millis kLimitGap{ 2500 };
 constexpr Millis kTurnAwayGap{ 12'000 };
+constexpr Millis kRestoreGap{ 6000 };
+constexpr std::uint64_t kSeedsPerRestore = 4;
 constexpr Millis kMinLength{ 100 };
 constexpr Millis kMaxLength{ 4000 };
 constexpr std::size_t kVariants = 64;
@@ -112,13 +114,13 @@
 auto ToString(FaultKind aKind) -> std::string
 {
   constexpr std::array kNames = {
-    "host_pause",      "host_kill",           "host_stop",
-    "host_reload",     "engine_link",         "engine_trouble",
-    "engine_slow",     "engine_restart",      "store_link",
-    "store_busy",      "store_loses_answers", "store_forgets",
-    "caller_link",     "engine_drain",        "new_route",
-    "key_revoked",     "idle_time_changed",   "engine_limited",
-    "store_turns_away"
+    "host_pause",       "host_kill",           "host_stop",
+    "host_reload",      "engine_link",         "engine_trouble",
+    "engine_slow",      "engine_restart",      "store_link",
+    "store_busy",       "store_loses_answers", "store_forgets",
+    "caller_link",      "engine_drain",        "new_route",
+    "key_revoked",      "idle_time_changed",   "engine_limited",
+    "store_turns_away", "store_restored"
   };
   return kNames.at(static_cast<std::size_t>(aKind));
 }
@@ -145,7 +147,15 @@
   Planner doors(aSeed ^ (~aSeed << 32U), aHosts, aEngines);
   doors.Fill(Millis{ 0 }, aLength, { FaultKind::StoreTurnsAway }, kTurnAwayGap);
   auto faults = planner.Take();
-  for (const auto& added : { more.Take(), limits.Take(), doors.Take() }) {
+  // A restore excuses what depends on the store for seconds, so that only some
+  // seeds have any.
+  Planner restores(aSeed ^ (aSeed << 16U), aHosts, aEngines);
+  if (aSeed % kSeedsPerRestore == 0) {
+    restores.Fill(Millis{ 0 }, aLength, { FaultKind::StoreRestored },
+                  kRestoreGap);
+  }
+  for (const auto& added :
+       { more.Take(), limits.Take(), doors.Take(), restores.Take() }) {
     faults.insert(faults.end(), added.begin(), added.end());
   }
   std::sort(faults.begin(), faults.end());
--- a/test/soak/SoakPlan.h
+++ b/test/soak/SoakPlan.h
@@ -34,7 +34,9 @@
   EngineLimited,
   /** The store serves only some hosts, for longer than a change may take to
    * propagate. */
-  StoreTurnsAway
+  StoreTurnsAway,
+  /** The store is away for a moment and returns to an older copy. */
+  StoreRestored
 };
 
 auto ToString(FaultKind aKind) -> std::string;
@@ -60,7 +62,8 @@
  * connections, so that the rules that excuse one kind of fault still apply in
  * some phases. Faults of a phase overlap. In all phases, a host now and then
  * gets SIGHUP and SIGTERM at the moment of a configuration change, and the
- * store at times refuses most hosts. */
+ * store at times refuses most hosts. With one seed in four, the store also
+ * returns to older copies. */
 auto MakeSoakPlan(std::uint64_t aSeed, Millis aLength, std::size_t aHosts,
                   std::size_t aEngines) -> std::vector<Fault>;
 
