Say in a comment what an era of 0 from a peer means

The comment claimed that stores begin with era 1, which the platform's pages do not say. The code is right either way: 0 is what a host reports that knows no row, and what stands for a host of the previous release. A comment only: the tokens are the same, and the source passes the compiler's syntax check; no test was run again.

--- a/goldcrestcroft/src/Gateway/ControlPlaneHeartbeats.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneHeartbeats.cpp
@@ -130,8 +130,8 @@
   for (const auto& permit : aHeartbeat.permits_) {
     OnPermitReply(permit);
   }
-  // Stores that report eras begin with 1. Hosts of the previous release report
-  // none.
+  // Without a row, or from a host of the previous release, the era is 0, which
+  // says nothing.
   const auto era =
     std::max(aHeartbeat.configurationRow_.era_, aHeartbeat.engineRows_.era_);
   if (era > 0) {
