--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p bin
-g++ -std=c++20 -O1 -Wall -Wextra -pthread -o bin/standin standin/standin.cpp
+g++ -std=c++20 -O1 -Wall -Wextra -pthread -o bin/standin standin/standin.cc
