Log and count how the response of an engine was framed and how it ended

Change: ResponseEnd holds the framing, the state of the engine's connection after the last read, the bytes of the body, the events with data and the bytes after the last of them. attempt_ended and request_ended have it, no line is added. goldcrestcroft_engine_responses_total counts all attempts by framing, connection and outcome, so that ends without a framing show as engines crash. The engine stand-in can pause before the end of verbatim bytes and exit as a process does. No decision is changed.

--- a/goldcrestcroft/src/Gateway/EngineExchange.cpp
+++ b/goldcrestcroft/src/Gateway/EngineExchange.cpp
@@ -41,6 +41,25 @@
   return !aFlag.empty() && aFlag != "0";
 }
 
+template<typename Parser>
+auto FramingOf(const Parser& aParser) -> ResponseFraming
+{
+  return aParser.is_done()          ? ResponseFraming::NoBody
+         : aParser.chunked()        ? ResponseFraming::Chunked
+         : aParser.content_length() ? ResponseFraming::Length
+                                    : ResponseFraming::Connection;
+}
+
+auto ToConnectionEnd(const boost::system::error_code& aError) -> ConnectionEnd
+{
+  return !aError                                    ? ConnectionEnd::Open
+         : aError == asio::error::eof               ? ConnectionEnd::Closed
+         : aError == asio::error::connection_reset  ? ConnectionEnd::Reset
+         : aError == asio::error::operation_aborted ? ConnectionEnd::Aborted
+         : aError == asio::error::bad_descriptor    ? ConnectionEnd::Aborted
+                                                    : ConnectionEnd::Reset;
+}
+
 } // namespace
 
 EngineExchange::EngineExchange(EngineLease aLease, const HeaderNames& aNames,
@@ -62,6 +81,7 @@
             .fields_ = std::move(message.base()) };
   const auto& fields = head_.fields_;
   head_.notRun_ = fields.count(names_.notRun_) > 0 || head_.status_ == 421;
+  head_.framing_ = FramingOf(*parser_);
   head_.signed_ = fields.count(names_.signature_) > 0;
   head_.keepAlive_ = parser_->keep_alive();
   head_.leaving_ =
@@ -167,6 +187,7 @@
   const auto [error, size] = co_await connection.Socket().async_read_some(
     connection.Buffer().prepare(kReadBytes), kAsTuple);
   connection.Buffer().commit(size);
+  connectionEnd_ = ToConnectionEnd(error);
   if (!error) {
     connection.NoteReceived();
   }
--- a/goldcrestcroft/src/Gateway/EngineExchange.h
+++ b/goldcrestcroft/src/Gateway/EngineExchange.h
@@ -2,6 +2,7 @@
 
 #include "EnginePool.h"
 #include "PlatformCodec.h"
+#include "ResponseEnd.h"
 #include "ResponseLimits.h"
 
 namespace goldcrestcroft {
@@ -24,6 +25,7 @@
   /** Timeout of the Keep-Alive header; zero if absent. */
   Duration keepFor_{};
   std::optional<std::uint64_t> length_;
+  ResponseFraming framing_ = ResponseFraming::Unknown;
 };
 
 /** \brief Outcome of reading a response. */
@@ -55,11 +57,22 @@
   [[nodiscard]] auto HasHead() const -> bool { return hasHead_; }
   /** \brief Bytes of the body read so far. */
   [[nodiscard]] auto BodyBytes() const -> std::size_t { return bodyBytes_; }
-  /** \brief Records that an event with data has arrived. */
-  auto OnEvent(TimePoint aNow) -> void
+  /** \brief Records that events with data have arrived. */
+  auto OnEvents(std::size_t aCount, TimePoint aNow) -> void
   {
+    events_ += aCount;
     firstEventAt_ = firstEventAt_.value_or(aNow);
   }
+  /** \brief How the response has ended so far. aUnfinishedBytes follow its last
+   * complete event. */
+  [[nodiscard]] auto End(std::size_t aUnfinishedBytes) const -> ResponseEnd
+  {
+    return { .framing_ = head_.framing_,
+             .connection_ = connectionEnd_,
+             .bodyBytes_ = bodyBytes_,
+             .events_ = events_,
+             .unfinishedBytes_ = aUnfinishedBytes };
+  }
   /** \brief When the first event with data arrived; none before it, and for
    * responses that are no streams. */
   [[nodiscard]] auto FirstEventAt() const -> std::optional<TimePoint>
@@ -125,7 +138,9 @@
   std::optional<http::response_parser<http::buffer_body>> parser_;
   EngineResponseHead head_;
   bool hasHead_ = false;
+  std::size_t events_ = 0;
   std::optional<TimePoint> firstEventAt_;
+  ConnectionEnd connectionEnd_ = ConnectionEnd::Open;
   std::string body_;
   ResponseLimits bounds_;
   ResponseLimit exceeded_ = ResponseLimit::None;
--- a/goldcrestcroft/src/Gateway/GatewayMetrics.cpp
+++ b/goldcrestcroft/src/Gateway/GatewayMetrics.cpp
@@ -59,6 +59,11 @@
       .Name("goldcrestcroft_attempts_total")
       .Help("Attempts at backend servers by how they ended")
       .Register(registry_);
+  prometheus::Family<prometheus::Counter>& engineResponses_ =
+    prometheus::BuildCounter()
+      .Name("goldcrestcroft_engine_responses_total")
+      .Help("Responses of engines by framing, end of connection and outcome")
+      .Register(registry_);
   prometheus::Family<prometheus::Counter>& events_ =
     prometheus::BuildCounter()
       .Name("goldcrestcroft_events_total")
@@ -100,6 +105,17 @@
     .Increment();
 }
 
+auto GatewayMetrics::CountResponse(const std::string& aFraming,
+                                   const std::string& aConnection,
+                                   const std::string& aEnd) -> void
+{
+  impl_->engineResponses_
+    .Add({ { "framing", aFraming },
+           { "connection", aConnection },
+           { "end", aEnd } })
+    .Increment();
+}
+
 auto GatewayMetrics::Count(const std::string& aEvent) -> void
 {
   impl_->events_.Add({ { "event", aEvent } }).Increment();
--- a/goldcrestcroft/src/Gateway/GatewayMetrics.h
+++ b/goldcrestcroft/src/Gateway/GatewayMetrics.h
@@ -23,6 +23,11 @@
   /** \brief Counts a finished attempt at an engine of the service. */
   auto CountAttempt(const std::string& aService, const std::string& aEnd)
     -> void;
+  /** \brief Counts an engine's response by how it was framed, how its
+   * connection ended, and the outcome of the attempt. */
+  auto CountResponse(const std::string& aFraming,
+                     const std::string& aConnection, const std::string& aEnd)
+    -> void;
   /** \brief Counts any other event, by a fixed name. */
   auto Count(const std::string& aEvent) -> void;
   /** \brief Records that a timer of the thread's event loop fired aLate after
--- a/goldcrestcroft/src/Gateway/RequestRun.h
+++ b/goldcrestcroft/src/Gateway/RequestRun.h
@@ -2,6 +2,7 @@
 
 #include "CallerConnection.h"
 #include "EventRelay.h"
+#include "ResponseEnd.h"
 #include "ResponseLimits.h"
 #include "Traffic.h"
 
@@ -263,6 +264,8 @@
   /** It was sent to an engine that may have run it without a response. */
   bool outcomeUnknown_ = false;
   std::string lastEngine_;
+  /** How the response of the last finished attempt ended. */
+  ResponseEnd lastEnd_;
   /** When the last bytes of any engine arrived. */
   TimePoint lastReceivedAt_;
   /** When the last event of the current stream arrived; TimePoint::max() before
--- a/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
@@ -157,9 +157,9 @@
       }
     }
     if (relay_.EventsWithData() != eventsSeen) {
-      eventsSeen = relay_.EventsWithData();
       lastEventAt_ = traffic_.Now();
-      aExchange.OnEvent(lastEventAt_);
+      aExchange.OnEvents(relay_.EventsWithData() - eventsSeen, lastEventAt_);
+      eventsSeen = relay_.EventsWithData();
       if (!reportedSound && aExchange.ProvesPrompt(lastEventAt_)) {
         reportedSound = true;
         ReportSoundParts();
--- a/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
@@ -124,6 +124,11 @@
         std::to_string(ToMilliseconds(aLease.idleFor_.value_or(Duration{}))) },
       { "timed_out", connection.TimedOut() ? "true" : "false" },
       { "unread", connection.HadUnreadAtTimeout() ? "true" : "false" },
+      { "framing", ToString(lastEnd_.framing_) },
+      { "connection", ToString(lastEnd_.connection_) },
+      { "body_bytes", std::to_string(lastEnd_.bodyBytes_) },
+      { "events", std::to_string(lastEnd_.events_) },
+      { "unfinished_bytes", std::to_string(lastEnd_.unfinishedBytes_) },
       { "silent_ms", std::to_string(ToMilliseconds(
                        traffic_.Now() - connection.LastActivityAt())) },
       { "left_ms", std::to_string(ToMilliseconds(TimeLeft())) } });
--- a/goldcrestcroft/src/Gateway/RequestRunExchange.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunExchange.cpp
@@ -191,6 +191,11 @@
   auto& pool = traffic_.Pool();
   auto& health = lease.engine_->health_;
   ReportExceededBound(lease, aExchange.ExceededLimit());
+  lastEnd_ =
+    aExchange.End(aExchange.BodyBytes() > 0 ? relay_.Partial().size() : 0);
+  traffic_.Metrics().CountResponse(ToString(lastEnd_.framing_),
+                                   ToString(lastEnd_.connection_),
+                                   ToString(aResult));
   outcomeUnknown_ =
     aResult == AttemptOutcome::Lost || aResult == AttemptOutcome::Abandoned;
   --lease.engine_->ownRequests_;
--- a/goldcrestcroft/src/Gateway/RequestRunOutcome.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunOutcome.cpp
@@ -115,6 +115,10 @@
       { "stages_ms", since(stagesDoneAt_) },
       { "first_event_ms", since(firstEventAt_) },
       { "events", std::to_string(relay_.Events()) },
+      { "framing", ToString(lastEnd_.framing_) },
+      { "connection", ToString(lastEnd_.connection_) },
+      { "last_events", std::to_string(lastEnd_.events_) },
+      { "unfinished_bytes", std::to_string(lastEnd_.unfinishedBytes_) },
       { "engine_silent_ms",
         lastReceivedAt_ == TimePoint{}
           ? "-"
--- a/goldcrestcroft/src/Gateway/RequestRunParked.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunParked.cpp
@@ -31,6 +31,7 @@
         self->wake_.cancel();
       }
     });
+  lastEnd_ = {};
   const auto sendsNoEvents = lease.connection_->LastActivityAt() > lastEventAt_;
   parked_ = { .exchange_ = std::move(aExchange),
               .began_ = aBegan,
--- /dev/null
+++ b/goldcrestcroft/src/Gateway/ResponseEnd.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <string>
+
+namespace goldcrestcroft {
+
+/** \brief How a response marks the end of its body. */
+enum class ResponseFraming
+{
+  /** No head has arrived. */
+  Unknown,
+  NoBody,
+  Length,
+  Chunked,
+  /** The body ends with the connection. */
+  Connection
+};
+
+/** \brief State of an engine's connection after the last read from it. */
+enum class ConnectionEnd
+{
+  Open,
+  /** The engine closed it in order. */
+  Closed,
+  /** The engine or the network reset it. */
+  Reset,
+  /** This host closed it or stopped reading. */
+  Aborted
+};
+
+/** \brief Fixed names for metrics and the log. */
+auto ToString(ResponseFraming aFraming) -> std::string;
+auto ToString(ConnectionEnd aEnd) -> std::string;
+
+/** \brief What is known of the end of one engine's response. */
+struct ResponseEnd
+{
+  ResponseFraming framing_ = ResponseFraming::Unknown;
+  ConnectionEnd connection_ = ConnectionEnd::Open;
+  std::size_t bodyBytes_ = 0;
+  /** Events with data; 0 for responses that are no streams. */
+  std::size_t events_ = 0;
+  /** Bytes after the last complete event. */
+  std::size_t unfinishedBytes_ = 0;
+
+  auto operator<=>(const ResponseEnd&) const = default;
+};
+
+} // namespace goldcrestcroft
--- a/test/platform/EngineStandin.cpp
+++ b/test/platform/EngineStandin.cpp
@@ -181,9 +181,10 @@
   if (reaction.status_ == 200) {
     const std::lock_guard lock(mutex_);
     reaction.endless_ = endless_;
-    if (rawBytes_) {
+    if (rawBytes_ && !reaction.raw_) {
       reaction.raw_ = WithId(*rawBytes_, Header(aRequest, kRequestId));
-      reaction.resets_ = rawResets_;
+      reaction.rawEnd_ = rawEnd_;
+      reaction.rawPause_ = rawPause_;
     }
   }
   if (leaving_) {
--- a/test/platform/EngineStandin.h
+++ b/test/platform/EngineStandin.h
@@ -119,15 +119,17 @@
     resumedBytes_ = aBytes;
   }
   /** \brief From now on, every request that succeeds, including stage calls, is
-   * answered with these bytes, in which "@ID" is replaced by the request's id;
-   * the connection is then closed or reset. std::nullopt restores the regular
+   * answered with these bytes, in which "@ID" is replaced by the request's id,
+   * followed by aEnd after a pause. std::nullopt restores the regular
    * responses. */
-  auto SetRawResponse(std::optional<std::string> aBytes, bool aResets = false)
-    -> void
+  auto SetRawResponse(std::optional<std::string> aBytes,
+                      RawEnd aEnd = RawEnd::Closes,
+                      std::chrono::milliseconds aPause = {}) -> void
   {
     const std::lock_guard lock(mutex_);
     rawBytes_ = std::move(aBytes);
-    rawResets_ = aResets;
+    rawEnd_ = aEnd;
+    rawPause_ = aPause;
   }
   /** \brief Number of streams resumed with the bytes of SetRawResumption. */
   [[nodiscard]] auto Resumed() const -> std::size_t { return resumed_; }
@@ -208,7 +210,8 @@
   std::optional<EndlessBytes> endless_;
   std::string resumedBytes_;
   std::optional<std::string> rawBytes_;
-  bool rawResets_ = false;
+  RawEnd rawEnd_ = RawEnd::Closes;
+  std::chrono::milliseconds rawPause_{ 0 };
   std::atomic<std::size_t> resumed_ = 0;
   std::map<std::string, int> runs_;
   std::vector<Arrival> arrivals_;
--- a/test/platform/HttpServer.cpp
+++ b/test/platform/HttpServer.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr auto kPollInterval = std::chrono::milliseconds{ 10 };
+/** Time from an exit to the restart. */
+constexpr auto kExitDowntime = std::chrono::milliseconds{ 500 };
 
 auto Sleep(asio::io_context& aContext, std::chrono::milliseconds aTime)
   -> Task<void>
@@ -92,6 +94,37 @@
   co_return aSocket.is_open();
 }
 
+auto HttpServer::ExitAndRestart() -> Task<void>
+{
+  boost::system::error_code ignored; // The peer may have closed it first.
+  acceptor_.close(ignored);
+  for (const auto& weak : sockets_) {
+    if (const auto socket = weak.lock()) {
+      socket->close(ignored);
+    }
+  }
+  sockets_.clear();
+  co_await Sleep(context_, kExitDowntime);
+  if (!acceptor_.is_open()) {
+    Open();
+  }
+}
+
+auto HttpServer::WriteRaw(Tcp::socket& aSocket, const ResponsePlan& aReaction)
+  -> Task<void>
+{
+  co_await asio::async_write(aSocket, asio::buffer(*aReaction.raw_), kAsTuple);
+  co_await Sleep(context_, aReaction.rawPause_);
+  if (aReaction.rawEnd_ == RawEnd::Resets) {
+    // The bytes must arrive before the reset.
+    co_await Sleep(context_, kPollInterval);
+    aSocket.set_option(asio::socket_base::linger(true, 0));
+    aSocket.close();
+  } else if (aReaction.rawEnd_ == RawEnd::Exits && acceptor_.is_open()) {
+    asio::co_spawn(context_, ExitAndRestart(), asio::detached);
+  }
+}
+
 auto HttpServer::Accept() -> Task<void>
 {
   for (;;) {
@@ -169,14 +202,7 @@
       co_await http::async_write(socket, *last, kAsTuple);
     }
     if (reaction.raw_) {
-      co_await asio::async_write(socket, asio::buffer(*reaction.raw_),
-                                 kAsTuple);
-      if (reaction.resets_) {
-        // The bytes must arrive before the reset.
-        co_await Sleep(context_, kPollInterval);
-        socket.set_option(asio::socket_base::linger(true, 0));
-        socket.close();
-      }
+      co_await WriteRaw(socket, reaction);
       co_return;
     }
     if (!reaction.chunks_.empty()) {
--- a/test/platform/HttpServer.h
+++ b/test/platform/HttpServer.h
@@ -12,6 +12,18 @@
 using Request =
   goldcrestcroft::http::request<goldcrestcroft::http::string_body>;
 
+/** \brief What follows bytes that are sent verbatim. */
+enum class RawEnd
+{
+  /** The connection is closed in order. */
+  Closes,
+  /** The connection is reset. */
+  Resets,
+  /** As when a process exits: the server stops accepting, and all its
+   * connections are closed in order. It accepts again after a while. */
+  Exits
+};
+
 /** \brief How a stand-in responds to a request. */
 struct ResponsePlan
 {
@@ -34,11 +46,11 @@
   bool duplicatesLast_ = false;
   /** Whether that duplicate carries the request id. */
   bool duplicateHasId_ = true;
-  /** Bytes sent verbatim in place of a response, after which the connection is
-   * closed. */
+  /** Bytes sent verbatim in place of a response, followed by rawEnd_ after a
+   * pause. */
   std::optional<std::string> raw_;
-  /** Whether the connection is reset, instead of closed, after raw_. */
-  bool resets_ = false;
+  RawEnd rawEnd_ = RawEnd::Closes;
+  std::chrono::milliseconds rawPause_{ 0 };
   /** Sent in place of all of the above, unless drops_ is set. */
   std::optional<EndlessBytes> endless_;
   /** Called once the whole response is written. */
@@ -86,6 +98,9 @@
   auto Accept() -> goldcrestcroft::Task<void>;
   auto Serve(std::shared_ptr<goldcrestcroft::Tcp::socket> aSocket)
     -> goldcrestcroft::Task<void>;
+  auto ExitAndRestart() -> goldcrestcroft::Task<void>;
+  auto WriteRaw(goldcrestcroft::Tcp::socket& aSocket,
+                const ResponsePlan& aReaction) -> goldcrestcroft::Task<void>;
   [[nodiscard]] auto ExceedsIdleTimeout(goldcrestcroft::Duration aIdle) const
     -> bool
   {
--- a/test/process/StreamEndTest.cpp
+++ b/test/process/StreamEndTest.cpp
@@ -21,11 +21,11 @@
     REQUIRE(fleet_.AwaitReady(0));
   }
   auto Get(const std::string& aTarget, const std::string& aBytes,
-           bool aResets = false) -> CallerResponse
+           standins::RawEnd aEnd = standins::RawEnd::Closes) -> CallerResponse
   {
     for (const auto* service : { "desk", "model" }) {
       for (const auto& engine : fleet_.Platform().Engines(service)) {
-        engine->SetRawResponse(aBytes, aResets);
+        engine->SetRawResponse(aBytes, aEnd);
       }
     }
     return fleet_.Get(0, aTarget);
@@ -99,8 +99,8 @@
   }
   for (const auto* target : { "/stream/x", "/once/stream/x", "/safe/x" }) {
     CAPTURE(target);
-    CHECK_FALSE(
-      IsComplete(fleet.Get(target, kHead + "\r\n" + kEvent + kEvent, true)));
+    CHECK_FALSE(IsComplete(fleet.Get(target, kHead + "\r\n" + kEvent + kEvent,
+                                     standins::RawEnd::Resets)));
   }
 }
 
--- a/test/process/TruncatedResponsesTest.cpp
+++ b/test/process/TruncatedResponsesTest.cpp
@@ -16,6 +16,11 @@
   std::string target_;
 };
 
+auto EndOf(bool aResets) -> standins::RawEnd
+{
+  return aResets ? standins::RawEnd::Resets : standins::RawEnd::Closes;
+}
+
 /** Sends calls of each kind while all engines respond with only these bytes.
  * No response may look complete to the caller. */
 auto CheckNeverComplete(const std::string& aBytes, bool aResets) -> void
@@ -29,7 +34,7 @@
   REQUIRE(fleet.Get(0, "/safe/x").status_ == 200);
   for (const auto* service : { "desk", "model" }) {
     for (const auto& engine : fleet.Platform().Engines(service)) {
-      engine->SetRawResponse(aBytes, aResets);
+      engine->SetRawResponse(aBytes, EndOf(aResets));
     }
   }
   const std::vector<TruncatedCall> calls{ { "GET", "/safe/x" },
@@ -116,7 +121,7 @@
   auto& broken = *fleet.Platform().Engines("cutter")[0];
   for (std::size_t size = 0; size < response.size(); size += 6) {
     CAPTURE(response.substr(0, size));
-    broken.SetRawResponse(response.substr(0, size), size % 4 == 0);
+    broken.SetRawResponse(response.substr(0, size), EndOf(size % 4 == 0));
     const auto stream = fleet.Get(0, "/stream/x");
     const auto complete = stream.whole_ && stream.status_ == 200;
     CHECK((complete || stream.status_ == 503));
