Treat a stream that ends with its connection before its first event as broken off

What callers saw: 200, the engine's signature and a body that was empty, or that had only what an earlier engine had sent, framed as complete. Cause: a body without a length and without chunks is complete for the HTTP library at an orderly end of its connection. The relay held that against an incomplete event only. An engine that ends before its first event leaves none, so the relay began the stream and wrote the last chunk; after a resumption it wrote the last chunk. Change: CheckStreamEnd decides from ResponseEnd. A stream that ends with its connection needs an event with data of its own run; the attempt is lost otherwise, resumes where the route allows it, counts against the engine's health, and no longer clears the request of the suspicion that it crashes engines. Streams framed as empty by a length or chunks stay complete: the engine says so. Why it works: without an event nothing in the bytes vouches for the response, and an engine that has nothing to say can say so with a length or chunks.

--- a/goldcrestcroft/src/Gateway/EngineExchange.h
+++ b/goldcrestcroft/src/Gateway/EngineExchange.h
@@ -71,7 +71,14 @@
              .connection_ = connectionEnd_,
              .bodyBytes_ = bodyBytes_,
              .events_ = events_,
-             .unfinishedBytes_ = aUnfinishedBytes };
+             .unfinishedBytes_ = aUnfinishedBytes,
+             .brokenOff_ = brokenOff_ };
+  }
+  /** \brief Records why the response is not complete. */
+  auto MarkBrokenOff(BrokenOff aReason) -> void { brokenOff_ = aReason; }
+  [[nodiscard]] auto IsBrokenOff() const -> bool
+  {
+    return brokenOff_ != BrokenOff::No;
   }
   /** \brief When the first event with data arrived; none before it, and for
    * responses that are no streams. */
@@ -141,6 +148,7 @@
   std::size_t events_ = 0;
   std::optional<TimePoint> firstEventAt_;
   ConnectionEnd connectionEnd_ = ConnectionEnd::Open;
+  BrokenOff brokenOff_ = BrokenOff::No;
   std::string body_;
   ResponseLimits bounds_;
   ResponseLimit exceeded_ = ResponseLimit::None;
--- a/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
@@ -128,9 +128,11 @@
       aExchange.Pass(passed);
       co_return AttemptOutcome::Lost;
     }
-    // An engine that breaks off closes its connection in the same way as one
-    // whose response has no length.
-    const auto brokeOff = aExchange.IsComplete() && !relay_.Partial().empty();
+    if (aExchange.IsComplete()) {
+      aExchange.MarkBrokenOff(
+        CheckStreamEnd(aExchange.End(relay_.Partial().size())));
+    }
+    const auto brokeOff = aExchange.IsBrokenOff();
     if (!streamBegun_ &&
         (!events.empty() || (aExchange.IsComplete() && !brokeOff)) &&
         end == ReadOutcome::Done) {
--- a/goldcrestcroft/src/Gateway/RequestRunExchange.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunExchange.cpp
@@ -196,6 +196,10 @@
   traffic_.Metrics().CountResponse(ToString(lastEnd_.framing_),
                                    ToString(lastEnd_.connection_),
                                    ToString(aResult));
+  if (lastEnd_.brokenOff_ != BrokenOff::No) {
+    traffic_.Metrics().Count("engine_responses_broken_off_" +
+                             ToString(lastEnd_.brokenOff_));
+  }
   outcomeUnknown_ =
     aResult == AttemptOutcome::Lost || aResult == AttemptOutcome::Abandoned;
   --lease.engine_->ownRequests_;
--- a/goldcrestcroft/src/Gateway/ResponseEnd.cpp
+++ b/goldcrestcroft/src/Gateway/ResponseEnd.cpp
@@ -34,4 +34,27 @@
   return "open";
 }
 
+auto ToString(BrokenOff aReason) -> std::string
+{
+  switch (aReason) {
+    case BrokenOff::InsideEvent:
+      return "inside_event";
+    case BrokenOff::BeforeFirstEvent:
+      return "before_first_event";
+    case BrokenOff::No:
+      break;
+  }
+  return "no";
+}
+
+auto CheckStreamEnd(const ResponseEnd& aEnd) -> BrokenOff
+{
+  if (aEnd.unfinishedBytes_ > 0) {
+    return BrokenOff::InsideEvent;
+  }
+  return aEnd.framing_ == ResponseFraming::Connection && aEnd.events_ == 0
+           ? BrokenOff::BeforeFirstEvent
+           : BrokenOff::No;
+}
+
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/ResponseEnd.h
+++ b/goldcrestcroft/src/Gateway/ResponseEnd.h
@@ -30,9 +30,20 @@
   Aborted
 };
 
+/** \brief Why a response whose framing is complete is not. */
+enum class BrokenOff
+{
+  No,
+  /** Bytes follow the last complete event of a stream. */
+  InsideEvent,
+  /** A stream that ends with its connection has no event with data. */
+  BeforeFirstEvent
+};
+
 /** \brief Fixed names for metrics and the log. */
 auto ToString(ResponseFraming aFraming) -> std::string;
 auto ToString(ConnectionEnd aEnd) -> std::string;
+auto ToString(BrokenOff aReason) -> std::string;
 
 /** \brief What is known of the end of one engine's response. */
 struct ResponseEnd
@@ -44,8 +55,13 @@
   std::size_t events_ = 0;
   /** Bytes after the last complete event. */
   std::size_t unfinishedBytes_ = 0;
+  BrokenOff brokenOff_ = BrokenOff::No;
 
   auto operator<=>(const ResponseEnd&) const = default;
 };
 
+/** \brief Whether the bytes of a stream show that it was broken off although
+ * its framing is complete. */
+auto CheckStreamEnd(const ResponseEnd& aEnd) -> BrokenOff;
+
 } // namespace goldcrestcroft
