Confirm that an engine still listens when only its connection ends a response

What callers saw: a response without a length whose engine exited after a whole event, or in the middle of a plain body, came as complete: streams with a last chunk, plain ones with the length of what had arrived. Cause: when a process exits, the system closes its connections in order. On the wire this is the sound end of a response without a length. The host then added a framing that vouches for more than the engine had said. Change: before the last chunk, or before a plain response is delivered, the host opens a connection to the engine of a response that ended with its connection. If the address refuses it, the engine has exited and the attempt is lost: it resumes or is retried where the route allows it, and the caller sees a broken response otherwise. Any other failure to connect says nothing about the engine. A draining engine may exit right after its last response and is not asked. Responses with a length or chunks cost nothing; others cost one connection more, and a round trip before their end. Weighed: passing such a response on without chunks was rejected, since the exit of this host would then look like a sound end too. Waiting for the engine's row in the store takes seconds. Why it works: a process that exits closes its listening socket together with its connections, and it takes longer to start again than a connection takes to open. An exit of one engine process behind an address that something else listens on is not seen.

--- a/goldcrestcroft/src/Gateway/EnginePool.h
+++ b/goldcrestcroft/src/Gateway/EnginePool.h
@@ -136,6 +136,9 @@
   auto Keep(const EngineLease& aLease, Duration aKeepFor) -> void;
   /** \brief False only if the engine's address refuses connections. */
   auto IsReachable(std::shared_ptr<EngineState> aEngine) -> Task<bool>;
+  /** \brief Like IsReachable, but tests a new connection in any case: when a
+   * process exits, its idle connections may end later than others. */
+  auto IsListening(std::shared_ptr<EngineState> aEngine) -> Task<bool>;
   /** \brief Records that the exchange on the connection ended without a
    * complete response, and not because this host ended it. If the connection
    * had been idle, the engine may have forgotten it in the meantime. */
--- a/goldcrestcroft/src/Gateway/EnginePoolIdle.cpp
+++ b/goldcrestcroft/src/Gateway/EnginePoolIdle.cpp
@@ -46,6 +46,11 @@
   if (hasLive) {
     co_return true;
   }
+  co_return co_await IsListening(std::move(aEngine));
+}
+
+auto EnginePool::IsListening(std::shared_ptr<EngineState> aEngine) -> Task<bool>
+{
   const auto connection = std::make_shared<EngineConnection>(context_);
   const auto error = co_await connection->Connect(aEngine->entry_.address_,
                                                   options_.connectTimeout_);
--- a/goldcrestcroft/src/Gateway/RequestRun.h
+++ b/goldcrestcroft/src/Gateway/RequestRun.h
@@ -165,6 +165,11 @@
   auto ForwardResponse(EngineExchange& aExchange) -> Task<AttemptOutcome>;
   /** \brief Forwards a stream event by event. */
   auto RelayStream(EngineExchange& aExchange) -> Task<AttemptOutcome>;
+  /** \brief Checks that the engine has not exited, if its response ends with
+   * its connection: an exit ends it in the same way. Returns the outcome of the
+   * attempt if the response is not complete. */
+  auto ConfirmEnd(EngineExchange& aExchange)
+    -> Task<std::optional<AttemptOutcome>>;
   /** \brief Sends a complete response to the caller. */
   auto Deliver(const EngineResponseHead& aHead, std::string aBody)
     -> Task<AttemptOutcome>;
--- a/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
@@ -55,6 +55,10 @@
     co_return AttemptOutcome::Lost;
   }
   aExchange.Lease().connection_->Disarm();
+  const auto incomplete = co_await ConfirmEnd(aExchange);
+  if (incomplete) {
+    co_return *incomplete;
+  }
   if (succeeded) {
     co_return co_await Deliver(head, std::move(body));
   }
@@ -89,6 +93,29 @@
   co_return sent ? AttemptOutcome::Delivered : AttemptOutcome::Abandoned;
 }
 
+auto RequestRun::ConfirmEnd(EngineExchange& aExchange)
+  -> Task<std::optional<AttemptOutcome>>
+{
+  const auto& engine = aExchange.Lease().engine_;
+  const auto& entry = engine->entry_;
+  auto& pool = traffic_.Pool();
+  // A draining engine may exit right after its last response.
+  const auto drains = engine->availability_.IsLeaving() ||
+                      pool.Engines().IsDraining(entry.id_, entry.startedAt_);
+  if (aExchange.Head().framing_ != ResponseFraming::Connection || drains) {
+    co_return std::nullopt;
+  }
+  const auto listens = co_await pool.IsListening(engine);
+  if (aborted_ != Aborted::No) {
+    co_return AttemptOutcome::Abandoned;
+  }
+  if (!listens) {
+    aExchange.MarkBrokenOff(BrokenOff::EngineGone);
+    co_return AttemptOutcome::Lost;
+  }
+  co_return std::nullopt;
+}
+
 auto RequestRun::RelayStream(EngineExchange& aExchange) -> Task<AttemptOutcome>
 {
   const auto& options = traffic_.Options();
@@ -174,6 +201,10 @@
       co_return AttemptOutcome::Lost;
     }
   }
+  const auto incomplete = co_await ConfirmEnd(aExchange);
+  if (incomplete) {
+    co_return *incomplete;
+  }
   const auto ended = co_await caller_->SendLastChunk();
   co_return ended ? AttemptOutcome::Delivered : AttemptOutcome::Abandoned;
 }
--- a/goldcrestcroft/src/Gateway/ResponseEnd.cpp
+++ b/goldcrestcroft/src/Gateway/ResponseEnd.cpp
@@ -41,6 +41,8 @@
       return "inside_event";
     case BrokenOff::BeforeFirstEvent:
       return "before_first_event";
+    case BrokenOff::EngineGone:
+      return "engine_gone";
     case BrokenOff::No:
       break;
   }
--- a/goldcrestcroft/src/Gateway/ResponseEnd.h
+++ b/goldcrestcroft/src/Gateway/ResponseEnd.h
@@ -37,7 +37,9 @@
   /** Bytes follow the last complete event of a stream. */
   InsideEvent,
   /** A stream that ends with its connection has no event with data. */
-  BeforeFirstEvent
+  BeforeFirstEvent,
+  /** The response ends with its connection, and the engine has exited. */
+  EngineGone
 };
 
 /** \brief Fixed names for metrics and the log. */
