Answer a stream that is known to be empty with a head

What callers saw: the bytes 0 CRLF CRLF and nothing else, for a resumed stream with nothing left (Content-Length: 0, or 204) and for HEAD on the route of a stream; the connection stayed open. Cause: the relay writes the head with the first event or at the end of the body, both within its loop. A body that is empty by its head is complete before the loop, so that only the last chunk was written. Change: such a response is delivered like one that is no stream, unless the caller's stream has begun. Why it works: after the change the relay is entered only if its loop runs, which writes the head, or if the head was written before.

--- a/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
@@ -31,7 +31,11 @@
 {
   const auto& head = aExchange.Head();
   const auto succeeded = head.status_ >= 200 && head.status_ < 300;
-  if (succeeded && head.signed_ && route_->kind_ == RouteKind::Streaming) {
+  // A body that is known to be empty needs no relay, unless its stream has
+  // begun.
+  const auto relays = route_->kind_ == RouteKind::Streaming &&
+                      (streamBegun_ || !aExchange.IsComplete());
+  if (succeeded && head.signed_ && relays) {
     co_return co_await RelayStream(aExchange);
   }
   auto& body = aExchange.Body();
