Let engines of the fault soak end responses without a length at any byte

EngineUnframed: for a while, successes of an engine have neither a length nor chunks; every other one is broken off at a byte that its request selects, one in eight before its first byte. It ends in order where the receiver can tell, within an event or before the first one, and by a reset otherwise. Seeds that are even have it, with a generator of its own, so that the other faults of a seed stay the same. The check was there: a complete response has exactly its events. The proxy of the soak turned a reset into an orderly end, and delivered an orderly end after bytes that it had swallowed. It forwards a reset as one now, and no end after lost bytes.

--- a/test/platform/EngineStandin.h
+++ b/test/platform/EngineStandin.h
@@ -181,6 +181,9 @@
   std::atomic<int> stallMs_ = -1;
   /** Bytes added to the body of each response that is not a stream. */
   std::atomic<std::size_t> padding_ = 0;
+  /** Successes have neither a length nor chunks; every other one is broken off
+   * at a byte that its request selects, in a way that its receiver can tell. */
+  std::atomic<bool> unframed_ = false;
   /** All responses advertise that the engine is draining. */
   std::atomic<bool> leaving_ = false;
   /** Rate limit, in requests per second, that all responses advertise; none if
@@ -192,6 +195,9 @@
 private:
   auto Handle(const Request& aRequest) -> ResponsePlan;
   auto PlanResponse(const Request& aRequest) -> ResponsePlan;
+  /** \brief How the response is sent without a framing. */
+  [[nodiscard]] auto PlanUnframed(const ResponsePlan& aReaction) const
+    -> UnframedBody;
   auto RunPieces(const Request& aRequest) -> ResponsePlan;
   auto Release(const Request& aRequest) -> ResponsePlan;
   /** \brief This function and the next one require mutex_ to be held. */
--- a/test/platform/HttpServer.cpp
+++ b/test/platform/HttpServer.cpp
@@ -1,5 +1,7 @@
 #include "HttpServer.h"
 
+#include <limits>
+
 namespace standins {
 
 using namespace goldcrestcroft;
@@ -115,12 +117,45 @@
 {
   co_await asio::async_write(aSocket, asio::buffer(*aReaction.raw_), kAsTuple);
   co_await Sleep(context_, aReaction.rawPause_);
-  if (aReaction.rawEnd_ == RawEnd::Resets) {
+  co_await End(aSocket, aReaction.rawEnd_);
+}
+
+auto HttpServer::WriteUnframed(Tcp::socket& aSocket,
+                               const ResponsePlan& aReaction) -> Task<bool>
+{
+  http::response<http::empty_body> head(MakeResponse(aReaction).base());
+  head.keep_alive(false);
+  http::response_serializer<http::empty_body> serializer(head);
+  co_await http::async_write_header(aSocket, serializer, kAsTuple);
+  const auto parts = aReaction.chunks_.empty() ? std::vector{ aReaction.body_ }
+                                               : aReaction.chunks_;
+  auto left = aReaction.unframed_->bytes_.value_or(
+    std::numeric_limits<std::size_t>::max());
+  for (const auto& part : parts) {
+    co_await Sleep(context_, aReaction.pause_);
+    const auto size = std::min(left, part.size());
+    const auto [error, written] = co_await asio::async_write(
+      aSocket, asio::buffer(part.data(), size), kAsTuple);
+    if (error) {
+      co_return false;
+    }
+    left -= size;
+    if (size < part.size() || left == 0) {
+      co_await End(aSocket, aReaction.unframed_->end_);
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+auto HttpServer::End(Tcp::socket& aSocket, RawEnd aEnd) -> Task<void>
+{
+  if (aEnd == RawEnd::Resets) {
     // The bytes must arrive before the reset.
     co_await Sleep(context_, kPollInterval);
     aSocket.set_option(asio::socket_base::linger(true, 0));
     aSocket.close();
-  } else if (aReaction.rawEnd_ == RawEnd::Exits && acceptor_.is_open()) {
+  } else if (aEnd == RawEnd::Exits && acceptor_.is_open()) {
     asio::co_spawn(context_, ExitAndRestart(), asio::detached);
   }
 }
@@ -205,6 +240,13 @@
       co_await WriteRaw(socket, reaction);
       co_return;
     }
+    if (reaction.unframed_) {
+      const auto complete = co_await WriteUnframed(socket, reaction);
+      if (complete && reaction.onDone_) {
+        reaction.onDone_();
+      }
+      co_return;
+    }
     if (!reaction.chunks_.empty()) {
       const auto complete = co_await WriteChunks(context_, socket, reaction);
       if (!complete) {
--- a/test/platform/HttpServer.h
+++ b/test/platform/HttpServer.h
@@ -24,6 +24,16 @@
   Exits
 };
 
+/** \brief A response without a length and without chunks. */
+struct UnframedBody
+{
+  /** The response is broken off after this many bytes of its body; complete if
+   * absent. */
+  std::optional<std::size_t> bytes_;
+  /** How it ends if it is broken off. */
+  RawEnd end_ = RawEnd::Closes;
+};
+
 /** \brief How a stand-in responds to a request. */
 struct ResponsePlan
 {
@@ -51,6 +61,8 @@
   std::optional<std::string> raw_;
   RawEnd rawEnd_ = RawEnd::Closes;
   std::chrono::milliseconds rawPause_{ 0 };
+  /** How the body is sent instead of with a length or in chunks. */
+  std::optional<UnframedBody> unframed_;
   /** Sent in place of all of the above, unless drops_ is set. */
   std::optional<EndlessBytes> endless_;
   /** Called once the whole response is written. */
@@ -101,6 +113,13 @@
   auto ExitAndRestart() -> goldcrestcroft::Task<void>;
   auto WriteRaw(goldcrestcroft::Tcp::socket& aSocket,
                 const ResponsePlan& aReaction) -> goldcrestcroft::Task<void>;
+  /** \brief Returns whether the response was written completely. */
+  auto WriteUnframed(goldcrestcroft::Tcp::socket& aSocket,
+                     const ResponsePlan& aReaction)
+    -> goldcrestcroft::Task<bool>;
+  /** \brief Ends the connection, or with Exits all of them. */
+  auto End(goldcrestcroft::Tcp::socket& aSocket, RawEnd aEnd)
+    -> goldcrestcroft::Task<void>;
   [[nodiscard]] auto ExceedsIdleTimeout(goldcrestcroft::Duration aIdle) const
     -> bool
   {
--- a/test/property/HostileInputTest.cpp
+++ b/test/property/HostileInputTest.cpp
@@ -3,6 +3,7 @@
 #include <goldcrestcroft/src/Gateway/EventRelay.h>
 #include <goldcrestcroft/src/Gateway/PackedText.h>
 #include <goldcrestcroft/src/Gateway/PeerFrames.h>
+#include <goldcrestcroft/src/Gateway/ResponseEnd.h>
 #include <platform/StoreRows.h>
 #include <platform/TableCodec.h>
 
@@ -126,4 +127,44 @@
   });
 }
 
+TEST_CASE("the verdict on the end of a stream does not depend on how its bytes "
+          "are split")
+{
+  CheckProperty([] {
+    const std::string stream =
+      ": c\n\nid: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
+    const std::vector<std::size_t> ends{ 5, 20, 38, stream.size() };
+    const auto choices = *Schedule(8);
+    const auto length = choices[0] % (stream.size() + 1);
+    const auto bytes = std::string_view(stream).substr(0, length);
+    EventRelay relay;
+    std::size_t passed = 0;
+    for (std::size_t i = 1, at = 0; at < length; ++i) {
+      const auto last = i >= choices.size();
+      const auto size = last ? length - at : choices[i] % (length - at + 1);
+      passed += relay.Feed(bytes.substr(at, size)).size();
+      at += size;
+    }
+    const auto complete =
+      std::count_if(ends.begin(), ends.end(),
+                    [&](std::size_t aEnd) { return aEnd <= length; });
+    const auto start =
+      complete == 0 ? 0 : ends[static_cast<std::size_t>(complete - 1)];
+    RC_ASSERT(passed == start);
+    const auto withData = static_cast<std::size_t>(std::max(complete - 1L, 0L));
+    RC_ASSERT(relay.EventsWithData() == withData);
+    const ResponseEnd end{ .framing_ = ResponseFraming::Connection,
+                           .events_ = relay.EventsWithData(),
+                           .unfinishedBytes_ = relay.Partial().size() };
+    RC_ASSERT(CheckStreamEnd(end) == (length > start ? BrokenOff::InsideEvent
+                                      : withData == 0
+                                        ? BrokenOff::BeforeFirstEvent
+                                        : BrokenOff::No));
+    auto framed = end;
+    framed.framing_ = ResponseFraming::Chunked;
+    RC_ASSERT(CheckStreamEnd(framed) ==
+              (length > start ? BrokenOff::InsideEvent : BrokenOff::No));
+  });
+}
+
 } // namespace testing
--- a/test/soak/FaultInjector.cpp
+++ b/test/soak/FaultInjector.cpp
@@ -67,6 +67,8 @@
     case FaultKind::EngineTrouble:
     case FaultKind::EngineSlow:
       return InjectEngineFault(aFault);
+    case FaultKind::EngineUnframed:
+      return SendUnframed(aFault);
     case FaultKind::EngineRestart:
       return RestartEngine(aFault);
     case FaultKind::StoreLink:
--- a/test/soak/FaultInjector.h
+++ b/test/soak/FaultInjector.h
@@ -94,6 +94,8 @@
     -> Task<void>;
   auto InjectEngineLinkFault(Fault aFault) -> Task<void>;
   auto InjectEngineFault(Fault aFault) -> Task<void>;
+  /** \brief Lets an engine send responses without a length for a while. */
+  auto SendUnframed(Fault aFault) -> goldcrestcroft::Task<void>;
   auto RestartEngine(Fault aFault) -> Task<void>;
   auto Drain(Fault aFault) -> Task<void>;
   auto LimitEngine(Fault aFault) -> Task<void>;
--- a/test/soak/FaultInjectorPlatform.cpp
+++ b/test/soak/FaultInjectorPlatform.cpp
@@ -87,6 +87,22 @@
   faultLog_.End(interval, Now());
 }
 
+auto FaultInjector::SendUnframed(Fault aFault) -> Task<void>
+{
+  auto& engine = *fleet_.Engines()[aFault.target_].standin_;
+  const auto key = ToString(aFault.kind_) + engine.Id();
+  const auto interval = faultLog_.Begin(EnginePart(engine.Id()), Now());
+  const auto breaks = faultLog_.Begin(BreakPart(engine.Id()), Now());
+  ++active_[key];
+  engine.unframed_ = true;
+  co_await Sleep(context_, aFault.for_);
+  if (--active_[key] == 0) {
+    engine.unframed_ = false;
+  }
+  faultLog_.End(breaks, Now());
+  faultLog_.End(interval, Now());
+}
+
 auto FaultInjector::RestartEngine(Fault aFault) -> Task<void>
 {
   auto& engine = fleet_.Engines()[aFault.target_];
--- a/test/soak/LoopbackProxy.cpp
+++ b/test/soak/LoopbackProxy.cpp
@@ -107,6 +107,9 @@
   for (;;) {
     const auto [error, size] =
       co_await from.async_read_some(asio::buffer(block), kAsTuple);
+    if (error == asio::error::connection_reset) {
+      ResetSocket(to);
+    }
     if (error) {
       break;
     }
@@ -120,6 +123,10 @@
       break;
     }
   }
+  // TCP delivers no end of a stream after lost bytes.
+  while (!aToUpstream && aPair->blackholed_ && to.is_open()) {
+    co_await Sleep(context_, kPollInterval);
+  }
   // Forwards the end of the stream as a half-close, so that data in flight
   // arrives before it.
   boost::system::error_code ignored;
--- a/test/soak/SoakPlan.cpp
+++ b/test/soak/SoakPlan.cpp
@@ -19,6 +19,8 @@
 constexpr Millis kTurnAwayGap{ 12'000 };
 constexpr Millis kRestoreGap{ 6000 };
 constexpr std::uint64_t kSeedsPerRestore = 4;
+constexpr Millis kUnframedGap{ 2000 };
+constexpr std::uint64_t kSeedsPerUnframed = 2;
 constexpr Millis kMinLength{ 100 };
 constexpr Millis kMaxLength{ 4000 };
 constexpr std::size_t kVariants = 64;
@@ -95,7 +97,8 @@
     const auto onEngine =
       aKind == FaultKind::EngineLink || aKind == FaultKind::EngineTrouble ||
       aKind == FaultKind::EngineSlow || aKind == FaultKind::EngineRestart ||
-      aKind == FaultKind::EngineDrain || aKind == FaultKind::EngineLimited;
+      aKind == FaultKind::EngineDrain || aKind == FaultKind::EngineLimited ||
+      aKind == FaultKind::EngineUnframed;
     return { .at_ = aAt,
              .for_ = std::min(Millis(length(random_)), aTo - aAt),
              .kind_ = aKind,
@@ -120,7 +123,7 @@
     "store_busy",       "store_loses_answers", "store_forgets",
     "caller_link",      "engine_drain",        "new_route",
     "key_revoked",      "idle_time_changed",   "engine_limited",
-    "store_turns_away", "store_restored"
+    "store_turns_away", "store_restored",      "engine_unframed"
   };
   return kNames.at(static_cast<std::size_t>(aKind));
 }
@@ -154,8 +157,13 @@
     restores.Fill(Millis{ 0 }, aLength, { FaultKind::StoreRestored },
                   kRestoreGap);
   }
-  for (const auto& added :
-       { more.Take(), limits.Take(), doors.Take(), restores.Take() }) {
+  Planner unframed(aSeed ^ (aSeed << 48U), aHosts, aEngines);
+  if (aSeed % kSeedsPerUnframed == 0) {
+    unframed.Fill(Millis{ 0 }, aLength, { FaultKind::EngineUnframed },
+                  kUnframedGap);
+  }
+  for (const auto& added : { more.Take(), limits.Take(), doors.Take(),
+                             restores.Take(), unframed.Take() }) {
     faults.insert(faults.end(), added.begin(), added.end());
   }
   std::sort(faults.begin(), faults.end());
--- a/test/soak/SoakPlan.h
+++ b/test/soak/SoakPlan.h
@@ -36,7 +36,10 @@
    * propagate. */
   StoreTurnsAway,
   /** The store is away for a moment and returns to an older copy. */
-  StoreRestored
+  StoreRestored,
+  /** Responses of the engine have no length and end with their connection;
+   * some are broken off at any byte. */
+  EngineUnframed
 };
 
 auto ToString(FaultKind aKind) -> std::string;
@@ -63,7 +66,8 @@
  * some phases. Faults of a phase overlap. In all phases, a host now and then
  * gets SIGHUP and SIGTERM at the moment of a configuration change, and the
  * store at times refuses most hosts. With one seed in four, the store also
- * returns to older copies. */
+ * returns to older copies; with one in two, engines send responses without a
+ * length. */
 auto MakeSoakPlan(std::uint64_t aSeed, Millis aLength, std::size_t aHosts,
                   std::size_t aEngines) -> std::vector<Fault>;
 
