--- a/test/unit/StoreClientTest.cpp
+++ b/test/unit/StoreClientTest.cpp
@@ -99,12 +99,16 @@
   const auto chunked =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
     "10\r\n{\"rows\": [], \"ver\r\n8\r\n\": 7    }\r\n0\r\n\r\n";
-  for (const std::string& response : { complete, std::string(chunked) }) {
+  const auto unframed = "HTTP/1.1 200 OK\r\n\r\n" + EmptyReply(7);
+  for (const std::string& response :
+       { complete, std::string(chunked), unframed }) {
     for (std::size_t size = 0; size < response.size(); size += 3) {
       CAPTURE(response.substr(0, size));
       StoreFixture fixture([&](int) {
         return ResponsePlan{ .raw_ = response.substr(0, size),
-                             .resets_ = size % 2 == 0 };
+                             .rawEnd_ = size % 2 == 0
+                                          ? standins::RawEnd::Resets
+                                          : standins::RawEnd::Closes };
       });
       CHECK(fixture.ReadAll().end_ != StoreOutcome::Done);
     }
