Evacuate availability zones

Change: readers of the table of the configuration read these rows with it; heartbeats carry the version of the latest change, and a host that is behind receives the complete list with the state that it fetches. Engines of an evacuated zone stay registered but are in no service's list, so that requests, retries, resumed streams and stage calls avoid them and running ones end normally. Requests are refused at once if a service has engines in evacuated zones only. StoreVersion and StoreRow move to Core for use in Routing.

--- a/goldcrestcroft/Core.h
+++ b/goldcrestcroft/Core.h
@@ -9,3 +9,4 @@
 #include "src/Core/Ids.h"
 #include "src/Core/Outcome.h"
 #include "src/Core/Random.h"
+#include "src/Core/StoreRow.h"
--- a/goldcrestcroft/Routing.h
+++ b/goldcrestcroft/Routing.h
@@ -9,6 +9,7 @@
 #include "src/Routing/ClientLimits.h"
 #include "src/Routing/EngineEntry.h"
 #include "src/Routing/EngineList.h"
+#include "src/Routing/EvacuationView.h"
 #include "src/Routing/KeyHolder.h"
 #include "src/Routing/LimitHistory.h"
 #include "src/Routing/Route.h"
--- a/goldcrestcroft/src/Gateway/ControlPlane.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlane.cpp
@@ -122,7 +122,8 @@
     }
   }
   engineStates_ = std::move(states);
-  engineList_ = std::make_shared<const EngineList>(engines);
+  engineList_ =
+    std::make_shared<const EngineList>(engines, evacuations_.Zones());
   metrics_.SetView(ToString(StoreTable::Engines), engines_.Version().number_);
   listener_.onEngines_(engineList_);
 }
--- a/goldcrestcroft/src/Gateway/ControlPlane.h
+++ b/goldcrestcroft/src/Gateway/ControlPlane.h
@@ -174,6 +174,10 @@
                           const std::optional<std::string>& aPacked = {})
     -> bool;
   auto AdoptPacked(const StoreRow& aRow) -> bool;
+  /** \brief Adopts the evacuations among the rows of the store; returns whether
+   * any is new. */
+  auto AdoptEvacuations(const StoreReply& aReply, bool aIsWholeTable) -> bool;
+  auto PublishEvacuations(const std::string& aSource) -> void;
   auto AdoptHosts(const std::vector<StoreRow>& aRows) -> void;
   auto PublishEngines() -> void;
   auto PublishFleet() -> void;
@@ -263,6 +267,9 @@
   /** The last logged state of each engine. */
   std::map<std::string, std::string> engineStates_;
   ConfigurationView configuration_;
+  EvacuationView evacuations_;
+  /** The evacuated zones as published last. */
+  std::set<std::string> evacuatedZones_;
   /** The latest era of the store that is known. */
   std::optional<std::uint64_t> storeEra_;
   /** Peers' addresses by host, from the store. */
--- a/goldcrestcroft/src/Gateway/ControlPlaneHeartbeats.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneHeartbeats.cpp
@@ -56,6 +56,7 @@
   aHeartbeat.engineRows_ = engines_.Version();
   aHeartbeat.configurationAge_ = AgeOf(StoreTable::Configuration);
   aHeartbeat.engineAge_ = AgeOf(StoreTable::Engines);
+  aHeartbeat.evacuationVersion_ = evacuations_.Version();
 }
 
 auto ControlPlane::SendHeartbeat(const std::string& aAddress,
@@ -139,8 +140,10 @@
   }
   const auto lacksConfiguration = configuration_.OnPeer(
     aHeartbeat.configurationRow_, aHeartbeat.configurationVersion_);
+  const auto lacksEvacuations =
+    evacuations_.OnPeer(aHeartbeat.evacuationVersion_);
   auto renewed =
-    !lacksConfiguration &&
+    !lacksConfiguration && !lacksEvacuations &&
     OnPeerViewAge(StoreTable::Configuration, aHeartbeat.configurationRow_,
                   aHeartbeat.configurationAge_);
   renewed |= OnPeerViewAge(StoreTable::Engines, aHeartbeat.engineRows_,
@@ -148,8 +151,8 @@
   if (renewed) {
     PushHeartbeats();
   }
-  const auto behind =
-    lacksConfiguration || aHeartbeat.engineRows_ > engines_.Version();
+  const auto behind = lacksConfiguration || lacksEvacuations ||
+                      aHeartbeat.engineRows_ > engines_.Version();
   const auto fewHosts = peers_.IsFarBehind(aHeartbeat.probe_);
   if (behind || fewHosts) {
     FetchFrom(aHeartbeat.probe_.sender_.peerAddress_, fewHosts);
--- a/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
@@ -89,6 +89,9 @@
     if (engines_.Tick(now)) {
       PublishEngines();
     }
+    if (evacuations_.Tick(now)) {
+      PublishEvacuations("restored store");
+    }
     Send(peers_.Tick(addresses_, now));
     MaintainSuspects();
     MaintainLimits();
@@ -197,7 +200,9 @@
                       .wholeEngines_ =
                         request->engineRows_.era_ < engines_.Version().era_,
                       .configurationAge_ = AgeOf(StoreTable::Configuration),
-                      .engineAge_ = AgeOf(StoreTable::Engines) };
+                      .engineAge_ = AgeOf(StoreTable::Engines),
+                      .evacuations_ = evacuations_.Evacuations(),
+                      .evacuationVersion_ = evacuations_.Version() };
     if (configuration_.IsNewerThan(request->configurationRow_,
                                    request->configurationVersion_)) {
       reply.configuration_.push_back(configuration_.Row());
@@ -221,7 +226,11 @@
   for (const auto& report : reply->limits_) {
     MergeLimit(FromReport(report, clock_.Now()));
   }
-  auto adopted = false;
+  auto adopted = evacuations_.ApplyPeer(
+    reply->evacuations_, reply->evacuationVersion_, clock_.Now());
+  if (adopted) {
+    PublishEvacuations(fetchedFrom_);
+  }
   for (const auto& row : reply->configuration_) {
     adopted |= AdoptPacked(row);
   }
--- a/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
@@ -169,6 +169,8 @@
   const auto readsAll = !FollowedOf(aTable).known_;
   switch (aTable) {
     case StoreTable::Configuration:
+      // Before the configuration, with which a host becomes ready.
+      adopted = AdoptEvacuations(aReply, readsAll);
       for (const auto& row : aReply.rows_) {
         adopted |= AdoptConfiguration(row);
       }
--- a/goldcrestcroft/src/Gateway/MetadataStore.h
+++ b/goldcrestcroft/src/Gateway/MetadataStore.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "../../Core.h"
 #include "Net.h"
-#include "StoreVersion.h"
 
 #include <optional>
 #include <string>
@@ -25,17 +25,6 @@
 /** \brief The table's name for logs and metrics. */
 auto ToString(StoreTable aTable) -> std::string;
 
-/** \brief One row, or the notice that it was removed. */
-struct StoreRow
-{
-  std::string key_;
-  std::string value_;
-  StoreVersion version_;
-  bool removed_ = false;
-
-  auto operator<=>(const StoreRow&) const = default;
-};
-
 enum class StoreOutcome
 {
   Done,
--- a/goldcrestcroft/src/Gateway/PeerArchive.h
+++ b/goldcrestcroft/src/Gateway/PeerArchive.h
@@ -74,6 +74,12 @@
   aTime = Duration(microseconds);
 }
 
+template<typename Ar>
+auto ArchiveVersion(Ar& aArchive, StoreVersion& aVersion) -> void
+{
+  aArchive(aVersion.era_, aVersion.number_);
+}
+
 template<typename Ar>
 auto ArchiveRows(Ar& aArchive, std::vector<StoreRow>& aRows) -> void
 {
--- a/goldcrestcroft/src/Gateway/PeerFrames.cpp
+++ b/goldcrestcroft/src/Gateway/PeerFrames.cpp
@@ -117,7 +117,7 @@
     }
   }
   for (auto* version : { &aFrame.configurationRow_, &aFrame.engineRows_ }) {
-    aArchive(version->era_, version->number_);
+    ArchiveVersion(aArchive, *version);
   }
   aArchive(aFrame.wholeEngines_);
 }
@@ -127,6 +127,21 @@
 {
 }
 
+/** Fields that follow those. */
+template<typename Ar, typename Frame>
+auto ArchiveEvacuations(Ar& aArchive, Frame& aFrame) -> void
+{
+  if constexpr (std::is_same_v<Frame, StateReply>) {
+    ArchiveVersion(aArchive, aFrame.evacuationVersion_);
+    ArchiveMany(aArchive, aFrame.evacuations_,
+                [](auto& aEach, Evacuation& aEvacuation) {
+                  auto zone = Bounded(aEvacuation.zone_);
+                  aEach(zone);
+                  ArchiveVersion(aEach, aEvacuation.version_);
+                });
+  }
+}
+
 template<std::size_t Index = 0>
 auto DecodeKind(std::istringstream& aIn, InputArchive& aArchive,
                 std::uint8_t aKind) -> PeerFrame
@@ -142,6 +157,9 @@
     if (HasMore(aIn)) {
       ArchiveEras(aArchive, frame);
     }
+    if (HasMore(aIn)) {
+      ArchiveEvacuations(aArchive, frame);
+    }
     return frame;
   }
 }
@@ -159,6 +177,7 @@
         auto kind = aKind;
         ArchiveFrame(archive, kind);
         ArchiveEras(archive, kind);
+        ArchiveEvacuations(archive, kind);
       },
       aFrame);
   }
--- a/goldcrestcroft/src/Gateway/PeerFrames.h
+++ b/goldcrestcroft/src/Gateway/PeerFrames.h
@@ -48,6 +48,8 @@
   std::vector<PermitReply> permits_;
   /** For the receiver, as an owner of their requests. */
   std::vector<UnansweredReport> unanswered_;
+  /** Version of the latest change of evacuations. */
+  StoreVersion evacuationVersion_;
 
   auto operator<=>(const FleetHeartbeat&) const = default;
 };
@@ -83,6 +85,9 @@
   std::vector<PeerUpdate> hosts_;
   /** Rate limits of engines; for a host that has just started. */
   std::vector<EngineLimitReport> limits_;
+  /** All evacuations, as of this version. */
+  std::vector<Evacuation> evacuations_;
+  StoreVersion evacuationVersion_;
 
   auto operator<=>(const StateReply&) const = default;
 };
--- a/goldcrestcroft/src/Gateway/PeerHeartbeat.cpp
+++ b/goldcrestcroft/src/Gateway/PeerHeartbeat.cpp
@@ -93,6 +93,13 @@
            aHeartbeat.configurationVersion_);
 }
 
+/** Fields that follow those. */
+template<typename Ar>
+auto ArchiveEvacuations(Ar& aArchive, FleetHeartbeat& aHeartbeat) -> void
+{
+  ArchiveVersion(aArchive, aHeartbeat.evacuationVersion_);
+}
+
 } // namespace
 
 auto EncodeHeartbeat(const FleetHeartbeat& aHeartbeat) -> std::string
@@ -103,6 +110,7 @@
   ArchiveHeartbeat(archive, heartbeat);
   ArchivePromptParts(archive, heartbeat);
   ArchiveEras(archive, heartbeat);
+  ArchiveEvacuations(archive, heartbeat);
   return std::move(out).str();
 }
 
@@ -119,6 +127,9 @@
     if (HasMore(in)) {
       ArchiveEras(archive, heartbeat);
     }
+    if (HasMore(in)) {
+      ArchiveEvacuations(archive, heartbeat);
+    }
     return heartbeat;
   } catch (const std::exception&) {
     return MalformedFrame();
--- a/goldcrestcroft/src/Gateway/PlatformCodec.h
+++ b/goldcrestcroft/src/Gateway/PlatformCodec.h
@@ -51,6 +51,10 @@
    */
   [[nodiscard]] virtual auto DecodeRouting(const std::string& aText) const
     -> Result<RoutingTable> = 0;
+  /** \brief The availability zone whose evacuation a row of the table of the
+   * configuration requests; none if the row is something else. */
+  [[nodiscard]] virtual auto EvacuatedZone(std::string_view aKey) const
+    -> std::optional<std::string> = 0;
   /** \brief Fails with Protocol if the entry does not describe a usable engine.
    */
   [[nodiscard]] virtual auto DecodeEngine(const std::string& aId,
--- a/goldcrestcroft/src/Gateway/RequestRun.h
+++ b/goldcrestcroft/src/Gateway/RequestRun.h
@@ -94,6 +94,10 @@
    * wait for too long. */
   auto RefuseByForecast(const std::vector<std::uint32_t>& aPieces) const
     -> std::optional<LocalReply>;
+  /** \brief The reply that refuses the request if a service that it needs has
+   * engines in evacuated zones only. */
+  auto RefuseIfEvacuated(const std::vector<std::uint32_t>& aPieces) const
+    -> std::optional<LocalReply>;
   /** \brief Places the orders of the stages as their inputs arrive, and waits
    * for the results. */
   auto RunStages() -> Task<StagesOutcome>;
--- a/goldcrestcroft/src/Gateway/RequestRunChoice.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunChoice.cpp
@@ -94,6 +94,27 @@
            kSteps;
 }
 
+auto RequestRun::RefuseIfEvacuated(
+  const std::vector<std::uint32_t>& aPieces) const -> std::optional<LocalReply>
+{
+  const auto& engines = traffic_.Pool().Engines();
+  auto evacuated = engines.IsEvacuated(service_) ? service_ : std::string();
+  for (std::size_t i = 0; i < route_->stages_.size(); ++i) {
+    const auto& service = route_->stages_[i].service_;
+    const auto isNeeded = i >= aPieces.size() || aPieces[i] > 0;
+    if (isNeeded && engines.IsEvacuated(service)) {
+      evacuated = service;
+    }
+  }
+  if (evacuated.empty()) {
+    return std::nullopt;
+  }
+  return LocalReply{ .reason_ = "zones_evacuated",
+                     .message_ = "all zones with engines of service '" +
+                                 evacuated + "' are evacuated",
+                     .retryAfter_ = traffic_.Options().retryAfter_ };
+}
+
 auto RequestRun::PlanHome() -> void
 {
   zone_ = traffic_.Fleet().zone_;
--- a/goldcrestcroft/src/Gateway/RequestRunExecute.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunExecute.cpp
@@ -34,7 +34,10 @@
   if (!route_->stages_.empty()) {
     const auto pieces =
       codec.ReadPieceCounts(Field(codec.Headers().pieceCounts_));
-    auto refusal = RefuseByForecast(pieces);
+    auto refusal = RefuseIfEvacuated(pieces);
+    if (!refusal) {
+      refusal = RefuseByForecast(pieces);
+    }
     if (refusal) {
       co_return co_await SendLocalReply(std::move(*refusal));
     }
--- a/goldcrestcroft/src/Routing/EngineList.cpp
+++ b/goldcrestcroft/src/Routing/EngineList.cpp
@@ -4,15 +4,21 @@
 
 namespace goldcrestcroft {
 
-EngineList::EngineList(const std::vector<EngineEntry>& aEntries)
+EngineList::EngineList(const std::vector<EngineEntry>& aEntries,
+                       const std::set<std::string>& aEvacuatedZones)
 {
   for (const auto& entry : aEntries) {
     listed_[entry.id_] = { .startedAt_ = entry.startedAt_,
                            .draining_ = entry.draining_ };
-    if (!entry.draining_) {
-      byService_[entry.service_].push_back(entry);
-      ++size_;
+    if (entry.draining_) {
+      continue;
     }
+    if (aEvacuatedZones.contains(entry.zone_)) {
+      evacuated_.insert(entry.service_);
+      continue;
+    }
+    byService_[entry.service_].push_back(entry);
+    ++size_;
   }
 }
 
--- a/goldcrestcroft/src/Routing/EngineList.h
+++ b/goldcrestcroft/src/Routing/EngineList.h
@@ -3,17 +3,20 @@
 #include "EngineEntry.h"
 
 #include <map>
+#include <set>
 #include <vector>
 
 namespace goldcrestcroft {
 
-/** \brief A snapshot of the registered engines, by service. A draining engine
- * is known by its id, but is in no service's list. */
+/** \brief A snapshot of the registered engines, by service. An engine that
+ * drains, or whose zone is evacuated, is known by its id, but is in no
+ * service's list. */
 class EngineList
 {
 public:
   EngineList() = default;
-  explicit EngineList(const std::vector<EngineEntry>& aEntries);
+  explicit EngineList(const std::vector<EngineEntry>& aEntries,
+                      const std::set<std::string>& aEvacuatedZones = {});
 
   [[nodiscard]] auto EnginesOf(const std::string& aService) const
     -> const std::vector<EngineEntry>&;
@@ -28,6 +31,11 @@
    * draining. */
   [[nodiscard]] auto IsDraining(const std::string& aId,
                                 std::uint64_t aStartedAt) const -> bool;
+  /** \brief Whether the service has engines, but only in evacuated zones. */
+  [[nodiscard]] auto IsEvacuated(const std::string& aService) const -> bool
+  {
+    return evacuated_.contains(aService) && EnginesOf(aService).empty();
+  }
   [[nodiscard]] auto size() const -> std::size_t { return size_; }
 
 private:
@@ -39,6 +47,8 @@
     bool draining_ = false;
   };
   std::map<std::string, Listed> listed_;
+  /** Services with engines in evacuated zones. */
+  std::set<std::string> evacuated_;
   std::size_t size_ = 0;
 };
 
--- a/test/unit/ThrowingCodec.h
+++ b/test/unit/ThrowingCodec.h
@@ -33,6 +33,11 @@
   {
     return codec_.DecodeRouting(aText);
   }
+  [[nodiscard]] auto EvacuatedZone(std::string_view aKey) const
+    -> std::optional<std::string> override
+  {
+    return codec_.EvacuatedZone(aKey);
+  }
   [[nodiscard]] auto DecodeEngine(const std::string& aId,
                                   const std::string& aText) const
     -> goldcrestcroft::Result<goldcrestcroft::EngineEntry> override
