Pace requests to cold engines, and decode engine entries as a whole

Cause: warmup_left_ms, warmup_per_s and the fourth field of the load header were not read. A load header of four fields was dropped, so that hosts of the new deployments knew no load of engines but their own. Entries of another writer were taken for engines although fields had another type.

Change: an engine that warms up has a rate limit of warmup_per_s, for which the owner of its rate issues permits as for an advertised limit; the lower one applies. A first owner issues the whole limit at once unless it has started, was paused or replaces a host that went within the last two seconds: a warm-up of three seconds would else mostly pass with a share. Entries are decoded whole or not at all, with one line for each problem of an entry.

--- a/goldcrestcroft/Engines.h
+++ b/goldcrestcroft/Engines.h
@@ -20,6 +20,7 @@
 #include "src/Engines/LostRunReports.h"
 #include "src/Engines/PermitIssuer.h"
 #include "src/Engines/PromptPart.h"
+#include "src/Engines/RateLimits.h"
 #include "src/Engines/RetryWindow.h"
 #include "src/Engines/StopAdmission.h"
 #include "src/Engines/StopTimes.h"
--- a/goldcrestcroft/src/Engines/PermitIssuer.cpp
+++ b/goldcrestcroft/src/Engines/PermitIssuer.cpp
@@ -6,21 +6,25 @@
 
 namespace goldcrestcroft {
 
-auto PermitIssuer::SetHosts(std::vector<std::string> aHosts, std::string aSelf)
-  -> void
+auto PermitIssuer::SetHosts(std::vector<std::string> aHosts, std::string aSelf,
+                            TimePoint aNow) -> void
 {
   std::sort(aHosts.begin(), aHosts.end());
   self_ = std::move(aSelf);
+  undisturbedSince_ = undisturbedSince_.value_or(aNow);
   if (aHosts == hosts_) {
     return;
   }
-  hosts_ = std::move(aHosts);
-  owners_.clear();
-  for (auto& [incarnation, rate] : rates_) {
-    if (!IsPrimary(incarnation)) {
-      rate.primarySince_.reset();
+  std::erase_if(removed_, [&](const auto& aRemoved) {
+    return aNow - aRemoved.at_ >= options_.reducedFor_;
+  });
+  for (const auto& host : hosts_) {
+    if (!std::binary_search(aHosts.begin(), aHosts.end(), host)) {
+      removed_.push_back({ .host_ = host, .at_ = aNow });
     }
   }
+  hosts_ = std::move(aHosts);
+  owners_.clear();
 }
 
 auto PermitIssuer::Owners(const EngineIncarnation& aIncarnation)
@@ -34,10 +38,23 @@
   return owners;
 }
 
-auto PermitIssuer::IsPrimary(const EngineIncarnation& aIncarnation) -> bool
+auto PermitIssuer::IsEstablished(const EngineIncarnation& aIncarnation,
+                                 TimePoint aNow) -> bool
 {
   const auto& owners = Owners(aIncarnation);
-  return !owners.empty() && owners.front() == self_;
+  if (owners.empty() || owners.front() != self_ || !undisturbedSince_ ||
+      aNow - *undisturbedSince_ < options_.reducedFor_) {
+    return false;
+  }
+  std::vector<std::string> earlier{ self_ };
+  for (const auto& removed : removed_) {
+    if (aNow - removed.at_ < options_.reducedFor_) {
+      earlier.push_back(removed.host_);
+    }
+  }
+  return OwnersOf(Fingerprint(aIncarnation.first, aIncarnation.second), earlier,
+                  1)
+           .front() == self_;
 }
 
 auto PermitIssuer::Take(const EngineIncarnation& aIncarnation,
@@ -46,11 +63,7 @@
 {
   auto& rate = rates_[aIncarnation];
   rate.askedAt_ = aNow;
-  if (IsPrimary(aIncarnation)) {
-    rate.primarySince_ = rate.primarySince_.value_or(aNow);
-  }
-  const auto full =
-    rate.primarySince_ && aNow - *rate.primarySince_ >= options_.reducedFor_;
+  const auto full = IsEstablished(aIncarnation, aNow);
   const auto share =
     options_.reducedShare_ * aPerSecond + options_.reducedPerSecond_;
   const auto perSecond = std::max(
@@ -70,13 +83,6 @@
   return { .granted_ = true, .wait_ = wait };
 }
 
-auto PermitIssuer::OnProcessPaused() -> void
-{
-  for (auto& [incarnation, rate] : rates_) {
-    rate.primarySince_.reset();
-  }
-}
-
 auto PermitIssuer::Expire(TimePoint aNow) -> void
 {
   std::erase_if(rates_, [&](const auto& aItem) {
--- a/goldcrestcroft/src/Engines/PermitIssuer.h
+++ b/goldcrestcroft/src/Engines/PermitIssuer.h
@@ -22,10 +22,10 @@
  * live hosts. The first owner issues the whole limit, request by request, to
  * any host that asks. The second owner serves hosts to which the first does
  * not reply, with a small share. Each owner paces its permits, so that unused
- * ones do not accumulate into a burst. A host that has just become the first
- * owner also issues only a share, since hosts that are unaware of the change
- * may still ask its predecessor. No state is kept for engines that nobody asks
- * for. */
+ * ones do not accumulate into a burst. A host that has just started, was
+ * paused, or replaces a first owner that is gone also issues only a share,
+ * since hosts that are unaware of the change may still ask its predecessor. No
+ * state is kept for engines that nobody asks for. */
 class PermitIssuer
 {
 public:
@@ -70,7 +70,8 @@
 
   /** \brief Sets the live hosts, this one included. Their names differ for
    * each incarnation of a host. */
-  auto SetHosts(std::vector<std::string> aHosts, std::string aSelf) -> void;
+  auto SetHosts(std::vector<std::string> aHosts, std::string aSelf,
+                TimePoint aNow) -> void;
   /** \brief The hosts that own the engine's rate, in order of precedence. */
   [[nodiscard]] auto Owners(const EngineIncarnation& aIncarnation)
     -> const std::vector<std::string>&;
@@ -79,7 +80,7 @@
   auto Take(const EngineIncarnation& aIncarnation, double aPerSecond,
             Duration aMaxWait, TimePoint aNow) -> Permit;
   /** \brief This process was paused, so other hosts may have replaced it. */
-  auto OnProcessPaused() -> void;
+  auto OnProcessPaused(TimePoint aNow) -> void { undisturbedSince_ = aNow; }
   auto Expire(TimePoint aNow) -> void;
   [[nodiscard]] auto Size() const -> std::size_t { return rates_.size(); }
 
@@ -88,16 +89,26 @@
   {
     /** When the next request is due at an even rate. */
     TimePoint nextAt_;
-    /** Since when this host has been the first owner, in its own view. */
-    std::optional<TimePoint> primarySince_;
     TimePoint askedAt_;
   };
+  struct RemovedHost
+  {
+    std::string host_;
+    TimePoint at_;
+  };
 
-  [[nodiscard]] auto IsPrimary(const EngineIncarnation& aIncarnation) -> bool;
+  /** \brief Whether this host has been the first owner for long enough that all
+   * hosts know. */
+  [[nodiscard]] auto IsEstablished(const EngineIncarnation& aIncarnation,
+                                   TimePoint aNow) -> bool;
 
   Options options_;
   std::vector<std::string> hosts_;
   std::string self_;
+  /** Since when this host has run without a pause. */
+  std::optional<TimePoint> undisturbedSince_;
+  /** Hosts that may still be taken for owners. */
+  std::vector<RemovedHost> removed_;
   std::map<EngineIncarnation, Rate> rates_;
   /** Owners of the engines that were asked for, among the current hosts. */
   std::map<EngineIncarnation, std::vector<std::string>> owners_;
--- a/goldcrestcroft/src/Gateway/ControlPlane.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlane.cpp
@@ -50,16 +50,23 @@
 }
 
 auto ControlPlane::DecodeEngine(const std::string& aId,
-                                const std::string& aText) const
-  -> Result<EngineEntry>
+                                const std::string& aText) -> Result<EngineEntry>
 {
   return boost::leaf::try_handle_some(
     [&] { return codec_.DecodeEngine(aId, aText); },
     [&](const Error& aError) -> Result<EngineEntry> {
-      // Logged once for each change of the entry.
-      Log::Write(
-        LogLevel::Warning, "engine_entry_unreadable",
-        { { "reason", aError.message_ }, { "remedy", aError.remedy_ } });
+      // Another writer may write the entry again and again.
+      constexpr std::size_t kMaxKnownProblems = 1024;
+      if (entryProblems_.size() >= kMaxKnownProblems) {
+        entryProblems_.clear();
+      }
+      if (std::exchange(entryProblems_[aId], aError.message_) !=
+          aError.message_) {
+        metrics_.Count("engine_entries_unreadable");
+        Log::Write(
+          LogLevel::Warning, "engine_entry_unreadable",
+          { { "reason", aError.message_ }, { "remedy", aError.remedy_ } });
+      }
       return Fail(aError);
     });
 }
@@ -101,7 +108,9 @@
   const auto engines = engines_.Engines();
   std::map<std::string, std::string> states;
   for (const auto& engine : engines) {
-    states[engine.id_] = engine.draining_ ? "draining" : "ready";
+    states[engine.id_] = engine.draining_                  ? "draining"
+                         : engine.warmUpLeft_ > Duration{} ? "warming_up"
+                                                           : "ready";
   }
   const auto logState = [&](const std::string& aEngine,
                             const std::string& aState) {
--- a/goldcrestcroft/src/Gateway/ControlPlane.h
+++ b/goldcrestcroft/src/Gateway/ControlPlane.h
@@ -125,7 +125,7 @@
     std::optional<TimePoint> staleSince_;
   };
 
-  auto DecodeEngine(const std::string& aId, const std::string& aText) const
+  auto DecodeEngine(const std::string& aId, const std::string& aText)
     -> Result<EngineEntry>;
   auto Follow(StoreTable aTable) -> Task<void>;
   /** \brief Number of hosts that precede this one as readers of the table. */
@@ -264,6 +264,8 @@
   std::map<StoreTable, FollowedTable> tables_;
   std::shared_ptr<const EngineList> engineList_ =
     std::make_shared<const EngineList>();
+  /** The last logged problem of each entry that could not be decoded. */
+  std::map<std::string, std::string> entryProblems_;
   /** The last logged state of each engine. */
   std::map<std::string, std::string> engineStates_;
   ConfigurationView configuration_;
--- a/goldcrestcroft/src/Gateway/ControlPlaneLimits.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneLimits.cpp
@@ -42,15 +42,18 @@
 auto ControlPlane::Issue(const PermitQuery& aQuery) -> Permit
 {
   const auto now = clock_.Now();
-  MergeLimit(FromReport(aQuery.limit_, now));
+  // A query without an advertised limit states nothing about it.
+  if (aQuery.limit_.perSecond_ || !aQuery.warmUpPerSecond_) {
+    MergeLimit(FromReport(aQuery.limit_, now));
+  }
   const EngineIncarnation incarnation(aQuery.limit_.engine_,
                                       aQuery.limit_.startedAt_);
-  const auto limit = limits_.Find(incarnation);
-  if (!limit || !limit->perSecond_) {
+  const auto rate = RateOf(aQuery, limits_.Find(incarnation));
+  if (!rate) {
     // The limit has ended; the reply reports that to the sender.
     return { .granted_ = true };
   }
-  return issuer_.Take(incarnation, *limit->perSecond_, aQuery.maxWait_, now);
+  return issuer_.Take(incarnation, *rate, aQuery.maxWait_, now);
 }
 
 auto ControlPlane::OnPermitQuery(const PermitQuery& aQuery,
@@ -93,8 +96,8 @@
 
 auto ControlPlane::AcquirePermit(PermitRequest aRequest) -> Task<void>
 {
-  const EngineIncarnation incarnation(aRequest.limit_.engine_,
-                                      aRequest.limit_.startedAt_);
+  const EngineIncarnation incarnation(aRequest.limits_.engine_,
+                                      aRequest.limits_.startedAt_);
   PermitReply answer{ .number_ = aRequest.number_,
                       .permit_ = { .wait_ = kUnansweredDelay } };
   // Right after its start a host knows too few others to determine the owners.
@@ -106,8 +109,7 @@
     if (known == nullptr || unresponsiveOwners_.contains(owner)) {
       continue;
     }
-    const PermitQuery query{ .limit_ = ToReport(aRequest.limit_, clock_.Now()),
-                             .maxWait_ = aRequest.maxWait_ };
+    const auto query = ToQuery(aRequest, clock_.Now());
     std::optional<Permit> permit;
     if (host == options_.settings_.host_) {
       permit = Issue(query);
--- a/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
@@ -82,7 +82,7 @@
       Log::Write(
         LogLevel::Warning, "woken",
         { { "pause_ms", std::to_string(ToMilliseconds(now - lastTick_)) } });
-      issuer_.OnProcessPaused();
+      issuer_.OnProcessPaused(now);
     }
     lastTick_ = now;
     leavingEngines_.Expire(now);
--- a/goldcrestcroft/src/Gateway/ControlPlaneSuspects.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneSuspects.cpp
@@ -38,7 +38,7 @@
   for (const auto& update : peers_.Peers(clock_.Now())) {
     add(update.record_);
   }
-  issuer_.SetHosts(hosts, hosts.front());
+  issuer_.SetHosts(hosts, hosts.front(), clock_.Now());
   // A host that is leaving passes on what it knows while it is still up.
   ownersChanged_ |=
     reports_.SetHosts(staying.empty() ? hosts : std::move(staying));
--- a/goldcrestcroft/src/Gateway/EnginePool.cpp
+++ b/goldcrestcroft/src/Gateway/EnginePool.cpp
@@ -112,6 +112,8 @@
     const auto statement = limits_.Find(start);
     state->limit_ = statement ? statement->perSecond_ : std::nullopt;
   }
+  // An incarnation may become cold again.
+  state->entry_.coldUntil_ = aEntry.coldUntil_;
   return state;
 }
 
@@ -179,7 +181,7 @@
   if (!aEngine->availability_.MayReceive(clock_.Now())) {
     co_return none;
   }
-  const auto limited = aEngine->limit_.has_value();
+  const auto limited = RateLimitsOf(*aEngine).has_value();
   if (limited) {
     if (!co_await AwaitPermit(aEngine, aOptions.maxWait_)) {
       co_return denied;
@@ -196,7 +198,7 @@
   const auto permitExpired =
     limited && clock_.Now() - permitAt > options_.permitValidity_;
   // The rate limit may have arrived while the connection was being opened.
-  const auto limitAppeared = !limited && aEngine->limit_;
+  const auto limitAppeared = !limited && RateLimitsOf(*aEngine);
   if (permitExpired ||
       (limitAppeared && !co_await AwaitPermit(aEngine, aOptions.maxWait_))) {
     Keep(lease, {});
--- a/goldcrestcroft/src/Gateway/EnginePool.h
+++ b/goldcrestcroft/src/Gateway/EnginePool.h
@@ -102,8 +102,8 @@
     std::function<void(const EngineLimit&)> onLimit_ = [](const EngineLimit&) {
     };
     /** Acquires a permit for one request to an engine with a rate limit. */
-    std::function<Task<Permit>(EngineLimit aLimit, Duration aMaxWait)> permit_ =
-      [](EngineLimit, Duration) -> Task<Permit> {
+    std::function<Task<Permit>(RateLimits aLimits, Duration aMaxWait)> permit_ =
+      [](RateLimits, Duration) -> Task<Permit> {
       co_return Permit{ .granted_ = true };
     };
     /** A permit expires if opening the connection takes longer than this, so
@@ -124,6 +124,12 @@
    * that are removed. */
   auto SetEngines(std::shared_ptr<const EngineList> aEngines) -> void;
   [[nodiscard]] auto Engines() const -> const EngineList& { return *engines_; }
+  /** \brief Sets the requests per second, by service, that an engine tolerates
+   * while it warms up. */
+  auto SetWarmUpRates(std::map<std::string, double> aRates) -> void
+  {
+    warmUpRates_ = std::move(aRates);
+  }
   /** \brief State of an engine of the list; created on first use. */
   auto StateOf(const EngineEntry& aEntry) -> std::shared_ptr<EngineState>;
 
@@ -181,6 +187,9 @@
                    bool& aReadable) const -> std::optional<double>;
   /** \brief Applies a rate limit that has changed. */
   auto ApplyLimit(const EngineLimit& aLimit, const std::string& aEvent) -> void;
+  /** \brief The rate limits of the engine now; none if it has none. */
+  [[nodiscard]] auto RateLimitsOf(const EngineState& aEngine) const
+    -> std::optional<RateLimits>;
   /** \brief Waits for a permit for one more request; false if it is denied
    * and the rate limit still applies. */
   auto AwaitPermit(std::shared_ptr<EngineState> aEngine, Duration aMaxWait)
@@ -201,6 +210,7 @@
    * learned that they drain. */
   std::map<EngineIncarnation, TimePoint> leaving_;
   LimitTable limits_;
+  std::map<std::string, double> warmUpRates_;
   /** By service; only for services that lost a request on an idle connection
    * recently. */
   std::map<std::string, IdleReuseLimit> idleReuseLimits_;
--- a/goldcrestcroft/src/Gateway/EnginePoolLimits.cpp
+++ b/goldcrestcroft/src/Gateway/EnginePoolLimits.cpp
@@ -110,20 +110,37 @@
                { "own_requests", std::to_string(requests) } });
 }
 
+auto EnginePool::RateLimitsOf(const EngineState& aEngine) const
+  -> std::optional<RateLimits>
+{
+  const auto& entry = aEngine.entry_;
+  RateLimits limits{ .engine_ = entry.id_, .startedAt_ = entry.startedAt_ };
+  if (const auto known = limits_.Find({ entry.id_, entry.startedAt_ });
+      known && known->perSecond_) {
+    limits.advertised_ = *known;
+  }
+  const auto warmUp = warmUpRates_.find(entry.service_);
+  if (warmUp != warmUpRates_.end() && clock_.Now() < entry.coldUntil_) {
+    limits.warmUpPerSecond_ = warmUp->second;
+  }
+  return limits.PerSecond() ? std::optional(std::move(limits)) : std::nullopt;
+}
+
 auto EnginePool::AwaitPermit(std::shared_ptr<EngineState> aEngine,
                              Duration aMaxWait) -> Task<bool>
 {
-  const auto& entry = aEngine->entry_;
-  auto statement = limits_.Find({ entry.id_, entry.startedAt_ });
-  if (!statement || !statement->perSecond_) {
+  auto limits = RateLimitsOf(*aEngine);
+  if (!limits) {
     co_return true;
   }
-  const auto permit =
-    co_await options_.permit_(std::move(*statement), aMaxWait);
+  if (limits->warmUpPerSecond_) {
+    options_.count_("permits_for_warm_up");
+  }
+  const auto permit = co_await options_.permit_(std::move(*limits), aMaxWait);
   options_.count_(permit.granted_ ? "permits_granted" : "permits_denied");
   if (!permit.granted_) {
     aEngine->availability_.OnDenied(permit.wait_, clock_.Now());
-    co_return !aEngine->limit_;
+    co_return !RateLimitsOf(*aEngine);
   }
   const auto wait = std::min(permit.wait_, aMaxWait);
   if (wait > Duration{}) {
--- a/goldcrestcroft/src/Gateway/EngineRegistry.cpp
+++ b/goldcrestcroft/src/Gateway/EngineRegistry.cpp
@@ -21,12 +21,13 @@
   }
 }
 
-auto EngineRegistry::DecodeRow(const StoreRow& aRow)
+auto EngineRegistry::DecodeRow(const StoreRow& aRow, TimePoint aNow)
   -> std::optional<EngineEntry>
 {
   return Handle(
     [&]() -> Result<std::optional<EngineEntry>> {
       BOOST_LEAF_AUTO(engine, options_.decode_(aRow.key_, aRow.value_));
+      engine.coldUntil_ = aNow + engine.warmUpLeft_;
       return std::optional(std::move(engine));
     },
     [&](const Error&) -> std::optional<EngineEntry> {
@@ -72,7 +73,7 @@
     Remove(entry, aRow.version_, aNow);
     return true;
   }
-  auto engine = DecodeRow(aRow);
+  auto engine = DecodeRow(aRow, aNow);
   const auto isOtherEra = aRow.version_.era_ != entry.row_.version_.era_;
   if (isOtherEra && engine && entry.last_ &&
       AdoptRestored(entry, aRow, *engine, aNow)) {
--- a/goldcrestcroft/src/Gateway/EngineRegistry.h
+++ b/goldcrestcroft/src/Gateway/EngineRegistry.h
@@ -97,7 +97,8 @@
   auto Adopt(const StoreRow& aRow, TimePoint aNow) -> bool;
   auto Remove(Entry& aEntry, const StoreVersion& aVersion, TimePoint aNow)
     -> void;
-  auto DecodeRow(const StoreRow& aRow) -> std::optional<EngineEntry>;
+  auto DecodeRow(const StoreRow& aRow, TimePoint aNow)
+    -> std::optional<EngineEntry>;
   /** \brief Handles a row of a later era, which may be older than what is known
    * of the engine. Returns whether that remains in use. */
   [[nodiscard]] auto AdoptRestored(Entry& aEntry, const StoreRow& aRow,
--- a/goldcrestcroft/src/Gateway/PeerHeartbeat.cpp
+++ b/goldcrestcroft/src/Gateway/PeerHeartbeat.cpp
@@ -100,6 +100,21 @@
   ArchiveVersion(aArchive, aHeartbeat.evacuationVersion_);
 }
 
+/** Fields that follow those. */
+template<typename Ar>
+auto ArchiveWarmUp(Ar& aArchive, FleetHeartbeat& aHeartbeat) -> void
+{
+  for (auto& query : aHeartbeat.permitQueries_) {
+    auto limited = query.warmUpPerSecond_.has_value();
+    auto perSecond = query.warmUpPerSecond_.value_or(0.0);
+    aArchive(limited, perSecond);
+    if (!std::isfinite(perSecond) || perSecond < 0.0) {
+      throw std::out_of_range("warm-up rate");
+    }
+    query.warmUpPerSecond_ = limited ? std::optional(perSecond) : std::nullopt;
+  }
+}
+
 } // namespace
 
 auto EncodeHeartbeat(const FleetHeartbeat& aHeartbeat) -> std::string
@@ -111,6 +126,7 @@
   ArchivePromptParts(archive, heartbeat);
   ArchiveEras(archive, heartbeat);
   ArchiveEvacuations(archive, heartbeat);
+  ArchiveWarmUp(archive, heartbeat);
   return std::move(out).str();
 }
 
@@ -130,6 +146,9 @@
     if (HasMore(in)) {
       ArchiveEvacuations(archive, heartbeat);
     }
+    if (HasMore(in)) {
+      ArchiveWarmUp(archive, heartbeat);
+    }
     return heartbeat;
   } catch (const std::exception&) {
     return MalformedFrame();
--- a/goldcrestcroft/src/Gateway/PermitMessages.cpp
+++ b/goldcrestcroft/src/Gateway/PermitMessages.cpp
@@ -24,4 +24,22 @@
              aNow - std::clamp(aReport.statedAgo_, Duration{}, kOldest) };
 }
 
+auto ToQuery(const PermitRequest& aRequest, TimePoint aNow) -> PermitQuery
+{
+  const auto& limits = aRequest.limits_;
+  const EngineLimit none{ .engine_ = limits.engine_,
+                          .startedAt_ = limits.startedAt_ };
+  return { .limit_ = ToReport(limits.advertised_.value_or(none), aNow),
+           .maxWait_ = aRequest.maxWait_,
+           .warmUpPerSecond_ = limits.warmUpPerSecond_ };
+}
+
+auto RateOf(const PermitQuery& aQuery, const std::optional<EngineLimit>& aKnown)
+  -> std::optional<double>
+{
+  return RateLimits{ .advertised_ = aKnown,
+                     .warmUpPerSecond_ = aQuery.warmUpPerSecond_ }
+    .PerSecond();
+}
+
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/PermitMessages.h
+++ b/goldcrestcroft/src/Gateway/PermitMessages.h
@@ -20,12 +20,11 @@
 auto FromReport(const EngineLimitReport& aReport, TimePoint aNow)
   -> EngineLimit;
 
-/** \brief A request that is about to be sent to an engine that advertises a
- * rate limit. */
+/** \brief A request that is about to be sent to an engine with a rate limit. */
 struct PermitRequest
 {
   std::uint64_t number_ = 0;
-  EngineLimit limit_;
+  RateLimits limits_;
   Duration maxWait_{};
 };
 
@@ -33,12 +32,21 @@
 struct PermitQuery
 {
   std::uint64_t number_ = 0;
+  /** Without a rate if the engine advertises none. */
   EngineLimitReport limit_;
   Duration maxWait_{};
+  /** Requests per second while the engine warms up; none if it does not. */
+  std::optional<double> warmUpPerSecond_;
 
   auto operator<=>(const PermitQuery&) const = default;
 };
 
+auto ToQuery(const PermitRequest& aRequest, TimePoint aNow) -> PermitQuery;
+/** \brief The lowest rate that the query or the advertised limit that the owner
+ * knows states; none if there is no limit. */
+auto RateOf(const PermitQuery& aQuery, const std::optional<EngineLimit>& aKnown)
+  -> std::optional<double>;
+
 /** \brief Reply to the permit request or the permit query of the same
  * number. */
 struct PermitReply
--- a/goldcrestcroft/src/Gateway/Traffic.cpp
+++ b/goldcrestcroft/src/Gateway/Traffic.cpp
@@ -28,8 +28,8 @@
         .onLimit_ =
           [this](const EngineLimit& aWord) { peerCallbacks_.limit_(aWord); },
         .permit_ =
-          [this](EngineLimit aLimit, Duration aMaxWait) {
-            return RequestPermit(std::move(aLimit), aMaxWait);
+          [this](RateLimits aLimits, Duration aMaxWait) {
+            return RequestPermit(std::move(aLimits), aMaxWait);
           },
         .count_ =
           [this](const std::string& aEvent) { metrics_.Count(aEvent); } })
@@ -147,6 +147,7 @@
   std::erase_if(firstEvents_, unknown);
   std::erase_if(answerTimes_, unknown);
   batcher_.SetRouting(routing_);
+  pool_.SetWarmUpRates(routing_->WarmUpRates());
   const auto& limits = routing_->Limits();
   Log::Write(
     LogLevel::Info, "configuration_in_force",
--- a/goldcrestcroft/src/Gateway/Traffic.h
+++ b/goldcrestcroft/src/Gateway/Traffic.h
@@ -178,7 +178,7 @@
   auto StartCaller(Tcp::socket aSocket) -> void;
   /** \brief Requests the permit to send one request to an engine with a rate
    * limit. */
-  auto RequestPermit(EngineLimit aLimit, Duration aMaxWait) -> Task<Permit>;
+  auto RequestPermit(RateLimits aLimits, Duration aMaxWait) -> Task<Permit>;
   /** \brief Measures the lag of the event loop of this thread. */
   auto MeasureLoopLag() -> Task<void>;
   /** \brief Checks whether an engine whose connection broke still accepts
--- a/goldcrestcroft/src/Gateway/TrafficLimits.cpp
+++ b/goldcrestcroft/src/Gateway/TrafficLimits.cpp
@@ -11,7 +11,7 @@
 
 } // namespace
 
-auto Traffic::RequestPermit(EngineLimit aLimit, Duration aMaxWait)
+auto Traffic::RequestPermit(RateLimits aLimits, Duration aMaxWait)
   -> Task<Permit>
 {
   const auto number = ++lastPermit_;
@@ -20,7 +20,7 @@
                    .permit_ = { .wait_ = kPermitTimeout } });
   pendingPermits_.emplace(number, pending);
   peerCallbacks_.permit_(
-    { .number_ = number, .limit_ = std::move(aLimit), .maxWait_ = aMaxWait });
+    { .number_ = number, .limits_ = std::move(aLimits), .maxWait_ = aMaxWait });
   co_await pending->answered_.async_wait(kAsTuple);
   if (pendingPermits_.erase(number) > 0) {
     metrics_.Count("permits_unanswered");
--- a/goldcrestcroft/src/Routing/EngineEntry.h
+++ b/goldcrestcroft/src/Routing/EngineEntry.h
@@ -18,6 +18,10 @@
   bool draining_ = false;
   /** Start of this incarnation in Unix milliseconds; 0 if not reported. */
   std::uint64_t startedAt_ = 0;
+  /** How much longer the engine warmed up when it wrote the entry. */
+  Duration warmUpLeft_{};
+  /** Until when the engine warms up; set when the entry is adopted. */
+  TimePoint coldUntil_{};
 
   auto operator<=>(const EngineEntry&) const = default;
 };
--- a/goldcrestcroft/src/Routing/RoutingTable.cpp
+++ b/goldcrestcroft/src/Routing/RoutingTable.cpp
@@ -54,6 +54,17 @@
                                       : &options_.services_[found->second];
 }
 
+auto RoutingTable::WarmUpRates() const -> std::map<std::string, double>
+{
+  std::map<std::string, double> rates;
+  for (const auto& service : options_.services_) {
+    if (service.warmUpPerSecond_) {
+      rates[service.name_] = *service.warmUpPerSecond_;
+    }
+  }
+  return rates;
+}
+
 auto ChooseService(const Route& aRoute, double aUnit) -> std::string
 {
   auto total = 0.0;
--- a/goldcrestcroft/src/Routing/RoutingTable.h
+++ b/goldcrestcroft/src/Routing/RoutingTable.h
@@ -55,6 +55,9 @@
   [[nodiscard]] auto FindKey(const std::string& aKey) const -> const KeyHolder*;
   [[nodiscard]] auto FindService(const std::string& aName) const
     -> const ServiceProfile*;
+  /** \brief By service, the requests per second that an engine tolerates while
+   * it warms up; only services with such a limit. */
+  [[nodiscard]] auto WarmUpRates() const -> std::map<std::string, double>;
 
 private:
   Options options_;
--- a/goldcrestcroft/src/Routing/ServiceProfile.h
+++ b/goldcrestcroft/src/Routing/ServiceProfile.h
@@ -41,6 +41,9 @@
   std::string healthPath_ = "/";
   /** Connections that one engine accepts from all callers. */
   std::size_t maxConnections_ = 64;
+  /** Requests per second from all hosts together that an engine tolerates while
+   * it warms up; none if there is no such limit. */
+  std::optional<double> warmUpPerSecond_;
   std::optional<StageProfile> stage_;
   std::optional<GenerationProfile> generation_;
 
--- a/test/property/LimitWorld.cpp
+++ b/test/property/LimitWorld.cpp
@@ -68,6 +68,13 @@
            : Random(hosts_.size());
 }
 
+auto LimitWorld::Engine() const -> EngineIncarnation
+{
+  const auto starts =
+    options_.warmUp_ ? (clock_.Now() - begin_) / *options_.warmUp_ : 0;
+  return { kEngine.first, kEngine.second + static_cast<std::uint64_t>(starts) };
+}
+
 auto LimitWorld::Arrive() -> void
 {
   const auto host = PickHost();
@@ -85,7 +92,7 @@
 {
   auto& host = hosts_[aHost];
   const auto update = host.table_.Find(kEngine);
-  if (!update) {
+  if (!update && !options_.warmUp_) {
     Send(aHost, false);
   } else if (host.askAgainAt_ <= clock_.Now()) {
     RequestPermit(aHost, 0);
@@ -95,7 +102,7 @@
 auto LimitWorld::RequestPermit(std::size_t aHost, std::size_t aOwner) -> void
 {
   auto& host = hosts_[aHost];
-  const auto owners = host.issuer_.Owners(kEngine);
+  const auto owners = host.issuer_.Owners(Engine());
   if (aOwner >= owners.size()) {
     host.askAgainAt_ = clock_.Now() + kUnansweredDelay;
     return;
@@ -135,7 +142,7 @@
 auto LimitWorld::Issue(std::size_t aOwner) -> Permit
 {
   ReceiveLimit(aOwner);
-  return hosts_[aOwner].issuer_.Take(kEngine, options_.limit_, {},
+  return hosts_[aOwner].issuer_.Take(Engine(), options_.limit_, {},
                                      clock_.Now());
 }
 
@@ -237,7 +244,7 @@
     After(Between(0, 1000),
           [this, i, names, incarnation = hosts_[i].incarnation_] {
             if (hosts_[i].runs_ && hosts_[i].incarnation_ == incarnation) {
-              hosts_[i].issuer_.SetHosts(names, NameOf(i));
+              hosts_[i].issuer_.SetHosts(names, NameOf(i), clock_.Now());
             }
           });
   }
@@ -246,7 +253,7 @@
 auto LimitWorld::InjectFault() -> void
 {
   // Disturbs the host that owns the rate every other time.
-  const auto owners = hosts_[Random(hosts_.size())].issuer_.Owners(kEngine);
+  const auto owners = hosts_[Random(hosts_.size())].issuer_.Owners(Engine());
   auto victim = Random(hosts_.size());
   if (!owners.empty() && Random(2) == 0) {
     victim = HostNamed(owners.front()).value_or(victim);
@@ -258,7 +265,7 @@
     host.stalledUntil_ = clock_.Now() + pause;
     After(pause, [this, victim] {
       hosts_[victim].disturbedAt_ = clock_.Now();
-      hosts_[victim].issuer_.OnProcessPaused();
+      hosts_[victim].issuer_.OnProcessPaused(clock_.Now());
     });
   } else if (host.runs_) {
     host.runs_ = false;
@@ -275,22 +282,32 @@
   After(Between(2000, 5000), [this] { InjectFault(); });
 }
 
-auto LimitWorld::Evaluate() -> void
+auto LimitWorld::MaxWithin(Duration aWindow, bool aOnlyCounted) const
+  -> std::size_t
 {
-  constexpr auto kWindow = std::chrono::seconds{ 4 };
   std::deque<TimePoint> window;
-  std::size_t used = 0;
+  std::size_t most = 0;
   for (const auto& arrival : arrivals_) {
-    used += arrival.at_ >= begin_ + kSettled ? 1 : 0;
-    if (!arrival.counts_ || arrival.at_ < begin_ + kContact) {
+    if (aOnlyCounted && (!arrival.counts_ || arrival.at_ < begin_ + kContact)) {
       continue;
     }
     window.push_back(arrival.at_);
-    while (arrival.at_ - window.front() >= kWindow) {
+    while (arrival.at_ - window.front() >= aWindow) {
       window.pop_front();
     }
-    outcome_.maxIn4s_ = std::max(outcome_.maxIn4s_, window.size());
+    most = std::max(most, window.size());
+  }
+  return most;
+}
+
+auto LimitWorld::Evaluate() -> void
+{
+  std::size_t used = 0;
+  for (const auto& arrival : arrivals_) {
+    used += arrival.at_ >= begin_ + kSettled ? 1 : 0;
   }
+  outcome_.maxIn4s_ = MaxWithin(std::chrono::seconds{ 4 }, true);
+  outcome_.maxIn1s_ = MaxWithin(std::chrono::seconds{ 1 }, false);
   const auto measured = std::chrono::duration<double>(end_ - begin_ - kSettled);
   outcome_.used_ =
     static_cast<double>(used) /
--- a/test/property/LimitWorld.h
+++ b/test/property/LimitWorld.h
@@ -26,6 +26,9 @@
     bool unevenDemand_ = false;
     /** Whether hosts restart and are paused throughout. */
     bool faults_ = false;
+    /** If set, the limit is that of a warm-up of this length, which all hosts
+     * know from the engine's entry; the engine restarts after each. */
+    std::optional<goldcrestcroft::Duration> warmUp_;
     goldcrestcroft::Duration duration_ = std::chrono::seconds{ 60 };
     unsigned seed_ = 1;
   };
@@ -35,6 +38,8 @@
      * limit at least half a second before and that were not disturbed for
      * `contact_ms`. */
     std::size_t maxIn4s_ = 0;
+    /** Maximum number of requests in any second, from all hosts. */
+    std::size_t maxIn1s_ = 0;
     std::size_t sent_ = 0;
     std::size_t wanted_ = 0;
     std::size_t datagrams_ = 0;
@@ -69,6 +74,7 @@
   [[nodiscard]] auto NameOf(std::size_t aHost) const -> std::string;
   auto HostNamed(const std::string& aName) const -> std::optional<std::size_t>;
 
+  [[nodiscard]] auto Engine() const -> goldcrestcroft::EngineIncarnation;
   auto Arrive() -> void;
   auto PickHost() -> std::size_t;
   /** \brief A caller's request arrives that the host would send to the engine.
@@ -88,6 +94,9 @@
   auto PublishHosts() -> void;
   auto InjectFault() -> void;
   auto Evaluate() -> void;
+  /** \brief Maximum number of the arrivals within aWindow. */
+  [[nodiscard]] auto MaxWithin(goldcrestcroft::Duration aWindow,
+                               bool aOnlyCounted) const -> std::size_t;
 
   Options options_;
   TimePoint begin_;
--- a/test/unit/PermitIssuerTest.cpp
+++ b/test/unit/PermitIssuerTest.cpp
@@ -32,7 +32,7 @@
 {
   VirtualClock clock;
   PermitIssuer issuer;
-  issuer.SetHosts({ "a|1" }, "a|1");
+  issuer.SetHosts({ "a|1" }, "a|1", clock.Now());
   Granted(issuer, 10.0, clock, seconds{ 3 });
   clock.Advance(seconds{ 20 });
   CHECK(Granted(issuer, 10.0, clock, seconds{ 4 }) <= 42);
@@ -46,7 +46,7 @@
 {
   VirtualClock clock;
   PermitIssuer issuer;
-  issuer.SetHosts({ "a|1" }, "a|1");
+  issuer.SetHosts({ "a|1" }, "a|1", clock.Now());
   const auto granted = Granted(issuer, 0.0, clock, seconds{ 60 });
   CHECK(granted >= 6);
   CHECK(granted <= 7);
@@ -62,25 +62,25 @@
   };
   std::vector<std::string> hosts{ "a|1", "b|1" };
   PermitIssuer issuer(options);
-  issuer.SetHosts(hosts, "a|1");
+  issuer.SetHosts(hosts, "a|1", clock.Now());
   const auto owners = issuer.Owners(kStart);
   REQUIRE(owners.size() == 2);
   constexpr auto kLimit = 20.0;
   const auto maxGranted = static_cast<std::size_t>(share(kLimit) * 2.0) + 3;
   PermitIssuer second(options);
-  second.SetHosts(hosts, owners[1]);
+  second.SetHosts(hosts, owners[1], clock.Now());
   CHECK(Granted(second, kLimit, clock, seconds{ 2 }) <= maxGranted);
   CHECK(Granted(second, kLimit, clock, seconds{ 2 }) <= maxGranted);
   // The first owner is gone.
-  second.SetHosts({ owners[1] }, owners[1]);
+  second.SetHosts({ owners[1] }, owners[1], clock.Now());
   CHECK(Granted(second, kLimit, clock, seconds{ 2 }) <= maxGranted);
   CHECK(Granted(second, kLimit, clock, seconds{ 2 }) >= 39);
-  second.OnProcessPaused();
+  second.OnProcessPaused(clock.Now());
   CHECK(Granted(second, kLimit, clock, seconds{ 2 }) <= maxGranted);
   CHECK(Granted(second, kLimit, clock, seconds{ 2 }) >= 39);
   // The first owner is back, and gone again.
-  second.SetHosts(hosts, owners[1]);
-  second.SetHosts({ owners[1] }, owners[1]);
+  second.SetHosts(hosts, owners[1], clock.Now());
+  second.SetHosts({ owners[1] }, owners[1], clock.Now());
   CHECK(Granted(second, kLimit, clock, seconds{ 2 }) <= maxGranted);
 }
 
@@ -89,7 +89,7 @@
 {
   VirtualClock clock;
   PermitIssuer issuer;
-  issuer.SetHosts({ "a|1" }, "a|1");
+  issuer.SetHosts({ "a|1" }, "a|1", clock.Now());
   Granted(issuer, 4.0, clock, seconds{ 4 });
   std::vector<Duration> waits;
   for (;;) {
--- a/test/unit/PlatformAdapterTest.cpp
+++ b/test/unit/PlatformAdapterTest.cpp
@@ -111,6 +111,47 @@
   }
 }
 
+TEST_CASE("an entry of another writer, with one field missing or of another "
+          "type, describes no engine")
+{
+  const platform::TableCodec codec;
+  const nlohmann::json whole{
+    { "service", "s" },  { "address", "1.2.3.4:5" }, { "zone", "z" },
+    { "slots", 6 },      { "state", "ready" },       { "born", 17 },
+    { "version", "v1" }, { "sequence", 4 },          { "warmup_left_ms", 1500 }
+  };
+  const auto decode = [&](const nlohmann::json& aEntry) {
+    return Handle(
+      [&]() -> Result<std::optional<EngineEntry>> {
+        BOOST_LEAF_AUTO(entry, codec.DecodeEngine("i", aEntry.dump()));
+        return std::optional(std::move(entry));
+      },
+      [](const Error&) { return std::optional<EngineEntry>(); });
+  };
+  REQUIRE(decode(whole));
+  CHECK(decode(whole)->warmUpLeft_ == std::chrono::milliseconds{ 1500 });
+  for (const auto* field :
+       { "service", "address", "zone", "slots", "state", "born" }) {
+    auto entry = whole;
+    entry.erase(field);
+    CAPTURE(field);
+    CHECK_FALSE(decode(entry));
+  }
+  for (const auto& [field, value] : whole.items()) {
+    for (const auto& other :
+         { nlohmann::json(nullptr), nlohmann::json::array(), nlohmann::json(-1),
+           value.is_string() ? nlohmann::json(7) : nlohmann::json("7"),
+           value.is_string() ? nlohmann::json(true) : nlohmann::json(0.5) }) {
+      auto entry = whole;
+      entry[field] = other;
+      CAPTURE(entry.dump());
+      // A part of a millisecond is a valid time.
+      const auto isValid = field == "warmup_left_ms" && other == 0.5;
+      CHECK(decode(entry).has_value() == isValid);
+    }
+  }
+}
+
 TEST_CASE("a stage call is encoded and its response decoded")
 {
   const platform::TableCodec codec;
@@ -157,6 +198,14 @@
   CHECK(codec.ReadLoad("3,0,8") ==
         EngineLoadReport{ .running_ = 3, .waiting_ = 0, .slots_ = 8 });
   CHECK_FALSE(codec.ReadLoad("3,-1,8"));
+  CHECK(codec.ReadLoad("3,0,8,250") ==
+        EngineLoadReport{
+          .running_ = 3, .waiting_ = 0, .slots_ = 8, .slowdown_ = 2.5 });
+  // Later versions of the header may have more fields.
+  CHECK(codec.ReadLoad("3,0,8,250,x,7") == codec.ReadLoad("3,0,8,250"));
+  for (const auto* text : { "3,0", "3,0,8,x", "3,0,8,0", "3,0,8,-5" }) {
+    CHECK_FALSE(codec.ReadLoad(text));
+  }
   CHECK_FALSE(codec.ReadLoad("busy"));
   CHECK(codec.DirectoryZone("/resolve?name=a&region=r&zone=z1") == "z1");
   CHECK(codec.DirectoryZone("/resolve?zone=&name=a").empty());
