--- a/goldcrestcroft/src/Engines/PermitIssuer.cpp
+++ b/goldcrestcroft/src/Engines/PermitIssuer.cpp
@@ -11,7 +11,9 @@
 {
   std::sort(aHosts.begin(), aHosts.end());
   self_ = std::move(aSelf);
-  undisturbedSince_ = undisturbedSince_.value_or(aNow);
+  // A host that was alone did not learn who owned the rates meanwhile.
+  const auto wasAlone = hosts_.size() <= 1 && aHosts.size() > 1;
+  undisturbedSince_ = wasAlone ? aNow : undisturbedSince_.value_or(aNow);
   if (aHosts == hosts_) {
     return;
   }
--- a/goldcrestcroft/src/Gateway/ControlPlaneEvacuations.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneEvacuations.cpp
@@ -13,14 +13,9 @@
       rows.back().key_ = std::move(*zone);
     }
   }
-  auto changed = false;
-  if (aIsWholeTable) {
-    changed = evacuations_.ApplyTable(rows, aReply.version_, clock_.Now());
-  } else {
-    for (const auto& row : rows) {
-      changed |= evacuations_.Apply(row);
-    }
-  }
+  const auto changed =
+    aIsWholeTable ? evacuations_.ApplyTable(rows, aReply.version_, clock_.Now())
+                  : evacuations_.Apply(std::move(rows));
   if (changed) {
     PublishEvacuations("store");
   }
--- a/goldcrestcroft/src/Gateway/ControlPlaneHeartbeats.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneHeartbeats.cpp
@@ -141,7 +141,7 @@
   const auto lacksConfiguration = configuration_.OnPeer(
     aHeartbeat.configurationRow_, aHeartbeat.configurationVersion_);
   const auto lacksEvacuations =
-    evacuations_.OnPeer(aHeartbeat.evacuationVersion_);
+    evacuations_.IsBehind(aHeartbeat.evacuationVersion_);
   auto renewed =
     !lacksConfiguration && !lacksEvacuations &&
     OnPeerViewAge(StoreTable::Configuration, aHeartbeat.configurationRow_,
--- a/goldcrestcroft/src/Gateway/EnginePool.cpp
+++ b/goldcrestcroft/src/Gateway/EnginePool.cpp
@@ -36,11 +36,14 @@
   engines_ = std::move(aEngines);
   std::erase_if(states_, [&](const auto& aItem) {
     const auto& state = aItem.second;
-    if (engines_->Contains(state->entry_)) {
+    const auto& entry = state->entry_;
+    if (engines_->Contains(entry)) {
       return false;
     }
     CloseIdleConnections(*state);
-    return true;
+    // Engines of evacuated zones are used again.
+    return !engines_->IsRegistered(entry.id_, entry.startedAt_) ||
+           engines_->IsDraining(entry.id_, entry.startedAt_);
   });
   const auto now = clock_.Now();
   std::erase_if(leaving_, [&](const auto& aItem) {
@@ -210,6 +213,12 @@
     co_return none;
   }
   lease.takenAt_ = clock_.Now();
+  // The engine may have become unavailable while a permit was awaited.
+  if (limitAppeared && (!aEngine->availability_.MayReceive(lease.takenAt_) ||
+                        !engines_->Contains(aEngine->entry_))) {
+    Keep(lease, {});
+    co_return none;
+  }
   co_return lease;
 }
 
--- a/goldcrestcroft/src/Gateway/EnginePoolLimits.cpp
+++ b/goldcrestcroft/src/Gateway/EnginePoolLimits.cpp
@@ -133,13 +133,20 @@
   if (!limits) {
     co_return true;
   }
+  const auto isAdvertised = limits->advertised_.has_value();
   if (limits->warmUpPerSecond_) {
     options_.count_("permits_for_warm_up");
   }
   const auto permit = co_await options_.permit_(std::move(*limits), aMaxWait);
   options_.count_(permit.granted_ ? "permits_granted" : "permits_denied");
   if (!permit.granted_) {
-    aEngine->availability_.OnDenied(permit.wait_, clock_.Now());
+    const auto now = clock_.Now();
+    // The limit of a warm-up ends with it.
+    const auto wait =
+      isAdvertised
+        ? permit.wait_
+        : std::min<Duration>(permit.wait_, aEngine->entry_.coldUntil_ - now);
+    aEngine->availability_.OnDenied(wait, now);
     co_return !RateLimitsOf(*aEngine);
   }
   const auto wait = std::min(permit.wait_, aMaxWait);
--- a/goldcrestcroft/src/Gateway/StageBatcher.cpp
+++ b/goldcrestcroft/src/Gateway/StageBatcher.cpp
@@ -185,6 +185,14 @@
                    .retryAfter_ = options_.retryAfter_ } });
     placedOrders_.erase(id);
   }
+  if (pool_.Engines().IsEvacuated(aService.name_)) {
+    for (const auto id : aService.queue_.Orders()) {
+      if (!aService.queue_.TakeWaiting(id).empty()) {
+        Report(id, { { .end_ = PieceOutcome::Refused,
+                       .retryAfter_ = options_.retryAfter_ } });
+      }
+    }
+  }
   if (aService.queue_.Waiting() == 0) {
     return;
   }
--- a/goldcrestcroft/src/Routing/EvacuationView.cpp
+++ b/goldcrestcroft/src/Routing/EvacuationView.cpp
@@ -25,18 +25,26 @@
   return evacuations;
 }
 
-auto EvacuationView::Apply(const StoreRow& aRow) -> bool
+auto EvacuationView::Apply(std::vector<StoreRow> aRows) -> bool
 {
-  if (aRow.version_ <= std::max(version_, tableVersion_)) {
-    return false;
-  }
   const auto before = Zones();
-  version_ = aRow.version_;
-  held_.erase(aRow.key_);
-  if (aRow.removed_) {
-    listed_.erase(aRow.key_);
-  } else {
-    listed_[aRow.key_] = aRow.version_;
+  const auto known = std::max(version_, tableVersion_);
+  // Rows of one transaction have the same version.
+  std::stable_sort(aRows.begin(), aRows.end(),
+                   [](const auto& aLeft, const auto& aRight) {
+                     return aLeft.version_ < aRight.version_;
+                   });
+  for (const auto& row : aRows) {
+    if (row.version_ <= known) {
+      continue;
+    }
+    version_ = row.version_;
+    held_.erase(row.key_);
+    if (row.removed_) {
+      listed_.erase(row.key_);
+    } else {
+      listed_[row.key_] = row.version_;
+    }
   }
   return Zones() != before;
 }
@@ -91,28 +99,20 @@
                                const StoreVersion& aVersion, TimePoint aNow)
   -> bool
 {
-  if (!OnPeer(aVersion)) {
+  if (!IsBehind(aVersion)) {
     return false;
   }
   std::map<std::string, StoreVersion> listed;
   for (const auto& evacuation : aEvacuations) {
     listed[evacuation.zone_] = evacuation.version_;
   }
-  return Replace(std::move(listed), aVersion, aNow);
-}
-
-auto EvacuationView::OnPeer(const StoreVersion& aVersion) -> bool
-{
-  if (aVersion <= version_) {
-    return false;
-  }
   if (aVersion <= tableVersion_) {
-    // The peer knows a row that the complete table no longer had. It learns of
-    // the removal when it sees a later version here.
-    version_ = tableVersion_;
+    // This host has read the table since. If the peer lists something else, it
+    // lacks a change, and learns of it when it sees a later version here.
+    version_ = listed == listed_ ? aVersion : tableVersion_;
     return false;
   }
-  return true;
+  return Replace(std::move(listed), aVersion, aNow);
 }
 
 auto EvacuationView::Tick(TimePoint aNow) -> bool
--- a/goldcrestcroft/src/Routing/EvacuationView.h
+++ b/goldcrestcroft/src/Routing/EvacuationView.h
@@ -49,9 +49,9 @@
   {
   }
 
-  /** \brief Applies a change, whose key is the zone. Returns whether the
-   * evacuated zones changed. */
-  auto Apply(const StoreRow& aRow) -> bool;
+  /** \brief Applies the changes of one reply of the store, whose keys are
+   * zones. Returns whether the evacuated zones changed. */
+  auto Apply(std::vector<StoreRow> aRows) -> bool;
   /** \brief Applies the complete table of the store as of aVersion, its keys
    * being zones. Returns whether the evacuated zones changed. */
   auto ApplyTable(const std::vector<StoreRow>& aRows,
@@ -62,7 +62,10 @@
                  const StoreVersion& aVersion, TimePoint aNow) -> bool;
   /** \brief Call with the version that a peer reports. Returns whether the peer
    * has to be asked for its evacuations. */
-  auto OnPeer(const StoreVersion& aVersion) -> bool;
+  [[nodiscard]] auto IsBehind(const StoreVersion& aVersion) const -> bool
+  {
+    return aVersion > version_;
+  }
   /** \brief Ends evacuations that a restored store did not list again in time;
    * returns whether there were any. */
   auto Tick(TimePoint aNow) -> bool;
