Assign requests with prompts to engines by the work that they cause

Cause: hosts choose engines by hash and by their own requests, and know neither each other's requests nor how fast engines are.

Change: where engines state in their load header how fast they are, one host assigns the engine of each request (EngineAssigner), asked by an order without pieces on the links that exist for stages. It knows the prompts that are being read, learns when they were, and so the speed of each engine.

EngineAssignerTest fails without the cost of pending prompts, of cached parts and without forgetting speeds.

--- a/goldcrestcroft/Engines.h
+++ b/goldcrestcroft/Engines.h
@@ -5,10 +5,12 @@
  * health, and the retry budget. Decisions only, on an injected clock. */
 
 #include "Routing.h"
+#include "src/Engines/AssignmentShards.h"
 #include "src/Engines/AttemptPolicy.h"
 #include "src/Engines/CompletedRuns.h"
 #include "src/Engines/CrashDetector.h"
 #include "src/Engines/DelegatedRuns.h"
+#include "src/Engines/EngineAssigner.h"
 #include "src/Engines/EngineAvailability.h"
 #include "src/Engines/EngineChoice.h"
 #include "src/Engines/EngineHealth.h"
--- a/goldcrestcroft/Routing.h
+++ b/goldcrestcroft/Routing.h
@@ -12,6 +12,7 @@
 #include "src/Routing/EvacuationView.h"
 #include "src/Routing/KeyHolder.h"
 #include "src/Routing/LimitHistory.h"
+#include "src/Routing/PromptWork.h"
 #include "src/Routing/Route.h"
 #include "src/Routing/RoutingTable.h"
 #include "src/Routing/ServiceProfile.h"
--- a/goldcrestcroft/src/Gateway/EngineLoadReport.h
+++ b/goldcrestcroft/src/Gateway/EngineLoadReport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <compare>
+#include <optional>
 
 namespace goldcrestcroft {
 
@@ -10,8 +11,9 @@
   double running_ = 0.0;
   double waiting_ = 0.0;
   double slots_ = 0.0;
-  /** How long work takes at the engine now, relative to its usual time. */
-  double slowdown_ = 1.0;
+  /** How long work takes at the engine now, relative to its usual time; none if
+   * engines of the service do not state it. */
+  std::optional<double> slowdown_;
 
   auto operator<=>(const EngineLoadReport&) const = default;
 };
--- a/goldcrestcroft/src/Gateway/EnginePool.cpp
+++ b/goldcrestcroft/src/Gateway/EnginePool.cpp
@@ -20,15 +20,23 @@
 
 } // namespace
 
-auto EngineState::ReportedRequests(TimePoint aNow) const -> double
+auto EngineState::ReportFreshness(TimePoint aNow) const -> double
 {
   const auto age = aNow - reportedAt_;
-  if (age >= kReportLifetime) {
-    return 0.0;
-  }
-  const auto freshness = 1.0 - std::chrono::duration<double>(age) /
-                                 std::chrono::duration<double>(kReportLifetime);
-  return (report_.running_ + report_.waiting_) * freshness;
+  return age >= kReportLifetime
+           ? 0.0
+           : 1.0 - std::chrono::duration<double>(age) /
+                     std::chrono::duration<double>(kReportLifetime);
+}
+
+auto EngineState::ReportedRequests(TimePoint aNow) const -> double
+{
+  return (report_.running_ + report_.waiting_) * ReportFreshness(aNow);
+}
+
+auto EngineState::ReportedSlowdown(TimePoint aNow) const -> double
+{
+  return 1.0 + (report_.slowdown_.value_or(1.0) - 1.0) * ReportFreshness(aNow);
 }
 
 auto EnginePool::SetEngines(std::shared_ptr<const EngineList> aEngines) -> void
@@ -99,6 +107,16 @@
   }
 }
 
+auto EnginePool::OnLoad(EngineState& aEngine, const EngineLoadReport& aReport)
+  -> void
+{
+  aEngine.report_ = aReport;
+  aEngine.reportedAt_ = clock_.Now();
+  if (aReport.slowdown_) {
+    statingSlowdown_.insert(aEngine.entry_.service_);
+  }
+}
+
 auto EnginePool::StateOf(const EngineEntry& aEntry)
   -> std::shared_ptr<EngineState>
 {
--- a/goldcrestcroft/src/Gateway/EnginePool.h
+++ b/goldcrestcroft/src/Gateway/EnginePool.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace goldcrestcroft {
 
@@ -35,9 +36,15 @@
   };
   std::deque<IdleConnection> kept_;
 
+  /** \brief Weight of the last load report: 1 for a new one, 0 once it is
+   * outdated. */
+  [[nodiscard]] auto ReportFreshness(TimePoint aNow) const -> double;
   /** \brief Running and queued requests by the engine's last load report,
    * weighted down linearly with the report's age. */
   [[nodiscard]] auto ReportedRequests(TimePoint aNow) const -> double;
+  /** \brief How long work takes at the engine by its last load report, relative
+   * to its usual time; approaches 1 with the report's age. */
+  [[nodiscard]] auto ReportedSlowdown(TimePoint aNow) const -> double;
 };
 
 struct EngineResponseHead;
@@ -166,6 +173,14 @@
   {
     options_.count_("engine_answers_cut_" + aBound);
   }
+  /** \brief Stores the load that an engine reports. */
+  auto OnLoad(EngineState& aEngine, const EngineLoadReport& aReport) -> void;
+  /** \brief Whether engines of the service state how fast they are now: they
+   * share their machines, so that equal requests are unequal work. */
+  [[nodiscard]] auto StatesSlowdown(const std::string& aService) const -> bool
+  {
+    return statingSlowdown_.contains(aService);
+  }
   /** \brief Applies an engine's rate limit that another host reports. */
   auto OnLimit(const EngineLimit& aLimit) -> void;
   /** \brief Marks this incarnation of an engine as draining, as it advertised
@@ -211,6 +226,8 @@
   std::map<EngineIncarnation, TimePoint> leaving_;
   LimitTable limits_;
   std::map<std::string, double> warmUpRates_;
+  /** Services whose engines state their slowdown. */
+  std::set<std::string> statingSlowdown_;
   /** By service; only for services that lost a request on an idle connection
    * recently. */
   std::map<std::string, IdleReuseLimit> idleReuseLimits_;
--- a/goldcrestcroft/src/Gateway/PeerFrames.cpp
+++ b/goldcrestcroft/src/Gateway/PeerFrames.cpp
@@ -127,10 +127,39 @@
 {
 }
 
+template<typename Ar>
+auto ArchivePrompt(Ar& aArchive, std::optional<PromptWork>& aPrompt) -> void
+{
+  auto isSet = aPrompt.has_value();
+  aArchive(isSet);
+  if (!isSet) {
+    aPrompt.reset();
+    return;
+  }
+  auto prompt = aPrompt.value_or(PromptWork{});
+  auto service = Bounded(prompt.service_);
+  auto home = Bounded(prompt.home_);
+  auto zone = Bounded(prompt.zone_);
+  aArchive(service, home, zone, prompt.ownTokens_, prompt.outputTokens_);
+  ArchiveMany(aArchive, prompt.sharedParts_, [](auto& aEach, auto& aPart) {
+    aEach(aPart.fingerprint_, aPart.tokens_);
+  });
+  aPrompt = std::move(prompt);
+}
+
 /** Fields that follow those. */
 template<typename Ar, typename Frame>
-auto ArchiveEvacuations(Ar& aArchive, Frame& aFrame) -> void
+auto ArchiveAppended(Ar& aArchive, Frame& aFrame) -> void
 {
+  if constexpr (std::is_same_v<Frame, StageOrderRequest>) {
+    ArchivePrompt(aArchive, aFrame.order_.prompt_);
+  }
+  if constexpr (std::is_same_v<Frame, StageOrderResults>) {
+    for (auto& result : aFrame.results_) {
+      auto engine = Bounded(result.assignedEngine_);
+      aArchive(engine);
+    }
+  }
   if constexpr (std::is_same_v<Frame, StateReply>) {
     ArchiveVersion(aArchive, aFrame.evacuationVersion_);
     ArchiveMany(aArchive, aFrame.evacuations_,
@@ -158,7 +187,7 @@
       ArchiveEras(aArchive, frame);
     }
     if (HasMore(aIn)) {
-      ArchiveEvacuations(aArchive, frame);
+      ArchiveAppended(aArchive, frame);
     }
     return frame;
   }
@@ -177,7 +206,7 @@
         auto kind = aKind;
         ArchiveFrame(archive, kind);
         ArchiveEras(archive, kind);
-        ArchiveEvacuations(archive, kind);
+        ArchiveAppended(archive, kind);
       },
       aFrame);
   }
--- a/goldcrestcroft/src/Gateway/RequestRun.h
+++ b/goldcrestcroft/src/Gateway/RequestRun.h
@@ -109,6 +109,11 @@
    * coordinators. */
   auto PlanStages() -> void;
   [[nodiscard]] auto DueOf(std::size_t aStage) const -> TimePoint;
+  [[nodiscard]] auto PromptWorkOf() const -> PromptWork;
+  /** \brief Asks the host that assigns engines for the engine of the first
+   * attempt, and waits briefly for the reply. */
+  auto AwaitAssignment() -> Task<void>;
+  auto EndAssignment() -> void;
   auto OnPieceResults(std::uint64_t aOrder,
                       const std::vector<PieceResult>& aResults) -> void;
   auto CancelOrders() -> void;
@@ -259,6 +264,10 @@
   /** Zone where the pieces run: that of the engine meant to get the request. */
   std::string zone_;
   std::string home_;
+  /** The assigned engine; empty if there is none. */
+  std::string assigned_;
+  /** Number of the order that asked for it; 0 if there is none. */
+  std::uint64_t assignment_ = 0;
 
   std::optional<ParkedAttempt> parked_;
   AttemptRecord attempts_;
--- a/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
@@ -179,6 +179,7 @@
       if (graph_) {
         traffic_.FirstEventOf(route_->name_)
           .OnFirstEvent(firstEventAt_ - stagesDoneAt_);
+        EndAssignment();
         // The engine has fetched the results of the stages.
         ReleaseResults(graph_->TakeAll());
       }
--- a/goldcrestcroft/src/Gateway/RequestRunChoice.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunChoice.cpp
@@ -152,14 +152,16 @@
   auto chosen = part.empty()
                   ? ChooseLeastLoaded(candidates, options, requestId_)
                   : ChooseHome(candidates, options, part);
-  if (!home_.empty()) {
-    const auto planned =
+  // Each is for one attempt.
+  const auto home = std::exchange(home_, {});
+  const auto assigned = std::exchange(assigned_, {});
+  for (const auto& preferred : { home, assigned }) {
+    const auto found =
       std::find_if(entries.begin(), entries.end(),
-                   [&](const auto& aEntry) { return aEntry.id_ == home_; });
-    if (planned != entries.end()) {
-      chosen = static_cast<std::size_t>(planned - entries.begin());
+                   [&](const auto& aEntry) { return aEntry.id_ == preferred; });
+    if (found != entries.end()) {
+      chosen = static_cast<std::size_t>(found - entries.begin());
     }
-    home_.clear();
   }
   if (!chosen) {
     return nullptr;
--- a/goldcrestcroft/src/Gateway/RequestRunExchange.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunExchange.cpp
@@ -127,9 +127,7 @@
   const auto& codec = traffic_.Codec();
   const auto text = aExchange.Head().fields_[codec.Headers().engineLoad_];
   if (const auto load = codec.ReadLoad({ text.data(), text.size() })) {
-    auto& engine = *aExchange.Lease().engine_;
-    engine.report_ = *load;
-    engine.reportedAt_ = traffic_.Now();
+    traffic_.Pool().OnLoad(*aExchange.Lease().engine_, *load);
   }
 }
 
--- a/goldcrestcroft/src/Gateway/RequestRunExecute.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunExecute.cpp
@@ -12,6 +12,7 @@
       co_return std::nullopt;
     }
     stagesDoneAt_ = traffic_.Now();
+    co_await AwaitAssignment();
   }
   // It may have been quarantined while it waited or ran on another engine.
   if (CheckQuarantined()) {
@@ -23,7 +24,9 @@
     stopReason_ = "no_engine";
     co_return std::nullopt;
   }
-  co_return co_await Attempt(engine);
+  const auto end = co_await Attempt(engine);
+  EndAssignment();
+  co_return end;
 }
 
 auto RequestRun::Execute() -> Task<bool>
--- a/goldcrestcroft/src/Gateway/RequestRunStages.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunStages.cpp
@@ -209,6 +209,8 @@
   const auto stage = found->second;
   auto again = false;
   for (const auto& result : aResults) {
+    assigned_ =
+      result.assignedEngine_.empty() ? assigned_ : result.assignedEngine_;
     switch (result.end_) {
       case PieceOutcome::Made:
         graph_->OnProduced(stage, result.piece_, result.handle_);
@@ -260,6 +262,7 @@
 
 auto RequestRun::CancelOrders() -> void
 {
+  EndAssignment();
   for (const auto& [number, order] : orders_) {
     traffic_.Broker().Cancel(number);
   }
--- a/goldcrestcroft/src/Gateway/StageBatcher.cpp
+++ b/goldcrestcroft/src/Gateway/StageBatcher.cpp
@@ -79,6 +79,18 @@
 {
   const auto id = nextOrder_++;
   aOrder.id_ = id;
+  if (aOrder.pieces_.empty()) {
+    // Only asks for an engine; nothing has to be made.
+    PieceResult result{ .end_ = PieceOutcome::Begun };
+    if (aOrder.prompt_) {
+      result.assignedEngine_ =
+        AssignEngine(aOrder.service_, id, *aOrder.prompt_);
+    }
+    asio::post(context_, [onResults = std::move(aOnResults), result] {
+      onResults({ result });
+    });
+    return id;
+  }
   auto* service = Find(aOrder.service_);
   if (service == nullptr) {
     std::vector<PieceResult> results;
@@ -114,6 +126,11 @@
   -> void
 {
   placedOrders_.erase(aOrder);
+  if (const auto shard = assignments_.find(aService);
+      shard != assignments_.end()) {
+    shard->second.assigner_.OnRead(aOrder, clock_.Now());
+    return;
+  }
   if (auto* service = Find(aService)) {
     service->queue_.Cancel(aOrder);
   }
--- a/goldcrestcroft/src/Gateway/StageBatcher.h
+++ b/goldcrestcroft/src/Gateway/StageBatcher.h
@@ -145,6 +145,10 @@
                    std::vector<PieceTicket> aTickets) -> Task<void>;
   auto SendReleases(std::shared_ptr<Engine> aEngine) -> Task<void>;
   auto Report(std::uint64_t aOrder, std::vector<PieceResult> aResults) -> void;
+  /** \brief The model engine for a request, of the engines that aShard assigns;
+   * empty if none can be assigned. */
+  auto AssignEngine(const std::string& aShard, std::uint64_t aOrder,
+                    const PromptWork& aWork) -> std::string;
   /** \brief The next response on a connection. */
   struct Response
   {
@@ -184,6 +188,13 @@
   std::shared_ptr<const RoutingTable> routing_;
   std::map<std::string, Service> services_;
   std::map<std::uint64_t, PlacedOrder> placedOrders_;
+  struct Assignments
+  {
+    EngineAssigner assigner_;
+    TimePoint refreshedAt_;
+  };
+  /** By the name of the shard. */
+  std::map<std::string, Assignments> assignments_;
   std::uint64_t nextOrder_ = 1;
   bool dispatchScheduled_ = false;
   TimePoint loggedAt_;
--- a/goldcrestcroft/src/Gateway/StageCallPiece.h
+++ b/goldcrestcroft/src/Gateway/StageCallPiece.h
@@ -55,6 +55,9 @@
   std::string handle_;
   /** After a refusal: time until there may be capacity again. */
   Duration retryAfter_{};
+  /** Reply to an order without pieces: the engine that the request is assigned
+   * to; empty if there is none. */
+  std::string assignedEngine_;
 
   auto operator<=>(const PieceResult&) const = default;
 };
--- a/goldcrestcroft/src/Staging/StageOrder.h
+++ b/goldcrestcroft/src/Staging/StageOrder.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "../../Core.h"
+#include "../Routing/PromptWork.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +31,9 @@
   int rank_ = 0;
   /** Zone whose engines should run the pieces, if any. */
   std::string zone_;
+  /** Set in an order without pieces, which asks for the model engine of a
+   * request; service_ is then the shard that assigns it. */
+  std::optional<PromptWork> prompt_;
 
   auto operator<=>(const StageOrder&) const = default;
 };
