--- a/test/platform/PlatformStandin.h
+++ b/test/platform/PlatformStandin.h
@@ -24,6 +24,9 @@
     std::uint16_t advertisedPortOffset_ = 0;
     /** Number of additional endpoints of the store, on ports from 7200. */
     std::size_t extraStoreEndpoints_ = 0;
+    /** Limits of callers' requests in the configuration. */
+    std::size_t maxHeaderBytes_ = 4096;
+    std::size_t maxBodyBytes_ = 100'000;
   };
 
   /** Idle timeout of callers' connections. */
