Bound what untrusted clients hold at an entry host

Incomplete request bodies, header fields and stalled connections were not bounded, so that few clients used up a host. CallerConnection charges each request to the host's memory account, refuses a body that does not fit, and answers evicted ones with 503; the fields are counted before they are parsed; a new caller replaces an incomplete request at the connection limit; readiness, directory and metrics have a maximum of connections. Buffered responses are charged to the same account.

--- a/goldcrestcroft/src/Gateway/CallerCloseReason.h
+++ b/goldcrestcroft/src/Gateway/CallerCloseReason.h
@@ -20,6 +20,8 @@
   HostStops,
   /** It was idle and was evicted for a new caller. */
   EvictedIdle,
+  /** Its request was incomplete, and it was evicted for a new caller. */
+  EvictedIncomplete,
   /** An unreadable request was answered with an error. */
   Rejected,
   /** The response could not be written. */
@@ -47,6 +49,8 @@
       return "host_stops";
     case CallerCloseReason::EvictedIdle:
       return "made_room";
+    case CallerCloseReason::EvictedIncomplete:
+      return "evicted_incomplete";
     case CallerCloseReason::Rejected:
       return "rejected";
     case CallerCloseReason::ResponseUnwritten:
@@ -64,6 +68,7 @@
 constexpr auto IsUnannounced(CallerCloseReason aReason) -> bool
 {
   return aReason == CallerCloseReason::HostStops ||
+         aReason == CallerCloseReason::EvictedIncomplete ||
          aReason == CallerCloseReason::EvictedIdle ||
          aReason == CallerCloseReason::ResponseBroken ||
          aReason == CallerCloseReason::Failed;
--- a/goldcrestcroft/src/Gateway/CallerConnection.cpp
+++ b/goldcrestcroft/src/Gateway/CallerConnection.cpp
@@ -17,40 +17,6 @@
  * loop. */
 constexpr auto kNewRequestGrace = std::chrono::milliseconds{ 200 };
 
-auto MalformedRequest(const std::string& aProblem) -> LocalReply
-{
-  return { .status_ = 400,
-           .reason_ = "malformed",
-           .message_ = "the request cannot be read: " + aProblem,
-           .closes_ = true };
-}
-
-auto ToLocalReply(const boost::system::error_code& aError) -> LocalReply
-{
-  if (aError == http::error::header_limit ||
-      aError == http::error::buffer_overflow) {
-    return { .status_ = 431,
-             .reason_ = "header_too_large",
-             .message_ = "the header is larger than allowed",
-             .closes_ = true };
-  }
-  if (aError == http::error::body_limit) {
-    return { .status_ = 413,
-             .reason_ = "body_too_large",
-             .message_ = "the body is larger than allowed",
-             .closes_ = true };
-  }
-  return MalformedRequest(aError.message());
-}
-
-auto IsProtocolError(const boost::system::error_code& aError) -> bool
-{
-  return aError.category() ==
-           make_error_code(http::error::bad_version).category() &&
-         aError != http::error::end_of_stream &&
-         aError != http::error::partial_message;
-}
-
 /** Runs the task; returns the text of the exception that ended it, if any. */
 auto RunCatching(Task<void> aTask) -> Task<std::optional<std::string>>
 {
@@ -76,6 +42,11 @@
   // A caller that reads slowly leaves bytes unacknowledged for long. The system
   // default applies here; the timeout for writing a response is the bound.
   SetSocketOptions(socket_, { .unacknowledgedTimeout_ = {} });
+  boost::system::error_code error;
+  const auto peer = socket_.remote_endpoint(error);
+  if (!error && peer.address().is_v4()) {
+    client_ = peer.address().to_v4().to_uint();
+  }
 }
 
 auto CallerConnection::End(CallerCloseReason aReason,
@@ -87,7 +58,11 @@
     traffic_.Metrics().Count("caller_connections_" +
                              std::string(ToString(aReason)));
     const auto unread = HasUnread();
-    if (IsUnannounced(aReason) || unread) {
+    // A flood of clients must not become a flood of lines.
+    const auto flooded = aReason == CallerCloseReason::EvictedIncomplete &&
+                         !traffic_.Throttle().OnEvent(
+                           std::string(ToString(aReason)), traffic_.Now());
+    if (!flooded && (IsUnannounced(aReason) || unread)) {
       Log::Write(
         LogLevel::Info, "caller_connection_ended",
         { { "why", std::string(ToString(aReason)) },
@@ -118,59 +93,6 @@
   }
 }
 
-auto CallerConnection::ReadRequest(CallerRequest& aRequest) -> Task<ReadOutcome>
-{
-  if (buffer_.size() == 0) {
-    CloseAfter(Limits().idleTimeout_, kIdlePhase);
-    const auto [error] =
-      co_await socket_.async_wait(Tcp::socket::wait_read, kAsTuple);
-    if (error) {
-      co_return ReadOutcome::NoRequest;
-    }
-  }
-  idleSince_.reset();
-  const auto limits = Limits();
-  CloseAfter(limits.headerTimeout_, kHeaderPhase);
-  http::request_parser<http::string_body> parser;
-  parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes_));
-  parser.body_limit(limits.maxBodyBytes_);
-  auto [error, size] =
-    co_await http::async_read_header(socket_, buffer_, parser, kAsTuple);
-  if (error && IsProtocolError(error)) {
-    co_return co_await Reject(ToLocalReply(error));
-  }
-  if (error) {
-    co_return ReadOutcome::NoRequest;
-  }
-  if (parser.get()[http::field::expect] == "100-continue") {
-    http::response<http::empty_body> proceed(http::status::continue_, 11);
-    co_await http::async_write(socket_, proceed, kAsTuple);
-  }
-  while (!parser.is_done()) {
-    // The idle timeout applies to each read of the body.
-    CloseAfter(Limits().idleTimeout_, kBodyPhase);
-    std::tie(error, size) =
-      co_await http::async_read_some(socket_, buffer_, parser, kAsTuple);
-    if (error && IsProtocolError(error)) {
-      co_return co_await Reject(ToLocalReply(error));
-    }
-    if (error) {
-      co_return ReadOutcome::NoRequest;
-    }
-  }
-  deadline_.Disarm();
-  aRequest = parser.release();
-  co_return ReadOutcome::Complete;
-}
-
-auto CallerConnection::Reject(LocalReply aReply) -> Task<ReadOutcome>
-{
-  traffic_.RecordRejected(aReply);
-  auto response = traffic_.MakeAnswer(aReply, "");
-  co_await SendResponse(std::move(response));
-  co_return ReadOutcome::Rejected;
-}
-
 auto CallerConnection::Linger() -> Task<void>
 {
   boost::system::error_code ignored;
--- a/goldcrestcroft/src/Gateway/CallerConnection.h
+++ b/goldcrestcroft/src/Gateway/CallerConnection.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "../../Resources.h"
 #include "../../Routing.h"
 #include "CallerCloseReason.h"
 #include "Deadline.h"
+#include "HeaderReader.h"
 #include "LocalReply.h"
 
 namespace goldcrestcroft {
@@ -32,6 +34,14 @@
   {
     return idleSince_;
   }
+  /** \brief When the first byte of an incomplete request arrived; empty if none
+   * is being read. */
+  [[nodiscard]] auto ReadingSince() const -> std::optional<TimePoint>
+  {
+    return readingSince_;
+  }
+  /** \brief Address of the caller, as a number. */
+  [[nodiscard]] auto Client() const -> std::uint64_t { return client_; }
   /** \brief Closes the connection and aborts whatever is in progress. Only the
    * first reason counts; aDetail is added to the log. */
   auto End(CallerCloseReason aReason, const std::string& aDetail = "") -> void;
@@ -62,6 +72,15 @@
   auto ServeRequests() -> Task<void>;
   auto ReadRequest(CallerRequest& aRequest) -> Task<ReadOutcome>;
   auto Reject(LocalReply aReply) -> Task<ReadOutcome>;
+  /** \brief Reads the request; the reply if it is to be refused. */
+  auto ReadHeaderAndBody(RequestParser& aParser, LocalReply& aRefusal)
+    -> Task<ReadOutcome>;
+  auto ReadBody(RequestParser& aParser, std::size_t aHeaderBytes,
+                LocalReply& aRefusal) -> Task<ReadOutcome>;
+  /** \brief The outcome of a read that failed; sets the reply if the caller is
+   * to get one. */
+  auto OutcomeOf(const boost::system::error_code& aError,
+                 LocalReply& aRefusal) const -> ReadOutcome;
   auto WatchForClose(std::shared_ptr<RequestRun> aRun) -> void;
   /** \brief Serves the request. Returns whether the connection may be reused.
    */
@@ -106,6 +125,10 @@
   /** Details on why the connection was closed, for the log. */
   std::string closeDetail_;
   std::uint64_t watchId_ = 0;
+  std::uint64_t client_ = 0;
+  std::optional<TimePoint> readingSince_;
+  /** Bytes of the request in progress. */
+  std::optional<MemoryAccount::Share> held_;
 };
 
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/CallerConnectionResponse.cpp
+++ b/goldcrestcroft/src/Gateway/CallerConnectionResponse.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-/** Maximum time for writing a complete response or a response head; a caller
- * that does not take the bytes within this time is disconnected. */
-constexpr auto kWriteTimeout = std::chrono::seconds{ 20 };
 /** Phase that the write timeout applies to. */
 constexpr std::string_view kResponsePhase = "answer";
 
@@ -75,7 +72,7 @@
   const auto self = shared_from_this();
   responseStarted_ = true;
   announcedClose_ = !aResponse.keep_alive();
-  CloseAfter(kWriteTimeout, kResponsePhase);
+  CloseAfter(traffic_.Options().settings_.writeTimeout_, kResponsePhase);
   const auto [error, size] =
     co_await http::async_write(socket_, aResponse, kAsTuple);
   deadline_.Disarm();
@@ -90,7 +87,7 @@
   http::response_serializer<http::empty_body> serializer(aResponse);
   responseStarted_ = true;
   announcedClose_ = !aResponse.keep_alive();
-  CloseAfter(kWriteTimeout, kResponsePhase);
+  CloseAfter(traffic_.Options().settings_.writeTimeout_, kResponsePhase);
   const auto [error, size] =
     co_await http::async_write_header(socket_, serializer, kAsTuple);
   deadline_.Disarm();
--- a/goldcrestcroft/src/Gateway/EngineExchange.cpp
+++ b/goldcrestcroft/src/Gateway/EngineExchange.cpp
@@ -63,14 +63,15 @@
 } // namespace
 
 EngineExchange::EngineExchange(EngineLease aLease, const HeaderNames& aNames,
-                               BufferedBytes& aBuffered)
+                               MemoryAccount& aMemory)
   : lease_(std::move(aLease))
   , names_(aNames)
-  , bufferShare_(aBuffered, [weak = std::weak_ptr(lease_.connection_)] {
-    if (const auto connection = weak.lock()) {
-      connection->Close();
-    }
-  })
+  , bufferShare_(aMemory, { .kind_ = MemoryAccount::Kind::Response },
+                 [weak = std::weak_ptr(lease_.connection_)] {
+                   if (const auto connection = weak.lock()) {
+                     connection->Close();
+                   }
+                 })
 {
 }
 
--- a/goldcrestcroft/src/Gateway/EngineExchange.h
+++ b/goldcrestcroft/src/Gateway/EngineExchange.h
@@ -44,9 +44,9 @@
 class EngineExchange
 {
 public:
-  /** \brief aBuffered accounts for bodies that are buffered completely. */
+  /** \brief aMemory accounts for bodies that are buffered completely. */
   EngineExchange(EngineLease aLease, const HeaderNames& aNames,
-                 BufferedBytes& aBuffered);
+                 MemoryAccount& aMemory);
 
   /** \brief Reads the head of the response that echoes this request id, and
    * discards late responses to other requests. An empty id matches any
@@ -152,7 +152,7 @@
   std::string body_;
   ResponseLimits bounds_;
   ResponseLimit exceeded_ = ResponseLimit::None;
-  BufferedBytes::Share bufferShare_;
+  MemoryAccount::Share bufferShare_;
   SuspendAwareClock clock_;
   std::size_t headBytes_ = 0;
   std::size_t bodyBytes_ = 0;
--- a/goldcrestcroft/src/Gateway/EngineExchangeBody.cpp
+++ b/goldcrestcroft/src/Gateway/EngineExchangeBody.cpp
@@ -95,9 +95,8 @@
   -> Task<ReadOutcome>
 {
   while (!parser_->is_done()) {
-    const auto before = aInto.size();
     const auto end = co_await ReadSome(aInto);
-    if (bufferShare_.IsAborted() || !bufferShare_.Grow(aInto.size() - before)) {
+    if (!bufferShare_.Resize(aInto.capacity(), clock_.Now())) {
       co_return Pass(ResponseLimit::BufferedBytes);
     }
     if (end != ReadOutcome::Done) {
@@ -115,9 +114,8 @@
 {
   const auto begunAt = clock_.Now();
   while (!parser_->is_done()) {
-    const auto before = aInto.size();
     const auto end = co_await ReadSome(aInto);
-    if (bufferShare_.IsAborted() || !bufferShare_.Grow(aInto.size() - before)) {
+    if (!bufferShare_.Resize(aInto.capacity(), clock_.Now())) {
       co_return Pass(ResponseLimit::BufferedBytes);
     }
     if (end != ReadOutcome::Done) {
--- a/goldcrestcroft/src/Gateway/EnginePool.h
+++ b/goldcrestcroft/src/Gateway/EnginePool.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "../../Engines.h"
-#include "BufferedBytes.h"
+#include "../../Resources.h"
 #include "EngineConnection.h"
 #include "EngineLoadReport.h"
 
@@ -149,8 +149,8 @@
    * draining, rate limit and backoff. */
   auto UpdateAvailability(const EngineLease& aLease,
                           const EngineResponseHead& aHead) -> void;
-  /** \brief Bytes of buffered response bodies of all connections. */
-  auto Held() -> BufferedBytes& { return bufferedBytes_; }
+  /** \brief Bytes held for requests and for buffered response bodies. */
+  auto Memory() -> MemoryAccount& { return memory_; }
   auto Count(const std::string& aCounter) const -> void
   {
     options_.count_(aCounter);
@@ -192,7 +192,7 @@
 
   asio::io_context& context_;
   Options options_;
-  BufferedBytes bufferedBytes_;
+  MemoryAccount memory_;
   SuspendAwareClock clock_;
   std::shared_ptr<const EngineList> engines_ =
     std::make_shared<const EngineList>();
--- a/goldcrestcroft/src/Gateway/EntryGateway.cpp
+++ b/goldcrestcroft/src/Gateway/EntryGateway.cpp
@@ -66,14 +66,21 @@
              { .settings_ = options_.settings_,
                .incarnation_ = options_.incarnation_ },
              aCodec, *store_, metrics_, MakeListener())
-  , ready_(trafficContext_, [this](const auto&) { return ServeReadiness(); })
-  , directory_(trafficContext_,
-               [this](const auto& aTarget) { return ServeDirectory(aTarget); })
-  , exposition_(trafficContext_, [this](const auto&) {
-    return SimpleHttpServer::Response{ .contentType_ =
-                                         "text/plain; version=0.0.4",
-                                       .body_ = metrics_.Expose() };
-  })
+  , ready_(
+      trafficContext_, [this](const auto&) { return ServeReadiness(); },
+      options_.settings_.maxListenerConnections_)
+  , directory_(
+      trafficContext_,
+      [this](const auto& aTarget) { return ServeDirectory(aTarget); },
+      options_.settings_.maxListenerConnections_)
+  , exposition_(
+      trafficContext_,
+      [this](const auto&) {
+        return SimpleHttpServer::Response{ .contentType_ =
+                                             "text/plain; version=0.0.4",
+                                           .body_ = metrics_.Expose() };
+      },
+      options_.settings_.maxListenerConnections_)
 {
 }
 
--- /dev/null
+++ b/goldcrestcroft/src/Gateway/HeaderReader.cpp
@@ -0,0 +1,98 @@
+#include "HeaderReader.h"
+
+#include <algorithm>
+#include <string_view>
+
+namespace goldcrestcroft {
+
+namespace {
+
+/** A header of common size arrives with one read. */
+constexpr std::size_t kReadBytes = 2048;
+
+/** \brief Counts the lines of a header as it arrives. */
+class LineCounter
+{
+public:
+  /** \brief Returns the number of lines so far in a buffer that has grown. */
+  auto Update(std::string_view aBuffer) -> std::size_t
+  {
+    for (; !ended_ && scanned_ < aBuffer.size(); ++scanned_) {
+      const auto byte = aBuffer[scanned_];
+      if (byte == '\n') {
+        // Blank lines before the request line do not end the header.
+        ended_ = lineBytes_ == 0 && hasText_;
+        ++lines_;
+        lineBytes_ = 0;
+      } else if (byte != '\r') {
+        ++lineBytes_;
+        hasText_ = true;
+      }
+    }
+    return lines_;
+  }
+  /** \brief The parser consumed bytes at the begin of the buffer. */
+  auto OnConsumed(std::size_t aBytes) -> void
+  {
+    scanned_ -= std::min(scanned_, aBytes);
+  }
+
+private:
+  std::size_t scanned_ = 0;
+  std::size_t lines_ = 0;
+  std::size_t lineBytes_ = 0;
+  bool hasText_ = false;
+  bool ended_ = false;
+};
+
+auto ViewOf(const beast::flat_buffer& aBuffer) -> std::string_view
+{
+  const auto bytes = aBuffer.data();
+  return { static_cast<const char*>(bytes.data()), bytes.size() };
+}
+
+} // namespace
+
+auto ReadHeader(Tcp::socket& aSocket, beast::flat_buffer& aBuffer,
+                RequestParser& aParser, std::size_t aMaxFields,
+                std::function<bool(std::size_t)> aOnBuffered)
+  -> Task<HeaderRead>
+{
+  // The request line and the blank line at the end are no fields.
+  constexpr std::size_t kOtherLines = 2;
+  LineCounter lines;
+  for (;;) {
+    if (aBuffer.size() > 0) {
+      // A parsed field takes some 80 bytes more than its text, so that the
+      // number is checked before the parser allocates them.
+      if (lines.Update(ViewOf(aBuffer)) > aMaxFields + kOtherLines) {
+        co_return HeaderRead{ .tooManyFields_ = true };
+      }
+      boost::system::error_code error;
+      const auto consumed = aParser.put(aBuffer.data(), error);
+      aBuffer.consume(consumed);
+      lines.OnConsumed(consumed);
+      if (error && error != http::error::need_more) {
+        co_return HeaderRead{ .error_ = error };
+      }
+      if (aParser.is_header_done()) {
+        co_return HeaderRead{};
+      }
+      if (!error && consumed > 0) {
+        continue;
+      }
+    }
+    const auto space = aBuffer.prepare(kReadBytes);
+    const auto [error, size] =
+      co_await aSocket.async_read_some(space, kAsTuple);
+    if (error) {
+      co_return HeaderRead{ .error_ = error };
+    }
+    aBuffer.commit(size);
+    if (!aOnBuffered(aBuffer.capacity())) {
+      co_return HeaderRead{ .error_ = asio::error::operation_aborted };
+    }
+  }
+}
+
+} // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/NodeSettings.cpp
+++ b/goldcrestcroft/src/Gateway/NodeSettings.cpp
@@ -18,6 +18,12 @@
 constexpr double kMaxCores = 1e4;
 constexpr double kMaxMbps = 1e7;
 constexpr std::size_t kMaxCallers = 1'000'000;
+constexpr std::size_t kMinMemoryMb = 64;
+constexpr std::size_t kMaxMemoryMb = 1'000'000;
+constexpr std::size_t kMaxDescriptors = 10'000'000;
+constexpr std::size_t kMinHeaderFields = 16;
+constexpr std::size_t kMaxHeaderFields = 1'000'000;
+constexpr std::size_t kMaxBodyRate = 1'000'000'000;
 constexpr unsigned kMinPropagationMs = 500;
 constexpr unsigned kMaxPropagationMs = 600'000;
 
@@ -40,6 +46,27 @@
     std::chrono::duration<double>(seconds));
 }
 
+/** \brief What the host has, and limits that protect it from its clients. */
+auto ReadClientBounds(ObjectReader& aReader, NodeSettings& aSettings) -> void
+{
+  const auto read = [&](const char* aKey, std::size_t& aValue, std::size_t aMin,
+                        std::size_t aMax) {
+    aValue = aReader.InRange<std::size_t>(aKey, aValue, aMin, aMax);
+  };
+  read("memory_mb", aSettings.memoryMb_, kMinMemoryMb, kMaxMemoryMb);
+  read("file_descriptors", aSettings.fileDescriptors_, 0, kMaxDescriptors);
+  read("most_callers", aSettings.maxCallers_, 1, kMaxCallers);
+  read("max_header_fields", aSettings.maxHeaderFields_, kMinHeaderFields,
+       kMaxHeaderFields);
+  read("min_body_rate", aSettings.minBodyRate_, 0, kMaxBodyRate);
+  read("max_listener_connections", aSettings.maxListenerConnections_, 1,
+       kMaxCallers);
+  aSettings.maxBodyTime_ =
+    ReadSeconds(aReader, "max_body_s", aSettings.maxBodyTime_);
+  aSettings.writeTimeout_ =
+    ReadSeconds(aReader, "write_timeout_s", aSettings.writeTimeout_);
+}
+
 auto ReadSettings(const json& aDocument) -> NodeSettings
 {
   ObjectReader reader(aDocument, "", ErrorKind::InvalidSettings);
@@ -77,8 +104,7 @@
       "news_within_ms",
       static_cast<unsigned>(ToMilliseconds(settings.propagationTarget_)),
       kMinPropagationMs, kMaxPropagationMs) };
-  settings.maxCallers_ = reader.InRange<std::size_t>(
-    "most_callers", settings.maxCallers_, 1, kMaxCallers);
+  ReadClientBounds(reader, settings);
   reader.RejectUnknown();
   if (settings.callers_.empty()) {
     reader.Reject("callers", "is missing", "add the address for callers");
@@ -144,6 +170,8 @@
   keepCurrent("store", &NodeSettings::store_);
   keepCurrent("cores", &NodeSettings::cores_);
   keepCurrent("link_mbps", &NodeSettings::linkMbps_);
+  keepCurrent("max_listener_connections",
+              &NodeSettings::maxListenerConnections_);
   keepCurrent("repeat_window_s", &NodeSettings::retryWindow_);
   keepCurrent("news_within_ms", &NodeSettings::propagationTarget_);
   return reload;
--- a/goldcrestcroft/src/Gateway/NodeSettings.h
+++ b/goldcrestcroft/src/Gateway/NodeSettings.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "../../Core.h"
+#include "../../Resources.h"
 
 #include <algorithm>
 #include <string>
@@ -40,6 +40,26 @@
   /** Maximum number of concurrent caller connections; beyond it, an idle one is
    * evicted for a new one. Hosts have at least 4,100 file descriptors. */
   std::size_t maxCallers_ = 3000;
+  /** Memory that the host has, in MB. Bounds the bytes held for callers and
+   * engines. */
+  std::size_t memoryMb_ = kSmallestMachineMb;
+  /** File descriptors that the host has; 0 if unknown. */
+  std::size_t fileDescriptors_ = 0;
+  /** Maximum number of header fields of a request. A request below
+   * max_header_bytes has fewer, unless they are shorter than 16 bytes on
+   * average. */
+  std::size_t maxHeaderFields_ = 1000;
+  /** Maximum time for receiving a request body; far longer than a body of
+   * max_body_bytes takes at 64 kbit/s. */
+  Duration maxBodyTime_ = std::chrono::seconds{ 600 };
+  /** Bytes a second that an incomplete body must receive to be evicted after
+   * slower ones if the memory for requests is used up; no minimum otherwise. */
+  std::size_t minBodyRate_ = 16'384;
+  /** Maximum time for writing a complete response or a response head. */
+  Duration writeTimeout_ = std::chrono::seconds{ 20 };
+  /** Maximum number of connections at each of readiness, directory and metrics;
+   * beyond it, the oldest is closed for a new one. */
+  std::size_t maxListenerConnections_ = 128;
   /** Maximum time that callers cache a directory response. */
   Duration directoryKeep_ = std::chrono::seconds{ 2 };
 
@@ -59,6 +79,22 @@
   {
     return std::min(cores_ / 0.1, linkMbps_ / 10.0);
   }
+  /** \brief Maximum number of caller connections that leaves file descriptors
+   * for engines, other hosts and the remaining listeners. */
+  [[nodiscard]] auto CallerLimit() const -> std::size_t
+  {
+    constexpr std::size_t kSharePercent = 70;
+    const auto available = fileDescriptors_ * kSharePercent / 100;
+    return fileDescriptors_ == 0
+             ? maxCallers_
+             : std::clamp<std::size_t>(available, 1, maxCallers_);
+  }
+  /** \brief Bounds of the bytes held for callers and engines. */
+  [[nodiscard]] auto Memory() const -> MemoryAccount::Options
+  {
+    return { .budget_ = MemoryBudget::ForMachine(memoryMb_),
+             .minRequestRate_ = minBodyRate_ };
+  }
   [[nodiscard]] auto StageAddress() const -> std::string
   {
     return ip_ + ":" + std::to_string(peerPort_ + 1);
--- a/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
@@ -193,7 +193,7 @@
 {
   const auto began = traffic_.Now();
   const auto exchange = std::make_shared<EngineExchange>(
-    aLease, traffic_.Codec().Headers(), traffic_.Pool().Held());
+    aLease, traffic_.Codec().Headers(), traffic_.Pool().Memory());
   CloseIfSilent(aLease, HeadTimeout());
   outcomeUnknown_ = true;
   lastEventAt_ = TimePoint::max();
--- a/goldcrestcroft/src/Gateway/SimpleHttpServer.h
+++ b/goldcrestcroft/src/Gateway/SimpleHttpServer.h
@@ -1,8 +1,10 @@
 #pragma once
 
-#include "Net.h"
+#include "HeaderReader.h"
 
 #include <functional>
+#include <list>
+#include <memory>
 
 namespace goldcrestcroft {
 
@@ -19,9 +21,13 @@
   };
   using Handler = std::function<Response(const std::string& aTarget)>;
 
-  SimpleHttpServer(asio::io_context& aContext, Handler aHandler)
+  /** \brief Beyond aMaxConnections, the oldest connection is closed for each
+   * new one. */
+  SimpleHttpServer(asio::io_context& aContext, Handler aHandler,
+                   std::size_t aMaxConnections = 128)
     : context_(aContext)
     , handler_(std::move(aHandler))
+    , maxConnections_(aMaxConnections)
   {
   }
 
@@ -31,11 +37,18 @@
 
 private:
   auto Accept() -> Task<void>;
-  auto Serve(Tcp::socket aSocket) -> Task<void>;
+  auto Serve(std::shared_ptr<Tcp::socket> aSocket) -> Task<void>;
+  auto ServeRequests(Tcp::socket& aSocket) -> Task<void>;
+  /** \brief Reads a request; false if the connection ends instead. */
+  static auto ReadRequest(Tcp::socket& aSocket, beast::flat_buffer& aBuffer,
+                          RequestParser& aParser) -> Task<bool>;
 
   asio::io_context& context_;
   Handler handler_;
   std::optional<Tcp::acceptor> acceptor_;
+  std::size_t maxConnections_;
+  /** Open connections, the oldest first. */
+  std::list<std::shared_ptr<Tcp::socket>> connections_;
 };
 
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/StageBatcherCalls.cpp
+++ b/goldcrestcroft/src/Gateway/StageBatcherCalls.cpp
@@ -57,7 +57,7 @@
 
 auto StageBatcher::ReadResponse(EngineLease aLease) -> Task<Response>
 {
-  EngineExchange exchange(aLease, codec_.Headers(), pool_.Held());
+  EngineExchange exchange(aLease, codec_.Headers(), pool_.Memory());
   Response response;
   auto end = co_await exchange.ReadHead("", false);
   if (end == ReadOutcome::Done) {
--- a/goldcrestcroft/src/Gateway/Traffic.cpp
+++ b/goldcrestcroft/src/Gateway/Traffic.cpp
@@ -36,6 +36,7 @@
   , batcher_(aContext, {}, pool_, aCodec)
   , broker_(aContext, options_.settings_.StageAddress(), batcher_)
 {
+  Memory().SetOptions(options_.settings_.Memory());
 }
 
 auto Traffic::Start() -> Result<void>
@@ -82,8 +83,8 @@
     if (error == asio::error::operation_aborted) {
       co_return;
     }
-    if (error || (callers_.size() >= options_.settings_.maxCallers_ &&
-                  !CloseLongestIdle())) {
+    if (error || (callers_.size() >= options_.settings_.CallerLimit() &&
+                  !CloseLongestIdle() && !CloseIncompleteRequest())) {
       metrics_.Count("callers_turned_away");
       asio::steady_timer timer(context_, kAcceptRetryDelay);
       co_await timer.async_wait(kAsTuple);
@@ -126,6 +127,25 @@
   return false;
 }
 
+auto Traffic::CloseIncompleteRequest() -> bool
+{
+  std::vector<ReadingConnection> reading;
+  std::vector<std::shared_ptr<CallerConnection>> callers;
+  for (const auto& caller : callers_) {
+    if (const auto since = caller->ReadingSince()) {
+      reading.push_back({ .client_ = caller->Client(), .since_ = *since });
+      callers.push_back(caller);
+    }
+  }
+  const auto chosen = ChooseConnectionToClose(reading);
+  if (!chosen) {
+    return false;
+  }
+  callers[*chosen]->End(CallerCloseReason::EvictedIncomplete);
+  callers_.erase(callers[*chosen]);
+  return true;
+}
+
 auto Traffic::OnCallerEnd(const std::shared_ptr<CallerConnection>& aCaller)
   -> void
 {
@@ -184,18 +204,29 @@
 auto Traffic::SetSettings(const NodeSettings& aSettings) -> void
 {
   options_.settings_ = aSettings;
+  Memory().SetOptions(aSettings.Memory());
   for (auto& [service, window] : retryWindows_) {
     window.SetBudget(aSettings.retryRatio_, aSettings.retrySlack_);
   }
 }
 
-auto Traffic::RecordRejected(const LocalReply& aAnswer) -> void
+auto Traffic::RecordRejected(const LocalReply& aAnswer,
+                             const std::string& aClient) -> void
 {
   metrics_.CountAnswer("none", aAnswer.reason_, {});
+  const auto suppressed = logThrottle_.OnEvent(aAnswer.reason_, Now());
+  if (!suppressed) {
+    return;
+  }
   Log::Write(LogLevel::Info, "request_rejected",
              { { "status", std::to_string(aAnswer.status_) },
                { "reason", aAnswer.reason_ },
-               { "detail", aAnswer.message_ } });
+               { "detail", aAnswer.message_ },
+               { "client", aClient },
+               { "held_requests", std::to_string(Memory().Requests()) },
+               { "held_bytes", std::to_string(Memory().Total()) },
+               { "callers", std::to_string(callers_.size()) },
+               { "suppressed", std::to_string(*suppressed) } });
 }
 
 auto Traffic::MakeAnswer(const LocalReply& aAnswer,
--- a/goldcrestcroft/src/Gateway/Traffic.h
+++ b/goldcrestcroft/src/Gateway/Traffic.h
@@ -131,6 +131,9 @@
   [[nodiscard]] auto Context() -> asio::io_context& { return context_; }
   [[nodiscard]] auto Now() const -> TimePoint { return clock_.Now(); }
   auto Pool() -> EnginePool& { return pool_; }
+  /** \brief Bytes held for callers and engines. */
+  auto Memory() -> MemoryAccount& { return pool_.Memory(); }
+  auto Throttle() -> LogThrottle& { return logThrottle_; }
   auto Broker() -> StageBroker& { return broker_; }
   auto Metrics() -> GatewayMetrics& { return metrics_; }
 
@@ -138,7 +141,8 @@
   auto OnRequestEnd(RequestRun* aRun) -> void { runs_.erase(aRun); }
   auto OnCallerEnd(const std::shared_ptr<CallerConnection>& aCaller) -> void;
   /** \brief Counts and logs a request that was rejected while it was read. */
-  auto RecordRejected(const LocalReply& aAnswer) -> void;
+  auto RecordRejected(const LocalReply& aAnswer, const std::string& aClient)
+    -> void;
   auto MakeAnswer(const LocalReply& aAnswer,
                   const std::string& aRequestId) const
     -> http::response<http::string_body>;
@@ -191,6 +195,9 @@
   /** \brief Closes the connection that has been idle longest; false if none is
    * idle. */
   auto CloseLongestIdle() -> bool;
+  /** \brief Closes a connection whose request is incomplete; false if there is
+   * none. */
+  auto CloseIncompleteRequest() -> bool;
   auto RetryWindowOf(const std::string& aService) -> RetryWindow&;
 
   asio::io_context& context_;
@@ -219,6 +226,7 @@
   std::set<std::shared_ptr<CallerConnection>> callers_;
   std::map<std::string, LatencyEstimate> answerTimes_;
   std::set<RequestRun*> runs_;
+  LogThrottle logThrottle_;
   bool hasEngineList_ = false;
   bool stopping_ = false;
   std::optional<StopAdmission> stopAdmission_;
--- a/goldcrestcroft/src/Gateway/TrafficStop.cpp
+++ b/goldcrestcroft/src/Gateway/TrafficStop.cpp
@@ -11,7 +11,7 @@
   // Callers in the accept queue are already connected from their point of view.
   boost::system::error_code error;
   acceptor_->non_blocking(true, error);
-  while (!error && callers_.size() < options_.settings_.maxCallers_) {
+  while (!error && callers_.size() < options_.settings_.CallerLimit()) {
     Tcp::socket socket(context_);
     acceptor_->accept(socket, error);
     if (!error) {
--- a/test/process/UntrustedClientsTest.cpp
+++ b/test/process/UntrustedClientsTest.cpp
@@ -236,7 +236,7 @@
           "readiness, directory and metrics")
 {
   constexpr auto kClients = 200;
-  EntryFleet fleet(1, Platform());
+  EntryFleet fleet(1, Platform(), R"(, "max_listener_connections": 50)");
   REQUIRE(fleet.AwaitReady(0));
   Clients ready(ListenerAddress(1), kClients);
   Clients directory(ListenerAddress(2), kClients);
--- a/test/unit/LoopStallTest.cpp
+++ b/test/unit/LoopStallTest.cpp
@@ -43,7 +43,7 @@
   std::string request = kRequest;
   const auto written = co_await connection->BeginWrite(std::move(request));
   EngineLease lease{ .connection_ = connection };
-  BufferedBytes held;
+  MemoryAccount held;
   EngineExchange exchange(lease, aNames, held);
   auto end =
     written ? co_await exchange.ReadHead("", false) : ReadOutcome::Broken;
--- a/test/unit/ResponseLimitsTest.cpp
+++ b/test/unit/ResponseLimitsTest.cpp
@@ -1,5 +1,5 @@
 #include <doctest/doctest.h>
-#include <goldcrestcroft/src/Gateway/BufferedBytes.h>
+#include <goldcrestcroft/Resources.h>
 #include <goldcrestcroft/src/Gateway/ResponseLimits.h>
 
 namespace testing {
@@ -59,20 +59,23 @@
 
 TEST_CASE("the largest incomplete body is aborted when the total is exceeded")
 {
-  BufferedBytes all;
+  MemoryAccount all;
+  const MemoryAccount::Holder response{ .kind_ =
+                                          MemoryAccount::Kind::Response };
+  const auto half = all.Budget().total_ / 2;
   auto aborts = 0;
-  BufferedBytes::Share complete(all, [] {});
-  CHECK(complete.Grow(BufferedBytes::kMaxBytes / 2));
+  MemoryAccount::Share complete(all, response, [] {});
+  CHECK(complete.Resize(half, {}));
   complete.MarkComplete();
-  BufferedBytes::Share small(all, [] {});
-  BufferedBytes::Share endless(all, [&] { ++aborts; });
-  CHECK(endless.Grow(BufferedBytes::kMaxBytes / 2));
-  CHECK(small.Grow(1));
+  MemoryAccount::Share small(all, response, [] {});
+  MemoryAccount::Share endless(all, response, [&] { ++aborts; });
+  CHECK(endless.Resize(half, {}));
+  CHECK(small.Resize(all.Budget().total_ - 2 * half + 1, {}));
   CHECK(aborts == 1);
-  CHECK(endless.IsAborted());
-  CHECK_FALSE(small.IsAborted());
-  CHECK_FALSE(complete.IsAborted());
-  CHECK(all.Total() == BufferedBytes::kMaxBytes / 2 + 1);
+  CHECK(endless.IsEvicted());
+  CHECK_FALSE(small.IsEvicted());
+  CHECK_FALSE(complete.IsEvicted());
+  CHECK(all.Total() == all.Budget().total_ - half + 1);
 }
 
 } // namespace testing
