Test stalled clients at readiness, directory and metrics

The existing case stalls in a header with so many fields that it is refused before the maximum of connections applies, so nothing tested that maximum. It was not run on the code before the fix, which refuses the setting.

--- a/test/process/UntrustedClientsTest.cpp
+++ b/test/process/UntrustedClientsTest.cpp
@@ -247,6 +247,21 @@
   CheckHost(fleet);
 }
 
+TEST_CASE("clients that stall after the request line do not use up the "
+          "descriptors of readiness, directory and metrics")
+{
+  constexpr auto kClients = 200;
+  EntryFleet fleet(1, Platform(), R"(, "max_listener_connections": 50)");
+  REQUIRE(fleet.AwaitReady(0));
+  Clients ready(ListenerAddress(1), kClients);
+  Clients directory(ListenerAddress(2), kClients);
+  Clients metrics(ListenerAddress(3), kClients);
+  for (auto* clients : { &ready, &directory, &metrics }) {
+    clients->Send("GET / HTTP/1.1\r\nHost: x\r\n", 16'384);
+  }
+  CheckHost(fleet);
+}
+
 TEST_CASE("pipelined requests to readiness, directory and metrics whose "
           "responses are not read do not use up the host's memory")
 {
