Ask a few peers in parallel for state that a host lacks

A host fetched state from one peer at a time, the sender of the last heartbeat, and waited 600 to 800 ms for each that did not answer. During a rolling restart a host got a configuration 7 s late that way. FetchPlan now decides: peers heard from last first, up to three at once, the next one after 150 ms without a reply or at once after a failure, and those that failed last for 2 s. A failure is noted when the connection ends, not at the next heartbeat. fetch_failed states the reason and what the host knew.

--- a/goldcrestcroft/Membership.h
+++ b/goldcrestcroft/Membership.h
@@ -5,6 +5,7 @@
  * of the store. */
 
 #include "src/Membership/FailureDetector.h"
+#include "src/Membership/FetchPlan.h"
 #include "src/Membership/Lease.h"
 #include "src/Membership/PeerTable.h"
 #include "src/Membership/ServerDirectory.h"
--- a/goldcrestcroft/src/Gateway/ControlPlane.h
+++ b/goldcrestcroft/src/Gateway/ControlPlane.h
@@ -4,10 +4,12 @@
 #include "ConfigurationView.h"
 #include "ControlListener.h"
 #include "EngineRegistry.h"
+#include "FollowedTable.h"
 #include "GatewayMetrics.h"
 #include "HeldRequestRows.h"
 #include "NodeSettings.h"
 #include "PeerLink.h"
+#include "PeerVersions.h"
 #include "PlatformCodec.h"
 #include "RepeatedUpdates.h"
 
@@ -105,24 +107,10 @@
     asio::steady_timer answered_;
     std::optional<Permit> permit_;
   };
-  /** \brief State of this host's following of one table of the store. */
-  struct FollowedTable
+  struct Fetch
   {
-    explicit FollowedTable(TableWatch aWatch)
-      : watch_(std::move(aWatch))
-    {
-    }
-
-    TableWatch watch_;
-    StoreVersion version_;
-    /** Whether it was read completely. */
-    bool known_ = false;
-    bool answering_ = true;
-    /** When the pending call for changes was sent. */
-    std::optional<TimePoint> sentAt_;
-    std::optional<TableWatch::Role> role_;
-    /** The time as of which the view that has become stale was complete. */
-    std::optional<TimePoint> staleSince_;
+    std::shared_ptr<PeerLink> link_;
+    TimePoint startedAt_;
   };
 
   auto DecodeEngine(const std::string& aId, const std::string& aText) const
@@ -241,9 +229,15 @@
     -> Task<std::optional<Permit>>;
   auto AcquirePermit(PermitRequest aRequest) -> Task<void>;
   auto AcceptPeers() -> Task<void>;
+  // Fetches of state from peers.
+  [[nodiscard]] auto Lacks(const PeerVersions& aVersions) -> bool;
+  /** \brief Ends fetches that timed out, and starts those that are due. */
+  auto MaintainFetches() -> void;
   auto FetchFrom(const std::string& aAddress, bool aWholeFleet) -> void;
-  /** \brief Abandons the pending fetch, which has not brought a reply. */
-  auto AbandonFetch(TimePoint aNow) -> void;
+  auto OnFetchFailed(const std::string& aAddress, const PeerLink& aLink)
+    -> void;
+  auto OnStateReply(const std::shared_ptr<PeerLink>& aLink,
+                    const StateReply& aReply) -> void;
   auto OnFrame(const std::shared_ptr<PeerLink>& aLink, const PeerFrame& aFrame)
     -> void;
   auto MakeLink(Tcp::socket aSocket) -> std::shared_ptr<PeerLink>;
@@ -270,9 +264,9 @@
   std::vector<std::string> addresses_;
   Udp::socket heartbeatSocket_;
   std::optional<Tcp::acceptor> acceptor_;
-  std::shared_ptr<PeerLink> fetch_;
-  std::string fetchedFrom_;
-  TimePoint fetchStartedAt_;
+  FetchPlan<PeerVersions> fetchPlan_;
+  /** Fetches under way, by the peer's address. */
+  std::map<std::string, Fetch> fetches_;
   SuspectCounter counter_;
   SuspectTable suspects_;
   LostRunReports reports_;
--- a/goldcrestcroft/src/Gateway/ControlPlaneHeartbeats.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneHeartbeats.cpp
@@ -148,11 +148,15 @@
   if (renewed) {
     PushHeartbeats();
   }
-  const auto behind =
-    lacksConfiguration || aHeartbeat.engineRows_ > engines_.Version();
-  const auto fewHosts = peers_.IsFarBehind(aHeartbeat.probe_);
-  if (behind || fewHosts) {
-    FetchFrom(aHeartbeat.probe_.sender_.peerAddress_, fewHosts);
+  const PeerVersions versions{ .configurationRow_ =
+                                 aHeartbeat.configurationRow_,
+                               .configurationVersion_ =
+                                 aHeartbeat.configurationVersion_,
+                               .engineRows_ = aHeartbeat.engineRows_,
+                               .hosts_ = aHeartbeat.probe_.hosts_ };
+  if (Lacks(versions)) {
+    fetchPlan_.OnHeard(aHeartbeat.probe_.sender_.peerAddress_, versions);
+    MaintainFetches();
   }
 }
 
--- a/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
@@ -1,7 +1,6 @@
 #include "../Observability/Log.h"
 #include "BackgroundTask.h"
 #include "ControlPlane.h"
-#include "PackedText.h"
 
 #include <algorithm>
 
@@ -9,7 +8,6 @@
 
 namespace {
 
-constexpr auto kFetchTimeout = std::chrono::milliseconds{ 800 };
 /** Rate limits that a host receives when it starts; the others follow on
  * datagrams. */
 constexpr std::size_t kMaxInitialLimits = 1024;
@@ -93,6 +91,7 @@
     MaintainSuspects();
     MaintainLimits();
     MaintainViews();
+    MaintainFetches();
     const auto isolated = peers_.IsIsolated(now);
     const auto changed = LogFleetChanges();
     const auto settles = !settled_ && IsSettled(now);
@@ -139,54 +138,6 @@
   }
 }
 
-auto ControlPlane::FetchFrom(const std::string& aAddress, bool aWholeFleet)
-  -> void
-{
-  const auto now = clock_.Now();
-  if (fetch_ && fetch_->IsOpen() && now - fetchStartedAt_ < kFetchTimeout) {
-    return;
-  }
-  AbandonFetch(now);
-  fetchStartedAt_ = now;
-  fetchedFrom_ = aAddress;
-  fetch_ = MakeLink(Tcp::socket(context_));
-  fetch_->ConnectTo(aAddress);
-  fetch_->Send(StateRequest{ .configurationRow_ = configuration_.Row().version_,
-                             .engineRows_ = engines_.Version(),
-                             .configurationVersion_ = configuration_.Version(),
-                             .wholeFleet_ = aWholeFleet });
-}
-
-auto ControlPlane::AbandonFetch(TimePoint aNow) -> void
-{
-  if (!fetch_) {
-    return;
-  }
-  Log::Write(
-    LogLevel::Info, "fetch_failed",
-    { { "peer", fetchedFrom_ },
-      { "connected", fetch_->WasConnected() ? "true" : "false" },
-      { "after_ms", std::to_string(ToMilliseconds(aNow - fetchStartedAt_)) } });
-  metrics_.Count("fetches_failed");
-  fetch_->Close();
-}
-
-auto ControlPlane::AdoptPacked(const StoreRow& aRow) -> bool
-{
-  return Handle(
-    [&]() -> Result<bool> {
-      BOOST_LEAF_AUTO(value, Unpack(aRow.value_, kMaxFrameBytes));
-      auto row = aRow;
-      row.value_ = std::move(value);
-      return AdoptConfiguration(row, aRow.value_);
-    },
-    [&](const Error& aError) {
-      Log::Write(LogLevel::Warning, "configuration_of_peer_unreadable",
-                 { { "reason", aError.message_ } });
-      return false;
-    });
-}
-
 auto ControlPlane::OnFrame(const std::shared_ptr<PeerLink>& aLink,
                            const PeerFrame& aFrame) -> void
 {
@@ -212,42 +163,10 @@
     aLink->Send(reply);
     return;
   }
-  const auto* reply = std::get_if<StateReply>(&aFrame);
-  if (reply == nullptr || aLink != fetch_) {
+  if (const auto* reply = std::get_if<StateReply>(&aFrame)) {
+    OnStateReply(aLink, *reply);
+  } else {
     Log::Write(LogLevel::Warning, "peer_frame_unexpected");
-    return;
-  }
-  peers_.Learn(reply->hosts_, clock_.Now());
-  for (const auto& report : reply->limits_) {
-    MergeLimit(FromReport(report, clock_.Now()));
-  }
-  auto adopted = false;
-  for (const auto& row : reply->configuration_) {
-    adopted |= AdoptPacked(row);
-  }
-  const auto now = clock_.Now();
-  if (reply->wholeEngines_
-        ? engines_.ApplyAll(reply->engines_, reply->engineRows_, now)
-        : engines_.Apply(reply->engines_, now)) {
-    adopted = true;
-    PublishEngines();
-  }
-  auto renewed =
-    OnPeerViewAge(StoreTable::Configuration, reply->configurationRow_,
-                  reply->configurationAge_);
-  renewed |=
-    OnPeerViewAge(StoreTable::Engines, reply->engineRows_, reply->engineAge_);
-  fetch_->Close();
-  fetch_.reset();
-  if (adopted) {
-    Log::Write(
-      LogLevel::Info, "state_from_peer",
-      { { "peer", fetchedFrom_ },
-        { "configuration_row", ToString(configuration_.Row().version_) },
-        { "engine_rows", ToString(engines_.Version()) } });
-  }
-  if (adopted || renewed) {
-    PushHeartbeats();
   }
 }
 
--- /dev/null
+++ b/goldcrestcroft/src/Gateway/FollowedTable.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "../../Membership.h"
+#include "StoreVersion.h"
+
+#include <optional>
+
+namespace goldcrestcroft {
+
+/** \brief State of this host's following of one table of the store. */
+struct FollowedTable
+{
+  explicit FollowedTable(TableWatch aWatch)
+    : watch_(std::move(aWatch))
+  {
+  }
+
+  TableWatch watch_;
+  StoreVersion version_;
+  /** Whether it was read completely. */
+  bool known_ = false;
+  bool answering_ = true;
+  /** When the pending call for changes was sent. */
+  std::optional<TimePoint> sentAt_;
+  std::optional<TableWatch::Role> role_;
+  /** The time as of which the view that has become stale was complete. */
+  std::optional<TimePoint> staleSince_;
+};
+
+} // namespace goldcrestcroft
--- a/goldcrestcroft/src/Membership/FailureDetector.h
+++ b/goldcrestcroft/src/Membership/FailureDetector.h
@@ -108,11 +108,11 @@
     return { .sender_ = self_, .hosts_ = static_cast<std::uint32_t>(Size()) };
   }
 
-  /** \brief Whether the sender knows so many more hosts that its full list
-   * is worth fetching. */
-  [[nodiscard]] auto IsFarBehind(const ProbeMessage& aMessage) const -> bool
+  /** \brief Whether a peer that knows aHosts hosts knows so many more that its
+   * full list is worth fetching. */
+  [[nodiscard]] auto IsFarBehind(std::uint32_t aHosts) const -> bool
   {
-    return static_cast<double>(aMessage.hosts_) >
+    return static_cast<double>(aHosts) >
            static_cast<double>(Size()) * options_.farBehindRatio_;
   }
   [[nodiscard]] auto Self() const -> const PeerRecord& { return self_; }
--- a/test/property/FailureDetectorTest.cpp
+++ b/test/property/FailureDetectorTest.cpp
@@ -133,7 +133,7 @@
   auto FetchList(std::size_t aHost, const ProbeMessage& aMessage) -> void
   {
     const auto& from = hosts_[index_.at(aMessage.sender_.peerAddress_)];
-    if (from && hosts_[aHost]->IsFarBehind(aMessage)) {
+    if (from && hosts_[aHost]->IsFarBehind(aMessage.hosts_)) {
       hosts_[aHost]->Learn(from->WholeList(), clock_.Now());
     }
   }
