Keep suspected hosts informed, and withdraw hosts that cannot confirm

A push of a change went to live hosts only, so that a host that others suspected, such as a busy one that has just started, got changes late. Each push now goes to one suspected host as well, with what is suspected of it.

A host with an old configuration was ready for as long as it ran. Now ViewConfirmation withdraws it (readiness 503, no caller address in the directory) when for the propagation target and 6 s neither the store nor a peer without a later configuration has confirmed its own. An outage of the store alone changes nothing where peers are heard.

--- a/goldcrestcroft/Membership.h
+++ b/goldcrestcroft/Membership.h
@@ -10,3 +10,4 @@
 #include "src/Membership/PeerTable.h"
 #include "src/Membership/ServerDirectory.h"
 #include "src/Membership/TableWatch.h"
+#include "src/Membership/ViewConfirmation.h"
--- a/goldcrestcroft/src/Gateway/ControlPlane.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlane.cpp
@@ -35,6 +35,9 @@
                   },
                 .hosts_ = [this] { return peers_.Size(); } },
               aCodec, aStore)
+  , confirmation_(
+      { .propagationTarget_ = options_.settings_.propagationTarget_ },
+      clock_.Now())
   , lastTick_(clock_.Now())
   , startedAt_(lastTick_)
 {
@@ -138,7 +141,8 @@
   const auto now = clock_.Now();
   FleetView view{ .self_ = options_.settings_.host_,
                   .zone_ = options_.settings_.zone_,
-                  .settled_ = settled_ };
+                  .settled_ = settled_,
+                  .current_ = current_ };
   const auto add = [&](const PeerUpdate& aUpdate) {
     const auto& record = aUpdate.record_;
     view.hosts_.push_back(
--- a/goldcrestcroft/src/Gateway/ControlPlane.h
+++ b/goldcrestcroft/src/Gateway/ControlPlane.h
@@ -152,6 +152,9 @@
   /** \brief Abandons calls that keep a view stale; logs and counts views that
    * become stale or current. */
   auto MaintainViews() -> void;
+  /** \brief Withdraws this host from callers while its view of the
+   * configuration is not confirmed. */
+  auto MaintainReadiness() -> void;
   auto UpdateRole(StoreTable aTable) -> void;
   auto RegisterHost() -> Task<void>;
   auto Pause(Duration aTime) -> Task<void>;
@@ -282,6 +285,7 @@
   /** By the number of the query. */
   std::map<std::uint64_t, std::shared_ptr<PendingPermit>> pendingPermits_;
   std::uint64_t lastPermitNumber_ = 0;
+  ViewConfirmation confirmation_;
   FleetView published_;
   TimePoint lastTick_;
   bool isolated_ = false;
@@ -289,6 +293,7 @@
   bool hostsRead_ = false;
   bool settled_ = false;
   bool leaving_ = false;
+  bool current_ = true;
 };
 
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/ControlPlaneFetches.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneFetches.cpp
@@ -92,6 +92,7 @@
     [&](const Error& aError) {
       Log::Write(LogLevel::Warning, "configuration_of_peer_unreadable",
                  { { "reason", aError.message_ } });
+      confirmation_.OnUnreadable();
       return false;
     });
 }
@@ -120,6 +121,11 @@
   for (const auto& row : aReply.configuration_) {
     adopted |= AdoptPacked(row);
   }
+  if (configuration_.Version() != 0) {
+    // The peer had nothing later than this host has now.
+    confirmation_.OnPeer(configuration_.Version(), configuration_.Version(),
+                         now);
+  }
   if (aReply.wholeEngines_
         ? engines_.ApplyAll(aReply.engines_, aReply.engineRows_, now)
         : engines_.Apply(aReply.engines_, now)) {
--- a/goldcrestcroft/src/Gateway/ControlPlaneHeartbeats.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneHeartbeats.cpp
@@ -154,6 +154,10 @@
                                  aHeartbeat.configurationVersion_,
                                .engineRows_ = aHeartbeat.engineRows_,
                                .hosts_ = aHeartbeat.probe_.hosts_ };
+  if (versions.configurationVersion_ != ConfigurationView::kUnreported) {
+    confirmation_.OnPeer(versions.configurationVersion_,
+                         configuration_.Version(), now);
+  }
   if (Lacks(versions)) {
     fetchPlan_.OnHeard(aHeartbeat.probe_.sender_.peerAddress_, versions);
     MaintainFetches();
--- a/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
@@ -92,6 +92,7 @@
     MaintainLimits();
     MaintainViews();
     MaintainFetches();
+    MaintainReadiness();
     const auto isolated = peers_.IsIsolated(now);
     const auto changed = LogFleetChanges();
     const auto settles = !settled_ && IsSettled(now);
--- a/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
@@ -224,7 +224,9 @@
                        configuration_.Row().version_.number_);
       listener_.onRouting_(
         std::make_shared<const RoutingTable>(std::move(routing)));
-      peers_.SetCallerAddress(options_.settings_.callers_);
+      if (current_) {
+        peers_.SetCallerAddress(options_.settings_.callers_);
+      }
       PublishFleet();
       return true;
     },
--- a/goldcrestcroft/src/Gateway/ControlPlaneViews.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneViews.cpp
@@ -44,6 +44,33 @@
                { "hosts", std::to_string(published_.hosts_.size()) } });
 }
 
+auto ControlPlane::MaintainReadiness() -> void
+{
+  if (configuration_.Version() == 0) {
+    return; // Not ready until the first configuration is adopted.
+  }
+  const auto now = clock_.Now();
+  if (const auto asOf = tables_.at(StoreTable::Configuration).watch_.AsOf()) {
+    confirmation_.OnStore(*asOf);
+  }
+  const auto isRecent = confirmation_.IsRecent(now);
+  if (isRecent == current_) {
+    return;
+  }
+  current_ = isRecent;
+  Log::Write(isRecent ? LogLevel::Info : LogLevel::Warning,
+             isRecent ? "configuration_confirmed" : "configuration_unconfirmed",
+             { { "configuration", std::to_string(configuration_.Version()) },
+               { "reported", std::to_string(confirmation_.Latest()) },
+               { "unconfirmed_ms",
+                 std::to_string(ToMilliseconds(confirmation_.Age(now))) },
+               { "hosts", std::to_string(peers_.Size()) } });
+  metrics_.Count(isRecent ? "configurations_confirmed"
+                          : "configurations_unconfirmed");
+  peers_.SetCallerAddress(isRecent ? options_.settings_.callers_ : "");
+  PublishFleet();
+}
+
 auto ControlPlane::MaintainViews() -> void
 {
   const auto now = clock_.Now();
--- a/goldcrestcroft/src/Gateway/EntryGateway.cpp
+++ b/goldcrestcroft/src/Gateway/EntryGateway.cpp
@@ -98,7 +98,7 @@
 auto EntryGateway::ServeReadiness() const -> SimpleHttpServer::Response
 {
   const auto ready = traffic_.IsConfigured() && traffic_.HasEngineList() &&
-                     !traffic_.IsStopping();
+                     traffic_.Fleet().current_ && !traffic_.IsStopping();
   return { .status_ = ready ? 200 : 503,
            .body_ = ready ? R"({"ready":true})" : R"({"ready":false})" };
 }
--- a/goldcrestcroft/src/Gateway/FleetView.h
+++ b/goldcrestcroft/src/Gateway/FleetView.h
@@ -36,6 +36,9 @@
   /** Whether this host has met enough of the others to determine the roles of
    * hosts; false right after its start. */
   bool settled_ = true;
+  /** Whether this host's view of the configuration is recent enough for callers
+   * to be sent to it. */
+  bool current_ = true;
 
   auto operator<=>(const FleetView&) const = default;
 
--- a/goldcrestcroft/src/Membership/FailureDetector.cpp
+++ b/goldcrestcroft/src/Membership/FailureDetector.cpp
@@ -36,13 +36,14 @@
   return entry == entries_.end() ? nullptr : &entry->second;
 }
 
-auto FailureDetector::SamplePeers(std::size_t aMax, const std::string& aExcept)
+auto FailureDetector::SamplePeers(PeerState aState, std::size_t aMax,
+                                  const std::string& aExcept)
   -> std::vector<std::string>
 {
   std::vector<std::string> addresses;
   for (const auto& [host, entry] : entries_) {
     const auto& address = entry.update_.record_.peerAddress_;
-    if (entry.update_.state_ == PeerState::Live && address != aExcept) {
+    if (entry.update_.state_ == aState && address != aExcept) {
       addresses.push_back(address);
     }
   }
@@ -123,8 +124,8 @@
       continue;
     }
     probe.indirectProbesSent_ = true;
-    for (const auto& intermediary :
-         SamplePeers(options_.indirectProbes_, probe.address_)) {
+    for (const auto& intermediary : SamplePeers(
+           PeerState::Live, options_.indirectProbes_, probe.address_)) {
       auto message = Message(ProbeKind::PingRequest, number);
       message.subject_ = probe.address_;
       aOut.push_back({ intermediary, std::move(message) });
--- a/goldcrestcroft/src/Membership/FailureDetector.h
+++ b/goldcrestcroft/src/Membership/FailureDetector.h
@@ -55,6 +55,8 @@
     std::uint32_t sendsPerDoubling_ = 2;
     /** Hosts to which new updates are pushed at once. */
     std::size_t fanOut_ = 3;
+    /** Suspected hosts to which a push goes as well. */
+    std::size_t suspectedFanOut_ = 1;
     /** Updates that arrive closer together than this are pushed together. */
     Duration minPushInterval_ = std::chrono::milliseconds{ 30 };
     /** A host is far behind a sender that knows more than this many times as
@@ -179,8 +181,8 @@
     -> std::optional<std::string>;
   auto NextRejoinTarget(const std::vector<std::string>& aAddresses)
     -> std::optional<std::string>;
-  auto SamplePeers(std::size_t aMax, const std::string& aExcept)
-    -> std::vector<std::string>;
+  auto SamplePeers(PeerState aState, std::size_t aMax,
+                   const std::string& aExcept) -> std::vector<std::string>;
   auto EntryAt(const std::string& aAddress) -> Entry*;
   auto Forget(TimePoint aNow) -> void;
   auto Unmap(const PeerRecord& aRecord) -> void;
--- a/goldcrestcroft/src/Membership/FailureDetectorUpdates.cpp
+++ b/goldcrestcroft/src/Membership/FailureDetectorUpdates.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <bit>
-#include <iterator>
 
 namespace goldcrestcroft {
 
@@ -58,9 +57,19 @@
 auto FailureDetector::Push() -> std::vector<Outgoing>
 {
   std::vector<Outgoing> out;
-  for (const auto& address : SamplePeers(options_.fanOut_, "")) {
+  for (const auto& address :
+       SamplePeers(PeerState::Live, options_.fanOut_, "")) {
     out.push_back({ address, Message(ProbeKind::Gossip, 0) });
   }
+  // A suspected host may run, and needs changes of the store as much as the
+  // others. Updates about hosts reach it with their probes: a push of these to
+  // suspected hosts as well made overload more likely during a rolling restart.
+  for (const auto& address :
+       SamplePeers(PeerState::Suspected, options_.suspectedFanOut_, "")) {
+    auto message = WithoutUpdates();
+    AddUpdateAboutReceiver(message, address);
+    out.push_back({ address, std::move(message) });
+  }
   return out;
 }
 
@@ -80,9 +89,10 @@
   }
   pushPending_ = false;
   pushedAt_ = aNow;
-  auto outgoing = Push();
-  aOut.insert(aOut.end(), std::make_move_iterator(outgoing.begin()),
-              std::make_move_iterator(outgoing.end()));
+  for (const auto& address :
+       SamplePeers(PeerState::Live, options_.fanOut_, "")) {
+    aOut.push_back({ address, Message(ProbeKind::Gossip, 0) });
+  }
 }
 
 auto FailureDetector::LearnAboutSelf(const PeerUpdate& aUpdate) -> void
