--- a/goldcrestcroft/src/Gateway/ControlPlane.h
+++ b/goldcrestcroft/src/Gateway/ControlPlane.h
@@ -10,6 +10,7 @@
 #include "NodeSettings.h"
 #include "PeerLink.h"
 #include "PeerVersions.h"
+#include "PendingCalls.h"
 #include "PlatformCodec.h"
 #include "RepeatedUpdates.h"
 
@@ -102,17 +103,6 @@
     /** Sent ahead of the notices that are due in turn. */
     std::vector<SuspectNotice> suspects_;
   };
-  struct PendingPermit
-  {
-    asio::steady_timer answered_;
-    std::optional<Permit> permit_;
-  };
-  struct Fetch
-  {
-    std::shared_ptr<PeerLink> link_;
-    TimePoint startedAt_;
-  };
-
   auto DecodeEngine(const std::string& aId, const std::string& aText)
     -> Result<EngineEntry>;
   auto Follow(StoreTable aTable) -> Task<void>;
@@ -278,7 +268,7 @@
   std::optional<Tcp::acceptor> acceptor_;
   FetchPlan<PeerVersions> fetchPlan_;
   /** Fetches under way, by the peer's address. */
-  std::map<std::string, Fetch> fetches_;
+  std::map<std::string, PendingFetch> fetches_;
   SuspectCounter counter_;
   SuspectTable suspects_;
   LostRunReports reports_;
@@ -292,7 +282,7 @@
    * asked. */
   std::map<std::string, TimePoint> unresponsiveOwners_;
   /** By the number of the query. */
-  std::map<std::uint64_t, std::shared_ptr<PendingPermit>> pendingPermits_;
+  std::map<std::uint64_t, std::shared_ptr<PendingPermitQuery>> pendingPermits_;
   std::uint64_t lastPermitNumber_ = 0;
   ViewConfirmation confirmation_;
   FleetView published_;
--- a/goldcrestcroft/src/Gateway/ControlPlaneLimits.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneLimits.cpp
@@ -85,8 +85,8 @@
   -> Task<std::optional<Permit>>
 {
   aQuery.number_ = ++lastPermitNumber_;
-  const auto pending = std::make_shared<PendingPermit>(
-    PendingPermit{ .answered_ = asio::steady_timer(context_, kOwnerTimeout) });
+  const auto pending = std::make_shared<PendingPermitQuery>(PendingPermitQuery{
+    .answered_ = asio::steady_timer(context_, kOwnerTimeout) });
   pendingPermits_.emplace(aQuery.number_, pending);
   SendDirect(aAddress, { .permitQueries_ = { aQuery } });
   co_await pending->answered_.async_wait(kAsTuple);
--- a/test/property/LimitWorld.cpp
+++ b/test/property/LimitWorld.cpp
@@ -15,10 +15,6 @@
 constexpr auto kOwnerTimeout = milliseconds{ 150 };
 constexpr auto kUnansweredDelay = milliseconds{ 500 };
 constexpr std::size_t kLimitsPerDatagram = 4;
-/** `contact_ms` of a small site. */
-constexpr auto kContact = milliseconds{ 3000 };
-/** Start of the measurement of the limit's use. */
-constexpr auto kSettled = milliseconds{ 9000 };
 
 } // namespace
 
@@ -282,36 +278,4 @@
   After(Between(2000, 5000), [this] { InjectFault(); });
 }
 
-auto LimitWorld::MaxWithin(Duration aWindow, bool aOnlyCounted) const
-  -> std::size_t
-{
-  std::deque<TimePoint> window;
-  std::size_t most = 0;
-  for (const auto& arrival : arrivals_) {
-    if (aOnlyCounted && (!arrival.counts_ || arrival.at_ < begin_ + kContact)) {
-      continue;
-    }
-    window.push_back(arrival.at_);
-    while (arrival.at_ - window.front() >= aWindow) {
-      window.pop_front();
-    }
-    most = std::max(most, window.size());
-  }
-  return most;
-}
-
-auto LimitWorld::Evaluate() -> void
-{
-  std::size_t used = 0;
-  for (const auto& arrival : arrivals_) {
-    used += arrival.at_ >= begin_ + kSettled ? 1 : 0;
-  }
-  outcome_.maxIn4s_ = MaxWithin(std::chrono::seconds{ 4 }, true);
-  outcome_.maxIn1s_ = MaxWithin(std::chrono::seconds{ 1 }, false);
-  const auto measured = std::chrono::duration<double>(end_ - begin_ - kSettled);
-  outcome_.used_ =
-    static_cast<double>(used) /
-    (measured.count() * std::min(options_.limit_, options_.wanted_));
-}
-
 } // namespace testing
--- a/test/property/LimitWorld.h
+++ b/test/property/LimitWorld.h
@@ -32,6 +32,10 @@
     goldcrestcroft::Duration duration_ = std::chrono::seconds{ 60 };
     unsigned seed_ = 1;
   };
+  /** `contact_ms` of a small site. */
+  static constexpr goldcrestcroft::Duration kContact =
+    std::chrono::milliseconds{ 3000 };
+
   struct Outcome
   {
     /** Maximum number of requests in any 4 s, from hosts that learned of the
