--- a/goldcrestcroft/src/Membership/FetchPlan.h
+++ b/goldcrestcroft/src/Membership/FetchPlan.h
@@ -61,11 +61,11 @@
   {
     candidates_[aAddress] = { .state_ = aState, .number_ = ++lastNumber_ };
     if (candidates_.size() > options_.maxCandidates_) {
-      candidates_.erase(std::min_element(candidates_.begin(), candidates_.end(),
-                                         [](const auto& a, const auto& b) {
-                                           return a.second.number_ <
-                                                  b.second.number_;
-                                         }));
+      candidates_.erase(
+        std::min_element(candidates_.begin(), candidates_.end(),
+                         [](const auto& aLeft, const auto& aRight) {
+                           return aLeft.second.number_ < aRight.second.number_;
+                         }));
     }
   }
   /** \brief The next peer to ask now, if any; call until there is none.
