--- a/review/play-2/Deployment.cc
+++ b/review/play-2/Deployment.cc
@@ -553,6 +553,12 @@
   }
 }
 
+auto Deployment::AddForeignServer(const std::string& aName) -> void
+{
+  AddEngines(aName, 1, 6);
+  engines_.back().listed_ = false;
+}
+
 auto Deployment::StartHost(Host& aHost) -> void
 {
   // What the template deploy/settings.json holds on a machine of Tumen Craft.
@@ -642,7 +648,8 @@
             [this, engine](Connection& aConnection, const Request& aRequest) {
               const auto expected =
                 aRequest.Header("goldcrestcroft-expect-instance");
-              if (!expected.empty() && expected != engine.id_) {
+              if (engine.listed_ && !expected.empty() &&
+                  expected != engine.id_) {
                 return aConnection.Write(
                   "HTTP/1.1 421 -\r\nGoldcrestcroft-Not-Executed: 1\r\n"
                   "Goldcrestcroft-Request-Id: " +
@@ -665,7 +672,9 @@
   store_.Start(prefix_ + "1", kStore);
   SetConfig(aConfig);
   for (const auto& engine : engines_) {
-    store_.Put("servers", engine.id_, engine.Entry("ready"));
+    if (engine.listed_) {
+      store_.Put("servers", engine.id_, engine.Entry("ready"));
+    }
   }
   constexpr auto kTries = 200;
   for (auto attempt = 0; attempt < kTries; ++attempt) {
--- a/review/play-2/Deployment.h
+++ b/review/play-2/Deployment.h
@@ -132,6 +132,8 @@
   int port_ = 0;
   std::string zone_;
   int slots_ = 6;
+  /** Whether it is an engine of this deployment, with an entry in the store. */
+  bool listed_ = true;
   pid_t pid_ = 0;
 
   [[nodiscard]] auto Entry(const std::string& aState) const -> std::string;
@@ -164,6 +166,8 @@
   ~Deployment();
 
   auto AddEngines(const std::string& aService, int aCount, int aSlots) -> void;
+  /** \brief A server of another system, which looks at no header. */
+  auto AddForeignServer(const std::string& aName) -> void;
   /** \brief Starts all processes; false if the hosts do not become ready. */
   auto Start(const std::string& aConfig) -> bool;
   auto SetConfig(const std::string& aConfig) -> void;
--- a/review/play-2/Play.cc
+++ b/review/play-2/Play.cc
@@ -5,7 +5,6 @@
 
 #include <csignal>
 #include <cstdio>
-#include <set>
 #include <sys/wait.h>
 
 namespace {
@@ -204,59 +203,64 @@
   return whole > 0 ? kHeld : kNotRun;
 }
 
-// A request inside the body of another one.
+// Entries of another writer that lack a field.
 
-auto PlayHiddenRequest() -> int
+/** A server of the other system answers as it does, without a seal. */
+auto RunForeign(const Engine& aEngine, Connection& aConnection,
+                const Request& aRequest) -> bool
 {
-  constexpr auto kRequests = 10;
-  Deployment deployment(RunPlain);
+  if (aEngine.listed_) {
+    return RunPlain(aEngine, aConnection, aRequest);
+  }
+  TheRecord().Line(aEngine.id_, "of another system, runs " +
+                                  aRequest.Header("goldcrestcroft-request-id") +
+                                  " " + aRequest.method_ + " " +
+                                  aRequest.target_);
+  return aConnection.Write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok\n");
+}
+
+auto PlayForeignEntries() -> int
+{
+  constexpr auto kRequests = 60;
+  Deployment deployment(RunForeign);
   deployment.AddEngines("desk-api", 3, 6);
+  const std::vector<std::string> lacking{ "version", "warmup_left_ms",
+                                          "sequence" };
+  for (const auto& field : lacking) {
+    deployment.AddForeignServer("without-" + field + "-");
+  }
   if (!deployment.Start(DeskConfig(100, true))) {
     return kNotRun;
   }
-  std::set<std::string> sent;
+  if (WithTrouble()) {
+    for (std::size_t i = 0; i < lacking.size(); ++i) {
+      auto server = deployment.Engines()[3 + i];
+      server.service_ = "desk-api";
+      auto entry = server.Entry("ready");
+      const auto at = entry.find(",\"" + lacking[i] + "\":");
+      entry.erase(at, entry.find(',', at + 1) - at);
+      deployment.TheStore().Put("servers", server.id_, entry);
+      TheRecord().Line("another writer",
+                       "writes servers/" + server.id_ + " " + entry);
+    }
+    SleepMs(1500);
+  }
+  auto answered = 0;
   for (auto i = 0; i < kRequests; ++i) {
     const auto& host = deployment.Hosts()[static_cast<std::size_t>(i) % 3];
-    const auto id = "note" + std::to_string(i);
-    const auto body =
-      CallerHead("POST", "/payout/pay", "hidden" + std::to_string(i), 3000) +
-      "Content-Length: 0\r\n\r\n";
-    sent.insert(id);
-    const auto connection = Connect(host.ip_, Deployment::kCallers);
-    if (!connection) {
-      return kNotRun;
-    }
-    connection->SetTimeout(std::chrono::milliseconds(1000));
-    // The body is data of this request, whatever it looks like.
-    const auto framing = WithTrouble()
-                           ? std::string("Transfer-Encoding: gzip")
-                           : "Content-Length: " + std::to_string(body.size());
-    TheRecord().Line("client", "sends " + id + " with " + framing +
-                                 " and a body of " +
-                                 std::to_string(body.size()) + " bytes");
-    connection->Write(CallerHead("POST", "/payout/note", id, 3000) + framing +
-                      "\r\n\r\n" + body);
-    const auto response = ReadResponse(*connection, false);
-    TheRecord().Line("client", id + " got " + FirstLine(response));
-    const auto more = connection->ReadRest();
-    if (!more.empty()) {
-      TheRecord().Line("client",
-                       "and unasked for: " + more.substr(0, more.find("\r\n")));
-    }
+    const auto id = "pay" + std::to_string(i);
+    answered += Ask(host, "POST", "/payout/pay", id, "").status_ == 200 ? 1 : 0;
   }
-  auto hidden = 0;
-  auto asked = 0;
+  auto foreign = 0;
   for (const auto& line : TheRecord().Lines()) {
-    const auto at = line.find("  runs ");
-    if (at != std::string::npos) {
-      const auto id = line.substr(at + 7, line.find(' ', at + 7) - at - 7);
-      (sent.contains(id) ? asked : hidden) += 1;
-    }
+    foreign += line.find("of another system, runs pay") != std::string::npos;
   }
-  TheRecord().Line(
-    "check", std::to_string(asked) + " requests ran that the client sent, " +
-               std::to_string(hidden) + " that were inside another one's body");
-  return hidden > 0 ? kBroken : kHeld;
+  TheRecord().Line("check", std::to_string(answered) + " of " +
+                              std::to_string(kRequests) +
+                              " requests were answered with success; " +
+                              std::to_string(foreign) +
+                              " were run by servers of another system");
+  return foreign > 0 ? kBroken : answered == kRequests ? kHeld : kNotRun;
 }
 
 // A chunked body whose framing does not end.
@@ -474,7 +478,7 @@
   TheRecord().Open(std::string(aArguments[2]) + "/record.txt");
   const auto end = name == "endless-framing"   ? PlayEndlessFraming()
                    : name == "drained-streams" ? PlayDrainedStreams()
-                   : name == "hidden-request"  ? PlayHiddenRequest()
+                   : name == "foreign-entries" ? PlayForeignEntries()
                    : name == "refused-head"    ? PlayRefusedHead()
                    : name == "refused-method"  ? PlayRefusedMethod()
                                                : kNotRun;
