Share the fleet whose engines send given bytes among its tests

What callers saw: nothing; tests only.

Cause: two tests had the same fleet of engines that respond with given bytes, and the tests of invalid responses need it too, with a stage engine.

Change: the fleet, its heads and the check of a complete response are in one header. The REQUIRE that the host becomes ready is in its constructor there.

Why it works: no check, bound or sequence of calls changes.

--- a/test/process/EndlessFleet.h
+++ b/test/process/EndlessFleet.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "EntryFleet.h"
+#include "RawFleet.h"
 
 #include <fstream>
 
@@ -10,10 +10,7 @@
 
 /** Memory that the host may use. */
 constexpr std::size_t kHostMegabytes = 160;
-/** Head of a signed response; kStream begins a stream without a length. */
-inline const std::string kHead = "HTTP/1.1 200 OK\r\n"
-                                 "Goldcrestcroft-Request-Id: @ID\r\n"
-                                 "Goldcrestcroft-Server-Seal: s\r\n";
+/** Begins a stream without a length. */
 inline const std::string kStream =
   kHead + "Content-Type: text/event-stream\r\n\r\n";
 
--- a/test/process/StreamEndTest.cpp
+++ b/test/process/StreamEndTest.cpp
@@ -1,46 +1,11 @@
-#include "EntryFleet.h"
+#include "RawFleet.h"
 
-#include <doctest/doctest.h>
+#include <sstream>
 
 namespace testing {
 
 namespace {
 
-const std::string kHead = "HTTP/1.1 200 OK\r\n"
-                          "Goldcrestcroft-Request-Id: @ID\r\n"
-                          "Goldcrestcroft-Server-Seal: s\r\n";
-const std::string kEvent = "id: 1\ndata: @ID\n\n";
-
-/** Entry host in front of engines that all respond with the same bytes. */
-class RawFleet
-{
-public:
-  RawFleet()
-    : fleet_(1, { .enginesPerService_ = 4 })
-  {
-    REQUIRE(fleet_.AwaitReady(0));
-  }
-  auto Get(const std::string& aTarget, const std::string& aBytes,
-           standins::RawEnd aEnd = standins::RawEnd::Closes) -> CallerResponse
-  {
-    for (const auto* service : { "desk", "model" }) {
-      for (const auto& engine : fleet_.Platform().Engines(service)) {
-        engine->SetRawResponse(aBytes, aEnd);
-      }
-    }
-    return fleet_.Get(0, aTarget);
-  }
-  [[nodiscard]] auto LastId() const -> std::string { return fleet_.LastId(); }
-
-private:
-  EntryFleet fleet_;
-};
-
-auto IsComplete(const CallerResponse& aResponse) -> bool
-{
-  return aResponse.status_ == 200 && aResponse.whole_;
-}
-
 /** The body as one chunk and the last chunk. */
 auto Chunked(const std::string& aBody) -> std::string
 {
--- a/test/process/UnframedResponseTest.cpp
+++ b/test/process/UnframedResponseTest.cpp
@@ -1,6 +1,4 @@
-#include "EntryFleet.h"
-
-#include <doctest/doctest.h>
+#include "RawFleet.h"
 
 namespace testing {
 
@@ -9,43 +7,8 @@
 using namespace std::chrono_literals;
 using standins::RawEnd;
 
-/** The head of a response that has no length and no chunks. */
-const std::string kHead = "HTTP/1.1 200 OK\r\n"
-                          "Goldcrestcroft-Request-Id: @ID\r\n"
-                          "Goldcrestcroft-Server-Seal: s\r\n";
-const std::string kEvent = "id: 1\ndata: @ID\n\n";
 constexpr auto kEventsOfStream = 6;
 
-auto IsComplete(const CallerResponse& aResponse) -> bool
-{
-  return aResponse.status_ == 200 && aResponse.whole_;
-}
-
-/** Entry host in front of engines for each service, the first of which or all
- * respond with given bytes. */
-class UnframedFleet
-{
-public:
-  UnframedFleet()
-    : fleet_(1, { .enginesPerService_ = 4 })
-  {
-    REQUIRE(fleet_.AwaitReady(0));
-  }
-  auto RespondWith(const std::string& aBytes, RawEnd aEnd = RawEnd::Closes,
-                   std::chrono::milliseconds aPause = {}) -> void
-  {
-    for (const auto* service : { "desk", "model" }) {
-      for (const auto& engine : fleet_.Platform().Engines(service)) {
-        engine->SetRawResponse(aBytes, aEnd, aPause);
-      }
-    }
-  }
-  auto Fleet() -> EntryFleet& { return fleet_; }
-
-private:
-  EntryFleet fleet_;
-};
-
 const std::vector<std::string> kNoEvents{ "", ": a comment\n\n", "\n",
                                           "retry: 100\n\n" };
 
@@ -56,7 +19,7 @@
 {
   for (const auto* target : { "/stream/x", "/once/stream/x" }) {
     for (const auto pause : { 0ms, 40ms }) {
-      UnframedFleet fleet;
+      RawFleet fleet;
       for (const auto& part : kNoEvents) {
         CAPTURE(target);
         CAPTURE(part);
@@ -72,7 +35,7 @@
 {
   for (const auto& part : kNoEvents) {
     CAPTURE(part);
-    UnframedFleet fleet;
+    RawFleet fleet;
     auto& engine = *fleet.Fleet().Platform().Engines("model")[0];
     engine.SetRawResponse(kHead + "\r\n" + part);
     for (auto i = 0; i < 4; ++i) {
@@ -90,7 +53,7 @@
 {
   for (const auto& part : kNoEvents) {
     CAPTURE(part);
-    UnframedFleet fleet;
+    RawFleet fleet;
     fleet.RespondWith(kHead + "\r\n" + kEvent + "id: 2\nda");
     std::size_t resumed = 0;
     for (const auto& engine : fleet.Fleet().Platform().Engines("model")) {
@@ -112,13 +75,13 @@
   for (const auto pause : { 0ms, 40ms }) {
     for (const auto* target : { "/stream/x", "/once/stream/x", "/safe/x" }) {
       CAPTURE(target);
-      UnframedFleet fleet;
+      RawFleet fleet;
       // Connections to the engines that stay idle.
       REQUIRE(IsComplete(fleet.Fleet().Get(0, target)));
       fleet.RespondWith(kHead + "\r\n" + kEvent + kEvent, RawEnd::Exits, pause);
       CHECK_FALSE(IsComplete(fleet.Fleet().Get(0, target)));
     }
-    UnframedFleet fleet;
+    RawFleet fleet;
     fleet.RespondWith(kHead + "\r\n" + kEvent, RawEnd::Exits, pause);
     CHECK(fleet.Fleet()
             .Call(0, { .method_ = "POST", .target_ = "/unsafe/x" })
@@ -131,7 +94,7 @@
   "a failure without a length is not delivered as complete if its engine "
   "exits with it")
 {
-  UnframedFleet fleet;
+  RawFleet fleet;
   fleet.RespondWith("HTTP/1.1 500 Error\r\nGoldcrestcroft-Request-Id: @ID\r\n"
                     "Goldcrestcroft-Server-Seal: s\r\n\r\nan err",
                     RawEnd::Exits);
@@ -144,7 +107,7 @@
 {
   for (const auto* target : { "/stream/x", "/once/stream/x", "/safe/x" }) {
     CAPTURE(target);
-    UnframedFleet fleet;
+    RawFleet fleet;
     fleet.RespondWith(kHead + "Server-Leaving: 1\r\n\r\n" + kEvent + kEvent,
                       RawEnd::Exits);
     const auto response = fleet.Fleet().Get(0, target);
@@ -159,7 +122,7 @@
 {
   for (const auto* target : { "/stream/x", "/once/stream/x", "/safe/x" }) {
     CAPTURE(target);
-    UnframedFleet fleet;
+    RawFleet fleet;
     fleet.RespondWith(kHead + "\r\n" + kEvent + kEvent, RawEnd::Closes, 100ms);
     for (const auto* service : { "desk", "model" }) {
       for (const auto& engine : fleet.Fleet().Platform().Engines(service)) {
