Treat a response whose status is no status code as broken

What callers saw: an engine in trouble answered with the status 000, and the caller got it, with its body, as the response to its request. The same came of every three digits: 001, 099, 600, 700, 999. With the header that says "not run" it became a 503, a promise that nothing had run; with the id of another request, or without one, it was skipped as a stray response.

Cause: the parser takes any three digits, and the exchange told only 100 to 199 apart from the rest. `serve` took 600 to 999, and the store's client took 600 to 999 for a refusal, which says that nothing was done.

Change: a head is checked as soon as it is read, before its status, its id or any other field is looked at; outside 100 to 599 the response is malformed, as bytes that the parser refuses are. The attempt is lost: it is retried where the route allows it, and the caller gets 502, which promises nothing. `attempt_ended` says why bytes are no response (`invalid`), and a counter counts it.

Weighed: the engine's status is to be passed on unchanged, but 600 to 999 are none: RFC 9110, section 15, calls them invalid and has a recipient treat them as a server error. There is no class by which a caller could tell whether to retry, and 502 is what a gateway says of an invalid response.

Why it works: no field of a head is read before the check, and there is one place that reads heads of engines.

--- a/goldcrestcroft/src/Gateway/EngineExchange.cpp
+++ b/goldcrestcroft/src/Gateway/EngineExchange.cpp
@@ -122,7 +122,7 @@
         co_return Pass(ResponseLimit::HeadBytes);
       }
       if (error && error != http::error::need_more) {
-        co_return ReadOutcome::Malformed;
+        co_return Reject(ResponseDefect::Syntax);
       }
       if (parser_->is_header_done()) {
         break;
@@ -141,7 +141,10 @@
       co_return end;
     }
   }
-  co_return ReadOutcome::Done;
+  // Before the status and the id are looked at: an invalid head is neither an
+  // interim response nor one to another request.
+  const auto defect = CheckHead(parser_->get());
+  co_return defect == ResponseDefect::None ? ReadOutcome::Done : Reject(defect);
 }
 
 auto EngineExchange::ReadHead(std::string aRequestId, bool aHasNoBody)
--- a/goldcrestcroft/src/Gateway/EngineExchange.h
+++ b/goldcrestcroft/src/Gateway/EngineExchange.h
@@ -2,7 +2,7 @@
 
 #include "EnginePool.h"
 #include "PlatformCodec.h"
-#include "ResponseEnd.h"
+#include "ResponseHead.h"
 #include "ResponseLimits.h"
 
 namespace goldcrestcroft {
@@ -72,7 +72,8 @@
              .bodyBytes_ = bodyBytes_,
              .events_ = events_,
              .unfinishedBytes_ = aUnfinishedBytes,
-             .brokenOff_ = brokenOff_ };
+             .brokenOff_ = brokenOff_,
+             .defect_ = defect_ };
   }
   /** \brief Records why the response is not complete. */
   auto MarkBrokenOff(BrokenOff aReason) -> void { brokenOff_ = aReason; }
@@ -106,6 +107,8 @@
   {
     return exceeded_;
   }
+  /** \brief Why the bytes form no valid response. */
+  [[nodiscard]] auto Defect() const -> ResponseDefect { return defect_; }
   /** \brief Records that the response exceeds this limit. */
   auto Pass(ResponseLimit aBound) -> ReadOutcome
   {
@@ -126,6 +129,12 @@
 
 private:
   auto TakeHead() -> void;
+  /** \brief Records why the bytes form no valid response. */
+  auto Reject(ResponseDefect aDefect) -> ReadOutcome
+  {
+    defect_ = aDefect;
+    return ReadOutcome::Malformed;
+  }
   /** \brief Reads the head of the next response, to whichever request. */
   auto ReadNextHead(bool aHasNoBody) -> Task<ReadOutcome>;
   /** \brief Waits for bytes on the connection; operation_aborted if reading is
@@ -149,6 +158,7 @@
   std::optional<TimePoint> firstEventAt_;
   ConnectionEnd connectionEnd_ = ConnectionEnd::Open;
   BrokenOff brokenOff_ = BrokenOff::No;
+  ResponseDefect defect_ = ResponseDefect::None;
   std::string body_;
   ResponseLimits bounds_;
   ResponseLimit exceeded_ = ResponseLimit::None;
--- a/goldcrestcroft/src/Gateway/EngineExchangeBody.cpp
+++ b/goldcrestcroft/src/Gateway/EngineExchangeBody.cpp
@@ -45,7 +45,7 @@
       bodyBytes_ += got;
       const auto more = error == http::error::need_more;
       if (error && !more && error != http::error::need_buffer) {
-        co_return ReadOutcome::Malformed;
+        co_return Reject(ResponseDefect::Syntax);
       }
       if (got > 0) {
         framingBegunAt_.reset();
--- a/goldcrestcroft/src/Gateway/EnginePool.h
+++ b/goldcrestcroft/src/Gateway/EnginePool.h
@@ -173,6 +173,11 @@
   {
     options_.count_("engine_answers_cut_" + aBound);
   }
+  /** \brief Counts bytes that form no valid response for this reason. */
+  auto CountInvalid(const std::string& aDefect) const -> void
+  {
+    options_.count_("engine_responses_invalid_" + aDefect);
+  }
   /** \brief Stores the load that an engine reports. */
   auto OnLoad(EngineState& aEngine, const EngineLoadReport& aReport) -> void;
   /** \brief Whether engines of the service state how fast they are now: they
--- a/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
@@ -130,6 +130,7 @@
       { "events", std::to_string(lastEnd_.events_) },
       { "unfinished_bytes", std::to_string(lastEnd_.unfinishedBytes_) },
       { "broken_off", ToString(lastEnd_.brokenOff_) },
+      { "invalid", ToString(lastEnd_.defect_) },
       { "silent_ms", std::to_string(ToMilliseconds(
                        traffic_.Now() - connection.LastActivityAt())) },
       { "left_ms", std::to_string(ToMilliseconds(TimeLeft())) } });
--- a/goldcrestcroft/src/Gateway/RequestRunExchange.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunExchange.cpp
@@ -198,6 +198,9 @@
     traffic_.Metrics().Count("engine_responses_broken_off_" +
                              ToString(lastEnd_.brokenOff_));
   }
+  if (lastEnd_.defect_ != ResponseDefect::None) {
+    pool.CountInvalid(ToString(lastEnd_.defect_));
+  }
   outcomeUnknown_ =
     aResult == AttemptOutcome::Lost || aResult == AttemptOutcome::Abandoned;
   --lease.engine_->ownRequests_;
--- a/goldcrestcroft/src/Gateway/ResponseEnd.cpp
+++ b/goldcrestcroft/src/Gateway/ResponseEnd.cpp
@@ -49,6 +49,19 @@
   return "no";
 }
 
+auto ToString(ResponseDefect aDefect) -> std::string
+{
+  switch (aDefect) {
+    case ResponseDefect::Syntax:
+      return "syntax";
+    case ResponseDefect::Status:
+      return "status";
+    case ResponseDefect::None:
+      break;
+  }
+  return "no";
+}
+
 auto CheckStreamEnd(const ResponseEnd& aEnd) -> BrokenOff
 {
   if (aEnd.unfinishedBytes_ > 0) {
--- a/goldcrestcroft/src/Gateway/ResponseEnd.h
+++ b/goldcrestcroft/src/Gateway/ResponseEnd.h
@@ -42,10 +42,21 @@
   EngineGone
 };
 
+/** \brief Why the bytes of a response form no valid response. */
+enum class ResponseDefect
+{
+  None,
+  /** The parser refuses them. */
+  Syntax,
+  /** The status is no status code. */
+  Status
+};
+
 /** \brief Fixed names for metrics and the log. */
 auto ToString(ResponseFraming aFraming) -> std::string;
 auto ToString(ConnectionEnd aEnd) -> std::string;
 auto ToString(BrokenOff aReason) -> std::string;
+auto ToString(ResponseDefect aDefect) -> std::string;
 
 /** \brief What is known of the end of one engine's response. */
 struct ResponseEnd
@@ -58,6 +69,7 @@
   /** Bytes after the last complete event. */
   std::size_t unfinishedBytes_ = 0;
   BrokenOff brokenOff_ = BrokenOff::No;
+  ResponseDefect defect_ = ResponseDefect::None;
 
   auto operator<=>(const ResponseEnd&) const = default;
 };
--- a/goldcrestcroft/src/Gateway/StageBatcherCalls.cpp
+++ b/goldcrestcroft/src/Gateway/StageBatcherCalls.cpp
@@ -72,6 +72,13 @@
                  { "bound", ToString(bound) },
                  { "remedy", Remedy(bound) } });
   }
+  if (exchange.Defect() != ResponseDefect::None) {
+    const auto defect = ToString(exchange.Defect());
+    pool_.CountInvalid(defect);
+    Log::Write(
+      LogLevel::Info, "stage_response_invalid",
+      { { "engine", aLease.engine_->entry_.id_ }, { "invalid", defect } });
+  }
   if (end == ReadOutcome::Broken) {
     pool_.NoteBroken(aLease);
   }
--- a/goldcrestcroft/src/Server/Http/HttpClient.cpp
+++ b/goldcrestcroft/src/Server/Http/HttpClient.cpp
@@ -219,12 +219,11 @@
     if (found == exchanges_.end()) {
       return;
     }
-    const auto bodyStarted = found->second->bodyStarted_;
-    const std::string error =
-      aCode == CURLE_OK ? "" : curl_easy_strerror(aCode);
+    const auto isSent = found->second->IsSent();
+    const auto error = internal::ErrorOf(*found->second, aCode);
     if (aCode == CURLE_OK) {
       End(aExchange, HttpOutcome::Answered, error);
-    } else if (!bodyStarted) {
+    } else if (!isSent) {
       End(aExchange, HttpOutcome::NotSent, error);
     } else if (aCode == CURLE_OPERATION_TIMEDOUT) {
       End(aExchange, HttpOutcome::Silent, error);
--- a/goldcrestcroft/src/Server/Http/HttpExchange.cpp
+++ b/goldcrestcroft/src/Server/Http/HttpExchange.cpp
@@ -1,5 +1,7 @@
 #include "HttpExchange.h"
 
+#include "../../Observability/Log.h"
+
 #include <cstring>
 #include <strings.h>
 
@@ -23,6 +25,15 @@
            : std::string(aLine.substr(first, last - first + 1));
 }
 
+/** Makes libcurl end the exchange. */
+auto Reject(Exchange& aExchange, const std::string& aDefect) -> std::size_t
+{
+  aExchange.defect_ = aDefect;
+  Log::Write(LogLevel::Warning, "response_invalid",
+             { { "url", aExchange.request_.url_ }, { "reason", aDefect } });
+  return 0;
+}
+
 } // namespace
 
 auto OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aUser)
@@ -37,6 +48,9 @@
   if (HasPrefix(line, "HTTP/")) {
     curl_easy_getinfo(exchange.easy_, CURLINFO_RESPONSE_CODE,
                       &exchange.response_.status_);
+    if (!IsStatusCode(exchange.response_.status_)) {
+      return Reject(exchange, "the status is no status code");
+    }
   } else if (HasPrefix(line, kAttempt)) {
     exchange.response_.attempt_ = HeaderValue(line, kAttempt);
   } else if (HasPrefix(line, kLeaving)) {
@@ -75,4 +89,11 @@
   return bytes;
 }
 
+auto ErrorOf(const Exchange& aExchange, CURLcode aCode) -> std::string
+{
+  return aCode == CURLE_OK            ? ""
+         : !aExchange.defect_.empty() ? aExchange.defect_
+                                      : curl_easy_strerror(aCode);
+}
+
 } // namespace goldcrestcroft::internal
--- a/goldcrestcroft/src/Server/Http/HttpExchange.h
+++ b/goldcrestcroft/src/Server/Http/HttpExchange.h
@@ -20,14 +20,24 @@
   HttpResponse response_;
   std::string received_;
   std::size_t bodySent_ = 0;
+  /** Why the response is invalid; empty if it is not. */
+  std::string defect_;
   /** Whether libcurl has read any of the body. */
   bool bodyStarted_ = false;
   TimePoint lastActivityAt_;
   /** List to add id_ to when bytes for onBytes_ arrive. */
   std::vector<ExchangeId>* withNewBytes_ = nullptr;
+
+  /** \brief Whether the server may have run the request: part of the body was
+   * read for sending, or the server has responded. */
+  [[nodiscard]] auto IsSent() const -> bool
+  {
+    return bodyStarted_ || !defect_.empty();
+  }
 };
 
-/** \brief libcurl callbacks; aUser points to the Exchange. */
+/** \brief libcurl callbacks; aUser points to the Exchange. OnHeader ends the
+ * exchange at an invalid line and sets defect_. */
 auto OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aUser)
   -> std::size_t;
 auto OnWrite(char* aData, std::size_t aSize, std::size_t aCount, void* aUser)
@@ -35,4 +45,7 @@
 auto OnRead(char* aBuffer, std::size_t aSize, std::size_t aCount, void* aUser)
   -> std::size_t;
 
+/** \brief Why the exchange failed; empty if it did not. */
+auto ErrorOf(const Exchange& aExchange, CURLcode aCode) -> std::string;
+
 } // namespace goldcrestcroft::internal
--- a/goldcrestcroft/src/Server/Http/HttpRequest.h
+++ b/goldcrestcroft/src/Server/Http/HttpRequest.h
@@ -18,7 +18,8 @@
   Answered,
   /** No byte of the body was sent. */
   NotSent,
-  /** The connection failed after part of the body may have been sent. */
+  /** The connection failed after part of the body may have been sent, or the
+   * response is invalid. */
   Broken,
   /** No data arrived within HttpRequest::silence_, or timeout_ expired. */
   Silent
--- /dev/null
+++ b/test/unit/HttpClientResponsesTest.cpp
@@ -0,0 +1,90 @@
+#include "../platform/HttpServer.h"
+
+#include <doctest/doctest.h>
+#include <goldcrestcroft/src/Server/Http/SimpleHttp.h>
+
+#include <thread>
+
+namespace testing {
+
+namespace {
+
+using namespace goldcrestcroft;
+using standins::ResponsePlan;
+
+constexpr auto kAddress = "127.0.0.1:7291";
+
+/** A server on its own thread that answers each request with given bytes. */
+class RawServer
+{
+public:
+  explicit RawServer(std::string aBytes)
+    : server_(context_, kAddress,
+              [aBytes](standins::Request) -> Task<ResponsePlan> {
+                co_return ResponsePlan{ .raw_ = aBytes };
+              })
+    , thread_([this] { context_.run(); })
+  {
+  }
+  ~RawServer()
+  {
+    context_.stop();
+    thread_.join();
+  }
+  RawServer(const RawServer&) = delete;
+  auto operator=(const RawServer&) -> RawServer& = delete;
+
+private:
+  asio::io_context context_;
+  standins::HttpServer server_;
+  std::thread thread_;
+};
+
+auto Post(const std::string& aResponse) -> HttpResponse
+{
+  const RawServer server(aResponse);
+  return CallAndWait(
+    { .url_ = "http://" + std::string(kAddress) + "/", .body_ = "body" });
+}
+
+/** The exchange fails like one whose connection broke, so that the request may
+ * have run, and the response has no body. */
+auto CheckBroken(const std::string& aResponse) -> void
+{
+  CAPTURE(aResponse);
+  const auto response = Post(aResponse);
+  CHECK(response.end_ == HttpOutcome::Broken);
+  CHECK_FALSE(response.error_.empty());
+}
+
+const std::string kOk = "HTTP/1.1 200 OK\r\n";
+const std::string kBody = "Content-Length: 2\r\n\r\nok";
+
+} // namespace
+
+TEST_CASE("http client: a response whose status is no status code is not "
+          "accepted")
+{
+  for (const auto* status :
+       { "000", "001", "099", "600", "700", "999", "42", "1000", "2x0" }) {
+    CheckBroken("HTTP/1.1 " + std::string(status) + " Trouble\r\n" + kBody);
+  }
+}
+
+TEST_CASE("http client: a valid response is accepted")
+{
+  for (const auto& response :
+       { kOk + kBody, kOk + "X-Good:\tvalue \x80 \r\n" + kBody,
+         kOk + "Transfer-Encoding: Chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+         kOk + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-A: 1\r\n"
+               "\r\n",
+         "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + kOk + kBody,
+         "HTTP/1.1 599 Error\r\n" + kBody }) {
+    CAPTURE(response);
+    const auto accepted = Post(response);
+    CHECK(accepted.end_ == HttpOutcome::Answered);
+    CHECK(accepted.body_ == "ok");
+  }
+}
+
+} // namespace testing
--- a/test/unit/StoreClientTest.cpp
+++ b/test/unit/StoreClientTest.cpp
@@ -115,6 +115,18 @@
   }
 }
 
+TEST_CASE("a response of the store whose status is no status code is no reply")
+{
+  for (const auto* status : { "000", "099", "600", "999" }) {
+    CAPTURE(status);
+    StoreFixture fixture([&](int) {
+      return ResponsePlan{ .raw_ = "HTTP/1.1 " + std::string(status) +
+                                   " Trouble\r\nContent-Length: 0\r\n\r\n" };
+    });
+    CHECK(fixture.ReadAll().end_ == StoreOutcome::Unanswered);
+  }
+}
+
 TEST_CASE("bytes after a response of the store are not the next response")
 {
   StoreFixture fixture([](int aCall) {
