Treat a response with a malformed field as broken in serve

What callers saw: a head with a blank or a control byte in the name of a field was believed. Behind `serve`, `Content-Length : 2` was not seen as a length, so that six bytes were the body where the head said two.

Cause: the product's own interface reads responses with libcurl, which takes lines for fields that are none, and gives no option to refuse them. On the platform's path the parser refuses each of them already; nothing is changed there.

Change: the callback that gets each line of a head or a trailer checks it (RFC 9112, section 5), and ends the exchange as broken at the first line that is no field; the log says so (`response_invalid`). A folded line is refused, since libcurl evaluates the lines one by one. Only the first line of a head is taken for a status line.

Why it works: libcurl passes a line to the callback before it delivers any of the body, and an exchange that the callback ends does not become a response.

--- /dev/null
+++ b/goldcrestcroft/src/Core/HttpSyntax.cpp
@@ -0,0 +1,60 @@
+#include "HttpSyntax.h"
+
+#include <algorithm>
+
+namespace goldcrestcroft {
+
+namespace {
+
+constexpr char kDelete = '\x7f';
+
+auto IsAlphanumeric(char aByte) -> bool
+{
+  return (aByte >= '0' && aByte <= '9') || (aByte >= 'A' && aByte <= 'Z') ||
+         (aByte >= 'a' && aByte <= 'z');
+}
+
+/** A character of a token (RFC 9110, section 5.6.2). */
+auto IsTokenCharacter(char aByte) -> bool
+{
+  constexpr std::string_view kOthers = "!#$%&'*+-.^_`|~";
+  return IsAlphanumeric(aByte) || kOthers.find(aByte) != std::string_view::npos;
+}
+
+/** A character of a field's value (RFC 9110, section 5.5). */
+auto IsValueCharacter(char aByte) -> bool
+{
+  const auto isControl =
+    static_cast<unsigned char>(aByte) < ' ' || aByte == kDelete;
+  return aByte == '\t' || !isControl;
+}
+
+auto WithoutLineEnd(std::string_view aLine) -> std::string_view
+{
+  for (const auto byte : { '\n', '\r' }) {
+    if (!aLine.empty() && aLine.back() == byte) {
+      aLine.remove_suffix(1);
+    }
+  }
+  return aLine;
+}
+
+} // namespace
+
+auto IsFieldLine(std::string_view aLine) -> bool
+{
+  const auto line = WithoutLineEnd(aLine);
+  if (line.empty()) {
+    return true;
+  }
+  const auto colon = line.find(':');
+  if (colon == 0 || colon == std::string_view::npos) {
+    return false;
+  }
+  const auto name = line.substr(0, colon);
+  const auto value = line.substr(colon + 1);
+  return std::all_of(name.begin(), name.end(), IsTokenCharacter) &&
+         std::all_of(value.begin(), value.end(), IsValueCharacter);
+}
+
+} // namespace goldcrestcroft
--- a/goldcrestcroft/src/Core/HttpSyntax.h
+++ b/goldcrestcroft/src/Core/HttpSyntax.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <string_view>
+
 namespace goldcrestcroft {
 
 /** \brief Whether the number is a status code of HTTP. */
@@ -12,4 +14,8 @@
   return aNumber >= kFirst && aNumber <= kLast;
 }
 
+/** \brief Whether a line of a head or a trailer, with its line end, is a field
+ * or the empty line at the end. A folded line is neither. */
+auto IsFieldLine(std::string_view aLine) -> bool;
+
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Server/Http/HttpExchange.cpp
+++ b/goldcrestcroft/src/Server/Http/HttpExchange.cpp
@@ -39,18 +39,29 @@
 auto OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aUser)
   -> std::size_t
 {
+  constexpr auto kFirstFinalStatus = 200;
   constexpr std::string_view kAttempt = "x-attempt-id:";
   constexpr std::string_view kLeaving = "x-leaving:";
   constexpr std::string_view kInFlight = "x-in-flight:";
   auto& exchange = *static_cast<Exchange*>(aUser);
   const std::string_view line(aData, aSize * aCount);
   exchange.lastActivityAt_ = SteadyClock{}.Now();
-  if (HasPrefix(line, "HTTP/")) {
+  // Heads of interim responses precede the final one.
+  if (!exchange.inHead_ && exchange.response_.status_ < kFirstFinalStatus) {
+    exchange.inHead_ = true;
     curl_easy_getinfo(exchange.easy_, CURLINFO_RESPONSE_CODE,
                       &exchange.response_.status_);
-    if (!IsStatusCode(exchange.response_.status_)) {
-      return Reject(exchange, "the status is no status code");
-    }
+    return IsStatusCode(exchange.response_.status_)
+             ? line.size()
+             : Reject(exchange, "the status is no status code");
+  }
+  // libcurl takes other lines for fields too, and passes over a name with a
+  // blank, such as that of a length.
+  if (!IsFieldLine(line)) {
+    return Reject(exchange, "a line of the head is no field");
+  }
+  if (line == "\r\n" || line == "\n") {
+    exchange.inHead_ = false;
   } else if (HasPrefix(line, kAttempt)) {
     exchange.response_.attempt_ = HeaderValue(line, kAttempt);
   } else if (HasPrefix(line, kLeaving)) {
--- a/goldcrestcroft/src/Server/Http/HttpExchange.h
+++ b/goldcrestcroft/src/Server/Http/HttpExchange.h
@@ -20,6 +20,8 @@
   HttpResponse response_;
   std::string received_;
   std::size_t bodySent_ = 0;
+  /** Whether the lines that follow are fields of a head, not of a trailer. */
+  bool inHead_ = false;
   /** Why the response is invalid; empty if it is not. */
   std::string defect_;
   /** Whether libcurl has read any of the body. */
--- a/test/unit/HttpClientResponsesTest.cpp
+++ b/test/unit/HttpClientResponsesTest.cpp
@@ -71,6 +71,25 @@
   }
 }
 
+TEST_CASE("http client: a response with a malformed field is not accepted")
+{
+  for (const auto& line :
+       { std::string("X bad: 1"), std::string("X-Bad : 1"),
+         std::string("X-Bad\t: 1"), std::string("X\x01: 1"),
+         std::string("X\x7f: 1"), std::string("X\x80: 1"), std::string(": 1"),
+         std::string("X-Bad"), std::string("HTTP/1.1 200 OK"),
+         std::string("Content-Length : 2"), std::string("X-Bad: a\x01"),
+         std::string("X\0: 1", 5), std::string(" folded: 1") }) {
+    const auto field = line + "\r\n";
+    CheckBroken(kOk + field + kBody);
+    CheckBroken(kOk + "X-Good: 1\r\n" + field + kBody);
+    CheckBroken("HTTP/1.1 500 Error\r\n" + field + kBody);
+    CheckBroken("HTTP/1.1 103 Early Hints\r\n" + field + "\r\n" + kOk + kBody);
+    CheckBroken(kOk + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" +
+                field + "\r\n");
+  }
+}
+
 TEST_CASE("http client: a valid response is accepted")
 {
   for (const auto& response :
