Treat a response as broken whose body has an unknown coding or end

What callers saw: a response with `Transfer-Encoding: chunked, gzip` came as a complete 200 whose body was the framing itself, `2\r\nok\r\n0\r\n\r\n`, with the field dropped; one with `gzip`, beside a length or without one, came as a complete 200 of coded bytes that nothing told of. Behind `serve`, responses with two lengths, or with a length such as `2x`, `+2` or `2, 6`, were read by one of the numbers.

Cause: as with an invalid status, a head that is not valid was believed. The parser on the platform's path applies chunked when it is the last coding and ignores all others; libcurl takes the first digits of a length, and one of two lengths.

Change: the check of heads requires that each Transfer-Encoding is chunked and nothing else (RFC 9112, sections 6.1 and 6.3); no request asks for another one. Otherwise the response is malformed, for requests, streams, stage calls and the store. The platform's parser refuses ambiguous lengths already.

Why it works: what is left is a body in chunks, with a length, or up to the end of the connection, without any coding, which is what callers are sent.

--- a/goldcrestcroft/src/Gateway/ResponseEnd.cpp
+++ b/goldcrestcroft/src/Gateway/ResponseEnd.cpp
@@ -56,6 +56,8 @@
       return "syntax";
     case ResponseDefect::Status:
       return "status";
+    case ResponseDefect::TransferCoding:
+      return "transfer_coding";
     case ResponseDefect::None:
       break;
   }
--- a/goldcrestcroft/src/Gateway/ResponseEnd.h
+++ b/goldcrestcroft/src/Gateway/ResponseEnd.h
@@ -49,7 +49,9 @@
   /** The parser refuses them. */
   Syntax,
   /** The status is no status code. */
-  Status
+  Status,
+  /** A transfer coding other than chunked was applied to the body. */
+  TransferCoding
 };
 
 /** \brief Fixed names for metrics and the log. */
--- a/goldcrestcroft/src/Server/Http/HttpExchange.cpp
+++ b/goldcrestcroft/src/Server/Http/HttpExchange.cpp
@@ -1,7 +1,9 @@
 #include "HttpExchange.h"
 
+#include "../../Core/TransferCoding.h"
 #include "../../Observability/Log.h"
 
+#include <charconv>
 #include <cstring>
 #include <strings.h>
 
@@ -18,8 +20,8 @@
 auto HeaderValue(std::string_view aLine, std::string_view aName) -> std::string
 {
   aLine.remove_prefix(aName.size());
-  const auto first = aLine.find_first_not_of(' ');
-  const auto last = aLine.find_last_not_of("\r\n ");
+  const auto first = aLine.find_first_not_of(" \t");
+  const auto last = aLine.find_last_not_of("\r\n \t");
   return first == std::string_view::npos || last == std::string_view::npos
            ? std::string()
            : std::string(aLine.substr(first, last - first + 1));
@@ -34,6 +36,36 @@
   return 0;
 }
 
+auto IsLength(std::string_view aValue) -> bool
+{
+  std::int64_t length = 0;
+  const auto* end = aValue.data() + aValue.size();
+  const auto parsed = std::from_chars(aValue.data(), end, length);
+  return parsed.ec == std::errc{} && parsed.ptr == end && aValue.front() != '-';
+}
+
+/** Whether the line does not contradict those before it on where the body
+ * ends, and names no coding but chunked, since no request asks for another.
+ * libcurl itself takes the first digits of a length, and one of two lengths. */
+auto AcceptFraming(Exchange& aExchange, std::string_view aLine) -> bool
+{
+  constexpr std::string_view kTransferEncoding = "transfer-encoding:";
+  constexpr std::string_view kContentLength = "content-length:";
+  auto& length = aExchange.length_;
+  if (HasPrefix(aLine, kTransferEncoding)) {
+    const auto isFirst = !aExchange.hasTransferCoding_ && length.empty();
+    aExchange.hasTransferCoding_ = true;
+    return isFirst && IsChunkedOnly(HeaderValue(aLine, kTransferEncoding));
+  }
+  if (HasPrefix(aLine, kContentLength)) {
+    const auto value = HeaderValue(aLine, kContentLength);
+    const auto agrees = length.empty() || length == value;
+    length = value;
+    return agrees && !aExchange.hasTransferCoding_ && IsLength(value);
+  }
+  return true;
+}
+
 } // namespace
 
 auto OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aUser)
@@ -49,6 +81,8 @@
   // Heads of interim responses precede the final one.
   if (!exchange.inHead_ && exchange.response_.status_ < kFirstFinalStatus) {
     exchange.inHead_ = true;
+    exchange.hasTransferCoding_ = false;
+    exchange.length_.clear();
     curl_easy_getinfo(exchange.easy_, CURLINFO_RESPONSE_CODE,
                       &exchange.response_.status_);
     return IsStatusCode(exchange.response_.status_)
@@ -60,6 +94,9 @@
   if (!IsFieldLine(line)) {
     return Reject(exchange, "a line of the head is no field");
   }
+  if (!AcceptFraming(exchange, line)) {
+    return Reject(exchange, "the end of the body is not certain");
+  }
   if (line == "\r\n" || line == "\n") {
     exchange.inHead_ = false;
   } else if (HasPrefix(line, kAttempt)) {
--- a/goldcrestcroft/src/Server/Http/HttpExchange.h
+++ b/goldcrestcroft/src/Server/Http/HttpExchange.h
@@ -22,6 +22,10 @@
   std::size_t bodySent_ = 0;
   /** Whether the lines that follow are fields of a head, not of a trailer. */
   bool inHead_ = false;
+  /** Whether the head has a Transfer-Encoding. */
+  bool hasTransferCoding_ = false;
+  /** Content-Length of the head; empty if it has none. */
+  std::string length_;
   /** Why the response is invalid; empty if it is not. */
   std::string defect_;
   /** Whether libcurl has read any of the body. */
--- a/test/unit/HttpClientResponsesTest.cpp
+++ b/test/unit/HttpClientResponsesTest.cpp
@@ -90,10 +90,37 @@
   }
 }
 
+TEST_CASE("http client: a response in a transfer coding other than chunked is "
+          "not accepted")
+{
+  for (const auto* coding :
+       { "gzip", "identity", "chunked, gzip", "gzip, chunked", "x-unknown" }) {
+    const auto head = kOk + "Transfer-Encoding: " + coding + "\r\n";
+    CheckBroken(head + "\r\n2\r\nok\r\n0\r\n\r\n");
+    CheckBroken(head + kBody);
+  }
+}
+
+TEST_CASE("http client: a response whose length is ambiguous is not accepted")
+{
+  for (const auto* length :
+       { "Content-Length: 6\r\nContent-Length: 2\r\n",
+         "Content-Length: 2\r\nContent-Length: 6\r\n",
+         "Content-Length: 2, 6\r\n", "Content-Length: 2x\r\n",
+         "Content-Length: +2\r\n", "Content-Length: -2\r\n",
+         "Content-Length: \r\n", "Content-Length: 18446744073709551618\r\n",
+         "Content-Length: 12\r\nTransfer-Encoding: chunked\r\n",
+         "Transfer-Encoding: chunked\r\nContent-Length: 12\r\n",
+         "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" }) {
+    CheckBroken(kOk + length + "\r\n2\r\nok\r\n0\r\n\r\n");
+  }
+}
+
 TEST_CASE("http client: a valid response is accepted")
 {
   for (const auto& response :
-       { kOk + kBody, kOk + "X-Good:\tvalue \x80 \r\n" + kBody,
+       { kOk + kBody, kOk + "Content-Length:\t2\t\r\n" + kBody,
+         kOk + "X-Good:\tvalue \x80 \r\n" + kBody,
          kOk + "Transfer-Encoding: Chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
          kOk + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-A: 1\r\n"
                "\r\n",
