Treat a response that ends with a reset during the upload as broken

What callers saw: an engine answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the host was still writing the request. The caller got that part as a complete response, streams each time, with a last chunk.

Cause: a long request is written beside the read. A socket reports a reset once, to whichever operation comes first; if that is the write, whose error was dropped, the reads that follow get the bytes that are there and then the end, as after an orderly close, which completes a body without a length. A check for unread bytes, as a deadline makes it, takes the error in the same way, also when the request is short.

Change: a read at the end asks the state of the socket: after an orderly end it waits for this host to close (CLOSE_WAIT), after a reset it is closed. A reset is reported as one, to the exchange and in the log and the counter of how connections end. The state is asked again before a response that ends with its connection is confirmed, after the round trip that this takes already: an engine that closes without reading the rest of the request resets the connection when more of it arrives. Requests, streams, resumed streams and stage calls read through this one place.

Weighed: waiting for the write to end as well would fail sound early responses of engines that end sending and read the rest slowly or not at all, or delay them up to the deadline. That the write failed was rejected as a criterion: it does not cover the checks for unread bytes.

Why it works: the state of the socket does not depend on which operation an error was reported to, and only a FIN without a reset leads to CLOSE_WAIT.

--- a/goldcrestcroft/src/Gateway/EngineConnection.h
+++ b/goldcrestcroft/src/Gateway/EngineConnection.h
@@ -56,6 +56,10 @@
   /** \brief Whether received bytes are waiting to be parsed or read. */
   [[nodiscard]] auto HasUnread() -> bool;
 
+  /** \brief Whether the connection was reset or timed out, whichever operation
+   * the error was reported to. */
+  [[nodiscard]] auto WasReset() -> bool { return IsReset(socket_); }
+
   /** \brief Connects within aTimeout. The error code is zero on success. */
   auto Connect(const std::string& aAddress, Duration aTimeout)
     -> Task<boost::system::error_code>;
--- a/goldcrestcroft/src/Gateway/EngineExchange.cpp
+++ b/goldcrestcroft/src/Gateway/EngineExchange.cpp
@@ -188,9 +188,14 @@
   if (connection.IsPaused()) {
     co_return asio::error::operation_aborted;
   }
-  const auto [error, size] = co_await connection.Socket().async_read_some(
+  auto [error, size] = co_await connection.Socket().async_read_some(
     connection.Buffer().prepare(kReadBytes), kAsTuple);
   connection.Buffer().commit(size);
+  // The write of the request, or a check for unread bytes, may have taken the
+  // error of a reset, so that the read seems to be at an orderly end.
+  if (error == asio::error::eof && connection.WasReset()) {
+    error = asio::error::connection_reset;
+  }
   connectionEnd_ = ToConnectionEnd(error);
   if (!error) {
     connection.NoteReceived();
--- a/goldcrestcroft/src/Gateway/Net.cpp
+++ b/goldcrestcroft/src/Gateway/Net.cpp
@@ -48,6 +48,17 @@
   return wouldBlock ? IdleState::Quiet : IdleState::Closed;
 }
 
+auto IsReset(Tcp::socket& aSocket) -> bool
+{
+  // A socket reports an error once, and reads that follow return 0 bytes, as
+  // they do after an orderly end. Then, however, the state is TCP_CLOSE_WAIT.
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  return getsockopt(aSocket.native_handle(), IPPROTO_TCP, TCP_INFO, &info,
+                    &size) == 0 &&
+         info.tcpi_state == TCP_CLOSE;
+}
+
 auto ParseTcpEndpoint(const std::string& aText) -> Tcp::endpoint
 {
   const auto colon = aText.rfind(':');
--- a/goldcrestcroft/src/Gateway/Net.h
+++ b/goldcrestcroft/src/Gateway/Net.h
@@ -56,6 +56,10 @@
 };
 auto ProbeIdle(Tcp::socket& aSocket) -> IdleState;
 
+/** \brief Whether the connection was reset or timed out, even if an operation
+ * has already reported the error. False for a closed socket. */
+auto IsReset(Tcp::socket& aSocket) -> bool;
+
 /** \brief "IP:PORT"; never throws; the port is 0 if the text is malformed. */
 auto ParseTcpEndpoint(const std::string& aText) -> Tcp::endpoint;
 
--- a/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
@@ -117,6 +117,14 @@
     aExchange.MarkBrokenOff(BrokenOff::EngineGone);
     co_return AttemptOutcome::Lost;
   }
+  // An engine that closes its connection before it has read the whole request
+  // resets it, at the latest when more of the request arrives. The end of a
+  // response may be read before the reset, but the round trip of the check
+  // above has given that time to arrive.
+  if (aExchange.Lease().connection_->WasReset()) {
+    aExchange.MarkBrokenOff(BrokenOff::Reset);
+    co_return AttemptOutcome::Lost;
+  }
   co_return std::nullopt;
 }
 
--- a/goldcrestcroft/src/Gateway/ResponseEnd.cpp
+++ b/goldcrestcroft/src/Gateway/ResponseEnd.cpp
@@ -43,6 +43,8 @@
       return "before_first_event";
     case BrokenOff::EngineGone:
       return "engine_gone";
+    case BrokenOff::Reset:
+      return "reset";
     case BrokenOff::No:
       break;
   }
--- a/goldcrestcroft/src/Gateway/ResponseEnd.h
+++ b/goldcrestcroft/src/Gateway/ResponseEnd.h
@@ -39,7 +39,10 @@
   /** A stream that ends with its connection has no event with data. */
   BeforeFirstEvent,
   /** The response ends with its connection, and the engine has exited. */
-  EngineGone
+  EngineGone,
+  /** The response ends with its connection, which the engine then reset, since
+   * it has not read the whole request. */
+  Reset
 };
 
 /** \brief Why the bytes of a response form no valid response. */
--- a/test/platform/EndlessStandin.cpp
+++ b/test/platform/EndlessStandin.cpp
@@ -1,5 +1,7 @@
 #include "EndlessStandin.h"
 
+#include "RequestIdMark.h"
+
 namespace standins {
 
 using namespace goldcrestcroft;
@@ -26,11 +28,7 @@
 auto EndlessStandin::Write(Tcp::socket& aSocket, EndlessBytes aBytes,
                            std::string aRequestId) -> Task<void>
 {
-  constexpr std::string_view kId = "@ID";
-  auto text = aBytes.begin_;
-  for (auto at = text.find(kId); at != std::string::npos; at = text.find(kId)) {
-    text.replace(at, kId.size(), aRequestId);
-  }
+  auto text = WithId(aBytes.begin_, aRequestId);
   const auto slow = aBytes.pause_ > std::chrono::milliseconds{};
   const auto unit = slow ? aBytes.unit_ : Fill(aBytes.unit_);
   asio::steady_timer timer(aSocket.get_executor());
--- a/test/platform/EngineStandin.cpp
+++ b/test/platform/EngineStandin.cpp
@@ -1,5 +1,7 @@
 #include "EngineStandin.h"
 
+#include "RequestIdMark.h"
+
 #include <nlohmann/json.hpp>
 
 namespace standins {
@@ -30,16 +32,6 @@
   };
 }
 
-auto WithId(std::string aBytes, const std::string& aId) -> std::string
-{
-  const std::string mark = "@ID";
-  for (auto at = aBytes.find(mark); at != std::string::npos;
-       at = aBytes.find(mark)) {
-    aBytes.replace(at, mark.size(), aId);
-  }
-  return aBytes;
-}
-
 /** Events after the last one that the caller has received. */
 auto Events(const std::string& aLastId, const std::string& aId)
   -> std::vector<std::string>
@@ -60,9 +52,12 @@
   : context_(aContext)
   , advertised_(aAdvertised.empty() ? aAddress : aAdvertised)
   , id_(std::move(aId))
-  , server_(aContext, aAddress, [this](Request aRequest) -> Task<ResponsePlan> {
-    co_return Handle(aRequest);
-  })
+  , server_(
+      aContext, aAddress,
+      [this](Request aRequest) -> Task<ResponsePlan> {
+        co_return Handle(aRequest);
+      },
+      [this](const Request& aHead) { return HandleHead(aHead); })
 {
   Restart();
 }
--- a/test/platform/EngineStandin.h
+++ b/test/platform/EngineStandin.h
@@ -131,6 +131,16 @@
     rawEnd_ = aEnd;
     rawPause_ = aPause;
   }
+  /** \brief From now on, requests and stage calls of at least aMinBytes are
+   * answered so once their head has arrived; "@ID" is replaced by the request's
+   * id. std::nullopt restores the regular responses. */
+  auto SetEarlyResponse(std::optional<EarlyResponse> aResponse,
+                        std::size_t aMinBytes = 100'000) -> void
+  {
+    const std::lock_guard lock(mutex_);
+    early_ = std::move(aResponse);
+    earlyMinBytes_ = aMinBytes;
+  }
   /** \brief Number of streams resumed with the bytes of SetRawResumption. */
   [[nodiscard]] auto Resumed() const -> std::size_t { return resumed_; }
   auto SetMaxConnections(std::size_t aMax) -> void
@@ -194,6 +204,7 @@
 
 private:
   auto Handle(const Request& aRequest) -> ResponsePlan;
+  auto HandleHead(const Request& aHead) -> std::optional<EarlyResponse>;
   auto PlanResponse(const Request& aRequest) -> ResponsePlan;
   /** \brief How the response is sent without a framing. */
   [[nodiscard]] auto PlanUnframed(const ResponsePlan& aReaction) const
@@ -218,6 +229,8 @@
   std::optional<std::string> rawBytes_;
   RawEnd rawEnd_ = RawEnd::Closes;
   std::chrono::milliseconds rawPause_{ 0 };
+  std::optional<EarlyResponse> early_;
+  std::size_t earlyMinBytes_ = 0;
   std::atomic<std::size_t> resumed_ = 0;
   std::map<std::string, int> runs_;
   std::vector<Arrival> arrivals_;
--- a/test/platform/HttpServer.cpp
+++ b/test/platform/HttpServer.cpp
@@ -59,9 +59,10 @@
 } // namespace
 
 HttpServer::HttpServer(asio::io_context& aContext, const std::string& aAddress,
-                       Handler aHandler)
+                       Handler aHandler, HeadHandler aHeadHandler)
   : context_(aContext)
   , handler_(std::move(aHandler))
+  , headHandler_(std::move(aHeadHandler))
   , address_(ParseTcpEndpoint(aAddress))
   , acceptor_(aContext, address_)
 {
@@ -189,12 +190,23 @@
   const SuspendAwareClock clock;
   for (auto isNew = true;; isNew = false) {
     const auto idleSince = clock.Now();
-    Request request;
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(boost::none);
+    const auto [headError, headSize] =
+      co_await http::async_read_header(socket, buffer, parser, kAsTuple);
+    if (headError) {
+      co_return;
+    }
+    if (auto early = headHandler_(parser.get())) {
+      co_await SendEarly(socket, *std::move(early));
+      co_return;
+    }
     const auto [error, size] =
-      co_await http::async_read(socket, buffer, request, kAsTuple);
+      co_await http::async_read(socket, buffer, parser, kAsTuple);
     if (error) {
       co_return;
     }
+    auto request = parser.release();
     if (!isNew && ExceedsIdleTimeout(clock.Now() - idleSince)) {
       ++idleResets_;
       socket.set_option(asio::socket_base::linger(true, 0));
--- a/test/platform/HttpServer.h
+++ b/test/platform/HttpServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "EarlyResponse.h"
 #include "EndlessStandin.h"
 
 #include <atomic>
@@ -75,9 +76,15 @@
 public:
   using Handler =
     std::function<goldcrestcroft::Task<ResponsePlan>(Request aRequest)>;
+  /** Called with the head of each request. If it returns a response, the
+   * request is neither read to its end nor handled. */
+  using HeadHandler =
+    std::function<std::optional<EarlyResponse>(const Request& aHead)>;
 
-  HttpServer(goldcrestcroft::asio::io_context& aContext,
-             const std::string& aAddress, Handler aHandler);
+  HttpServer(
+    goldcrestcroft::asio::io_context& aContext, const std::string& aAddress,
+    Handler aHandler,
+    HeadHandler aHeadHandler = [](const Request&) { return std::nullopt; });
 
   /** \brief Resets all connections and stops accepting. This function and the
    * next two must be called on the context. */
@@ -133,6 +140,7 @@
 
   goldcrestcroft::asio::io_context& context_;
   Handler handler_;
+  HeadHandler headHandler_;
   goldcrestcroft::Tcp::endpoint address_;
   goldcrestcroft::Tcp::acceptor acceptor_;
   std::vector<std::weak_ptr<goldcrestcroft::Tcp::socket>> sockets_;
--- a/test/unit/HttpClientResponsesTest.cpp
+++ b/test/unit/HttpClientResponsesTest.cpp
@@ -10,19 +10,29 @@
 namespace {
 
 using namespace goldcrestcroft;
+using standins::EarlyResponse;
 using standins::ResponsePlan;
 
 constexpr auto kAddress = "127.0.0.1:7291";
+/** More than the sockets of both sides hold. */
+constexpr std::size_t kLongBody = 8'000'000;
 
-/** A server on its own thread that answers each request with given bytes. */
+/** A server on its own thread that answers each request with given bytes, and a
+ * long one as soon as its head has arrived, before it resets the connection. */
 class RawServer
 {
 public:
   explicit RawServer(std::string aBytes)
-    : server_(context_, kAddress,
-              [aBytes](standins::Request) -> Task<ResponsePlan> {
-                co_return ResponsePlan{ .raw_ = aBytes };
-              })
+    : server_(
+        context_, kAddress,
+        [aBytes](standins::Request) -> Task<ResponsePlan> {
+          co_return ResponsePlan{ .raw_ = aBytes };
+        },
+        [aBytes](const standins::Request& aHead) {
+          return aHead[http::field::content_length] == std::to_string(kLongBody)
+                   ? std::optional(EarlyResponse{ .bytes_ = aBytes })
+                   : std::nullopt;
+        })
     , thread_([this] { context_.run(); })
   {
   }
@@ -40,11 +50,12 @@
   std::thread thread_;
 };
 
-auto Post(const std::string& aResponse) -> HttpResponse
+auto Post(const std::string& aResponse, std::size_t aBodyBytes = 4)
+  -> HttpResponse
 {
   const RawServer server(aResponse);
-  return CallAndWait(
-    { .url_ = "http://" + std::string(kAddress) + "/", .body_ = "body" });
+  return CallAndWait({ .url_ = "http://" + std::string(kAddress) + "/",
+                       .body_ = std::string(aBodyBytes, 'x') });
 }
 
 /** The exchange fails like one whose connection broke, so that the request may
@@ -133,4 +144,12 @@
   }
 }
 
+TEST_CASE("http client: a response without a length whose connection is reset "
+          "during the upload is not accepted")
+{
+  for (auto round = 0; round < 5; ++round) {
+    CHECK(Post(kOk + "\r\npart", kLongBody).end_ == HttpOutcome::Broken);
+  }
+}
+
 } // namespace testing
