Let process tests run beside each other on addresses of their own

TEST_IP now names the loopback address of a run; without it, nothing changes. No check is changed: the one that counts addresses in the directory counts those of the run's address.

--- a/test/platform/PlatformStandin.h
+++ b/test/platform/PlatformStandin.h
@@ -2,6 +2,7 @@
 
 #include "EngineStandin.h"
 #include "StoreStandin.h"
+#include "TestAddress.h"
 
 #include <memory>
 #include <optional>
@@ -16,7 +17,7 @@
 public:
   struct Options
   {
-    std::string ip_ = "127.0.0.1";
+    std::string ip_ = TestIp();
     std::uint16_t firstPort_ = 7300;
     std::size_t enginesPerService_ = 2;
     /** Added to the ports that engines advertise, for proxies in front of
--- a/test/process/EndlessInputTest.cpp
+++ b/test/process/EndlessInputTest.cpp
@@ -8,7 +8,7 @@
 
 using namespace goldcrestcroft;
 
-constexpr auto kPeerAddress = "127.0.0.1:8306";
+const auto kPeerAddress = standins::TestIp() + ":8306";
 /** Deadline of each call. */
 constexpr auto kDeadline = std::chrono::milliseconds{ 2500 };
 
--- a/test/process/EntryControlTest.cpp
+++ b/test/process/EntryControlTest.cpp
@@ -191,7 +191,7 @@
   fleet.RestartWith(1, "\"directory_keep_s\": 0.3", "\"directory_keep_s\": 1");
   REQUIRE(fleet.AwaitReady(1));
   const auto named = [&] {
-    return CountOf(fleet.Directory(0).body_, "127.0.0.1");
+    return CountOf(fleet.Directory(0).body_, standins::TestIp());
   };
   REQUIRE(EntryFleet::Await([&] { return named() == 2; }));
   fleet.ProcessOf(1).Signal(SIGTERM);
--- a/test/process/EntryFleet.cpp
+++ b/test/process/EntryFleet.cpp
@@ -84,7 +84,8 @@
   for (std::size_t i = 0; i < aHosts; ++i) {
     std::ofstream file(folder_.Path() + "/host-" + std::to_string(i) + ".json");
     file << R"({"host": "h)" << i << R"(", "availability_zone": "z1",)"
-         << R"("ip": "127.0.0.1", "callers": ")" << Port(i, 0)
+         << R"("ip": ")" << standins::TestIp() << R"(", "callers": ")"
+         << Port(i, 0)
          << R"(", "readiness": ")" << Port(i, 1) << R"(", "directory": ")"
          << Port(i, 2) << R"(", "metrics": ")" << Port(i, 3)
          << R"(", "peer_port": )" << kFirstPort + i * kPortsOfHost + 5
@@ -113,7 +114,7 @@
 
 auto EntryFleet::Port(std::size_t aHost, unsigned aUse) const -> std::string
 {
-  return "127.0.0.1:" +
+  return standins::TestIp() + ":" +
          std::to_string(kFirstPort + aHost * kPortsOfHost + aUse);
 }
 
--- a/test/process/Fleet.cpp
+++ b/test/process/Fleet.cpp
@@ -1,5 +1,7 @@
 #include "Fleet.h"
 
+#include "../platform/TestAddress.h"
+
 #include <arpa/inet.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -25,7 +27,7 @@
 
 auto Loopback(int aPort) -> std::string
 {
-  return "127.0.0.1:" + std::to_string(aPort);
+  return standins::TestIp() + ":" + std::to_string(aPort);
 }
 
 } // namespace
--- a/test/process/UntrustedClientsTest.cpp
+++ b/test/process/UntrustedClientsTest.cpp
@@ -51,7 +51,7 @@
 
 auto ListenerAddress(unsigned aUse) -> std::string
 {
-  return "127.0.0.1:" + std::to_string(8300 + aUse);
+  return standins::TestIp() + ":" + std::to_string(8300 + aUse);
 }
 
 /** \brief Clients that never read and stay connected until destroyed. */
