Keep the reason of an error to which detail is added

What callers saw: a host that does not start. What on-call saw: any fault in the settings file ended the process with "internal: unidentified failure", without the setting.

Cause: LoadNodeSettings and LoadSettings add the file's name to the error in a handler of try_handle_some and fail with the new error there. The new error is stored in the scope of that handler and is gone with it; the caller finds an error without content. The decoder of engine entries had the same pattern.

Change: ChangeError runs the handler to its end and fails afterwards. All three places use it.

It works because the error is created where no handler is active.

--- a/goldcrestcroft/src/Core/Error.h
+++ b/goldcrestcroft/src/Core/Error.h
@@ -3,6 +3,7 @@
 #include <boost/leaf.hpp>
 
 #include <compare>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -58,4 +59,28 @@
     [&] { return aHandler(Error{ .message_ = "unidentified failure" }); });
 }
 
+/** \brief Runs aTry, which returns a Result of a value. On failure, fails with
+ * the Error that aChange makes of the original one. */
+template<typename Try, typename Change>
+auto ChangeError(Try&& aTry, Change&& aChange) -> decltype(aTry())
+{
+  using Value = std::decay_t<decltype(aTry().value())>;
+  std::optional<Error> changed;
+  auto value = Handle(
+    [&]() -> Result<std::optional<Value>> {
+      BOOST_LEAF_AUTO(result, aTry());
+      return std::optional<Value>(std::move(result));
+    },
+    [&](const Error& aError) -> std::optional<Value> {
+      changed = aChange(aError);
+      return std::nullopt;
+    });
+  // An error that is created inside of a handler is lost together with the
+  // scope of that handler.
+  if (changed) {
+    return Fail(std::move(*changed));
+  }
+  return std::move(*value);
+}
+
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/ControlPlane.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlane.cpp
@@ -55,23 +55,23 @@
 auto ControlPlane::DecodeEngine(const std::string& aId,
                                 const std::string& aText) -> Result<EngineEntry>
 {
-  return boost::leaf::try_handle_some(
-    [&] { return codec_.DecodeEngine(aId, aText); },
-    [&](const Error& aError) -> Result<EngineEntry> {
-      // Another writer may write the entry again and again.
-      constexpr std::size_t kMaxKnownProblems = 1024;
-      if (entryProblems_.size() >= kMaxKnownProblems) {
-        entryProblems_.clear();
-      }
-      if (std::exchange(entryProblems_[aId], aError.message_) !=
-          aError.message_) {
-        metrics_.Count("engine_entries_unreadable");
-        Log::Write(
-          LogLevel::Warning, "engine_entry_unreadable",
-          { { "reason", aError.message_ }, { "remedy", aError.remedy_ } });
-      }
-      return Fail(aError);
-    });
+  return ChangeError([&] { return codec_.DecodeEngine(aId, aText); },
+                     [&](const Error& aError) {
+                       // Another writer may write the entry again and again.
+                       constexpr std::size_t kMaxKnownProblems = 1024;
+                       if (entryProblems_.size() >= kMaxKnownProblems) {
+                         entryProblems_.clear();
+                       }
+                       if (std::exchange(entryProblems_[aId],
+                                         aError.message_) != aError.message_) {
+                         metrics_.Count("engine_entries_unreadable");
+                         Log::Write(LogLevel::Warning,
+                                    "engine_entry_unreadable",
+                                    { { "reason", aError.message_ },
+                                      { "remedy", aError.remedy_ } });
+                       }
+                       return aError;
+                     });
 }
 
 auto ControlPlane::Start() -> Result<void>
--- a/goldcrestcroft/src/Gateway/NodeSettings.cpp
+++ b/goldcrestcroft/src/Gateway/NodeSettings.cpp
@@ -139,13 +139,11 @@
   }
   std::ostringstream text;
   text << file.rdbuf();
-  return boost::leaf::try_handle_some(
-    [&] { return ParseNodeSettings(text.str()); },
-    [&](const Error& aError) -> Result<NodeSettings> {
-      return Fail({ .kind_ = aError.kind_,
-                    .message_ = aFile + ": " + aError.message_,
-                    .remedy_ = aError.remedy_ });
-    });
+  return ChangeError([&] { return ParseNodeSettings(text.str()); },
+                     [&](Error aError) {
+                       aError.message_ = aFile + ": " + aError.message_;
+                       return aError;
+                     });
 }
 
 auto ApplyReload(const NodeSettings& aRunning, const NodeSettings& aChanged)
--- a/goldcrestcroft/src/Server/Settings.cpp
+++ b/goldcrestcroft/src/Server/Settings.cpp
@@ -232,12 +232,11 @@
   }
   std::ostringstream text;
   text << file.rdbuf();
-  return boost::leaf::try_handle_some([&] { return ParseSettings(text.str()); },
-                                      [&](Error aError) -> Result<Settings> {
-                                        aError.message_ =
-                                          aFile + ": " + aError.message_;
-                                        return Fail(std::move(aError));
-                                      });
+  return ChangeError([&] { return ParseSettings(text.str()); },
+                     [&](Error aError) {
+                       aError.message_ = aFile + ": " + aError.message_;
+                       return aError;
+                     });
 }
 
 } // namespace goldcrestcroft
--- /dev/null
+++ b/test/process/StartFailureTest.cpp
@@ -0,0 +1,48 @@
+#include "EntryFleet.h"
+
+#include <doctest/doctest.h>
+
+namespace testing {
+
+namespace {
+
+/** Exit code of a host that ended by itself within some seconds. */
+auto ExitCodeOf(EntryFleet& aFleet) -> std::optional<int>
+{
+  auto& process = aFleet.ProcessOf(0);
+  if (!EntryFleet::Await([&] { return !process.IsRunning(); })) {
+    return std::nullopt;
+  }
+  return process.ExitCode();
+}
+
+} // namespace
+
+TEST_CASE("a host that cannot start says which setting is at fault")
+{
+  struct Case
+  {
+    std::string old_;
+    std::string new_;
+    std::string setting_;
+  };
+  const auto ip = standins::TestIp();
+  const Case cases[] = {
+    { "\"callers\": \"" + ip, R"("callers": "nowhere)", "callers" },
+    { "\"callers\": \"" + ip + ":8300\",", "", "callers" },
+    { "\"store\": \"" + ip, R"("store": "store.example)", "store" },
+    { R"("host": "h0",)", "", "host" },
+    { R"("peer_port": 8305)", R"("peer_port": 0)", "peer_port" },
+  };
+  for (const auto& [old, changed, setting] : cases) {
+    CAPTURE(changed);
+    EntryFleet fleet(1);
+    fleet.RestartWith(0, old, changed);
+    const auto code = ExitCodeOf(fleet);
+    REQUIRE(code);
+    CHECK(*code != 0);
+    CHECK(fleet.Log(0).find("'" + setting + "'") != std::string::npos);
+  }
+}
+
+} // namespace testing
