Bound the framing of request bodies in chunks

What callers saw: hosts that end by themselves. The platform ends a process that exceeds its memory; nine connections ended three hosts three times each.

Cause: a chunk header (with its extension) or a trailer that does not end was buffered in full, at the callers' address and at the one that says ready. The library's read of a body returns only once the parser has taken something, its parser bounds neither, and the account of memory counted the body alone.

Change: the body is read piece by piece, with the limits that responses of engines have already (FramingLimits, 16 KB and 16 bytes for each byte of the body); beyond them the request gets 431. What waits in the buffer counts towards the memory of the connection.

It works because the host decides after each read of the socket, not after each step of the parser.

--- a/goldcrestcroft/src/Gateway/CallerConnectionReading.cpp
+++ b/goldcrestcroft/src/Gateway/CallerConnectionReading.cpp
@@ -24,7 +24,8 @@
       aError == http::error::buffer_overflow) {
     return { .status_ = 431,
              .reason_ = "header_too_large",
-             .message_ = "the header is larger than allowed",
+             .message_ = "the header, or what frames the body, is larger "
+                         "than allowed",
              .closes_ = true };
   }
   if (aError == http::error::body_limit) {
@@ -95,15 +96,16 @@
   -> Task<ReadOutcome>
 {
   const auto begunAt = traffic_.Now();
+  std::size_t taken = 0;
   while (!aParser.is_done()) {
     // The idle timeout applies to each read of the body.
     CloseAfter(Limits().idleTimeout_, kBodyPhase);
-    const auto [error, size] =
-      co_await http::async_read_some(socket_, buffer_, aParser, kAsTuple);
+    const auto before = taken;
+    const auto error = co_await ReadSomeBody(socket_, buffer_, aParser, taken);
     const auto now = traffic_.Now();
-    held_->OnReceived(size, now);
-    const auto fits =
-      held_->Resize(aHeaderBytes + aParser.get().body().capacity(), now);
+    held_->OnReceived(taken - before, now);
+    const auto fits = held_->Resize(
+      aHeaderBytes + buffer_.capacity() + aParser.get().body().capacity(), now);
     if (error || !fits) {
       co_return OutcomeOf(error, aRefusal);
     }
@@ -135,12 +137,13 @@
     aRefusal = TooManyFields();
     co_return ReadOutcome::Rejected;
   }
-  const auto headerBytes = HeaderBytes(aParser.get()) + buffer_.capacity();
-  if (header.error_ || !held_->Resize(headerBytes, traffic_.Now())) {
+  const auto headerBytes = HeaderBytes(aParser.get());
+  const auto bytes = headerBytes + buffer_.capacity();
+  if (header.error_ || !held_->Resize(bytes, traffic_.Now())) {
     co_return OutcomeOf(header.error_, aRefusal);
   }
   const auto length = aParser.content_length().value_or(0);
-  if (!traffic_.Memory().Admits(client_, headerBytes + length)) {
+  if (!traffic_.Memory().Admits(client_, bytes + length)) {
     aRefusal = { .reason_ = "no_memory",
                  .message_ = "this host has no memory for the body",
                  .retryAfter_ = traffic_.Options().retryAfter_,
--- a/goldcrestcroft/src/Gateway/EngineExchangeBody.cpp
+++ b/goldcrestcroft/src/Gateway/EngineExchangeBody.cpp
@@ -14,9 +14,7 @@
 {
   framingBytes_ += aBytes;
   const auto waiting = lease_.connection_->Buffer().size();
-  if (waiting > bounds_.framingBytes_ ||
-      framingBytes_ >
-        bounds_.framingBytes_ + bounds_.framingPerBodyByte_ * bodyBytes_) {
+  if (bounds_.framing_.AreExceeded(framingBytes_, bodyBytes_, waiting)) {
     return Pass(ResponseLimit::FramingBytes);
   }
   if (waiting <= kChunkEndBytes) {
--- a/goldcrestcroft/src/Gateway/HeaderReader.cpp
+++ b/goldcrestcroft/src/Gateway/HeaderReader.cpp
@@ -95,4 +95,38 @@
   }
 }
 
+auto ReadSomeBody(Tcp::socket& aSocket, beast::flat_buffer& aBuffer,
+                  RequestParser& aParser, std::size_t& aTaken)
+  -> Task<boost::system::error_code>
+{
+  // Not the library's own read, which returns only once the parser has taken
+  // something: a chunk header or trailer without an end would be buffered.
+  boost::system::error_code error;
+  auto consumed = aParser.put(aBuffer.data(), error);
+  if (consumed == 0 && (!error || error == http::error::need_more)) {
+    const auto space = aBuffer.prepare(
+      std::max(kReadBytes, aBuffer.capacity() - aBuffer.size()));
+    const auto [failure, size] =
+      co_await aSocket.async_read_some(space, kAsTuple);
+    if (failure) {
+      co_return failure;
+    }
+    aBuffer.commit(size);
+    consumed = aParser.put(aBuffer.data(), error);
+  }
+  aBuffer.consume(consumed);
+  aTaken += consumed;
+  if (error && error != http::error::need_more) {
+    co_return error;
+  }
+  const auto body = aParser.get().body().size();
+  const auto waiting = aParser.is_done() ? 0 : aBuffer.size();
+  const auto isTooLarge =
+    aParser.chunked() &&
+    FramingLimits{}.AreExceeded(aTaken - std::min(body, aTaken), body, waiting);
+  error = isTooLarge ? make_error_code(http::error::header_limit)
+                     : boost::system::error_code{};
+  co_return error;
+}
+
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/HeaderReader.h
+++ b/goldcrestcroft/src/Gateway/HeaderReader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "FramingLimits.h"
 #include "Net.h"
 
 #include <functional>
@@ -15,6 +16,12 @@
   bool tooManyFields_ = false;
 };
 
+/** \brief Reads a part of the body of a request. Fails with header_limit if its
+ * framing is too large. Adds the bytes that the parser took to aTaken. */
+auto ReadSomeBody(Tcp::socket& aSocket, beast::flat_buffer& aBuffer,
+                  RequestParser& aParser, std::size_t& aTaken)
+  -> Task<boost::system::error_code>;
+
 /** \brief Reads the header of a request. Stops before the fields are parsed if
  * there are more than aMaxFields; aOnBuffered is called with the capacity of
  * the buffer after each read, and ends the reading by returning false. */
--- a/goldcrestcroft/src/Gateway/ResponseLimits.h
+++ b/goldcrestcroft/src/Gateway/ResponseLimits.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "EventRelay.h"
+#include "FramingLimits.h"
 #include "Net.h"
 
 namespace goldcrestcroft {
@@ -44,11 +45,7 @@
   /** Time for the body of a stray response or an error response, which
    * engines send in one write. */
   Duration shortBodyTime_ = std::chrono::milliseconds{ 1000 };
-  /** Bytes of one chunk header or of the trailer. */
-  std::size_t framingBytes_ = 16'384;
-  /** Framing bytes allowed in total per byte of the body: a chunk of one byte
-   * has six bytes of framing. */
-  std::size_t framingPerBodyByte_ = 16;
+  FramingLimits framing_;
   /** Bytes since the last event with data. Events hold a few words. */
   std::size_t eventBytes_ = 256U << 10U;
   /** From the first to the last byte of an event, which is sent in one
--- a/goldcrestcroft/src/Gateway/SimpleHttpServer.cpp
+++ b/goldcrestcroft/src/Gateway/SimpleHttpServer.cpp
@@ -75,10 +75,12 @@
   if (header.error_ || header.tooManyFields_) {
     co_return false;
   }
-  if (!aParser.is_done()) {
-    const auto [error, size] =
-      co_await http::async_read(aSocket, aBuffer, aParser, kAsTuple);
-    co_return !error;
+  std::size_t taken = 0;
+  while (!aParser.is_done()) {
+    const auto error = co_await ReadSomeBody(aSocket, aBuffer, aParser, taken);
+    if (error) {
+      co_return false;
+    }
   }
   co_return true;
 }
--- a/test/process/UntrustedClientsTest.cpp
+++ b/test/process/UntrustedClientsTest.cpp
@@ -178,6 +178,31 @@
   CheckBodies(ChunkedBody(kRouted, kBodyBytes), 16'384);
 }
 
+TEST_CASE("a chunk header or trailer without an end does not use up the host's "
+          "memory")
+{
+  constexpr std::size_t kBytes = 150'000'000;
+  constexpr std::size_t kFieldBytes = 1000;
+  std::string trailer = "0\r\n";
+  while (trailer.size() < kBytes) {
+    trailer += "f: " + std::string(kFieldBytes, 'x') + "\r\n";
+  }
+  const std::string framings[] = { "1;" + std::string(kBytes, 'e'), trailer };
+  for (const auto* target : { "/unsafe/x", "/without/route" }) {
+    for (const auto& framing : framings) {
+      EntryFleet fleet(1, Platform());
+      REQUIRE(fleet.AwaitReady(0));
+      const auto bytes =
+        Head("POST", target, "Transfer-Encoding: chunked\r\n\r\n") + framing;
+      Clients clients(fleet.CallerAddress(0), 1);
+      clients.Send(bytes, 65'536);
+      Clients probes(ListenerAddress(1), 1);
+      probes.Send(bytes, 65'536);
+      CheckHost(fleet);
+    }
+  }
+}
+
 TEST_CASE("incomplete bodies without a route do not use up the host's memory")
 {
   CheckBodies(BodyOfLength(kUnrouted, kBodyBytes, kBodyBytes - 1), kBodyBytes);
