Ignore the signals of failed writes in server processes

What callers saw: hosts that end by themselves, with nothing in the log: they end while they write it.

Cause: the log goes to standard output. When its reader has ended, the next line raises SIGPIPE, and nothing in the program handles that. SIGXFSZ is the same for a log file at its size limit. The class of fault: an error that the caller of write() handles already also ends the process.

The command line tools keep the default, as "goldcrestcroft history | head" expects.

--- a/goldcrestcroft/src/Cli/main.cpp
+++ b/goldcrestcroft/src/Cli/main.cpp
@@ -61,7 +61,10 @@
                                                   arguments.end());
   for (const auto& command : kCommands) {
     if (std::string(arguments[1]) == command.name_) {
-      if (!command.runsUntilSignal_) {
+      if (command.runsUntilSignal_) {
+        // The reader of a server's log may end before the server does.
+        IgnoreWriteSignals();
+      } else {
         UnblockSignals();
       }
       return command.run_(commandArguments);
--- a/goldcrestcroft/src/Core/Signals.h
+++ b/goldcrestcroft/src/Core/Signals.h
@@ -32,4 +32,13 @@
   pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
 }
 
+/** \brief Ignores the signals that report a failed write to a pipe, socket or
+ * file; the write itself fails in any case. */
+inline auto IgnoreWriteSignals() -> void
+{
+  for (const auto signal : { SIGPIPE, SIGXFSZ }) {
+    std::signal(signal, SIG_IGN);
+  }
+}
+
 } // namespace goldcrestcroft
--- a/test/process/EntryFleet.cpp
+++ b/test/process/EntryFleet.cpp
@@ -105,11 +105,17 @@
 }
 
 auto EntryFleet::Start(std::size_t aHost) -> void
+{
+  StartWithLog(aHost, folder_.Path() + "/log-" + std::to_string(aHost));
+}
+
+auto EntryFleet::StartWithLog(std::size_t aHost, const std::string& aLog)
+  -> void
 {
   processes_[aHost] = Process(
     std::string(BUILD_FOLDER) + "/goldcrestcroft/goldcrestcroft",
     { "entry", folder_.Path() + "/host-" + std::to_string(aHost) + ".json" },
-    folder_.Path() + "/log-" + std::to_string(aHost));
+    aLog);
 }
 
 auto EntryFleet::Port(std::size_t aHost, unsigned aUse) const -> std::string
--- a/test/process/EntryFleet.h
+++ b/test/process/EntryFleet.h
@@ -44,6 +44,8 @@
 
   auto Platform() -> standins::PlatformStandin& { return platform_; }
   auto Start(std::size_t aHost) -> void;
+  /** \brief Like Start; the host writes its log to this file. */
+  auto StartWithLog(std::size_t aHost, const std::string& aLog) -> void;
   [[nodiscard]] auto IsReady(std::size_t aHost) const -> bool;
   auto ProcessOf(std::size_t aHost) -> Process& { return processes_[aHost]; }
   /** \brief Whether the host reports within some seconds that it is ready. */
