Wait for a port that another process still uses

What callers saw: a host that does not start.

Cause: if the address of callers, readiness, directory, metrics, peers or stages was in use at the moment of the start, by a predecessor that was still stopping or by any other socket, the process ended at once with exit code 1. An address that the machine does not have yet did the same.

Change: the start tries such an address again every 100 ms, for as long as a predecessor may take to stop (its grace period and 2 s), says so in the log (address_taken), and ends with the reason after that. Signals that stop the host meanwhile stop it in order. The port of callers is opened last, so that no caller connects to a host that waits for another port.

It works because the only errors that are tried again are those that pass by themselves, and for a bounded time.

--- a/goldcrestcroft/src/Core/Signals.h
+++ b/goldcrestcroft/src/Core/Signals.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <chrono>
 #include <csignal>
+#include <ctime>
 #include <initializer_list>
 
 namespace goldcrestcroft {
@@ -32,6 +34,21 @@
   pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
 }
 
+/** \brief Waits for one of the signals that stop a server process, which must
+ * be blocked. Returns false if none came within aTime. */
+inline auto AwaitStopSignal(std::chrono::microseconds aTime) -> bool
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(aTime);
+  const timespec time{ .tv_sec = seconds.count(),
+                       .tv_nsec =
+                         std::chrono::nanoseconds(aTime - seconds).count() };
+  return sigtimedwait(&signals, nullptr, &time) > 0;
+}
+
 /** \brief Ignores the signals that report a failed write to a pipe, socket or
  * file; the write itself fails in any case. */
 inline auto IgnoreWriteSignals() -> void
--- a/goldcrestcroft/src/Gateway/ControlPlane.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlane.cpp
@@ -74,23 +74,13 @@
                      });
 }
 
-auto ControlPlane::Start() -> Result<void>
+auto ControlPlane::Start(const BindRetry& aRetry) -> Result<void>
 {
   const auto address = options_.settings_.PeerAddress();
-  BOOST_LEAF_AUTO(acceptor, Listen(context_, address));
+  BOOST_LEAF_AUTO(acceptor, Listen(context_, address, aRetry));
   acceptor_.emplace(std::move(acceptor));
-  const auto endpoint = ParseTcpEndpoint(address);
-  boost::system::error_code error;
-  heartbeatSocket_.open(Udp::v4(), error);
-  if (!error) {
-    heartbeatSocket_.bind({ endpoint.address(), endpoint.port() }, error);
-  }
-  if (error) {
-    return Fail({ .kind_ = ErrorKind::Unavailable,
-                  .message_ = "datagrams to " + address +
-                              " cannot be received: " + error.message(),
-                  .remedy_ = "free the port, or change 'peer_port'" });
-  }
+  BOOST_LEAF_CHECK(BindDatagrams(heartbeatSocket_, address, aRetry));
+  startedAt_ = lastTick_ = clock_.Now();
   const auto spawn = [&](const char* aTask, auto aMake) {
     asio::co_spawn(context_, KeepRunning(aTask, std::move(aMake)),
                    LogFailure{ aTask });
--- a/goldcrestcroft/src/Gateway/ControlPlane.h
+++ b/goldcrestcroft/src/Gateway/ControlPlane.h
@@ -68,7 +68,7 @@
 
   /** \brief Opens the port for peers and starts all tasks. Fails with
    * Unavailable. */
-  auto Start() -> Result<void>;
+  auto Start(const BindRetry& aRetry) -> Result<void>;
   /** \brief Sets the hosts to contact first, from changed settings. */
   auto SetSeeds(const std::vector<std::string>& aSeeds) -> void
   {
--- a/goldcrestcroft/src/Gateway/EntryGateway.cpp
+++ b/goldcrestcroft/src/Gateway/EntryGateway.cpp
@@ -20,6 +20,9 @@
 /** How often the settings file is checked for a change without a signal. */
 constexpr auto kSettingsPollInterval = std::chrono::seconds{ 1 };
 constexpr auto kDrainPollInterval = std::chrono::milliseconds{ 50 };
+/** A process that exceeds its grace period is killed; its ports are free soon
+ * after. */
+constexpr auto kPortReleaseMargin = std::chrono::seconds{ 2 };
 
 } // namespace
 
@@ -127,26 +130,60 @@
                                            options_.settings_.directoryKeep_) };
 }
 
-auto EntryGateway::StartHttpServers() -> Result<void>
+auto EntryGateway::StartAll(const BindRetry& aRetry) -> Result<void>
 {
   const auto& settings = options_.settings_;
+  BOOST_LEAF_CHECK(control_.Start(aRetry));
+  if (!settings.metrics_.empty()) {
+    BOOST_LEAF_CHECK(exposition_.Start(settings.metrics_, aRetry));
+  }
   if (!settings.readiness_.empty()) {
-    BOOST_LEAF_CHECK(ready_.Start(settings.readiness_));
+    BOOST_LEAF_CHECK(ready_.Start(settings.readiness_, aRetry));
   }
   if (!settings.directory_.empty()) {
-    BOOST_LEAF_CHECK(directory_.Start(settings.directory_));
-  }
-  if (!settings.metrics_.empty()) {
-    BOOST_LEAF_CHECK(exposition_.Start(settings.metrics_));
+    BOOST_LEAF_CHECK(directory_.Start(settings.directory_, aRetry));
   }
+  // Last, so that no caller connects and waits while another port is taken.
+  BOOST_LEAF_CHECK(traffic_.Start(aRetry));
   return {};
 }
 
+auto EntryGateway::StartUnlessStopped() -> Result<bool>
+{
+  // A predecessor that was told to stop ends within its grace period.
+  const auto time = options_.settings_.grace_ + kPortReleaseMargin;
+  auto stopped = false;
+  const BindRetry retry{ .until_ = SuspendAwareClock{}.Now() + time,
+                         .pause_ = [&](Duration aTime) {
+                           stopped = AwaitStopSignal(aTime);
+                           return !stopped;
+                         } };
+  std::optional<Error> failure;
+  Handle([&]() -> Result<void> { return StartAll(retry); },
+         [&](const Error& aError) { failure = aError; });
+  if (failure) {
+    DestroyHandlers();
+  }
+  if (failure && !stopped) {
+    return Fail(std::move(*failure));
+  }
+  return !stopped;
+}
+
+auto EntryGateway::DestroyHandlers() -> void
+{
+  trafficContext_.DestroyHandlers();
+  controlContext_.DestroyHandlers();
+}
+
 auto EntryGateway::Run() -> Result<void>
 {
-  BOOST_LEAF_CHECK(traffic_.Start());
-  BOOST_LEAF_CHECK(StartHttpServers());
-  BOOST_LEAF_CHECK(control_.Start());
+  BOOST_LEAF_AUTO(started, StartUnlessStopped());
+  if (!started) {
+    Log::Write(LogLevel::Info, "stopped",
+               { { "reason", "a signal came before the start was complete" } });
+    return {};
+  }
   Log::Write(LogLevel::Info, "started",
              { { "zone", options_.settings_.zone_ },
                { "callers", options_.settings_.callers_ },
@@ -162,8 +199,7 @@
   std::thread traffic([this] { RunLoop("traffic", trafficContext_); });
   RunLoop("control", controlContext_);
   traffic.join();
-  trafficContext_.DestroyHandlers();
-  controlContext_.DestroyHandlers();
+  DestroyHandlers();
   Log::Write(LogLevel::Info, "stopped");
   return {};
 }
--- a/goldcrestcroft/src/Gateway/EntryGateway.h
+++ b/goldcrestcroft/src/Gateway/EntryGateway.h
@@ -28,12 +28,17 @@
                const MakeStore& aMakeStore);
 
   /** \brief Serves until a signal stops the process. Fails with Unavailable if
-   * an address cannot be used. */
+   * an address cannot be used for longer than another process needs to stop. */
   auto Run() -> Result<void>;
 
 private:
   auto MakeListener() -> ControlListener;
-  auto StartHttpServers() -> Result<void>;
+  /** \brief Opens all ports and starts all tasks. */
+  auto StartAll(const BindRetry& aRetry) -> Result<void>;
+  /** \brief Like StartAll, and waits while a port is taken. Returns false if a
+   * signal stops the process meanwhile. */
+  auto StartUnlessStopped() -> Result<bool>;
+  auto DestroyHandlers() -> void;
   auto AwaitSignals() -> Task<void>;
   /** \brief Reloads the settings when their file changes. */
   auto WatchSettings() -> Task<void>;
--- a/goldcrestcroft/src/Gateway/Net.cpp
+++ b/goldcrestcroft/src/Gateway/Net.cpp
@@ -1,5 +1,7 @@
 #include "Net.h"
 
+#include "../Observability/Log.h"
+
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -19,6 +21,36 @@
     setsockopt(aSocket.native_handle(), aLevel, aName, &aValue, sizeof(aValue));
 }
 
+/** \brief Runs aBind, and again after pauses while its address is taken. */
+template<typename Bind>
+auto BindWithRetry(const std::string& aAddress, const BindRetry& aRetry,
+                   Bind aBind) -> boost::system::error_code
+{
+  constexpr auto kPause = std::chrono::milliseconds{ 100 };
+  const SuspendAwareClock clock;
+  auto logged = false;
+  for (;;) {
+    const auto error = aBind();
+    const auto mayPass = error == asio::error::address_in_use ||
+                         error == boost::system::errc::address_not_available;
+    const auto left = aRetry.until_ - clock.Now();
+    if (!mayPass || left <= Duration{}) {
+      return error;
+    }
+    if (!std::exchange(logged, true)) {
+      Log::Write(LogLevel::Warning, "address_taken",
+                 { { "address", aAddress },
+                   { "reason", error.message() },
+                   { "left_ms", std::to_string(ToMilliseconds(left)) },
+                   { "remedy", "stop what uses the port; the host tries again "
+                               "until then" } });
+    }
+    if (!aRetry.pause_(kPause)) {
+      return error;
+    }
+  }
+}
+
 } // namespace
 
 auto SetSocketOptions(Tcp::socket& aSocket, const KeepaliveOptions& aOptions)
@@ -76,25 +108,28 @@
   return { address, port };
 }
 
-auto Listen(asio::io_context& aContext, const std::string& aAddress)
-  -> Result<Tcp::acceptor>
+auto Listen(asio::io_context& aContext, const std::string& aAddress,
+            const BindRetry& aRetry) -> Result<Tcp::acceptor>
 {
   // Absorbs bursts of new connections; a full backlog delays callers by
   // seconds.
   constexpr auto kBacklog = 4096;
   Tcp::acceptor acceptor(aContext);
-  boost::system::error_code error;
-  const auto endpoint = ParseTcpEndpoint(aAddress);
-  acceptor.open(Tcp::v4(), error);
-  if (!error) {
-    acceptor.set_option(asio::socket_base::reuse_address(true), error);
-  }
-  if (!error) {
-    acceptor.bind(endpoint, error);
-  }
-  if (!error) {
-    acceptor.listen(kBacklog, error);
-  }
+  const auto error = BindWithRetry(aAddress, aRetry, [&] {
+    boost::system::error_code failure;
+    acceptor = Tcp::acceptor(aContext);
+    acceptor.open(Tcp::v4(), failure);
+    if (!failure) {
+      acceptor.set_option(asio::socket_base::reuse_address(true), failure);
+    }
+    if (!failure) {
+      acceptor.bind(ParseTcpEndpoint(aAddress), failure);
+    }
+    if (!failure) {
+      acceptor.listen(kBacklog, failure);
+    }
+    return failure;
+  });
   if (error) {
     return Fail(
       { .kind_ = ErrorKind::Unavailable,
@@ -105,6 +140,29 @@
   return acceptor;
 }
 
+auto BindDatagrams(Udp::socket& aSocket, const std::string& aAddress,
+                   const BindRetry& aRetry) -> Result<void>
+{
+  const auto endpoint = ParseTcpEndpoint(aAddress);
+  const auto error = BindWithRetry(aAddress, aRetry, [&] {
+    boost::system::error_code failure;
+    if (!aSocket.is_open()) {
+      aSocket.open(Udp::v4(), failure);
+    }
+    if (!failure) {
+      aSocket.bind({ endpoint.address(), endpoint.port() }, failure);
+    }
+    return failure;
+  });
+  if (error) {
+    return Fail({ .kind_ = ErrorKind::Unavailable,
+                  .message_ = "datagrams to " + aAddress +
+                              " cannot be received: " + error.message(),
+                  .remedy_ = "free the port, or change 'peer_port'" });
+  }
+  return {};
+}
+
 auto SuspendAwareClock::Now() const -> TimePoint
 {
   timespec now{};
--- a/goldcrestcroft/src/Gateway/Net.h
+++ b/goldcrestcroft/src/Gateway/Net.h
@@ -15,6 +15,8 @@
 
 #include "../../Core.h"
 
+#include <functional>
+
 namespace goldcrestcroft {
 
 namespace asio = boost::asio;
@@ -63,10 +65,23 @@
 /** \brief "IP:PORT"; never throws; the port is 0 if the text is malformed. */
 auto ParseTcpEndpoint(const std::string& aText) -> Tcp::endpoint;
 
+/** \brief Until when an address that another process uses, or that the machine
+ * does not have yet, is tried again. */
+struct BindRetry
+{
+  TimePoint until_{};
+  /** Waits; returns false if there shall be no further attempt. */
+  std::function<bool(Duration)> pause_ = [](Duration) { return false; };
+};
+
 /** \brief Opens a listening socket with a long backlog. Fails with Unavailable.
  */
-auto Listen(asio::io_context& aContext, const std::string& aAddress)
-  -> Result<Tcp::acceptor>;
+auto Listen(asio::io_context& aContext, const std::string& aAddress,
+            const BindRetry& aRetry = {}) -> Result<Tcp::acceptor>;
+
+/** \brief Binds a socket for datagrams. Fails with Unavailable. */
+auto BindDatagrams(Udp::socket& aSocket, const std::string& aAddress,
+                   const BindRetry& aRetry = {}) -> Result<void>;
 
 /** \brief A clock that also advances while the machine is suspended, so that
  * deadlines have expired when the host resumes. */
--- a/goldcrestcroft/src/Gateway/SimpleHttpServer.cpp
+++ b/goldcrestcroft/src/Gateway/SimpleHttpServer.cpp
@@ -16,9 +16,10 @@
 
 } // namespace
 
-auto SimpleHttpServer::Start(const std::string& aAddress) -> Result<void>
+auto SimpleHttpServer::Start(const std::string& aAddress,
+                             const BindRetry& aRetry) -> Result<void>
 {
-  BOOST_LEAF_AUTO(acceptor, Listen(context_, aAddress));
+  BOOST_LEAF_AUTO(acceptor, Listen(context_, aAddress, aRetry));
   acceptor_.emplace(std::move(acceptor));
   asio::co_spawn(context_,
                  KeepRunning("accept_small", [this] { return Accept(); }),
--- a/goldcrestcroft/src/Gateway/SimpleHttpServer.h
+++ b/goldcrestcroft/src/Gateway/SimpleHttpServer.h
@@ -33,7 +33,8 @@
 
   /** \brief Starts to listen. Fails with Unavailable if the address cannot be
    * used. */
-  auto Start(const std::string& aAddress) -> Result<void>;
+  auto Start(const std::string& aAddress, const BindRetry& aRetry = {})
+    -> Result<void>;
 
 private:
   auto Accept() -> Task<void>;
--- a/goldcrestcroft/src/Gateway/StageBroker.cpp
+++ b/goldcrestcroft/src/Gateway/StageBroker.cpp
@@ -30,9 +30,9 @@
 {
 }
 
-auto StageBroker::Start() -> Result<void>
+auto StageBroker::Start(const BindRetry& aRetry) -> Result<void>
 {
-  BOOST_LEAF_AUTO(acceptor, Listen(context_, listen_));
+  BOOST_LEAF_AUTO(acceptor, Listen(context_, listen_, aRetry));
   acceptor_.emplace(std::move(acceptor));
   asio::co_spawn(context_,
                  KeepRunning("accept_brokers", [this] { return Accept(); }),
--- a/goldcrestcroft/src/Gateway/StageBroker.h
+++ b/goldcrestcroft/src/Gateway/StageBroker.h
@@ -23,7 +23,7 @@
               StageBatcher& aBatcher);
 
   /** \brief Listens for orders of other hosts. Fails with Unavailable. */
-  auto Start() -> Result<void>;
+  auto Start(const BindRetry& aRetry) -> Result<void>;
   auto SetFleet(std::shared_ptr<const FleetView> aFleet) -> void;
 
   /** \brief Announces expected pieces to the coordinator. Returns an id of the
--- a/goldcrestcroft/src/Gateway/Traffic.cpp
+++ b/goldcrestcroft/src/Gateway/Traffic.cpp
@@ -39,10 +39,11 @@
   Memory().SetOptions(options_.settings_.Memory());
 }
 
-auto Traffic::Start() -> Result<void>
+auto Traffic::Start(const BindRetry& aRetry) -> Result<void>
 {
-  BOOST_LEAF_CHECK(broker_.Start());
-  BOOST_LEAF_AUTO(acceptor, Listen(context_, options_.settings_.callers_));
+  BOOST_LEAF_CHECK(broker_.Start(aRetry));
+  BOOST_LEAF_AUTO(acceptor,
+                  Listen(context_, options_.settings_.callers_, aRetry));
   acceptor_.emplace(std::move(acceptor));
   asio::co_spawn(context_,
                  KeepRunning("accept_callers", [this] { return Accept(); }),
--- a/goldcrestcroft/src/Gateway/Traffic.h
+++ b/goldcrestcroft/src/Gateway/Traffic.h
@@ -62,7 +62,7 @@
           PeerCallbacks aPeerCallbacks);
 
   /** \brief Opens the ports. Fails with Unavailable. */
-  auto Start() -> Result<void>;
+  auto Start(const BindRetry& aRetry) -> Result<void>;
   auto SetRouting(std::shared_ptr<const RoutingTable> aRouting) -> void;
   auto SetEngines(std::shared_ptr<const EngineList> aEngines) -> void;
   auto SetFleet(std::shared_ptr<const FleetView> aFleet) -> void;
