Run entry hosts from a program of their own that blocks signals early

What callers saw: a host that does not start. The platform reports changed settings with SIGHUP, also to a host that it has just started.

Cause: a signal that arrives before main() has its default action, which ends the process. The program loaded 73 shared libraries, most of them for the command line and for `serve`, and ran their initialisers before its first line.

`goldcrestcroft entry` stays. What the programs share is in src/Process.

What remains: the kernel and the dynamic loader need some 2 ms, in which no code of the program has run.

--- a/goldcrestcroft/src/Cli/Command.h
+++ b/goldcrestcroft/src/Cli/Command.h
@@ -1,13 +1,14 @@
 #pragma once
 
+#include "../Process/ProcessMain.h"
+
 #include <string>
 #include <vector>
 
 namespace goldcrestcroft {
 
 /** \brief Subcommands. Each takes the arguments after its name and returns the
- * exit code: 0 for success, 1 for a failure, 2 for a usage error. */
-auto RunEntry(const std::vector<std::string>& aArguments) -> int;
+ * exit code. */
 auto RunServe(const std::vector<std::string>& aArguments) -> int;
 auto RunCheck(const std::vector<std::string>& aArguments) -> int;
 auto RunConfig(const std::vector<std::string>& aArguments) -> int;
--- a/goldcrestcroft/src/Cli/ServeCommand.cpp
+++ b/goldcrestcroft/src/Cli/ServeCommand.cpp
@@ -28,14 +28,6 @@
   "log_format": "text"
 })";
 
-auto ReportError(const Error& aError) -> int
-{
-  std::fprintf(stderr, "goldcrestcroft: %s: %s; %s\n",
-               ToString(aError.kind_).c_str(), aError.message_.c_str(),
-               aError.remedy_.c_str());
-  return 1;
-}
-
 auto ReadOptions() -> Result<EntryHost::Options>
 {
   EntryHost::Options options{ .embedded_ = absl::GetFlag(FLAGS_embedded) };
--- a/goldcrestcroft/src/Cli/main.cpp
+++ b/goldcrestcroft/src/Cli/main.cpp
@@ -40,7 +40,7 @@
 auto UsageError(const std::string& aHelp) -> int
 {
   std::fprintf(stderr, "usage: goldcrestcroft %s\n", aHelp.c_str());
-  return 2;
+  return kExitUsage;
 }
 
 } // namespace goldcrestcroft
@@ -48,22 +48,18 @@
 auto main(int aCount, char** aArguments) -> int
 {
   using namespace goldcrestcroft;
-  // Signals stay pending during startup until they can be handled; otherwise
-  // they would end the process.
-  BlockSignals();
   absl::SetProgramUsageMessage(kUsage);
   const auto arguments = absl::ParseCommandLine(aCount, aArguments);
   if (arguments.size() < 2) {
     std::fprintf(stderr, "%s\n", kUsage);
-    return 2;
+    return kExitUsage;
   }
   const std::vector<std::string> commandArguments(arguments.begin() + 2,
                                                   arguments.end());
   for (const auto& command : kCommands) {
     if (std::string(arguments[1]) == command.name_) {
       if (command.runsUntilSignal_) {
-        // The reader of a server's log may end before the server does.
-        IgnoreWriteSignals();
+        PrepareServerSignals();
       } else {
         UnblockSignals();
       }
@@ -71,5 +67,5 @@
     }
   }
   std::fprintf(stderr, "%s\n", kUsage);
-  return 2;
+  return kExitUsage;
 }
--- a/goldcrestcroft/src/Cli/EntryCommand.cpp
+++ b/goldcrestcroft/src/Process/EntryCommand.cpp
@@ -1,10 +1,9 @@
 #include "../../Gateway.h"
 #include "../Observability/Log.h"
-#include "Command.h"
+#include "ProcessMain.h"
 #include <platform/StoreClient.h>
 #include <platform/TableCodec.h>
 
-#include <cstdio>
 #include <cstdlib>
 
 namespace goldcrestcroft {
@@ -53,12 +52,7 @@
       BOOST_LEAF_CHECK(gateway.Run());
       return 0;
     },
-    [](const Error& aError) {
-      std::fprintf(stderr, "goldcrestcroft: %s: %s; %s\n",
-                   ToString(aError.kind_).c_str(), aError.message_.c_str(),
-                   aError.remedy_.c_str());
-      return 1;
-    });
+    ReportError);
 }
 
 } // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Process/ProcessMain.cpp
@@ -0,0 +1,23 @@
+#include "ProcessMain.h"
+
+#include "../Core/Signals.h"
+
+#include <cstdio>
+
+namespace goldcrestcroft {
+
+auto PrepareServerSignals() -> void
+{
+  BlockSignals();
+  IgnoreWriteSignals();
+}
+
+auto ReportError(const Error& aError) -> int
+{
+  std::fprintf(stderr, "goldcrestcroft: %s: %s; %s\n",
+               ToString(aError.kind_).c_str(), aError.message_.c_str(),
+               aError.remedy_.c_str());
+  return kExitFailure;
+}
+
+} // namespace goldcrestcroft
--- a/test/process/EntryFleet.cpp
+++ b/test/process/EntryFleet.cpp
@@ -85,11 +85,10 @@
     std::ofstream file(folder_.Path() + "/host-" + std::to_string(i) + ".json");
     file << R"({"host": "h)" << i << R"(", "availability_zone": "z1",)"
          << R"("ip": ")" << standins::TestIp() << R"(", "callers": ")"
-         << Port(i, 0)
-         << R"(", "readiness": ")" << Port(i, 1) << R"(", "directory": ")"
-         << Port(i, 2) << R"(", "metrics": ")" << Port(i, 3)
-         << R"(", "peer_port": )" << kFirstPort + i * kPortsOfHost + 5
-         << R"(, "store": ")"
+         << Port(i, 0) << R"(", "readiness": ")" << Port(i, 1)
+         << R"(", "directory": ")" << Port(i, 2) << R"(", "metrics": ")"
+         << Port(i, 3) << R"(", "peer_port": )"
+         << kFirstPort + i * kPortsOfHost + 5 << R"(, "store": ")"
          << (i < aPlatform.extraStoreEndpoints_ ? platform_.EndpointAddress(i)
                                                 : platform_.StoreAddress())
          << R"(", "grace_s": 5, "directory_keep_s": 0.3)" << aSettings << "}";
@@ -97,9 +96,9 @@
   processes_.reserve(aHosts);
   for (std::size_t i = 0; i < aHosts; ++i) {
     processes_.emplace_back(
-      std::string(BUILD_FOLDER) + "/goldcrestcroft/goldcrestcroft",
-      std::vector<std::string>{ "entry", folder_.Path() + "/host-" +
-                                           std::to_string(i) + ".json" },
+      std::string(BUILD_FOLDER) + "/goldcrestcroft/goldcrestcroft-entry",
+      std::vector<std::string>{ folder_.Path() + "/host-" + std::to_string(i) +
+                                ".json" },
       folder_.Path() + "/log-" + std::to_string(i));
   }
 }
@@ -113,9 +112,8 @@
   -> void
 {
   processes_[aHost] = Process(
-    std::string(BUILD_FOLDER) + "/goldcrestcroft/goldcrestcroft",
-    { "entry", folder_.Path() + "/host-" + std::to_string(aHost) + ".json" },
-    aLog);
+    std::string(BUILD_FOLDER) + "/goldcrestcroft/goldcrestcroft-entry",
+    { folder_.Path() + "/host-" + std::to_string(aHost) + ".json" }, aLog);
 }
 
 auto EntryFleet::Port(std::size_t aHost, unsigned aUse) const -> std::string
--- a/test/soak/SoakFleet.cpp
+++ b/test/soak/SoakFleet.cpp
@@ -142,8 +142,8 @@
 {
   auto& host = hosts_[aHost];
   host.logAtStart_ = FileSize(LogFile(aHost));
-  host.process_ = testing::Process(
-    options_.program_, { "entry", SettingsFile(aHost) }, LogFile(aHost));
+  host.process_ = testing::Process(options_.program_, { SettingsFile(aHost) },
+                                   LogFile(aHost));
   host.down_ = false;
   ++host.incarnation_;
   host.startedAt_ = goldcrestcroft::SuspendAwareClock{}.Now();
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -201,7 +201,7 @@
   std::cout << "seed " << seed << ", logs in " << folder.Path() << std::endl;
   asio::io_context context;
   SoakFleet fleet(context, { .program_ = std::string(BUILD_FOLDER) +
-                                         "/goldcrestcroft/goldcrestcroft",
+                                         "/goldcrestcroft/goldcrestcroft-entry",
                              .folder_ = folder.Path(),
                              .ip_ = absl::GetFlag(FLAGS_ip),
                              .hosts_ = absl::GetFlag(FLAGS_hosts) });
