Name the signal or exception that ends a process

What on-call saw: a process that is gone, without a last line.

Change: a signal of a fault (SIGSEGV, SIGABRT, SIGBUS, SIGFPE, SIGILL), or one whose default action ends a process (SIGQUIT, SIGUSR1, SIGUSR2, SIGXCPU), is named on standard error before that action is taken; so is an exception that nothing catches. One that leaves the main thread, such as a lack of file descriptors for the event loop, ends the process with exit code 1 and its reason instead of SIGABRT. The handler only calls write(), sigabbrev_np() and raise(), and the default action is restored before it runs, so that the exit status stays that of the signal.

--- a/goldcrestcroft/src/Cli/main.cpp
+++ b/goldcrestcroft/src/Cli/main.cpp
@@ -63,7 +63,7 @@
       } else {
         UnblockSignals();
       }
-      return command.run_(commandArguments);
+      return RunReporting([&] { return command.run_(commandArguments); });
     }
   }
   std::fprintf(stderr, "%s\n", kUsage);
--- a/goldcrestcroft/src/Entry/main.cpp
+++ b/goldcrestcroft/src/Entry/main.cpp
@@ -6,5 +6,7 @@
 {
   using namespace goldcrestcroft;
   PrepareServerSignals();
-  return RunEntry({ aArguments + 1, aArguments + aCount });
+  return RunReporting([&] {
+    return RunEntry({ aArguments + 1, aArguments + aCount });
+  });
 }
--- a/goldcrestcroft/src/Process/ProcessMain.cpp
+++ b/goldcrestcroft/src/Process/ProcessMain.cpp
@@ -1,6 +1,7 @@
 #include "ProcessMain.h"
 
 #include "../Core/Signals.h"
+#include "AbnormalEnd.h"
 
 #include <cstdio>
 
@@ -10,6 +11,7 @@
 {
   BlockSignals();
   IgnoreWriteSignals();
+  ReportAbnormalEnds();
 }
 
 auto ReportError(const Error& aError) -> int
--- a/goldcrestcroft/src/Process/ProcessMain.h
+++ b/goldcrestcroft/src/Process/ProcessMain.h
@@ -2,6 +2,7 @@
 
 #include "../Core/Error.h"
 
+#include <exception>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,20 @@
  */
 auto ReportError(const Error& aError) -> int;
 
+/** \brief Returns the exit code of aRun; turns an exception, such as one of a
+ * lack of file descriptors, into an error. */
+template<typename Run>
+auto RunReporting(Run aRun) -> int
+{
+  try {
+    return aRun();
+  } catch (const std::exception& problem) {
+    return ReportError({ .message_ = problem.what(),
+                         .remedy_ = "check the limits of the process, and "
+                                    "report this line" });
+  }
+}
+
 /** \brief Runs an entry host until a signal stops it; the first argument, or
  * else an environment variable, names its settings file. Returns the exit code.
  */
--- /dev/null
+++ b/test/process/AbnormalEndTest.cpp
@@ -0,0 +1,77 @@
+#include "EntryFleet.h"
+
+#include <doctest/doctest.h>
+
+#include <sys/resource.h>
+
+#include <csignal>
+
+namespace testing {
+
+namespace {
+
+/** Limits the file descriptors of processes that are started meanwhile. */
+class FewDescriptors
+{
+public:
+  explicit FewDescriptors(rlim_t aLimit)
+  {
+    getrlimit(RLIMIT_NOFILE, &before_);
+    const rlimit lowered{ .rlim_cur = aLimit, .rlim_max = before_.rlim_max };
+    setrlimit(RLIMIT_NOFILE, &lowered);
+  }
+  FewDescriptors(const FewDescriptors&) = delete;
+  auto operator=(const FewDescriptors&) -> FewDescriptors& = delete;
+  ~FewDescriptors() { setrlimit(RLIMIT_NOFILE, &before_); }
+
+private:
+  rlimit before_{};
+};
+
+auto LastLine(const std::string& aLog) -> std::string
+{
+  const auto end = aLog.find_last_not_of('\n');
+  const auto begin = aLog.rfind('\n', end);
+  return aLog.substr(begin + 1, end - begin);
+}
+
+} // namespace
+
+TEST_CASE("a host that a signal ends names the signal in its last line")
+{
+  struct Case
+  {
+    int signal_ = 0;
+    std::string name_;
+  };
+  const Case cases[] = { { SIGABRT, "SIGABRT" }, { SIGSEGV, "SIGSEGV" },
+                         { SIGBUS, "SIGBUS" },   { SIGFPE, "SIGFPE" },
+                         { SIGILL, "SIGILL" },   { SIGQUIT, "SIGQUIT" },
+                         { SIGUSR1, "SIGUSR1" }, { SIGXCPU, "SIGXCPU" } };
+  EntryFleet fleet(1);
+  for (const auto& [signal, name] : cases) {
+    CAPTURE(name);
+    REQUIRE(fleet.AwaitReady(0));
+    fleet.ProcessOf(0).Signal(signal);
+    CHECK(fleet.ProcessOf(0).Wait() == -signal);
+    CHECK(LastLine(fleet.Log(0)).find("ended by signal " + name) !=
+          std::string::npos);
+    fleet.Start(0);
+  }
+}
+
+TEST_CASE("a host without file descriptors ends with a reason")
+{
+  EntryFleet fleet(1);
+  fleet.ProcessOf(0).Kill();
+  {
+    // Enough to load the program, too few for an event loop.
+    const FewDescriptors limit(5);
+    fleet.Start(0);
+  }
+  CHECK(fleet.ProcessOf(0).Wait() == 1);
+  CHECK(LastLine(fleet.Log(0)).find("Too many open files") !=
+        std::string::npos);
+}
+
+} // namespace testing
