Start hosts whose settings have figures that cannot be used as they are

What callers saw: a host that does not start.

Cause: the settings file was read as a file that its operator writes by hand: a whole number written as 260.0, null, a figure out of the expected range or a key that is not known was an error, and an error ends the start. The template made it worse: a figure that the platform does not state leaves a gap, which is no JSON. A reload with such a file was refused as a whole.

Change: only what identifies the host and where it serves must be valid. A file that cannot be used ends the process with 78 (EX_CONFIG), since another start would fail in the same way. Bounds are unchanged.

--- a/goldcrestcroft/src/Core/ObjectReader.h
+++ b/goldcrestcroft/src/Core/ObjectReader.h
@@ -7,6 +7,7 @@
 
 #include <set>
 #include <string>
+#include <vector>
 
 namespace goldcrestcroft::internal {
 
@@ -72,16 +73,34 @@
     return object_.contains(aKey) ? object_.at(aKey) : kEmpty;
   }
 
-  /** \brief Fails if the object has a key that has not been read. */
-  auto RejectUnknown() const -> void
+  /** \brief The value of aKey; none if the key is absent or null. */
+  auto Find(const std::string& aKey) -> const nlohmann::json*
+  {
+    knownKeys_.insert(aKey);
+    const auto found = object_.find(aKey);
+    return found == object_.end() || found->is_null() ? nullptr : &*found;
+  }
+
+  /** \brief The keys of the object that have not been read. */
+  [[nodiscard]] auto UnknownKeys() const -> std::vector<std::string>
   {
+    std::vector<std::string> unknown;
     for (const auto& [key, value] : object_.items()) {
       if (!knownKeys_.contains(key)) {
-        Reject(key, "is not a known key",
-               fmt::format("remove it, or use one of: {}",
-                           fmt::join(knownKeys_, ", ")));
+        unknown.push_back(key);
       }
     }
+    return unknown;
+  }
+
+  /** \brief Fails if the object has a key that has not been read. */
+  auto RejectUnknown() const -> void
+  {
+    for (const auto& key : UnknownKeys()) {
+      Reject(key, "is not a known key",
+             fmt::format("remove it, or use one of: {}",
+                         fmt::join(knownKeys_, ", ")));
+    }
   }
 
   [[nodiscard]] auto PathOf(const std::string& aKey) const -> std::string
--- a/goldcrestcroft/src/Gateway/EntryGateway.cpp
+++ b/goldcrestcroft/src/Gateway/EntryGateway.cpp
@@ -244,7 +244,9 @@
 {
   Handle(
     [&]() -> Result<void> {
-      BOOST_LEAF_AUTO(changed, LoadNodeSettings(options_.settingsFile_));
+      BOOST_LEAF_AUTO(loaded, LoadNodeSettings(options_.settingsFile_));
+      LogWarnings(loaded);
+      const auto& changed = loaded.settings_;
       const auto reload = ApplyReload(options_.settings_, changed);
       Log::Write(LogLevel::Info, "settings_reloaded",
                  { { "same", changed == options_.settings_ ? "true" : "false" },
--- a/goldcrestcroft/src/Gateway/NodeSettings.cpp
+++ b/goldcrestcroft/src/Gateway/NodeSettings.cpp
@@ -1,8 +1,10 @@
 #include "NodeSettings.h"
 
-#include "../Core/ObjectReader.h"
+#include "../Observability/Log.h"
 #include "Net.h"
+#include "SettingsReader.h"
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
@@ -10,10 +12,10 @@
 
 namespace {
 
-using internal::ObjectReader;
+using internal::SettingsReader;
 using nlohmann::json;
 
-constexpr unsigned kMaxPort = 65'534;
+constexpr std::uint16_t kMaxPort = 65'534;
 constexpr double kMaxRetrySlack = 1e6;
 constexpr double kMaxCores = 1e4;
 constexpr double kMaxMbps = 1e7;
@@ -24,34 +26,49 @@
 constexpr std::size_t kMinHeaderFields = 16;
 constexpr std::size_t kMaxHeaderFields = 1'000'000;
 constexpr std::size_t kMaxBodyRate = 1'000'000'000;
-constexpr unsigned kMinPropagationMs = 500;
-constexpr unsigned kMaxPropagationMs = 600'000;
+constexpr int kMinPropagationMs = 500;
+constexpr int kMaxPropagationMs = 600'000;
 
-auto ReadAddress(ObjectReader& aReader, const std::string& aKey) -> std::string
+auto ReadAddress(SettingsReader& aReader, const std::string& aKey)
+  -> std::string
 {
-  auto text = aReader.Optional<std::string>(aKey, "");
+  auto text = aReader.Text(aKey, "");
   if (!text.empty() && ParseTcpEndpoint(text).port() == 0) {
     aReader.Reject(aKey, "is not an address", "write IP:PORT");
   }
   return text;
 }
 
-auto ReadSeconds(ObjectReader& aReader, const std::string& aKey,
+auto ReadSeconds(SettingsReader& aReader, const std::string& aKey,
                  Duration aDefault) -> Duration
 {
+  constexpr auto kMinSeconds = 0.1;
   constexpr auto kMaxSeconds = 3600.0;
-  const auto seconds = aReader.InRange<double>(
-    aKey, std::chrono::duration<double>(aDefault).count(), 0.1, kMaxSeconds);
+  const auto seconds =
+    aReader.Number(aKey, std::chrono::duration<double>(aDefault).count(),
+                   kMinSeconds, kMaxSeconds);
   return std::chrono::duration_cast<Duration>(
     std::chrono::duration<double>(seconds));
 }
 
+auto ReadLogLevel(SettingsReader& aReader, const std::string& aDefault)
+  -> std::string
+{
+  const auto level = aReader.Text("log_level", aDefault);
+  const auto known = { "debug", "info", "warning", "warn", "error", "err" };
+  if (std::find(known.begin(), known.end(), level) == known.end()) {
+    aReader.Warn("log_level", "is not a level; '" + aDefault + "' is used");
+    return aDefault;
+  }
+  return level;
+}
+
 /** \brief What the host has, and limits that protect it from its clients. */
-auto ReadClientBounds(ObjectReader& aReader, NodeSettings& aSettings) -> void
+auto ReadClientBounds(SettingsReader& aReader, NodeSettings& aSettings) -> void
 {
   const auto read = [&](const char* aKey, std::size_t& aValue, std::size_t aMin,
                         std::size_t aMax) {
-    aValue = aReader.InRange<std::size_t>(aKey, aValue, aMin, aMax);
+    aValue = aReader.Whole(aKey, aValue, aMin, aMax);
   };
   read("memory_mb", aSettings.memoryMb_, kMinMemoryMb, kMaxMemoryMb);
   read("file_descriptors", aSettings.fileDescriptors_, 0, kMaxDescriptors);
@@ -67,57 +84,77 @@
     ReadSeconds(aReader, "write_timeout_s", aSettings.writeTimeout_);
 }
 
-auto ReadSettings(const json& aDocument) -> NodeSettings
+/** \brief The first of two consecutive ports. */
+auto ReadFirstPort(SettingsReader& aReader) -> std::uint16_t
+{
+  constexpr auto kNone = 0.0;
+  constexpr auto kAny = 1e9;
+  const auto port = aReader.Number("peer_port", kNone, -kAny, kAny);
+  if (port < 1.0 || port > kMaxPort) {
+    aReader.Reject("peer_port", "is not a port",
+                   fmt::format("give a number from 1 to {}", kMaxPort));
+  }
+  return static_cast<std::uint16_t>(port);
+}
+
+/** \brief What identifies the host and where it serves: nothing of it has a
+ * default. */
+auto ReadIdentity(SettingsReader& aReader) -> NodeSettings
+{
+  NodeSettings settings{ .host_ = aReader.RequiredText("host"),
+                         .zone_ = aReader.RequiredText("availability_zone"),
+                         .ip_ = aReader.RequiredText("ip") };
+  boost::system::error_code error;
+  asio::ip::make_address_v4(settings.ip_, error);
+  if (error) {
+    aReader.Reject("ip", "is not an IPv4 address", "write A.B.C.D");
+  }
+  settings.callers_ = ReadAddress(aReader, "callers");
+  settings.readiness_ = ReadAddress(aReader, "readiness");
+  settings.directory_ = ReadAddress(aReader, "directory");
+  settings.metrics_ = ReadAddress(aReader, "metrics");
+  settings.store_ = ReadAddress(aReader, "store");
+  if (settings.callers_.empty()) {
+    aReader.Reject("callers", "is missing", "add the address for callers");
+  }
+  if (settings.store_.empty()) {
+    aReader.Reject("store", "is missing", "add the address of the store");
+  }
+  settings.peerPort_ = ReadFirstPort(aReader);
+  return settings;
+}
+
+auto ReadSettings(const json& aDocument) -> LoadedSettings
 {
-  ObjectReader reader(aDocument, "", ErrorKind::InvalidSettings);
-  NodeSettings settings{ .host_ = reader.Required<std::string>("host"),
-                         .zone_ =
-                           reader.Required<std::string>("availability_zone"),
-                         .ip_ = reader.Required<std::string>("ip") };
-  settings.callers_ = ReadAddress(reader, "callers");
-  settings.readiness_ = ReadAddress(reader, "readiness");
-  settings.directory_ = ReadAddress(reader, "directory");
-  settings.metrics_ = ReadAddress(reader, "metrics");
-  settings.store_ = ReadAddress(reader, "store");
-  settings.peerPort_ = static_cast<std::uint16_t>(
-    reader.InRange<unsigned>("peer_port", 0, 1, kMaxPort));
-  settings.seeds_ = reader.Optional<std::vector<std::string>>("seeds", {});
-  settings.logLevel_ =
-    reader.Optional<std::string>("log_level", settings.logLevel_);
+  SettingsReader reader(aDocument);
+  auto settings = ReadIdentity(reader);
+  settings.seeds_ = reader.Texts("seeds");
+  settings.logLevel_ = ReadLogLevel(reader, settings.logLevel_);
   settings.grace_ = ReadSeconds(reader, "grace_s", settings.grace_);
   settings.directoryKeep_ =
     ReadSeconds(reader, "directory_keep_s", settings.directoryKeep_);
   settings.retryWindow_ =
     ReadSeconds(reader, "repeat_window_s", settings.retryWindow_);
   settings.retryRatio_ =
-    reader.InRange<double>("repeat_ratio", settings.retryRatio_, 0.0, 1.0);
-  settings.retrySlack_ = reader.InRange<double>(
-    "repeat_slack", settings.retrySlack_, 0.0, kMaxRetrySlack);
-  settings.cores_ =
-    reader.InRange<double>("cores", settings.cores_, 0.0, kMaxCores);
+    reader.Number("repeat_ratio", settings.retryRatio_, 0.0, 1.0);
+  settings.retrySlack_ =
+    reader.Number("repeat_slack", settings.retrySlack_, 0.0, kMaxRetrySlack);
+  settings.cores_ = reader.Number("cores", settings.cores_, 0.0, kMaxCores);
   settings.linkMbps_ =
-    reader.InRange<double>("link_mbps", settings.linkMbps_, 0.0, kMaxMbps);
+    reader.Number("link_mbps", settings.linkMbps_, 0.0, kMaxMbps);
   settings.maxEngineBackoff_ =
     ReadSeconds(reader, "longest_engine_pause_s", settings.maxEngineBackoff_);
-  settings.propagationTarget_ =
-    std::chrono::milliseconds{ reader.InRange<unsigned>(
-      "news_within_ms",
-      static_cast<unsigned>(ToMilliseconds(settings.propagationTarget_)),
-      kMinPropagationMs, kMaxPropagationMs) };
+  settings.propagationTarget_ = std::chrono::milliseconds{ reader.Whole<int>(
+    "news_within_ms",
+    static_cast<int>(ToMilliseconds(settings.propagationTarget_)),
+    kMinPropagationMs, kMaxPropagationMs) };
   ReadClientBounds(reader, settings);
-  reader.RejectUnknown();
-  if (settings.callers_.empty()) {
-    reader.Reject("callers", "is missing", "add the address for callers");
-  }
-  if (settings.store_.empty()) {
-    reader.Reject("store", "is missing", "add the address of the store");
-  }
-  return settings;
+  return { .settings_ = std::move(settings), .warnings_ = reader.Warnings() };
 }
 
 } // namespace
 
-auto ParseNodeSettings(const std::string& aText) -> Result<NodeSettings>
+auto ParseNodeSettings(const std::string& aText) -> Result<LoadedSettings>
 {
   const auto document = json::parse(aText, nullptr, false, true);
   if (document.is_discarded()) {
@@ -128,7 +165,7 @@
   return internal::ReadDocument([&] { return ReadSettings(document); });
 }
 
-auto LoadNodeSettings(const std::string& aFile) -> Result<NodeSettings>
+auto LoadNodeSettings(const std::string& aFile) -> Result<LoadedSettings>
 {
   std::ifstream file(aFile);
   if (!file) {
@@ -146,6 +183,16 @@
                      });
 }
 
+auto LogWarnings(const LoadedSettings& aLoaded) -> void
+{
+  for (const auto& warning : aLoaded.warnings_) {
+    Log::Write(LogLevel::Warning, "setting_adjusted",
+               { { "reason", warning },
+                 { "remedy", "correct it in the settings file or its "
+                             "template" } });
+  }
+}
+
 auto ApplyReload(const NodeSettings& aRunning, const NodeSettings& aChanged)
   -> SettingsReload
 {
--- a/goldcrestcroft/src/Gateway/NodeSettings.h
+++ b/goldcrestcroft/src/Gateway/NodeSettings.h
@@ -118,11 +118,25 @@
 auto ApplyReload(const NodeSettings& aRunning, const NodeSettings& aChanged)
   -> SettingsReload;
 
+/** \brief Settings as read from a file, and what was adjusted in them. */
+struct LoadedSettings
+{
+  NodeSettings settings_;
+  /** One for each value that was replaced or ignored; each names its key. */
+  std::vector<std::string> warnings_;
+
+  auto operator<=>(const LoadedSettings&) const = default;
+};
+
 /** \brief Parses JSON with comments. Fails with InvalidSettings, naming the key
- * and the remedy. */
-auto ParseNodeSettings(const std::string& aText) -> Result<NodeSettings>;
+ * and the remedy, if the text is not an object or the identity or an address of
+ * the host is missing or invalid; other values are adjusted. */
+auto ParseNodeSettings(const std::string& aText) -> Result<LoadedSettings>;
 
 /** \brief Reads and parses the file; an error also names the file. */
-auto LoadNodeSettings(const std::string& aFile) -> Result<NodeSettings>;
+auto LoadNodeSettings(const std::string& aFile) -> Result<LoadedSettings>;
+
+/** \brief Logs each of the warnings. */
+auto LogWarnings(const LoadedSettings& aLoaded) -> void;
 
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Process/EntryCommand.cpp
+++ b/goldcrestcroft/src/Process/EntryCommand.cpp
@@ -36,10 +36,12 @@
   return Handle(
     [&]() -> Result<int> {
       const auto file = SettingsFile(aArguments);
-      BOOST_LEAF_AUTO(settings, LoadNodeSettings(file));
+      BOOST_LEAF_AUTO(loaded, LoadNodeSettings(file));
+      const auto& settings = loaded.settings_;
       Log::Configure({ .level_ = settings.logLevel_,
                        .host_ = { settings.host_ },
                        .standardOutput_ = true });
+      LogWarnings(loaded);
       const platform::TableCodec codec;
       EntryGateway gateway({ .settings_ = settings,
                              .settingsFile_ = file,
--- a/goldcrestcroft/src/Process/ProcessMain.cpp
+++ b/goldcrestcroft/src/Process/ProcessMain.cpp
@@ -19,7 +19,8 @@
   std::fprintf(stderr, "goldcrestcroft: %s: %s; %s\n",
                ToString(aError.kind_).c_str(), aError.message_.c_str(),
                aError.remedy_.c_str());
-  return kExitFailure;
+  return aError.kind_ == ErrorKind::InvalidSettings ? kExitInvalidSettings
+                                                    : kExitFailure;
 }
 
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Process/ProcessMain.h
+++ b/goldcrestcroft/src/Process/ProcessMain.h
@@ -11,6 +11,9 @@
 /** \brief Exit codes besides 0 for success. */
 constexpr int kExitFailure = 1;
 constexpr int kExitUsage = 2;
+/** The settings are invalid, so that another start fails in the same way; the
+ * number is EX_CONFIG of sysexits.h. */
+constexpr int kExitInvalidSettings = 78;
 
 /** \brief Sets what signals do to a process that runs until one stops it:
  * SIGTERM, SIGINT and SIGHUP stay pending until it handles them, those of
