--- a/test/process/AdjustedSettingsTest.cpp
+++ b/test/process/AdjustedSettingsTest.cpp
@@ -33,15 +33,15 @@
     { R"("seeds": ["127.0.0.1:8305", 7])" },
     { R"("region": "sued")" },
   };
-  for (const auto& [setting, valid] : cases) {
-    CAPTURE(setting);
-    EntryFleet fleet(1, {}, ", " + setting);
+  for (const auto& item : cases) {
+    CAPTURE(item.setting_);
+    EntryFleet fleet(1, {}, ", " + item.setting_);
     CHECK(fleet.AwaitReady(0));
     CHECK(fleet.Get(0, "/safe/x").status_ == 200);
-    const auto name = setting.substr(1, setting.find(':') - 2);
+    const auto name = item.setting_.substr(1, item.setting_.find(':') - 2);
     CHECK(CountOf(fleet.Log(0), "\"event\":\"setting_adjusted\"") ==
-          (valid ? 0 : 1));
-    CHECK(valid == (CountOf(fleet.Log(0), "'" + name + "'") == 0));
+          (item.valid_ ? 0 : 1));
+    CHECK(item.valid_ == (CountOf(fleet.Log(0), "'" + name + "'") == 0));
   }
 }
 
--- a/test/process/StartFailureTest.cpp
+++ b/test/process/StartFailureTest.cpp
@@ -35,15 +35,15 @@
     { R"("host": "h0",)", "", "host" },
     { R"("peer_port": 8305)", R"("peer_port": 0)", "peer_port" },
   };
-  for (const auto& [old, changed, setting] : cases) {
-    CAPTURE(changed);
+  for (const auto& item : cases) {
+    CAPTURE(item.new_);
     EntryFleet fleet(1);
-    fleet.RestartWith(0, old, changed);
+    fleet.RestartWith(0, item.old_, item.new_);
     const auto code = ExitCodeOf(fleet);
     REQUIRE(code);
     // EX_CONFIG: another start would fail in the same way.
     CHECK(*code == 78);
-    CHECK(fleet.Log(0).find("'" + setting + "'") != std::string::npos);
+    CHECK(fleet.Log(0).find("'" + item.setting_ + "'") != std::string::npos);
   }
 }
 
