Accept bodies in small chunks behind large headers

Cause: after a large header the buffer is large, so that one read may bring many chunks. The parser takes one part of a chunk a call, and what it had not yet taken counted as a chunk header without an end.

Change: the parser takes all that it can before the waiting bytes are counted.

Evidence: process.ChunkedBody fails in 2 of 7 checks before (431 with a header of 40,000 bytes) and passes with the change; process.UntrustedClients, which guards the limit itself, passes as well.

It works because what is left in the buffer then is the incomplete line alone.

--- a/goldcrestcroft/src/Gateway/HeaderReader.cpp
+++ b/goldcrestcroft/src/Gateway/HeaderReader.cpp
@@ -45,6 +45,27 @@
   bool ended_ = false;
 };
 
+/** \brief Has the parser take all that it can of the buffer: it stops after
+ * each chunk header and each part of a chunk. Adds the number of bytes to
+ * aTaken. */
+auto ParseBuffer(beast::flat_buffer& aBuffer, RequestParser& aParser,
+                 std::size_t& aTaken) -> boost::system::error_code
+{
+  while (!aParser.is_done() && aBuffer.size() > 0) {
+    boost::system::error_code error;
+    const auto consumed = aParser.put(aBuffer.data(), error);
+    aBuffer.consume(consumed);
+    aTaken += consumed;
+    if (error && error != http::error::need_more) {
+      return error;
+    }
+    if (error || consumed == 0) {
+      break;
+    }
+  }
+  return {};
+}
+
 auto ViewOf(const beast::flat_buffer& aBuffer) -> std::string_view
 {
   const auto bytes = aBuffer.data();
@@ -101,9 +122,9 @@
 {
   // Not the library's own read, which returns only once the parser has taken
   // something: a chunk header or trailer without an end would be buffered.
-  boost::system::error_code error;
-  auto consumed = aParser.put(aBuffer.data(), error);
-  if (consumed == 0 && (!error || error == http::error::need_more)) {
+  const auto before = aTaken;
+  auto error = ParseBuffer(aBuffer, aParser, aTaken);
+  if (!error && aTaken == before && !aParser.is_done()) {
     const auto space = aBuffer.prepare(
       std::max(kReadBytes, aBuffer.capacity() - aBuffer.size()));
     const auto [failure, size] =
@@ -112,11 +133,9 @@
       co_return failure;
     }
     aBuffer.commit(size);
-    consumed = aParser.put(aBuffer.data(), error);
+    error = ParseBuffer(aBuffer, aParser, aTaken);
   }
-  aBuffer.consume(consumed);
-  aTaken += consumed;
-  if (error && error != http::error::need_more) {
+  if (error) {
     co_return error;
   }
   const auto body = aParser.get().body().size();
