--- a/goldcrestcroft/Routing.h
+++ b/goldcrestcroft/Routing.h
@@ -16,3 +16,4 @@
 #include "src/Routing/Route.h"
 #include "src/Routing/RoutingTable.h"
 #include "src/Routing/ServiceProfile.h"
+#include "src/Routing/VersionList.h"
--- a/goldcrestcroft/src/Gateway/ControlListener.h
+++ b/goldcrestcroft/src/Gateway/ControlListener.h
@@ -20,6 +20,8 @@
   std::function<void(const LeavingEngine&)> onLeaving_;
   std::function<void(const EngineLimit&)> onLimit_;
   std::function<void(const PermitReply&)> onPermit_;
+  /** The store was restored from an older copy and is in this era. */
+  std::function<void(std::uint64_t)> onStoreRestored_;
 };
 
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/ControlPlaneEras.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneEras.cpp
@@ -56,6 +56,7 @@
   // Live engines whose entries the copy lacks register again.
   engines_.OnStoreFailure(clock_.Now());
   heldRows_.OnStoreRestored(aEra);
+  listener_.onStoreRestored_(aEra);
   for (auto& [table, followed] : tables_) {
     // The other hosts receive the tables from those that read them.
     if (followed.role_ != TableWatch::Role::Listener) {
--- a/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
@@ -190,6 +190,9 @@
       break;
     case StoreTable::HeldRequests:
       break; // Read once, by RestoreHeldRequests.
+    case StoreTable::StreamVersions:
+    case StoreTable::Streams:
+      break; // Read by StreamVersions when needed.
   }
   return adopted;
 }
--- a/goldcrestcroft/src/Gateway/EnginePool.cpp
+++ b/goldcrestcroft/src/Gateway/EnginePool.cpp
@@ -15,7 +15,7 @@
 auto KeyOf(const EngineEntry& aEntry) -> std::string
 {
   return aEntry.id_ + "|" + aEntry.address_ + "|" +
-         std::to_string(aEntry.startedAt_);
+         std::to_string(aEntry.startedAt_) + "|" + aEntry.version_;
 }
 
 } // namespace
@@ -179,6 +179,9 @@
     --aEngine->openConnections_;
     // An engine that resets new connections still serves its open ones.
     const auto reset = error == asio::error::connection_reset;
+    if (error == asio::error::connection_refused) {
+      aEngine->refusedAt_ = clock_.Now();
+    }
     if (!reset) {
       aEngine->health_.OnUnreachable(clock_.Now());
     }
--- a/goldcrestcroft/src/Gateway/EnginePool.h
+++ b/goldcrestcroft/src/Gateway/EnginePool.h
@@ -22,6 +22,9 @@
   /** Requests of this host in flight at the engine. */
   std::size_t ownRequests_ = 0;
   std::size_t openConnections_ = 0;
+  /** When the address refused a connection: the process of this incarnation has
+   * ended, and another one may have its address before its entry is known. */
+  std::optional<TimePoint> refusedAt_;
   /** Rate limit in requests a second from all hosts together, as the engine
    * last advertised it to any of them. */
   std::optional<double> limit_;
--- a/goldcrestcroft/src/Gateway/EntryGateway.cpp
+++ b/goldcrestcroft/src/Gateway/EntryGateway.cpp
@@ -23,6 +23,11 @@
 /** A process that exceeds its grace period is killed; its ports are free soon
  * after. */
 constexpr auto kPortReleaseMargin = std::chrono::seconds{ 2 };
+/** The store responds within a few milliseconds, or a few hundred while it is
+ * slow. */
+constexpr auto kStoreTimeout = std::chrono::milliseconds{ 1500 };
+/** Callers wait for the calls of the traffic thread. */
+constexpr auto kTrafficStoreTimeout = std::chrono::milliseconds{ 400 };
 
 } // namespace
 
@@ -30,41 +35,45 @@
                            const MakeStore& aMakeStore)
   : options_(std::move(aOptions))
   , codec_(aCodec)
-  , store_(aMakeStore(controlContext_))
-  , traffic_(
-      trafficContext_, { .settings_ = options_.settings_ }, aCodec, metrics_,
-      { .lost_ =
-          [this](const LostRun& aRun) {
-            asio::post(controlContext_,
-                       [this, aRun] { control_.ReportLost(aRun); });
-          },
-        .unanswered_ =
-          [this](const UnansweredRun& aRun) {
-            asio::post(controlContext_,
-                       [this, aRun] { control_.DelegateToOwners(aRun); });
-          },
-        .suspect_ =
-          [this](const SuspectNotice& aNotice) {
-            asio::post(controlContext_, [this, aNotice] {
-              control_.DisseminateSuspect(aNotice);
-            });
-          },
-        .leaving_ =
-          [this](const LeavingEngine& aEngine) {
-            asio::post(controlContext_, [this, aEngine] {
-              control_.DisseminateDraining(aEngine);
-            });
-          },
-        .limit_ =
-          [this](const EngineLimit& aLimit) {
-            asio::post(controlContext_,
-                       [this, aLimit] { control_.DisseminateLimit(aLimit); });
-          },
-        .permit_ =
-          [this](const PermitRequest& aRequest) {
-            asio::post(controlContext_,
-                       [this, aRequest] { control_.RequestPermit(aRequest); });
-          } })
+  , store_(aMakeStore(controlContext_, kStoreTimeout))
+  , trafficStore_(aMakeStore(trafficContext_, kTrafficStoreTimeout))
+  , traffic_(trafficContext_, { .settings_ = options_.settings_ }, aCodec,
+             *trafficStore_, metrics_,
+             { .lost_ =
+                 [this](const LostRun& aRun) {
+                   asio::post(controlContext_,
+                              [this, aRun] { control_.ReportLost(aRun); });
+                 },
+               .unanswered_ =
+                 [this](const UnansweredRun& aRun) {
+                   asio::post(controlContext_, [this, aRun] {
+                     control_.DelegateToOwners(aRun);
+                   });
+                 },
+               .suspect_ =
+                 [this](const SuspectNotice& aNotice) {
+                   asio::post(controlContext_, [this, aNotice] {
+                     control_.DisseminateSuspect(aNotice);
+                   });
+                 },
+               .leaving_ =
+                 [this](const LeavingEngine& aEngine) {
+                   asio::post(controlContext_, [this, aEngine] {
+                     control_.DisseminateDraining(aEngine);
+                   });
+                 },
+               .limit_ =
+                 [this](const EngineLimit& aLimit) {
+                   asio::post(controlContext_, [this, aLimit] {
+                     control_.DisseminateLimit(aLimit);
+                   });
+                 },
+               .permit_ =
+                 [this](const PermitRequest& aRequest) {
+                   asio::post(controlContext_, [this, aRequest] {
+                     control_.RequestPermit(aRequest);
+                   });
+                 } })
   , control_(controlContext_,
              { .settings_ = options_.settings_,
                .incarnation_ = options_.incarnation_ },
@@ -102,7 +111,8 @@
            .onSuspect_ = toTraffic(&Traffic::OnSuspect),
            .onLeaving_ = toTraffic(&Traffic::OnLeaving),
            .onLimit_ = toTraffic(&Traffic::OnLimit),
-           .onPermit_ = toTraffic(&Traffic::OnPermit) };
+           .onPermit_ = toTraffic(&Traffic::OnPermit),
+           .onStoreRestored_ = toTraffic(&Traffic::OnStoreRestored) };
 }
 
 auto EntryGateway::ServeReadiness() const -> SimpleHttpServer::Response
--- a/goldcrestcroft/src/Gateway/EntryGateway.h
+++ b/goldcrestcroft/src/Gateway/EntryGateway.h
@@ -21,8 +21,10 @@
     std::string settingsFile_;
     Incarnation incarnation_ = 1;
   };
-  using MakeStore =
-    std::function<std::unique_ptr<MetadataStore>(asio::io_context&)>;
+  /** \brief Makes a client of the store whose calls time out after aTimeout,
+   * beyond the time that they ask the store to wait. */
+  using MakeStore = std::function<std::unique_ptr<MetadataStore>(
+    asio::io_context&, Duration aTimeout)>;
 
   EntryGateway(Options aOptions, const PlatformCodec& aCodec,
                const MakeStore& aMakeStore);
@@ -54,6 +56,7 @@
   EventLoop trafficContext_;
   GatewayMetrics metrics_;
   std::unique_ptr<MetadataStore> store_;
+  std::unique_ptr<MetadataStore> trafficStore_;
   Traffic traffic_;
   ControlPlane control_;
   SimpleHttpServer ready_;
--- a/goldcrestcroft/src/Gateway/HeaderNames.h
+++ b/goldcrestcroft/src/Gateway/HeaderNames.h
@@ -31,6 +31,9 @@
   std::string promptParts_;
   std::string tokenCounts_;
   std::string lastEventId_;
+  /** The attempt that brought the first event of the stream that the caller
+   * takes up again. */
+  std::string resumes_;
   std::string urgency_;
   /** Headers that only this system may set; those of callers are dropped. */
   std::vector<std::string> systemOnly_;
--- a/goldcrestcroft/src/Gateway/MetadataStore.cpp
+++ b/goldcrestcroft/src/Gateway/MetadataStore.cpp
@@ -11,6 +11,10 @@
       return "engines";
     case StoreTable::HeldRequests:
       return "held_requests";
+    case StoreTable::StreamVersions:
+      return "stream_versions";
+    case StoreTable::Streams:
+      return "streams";
     case StoreTable::Hosts:
       break;
   }
--- a/goldcrestcroft/src/Gateway/MetadataStore.h
+++ b/goldcrestcroft/src/Gateway/MetadataStore.h
@@ -19,7 +19,11 @@
   /** The entry hosts, by name. */
   Hosts,
   /** Requests that are suspected or quarantined, by fingerprint. */
-  HeldRequests
+  HeldRequests,
+  /** The software versions of the engines, by service. */
+  StreamVersions,
+  /** The software versions that began streams, by the key of the stream. */
+  Streams
 };
 
 /** \brief The table's name for logs and metrics. */
@@ -50,7 +54,19 @@
   std::string detail_;
 };
 
-/** \brief Interface to the platform's store for the control thread. */
+/** \brief A row to be written, or to be removed if it has no value. */
+struct RowChange
+{
+  std::string key_;
+  std::optional<std::string> value_;
+  /** The number of the version that the row must have, 0 if it must not exist;
+   * the row is changed in any case if this is not set. */
+  std::optional<std::uint64_t> expected_;
+
+  auto operator<=>(const RowChange&) const = default;
+};
+
+/** \brief Interface to the platform's store, for one thread. */
 class MetadataStore
 {
 public:
@@ -71,6 +87,16 @@
    * value. */
   virtual auto Write(StoreTable aTable, std::string aKey,
                      std::optional<std::string> aValue) -> Task<StoreReply> = 0;
+  /** \brief Reads one row of a table; the reply has no row if there is none. */
+  virtual auto ReadRow(StoreTable aTable, std::string aKey)
+    -> Task<StoreReply> = 0;
+  /** \brief Makes all changes, of at most kMaxRowChanges rows, or none. Ends as
+   * a conflict if a row does not have the expected version. */
+  virtual auto Change(StoreTable aTable, std::vector<RowChange> aChanges)
+    -> Task<StoreReply> = 0;
+
+  /** The largest number of rows that one call may change. */
+  static constexpr std::size_t kMaxRowChanges = 100;
 };
 
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/RequestRun.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRun.cpp
@@ -123,7 +123,11 @@
                        .message_ = "send the request id and the key of the "
                                    "stages in visible ASCII" };
   }
-  service_ = ChooseService(*route_, UniformFraction(requestId_));
+  // The rest of a stream comes from the service that began it.
+  ReadResumption();
+  service_ = ChooseService(
+    *route_,
+    UniformFraction(resumedAttempt_.empty() ? requestId_ : resumedAttempt_));
   prompt_ = traffic_.Codec().ReadPrompt(JoinedField(names.promptParts_));
   fingerprint_ =
     RequestFingerprint(target + "\n" + workspace_ + "\n" + request_.body());
--- a/goldcrestcroft/src/Gateway/RequestRun.h
+++ b/goldcrestcroft/src/Gateway/RequestRun.h
@@ -121,15 +121,40 @@
     const std::vector<std::pair<std::size_t, std::string>>& aResults) -> void;
   auto WaitUntil(TimePoint aLatest) -> Task<void>;
 
+  // Software versions of streams.
+  /** \brief Reads whether the request asks for the rest of a stream, and of
+   * which. */
+  auto ReadResumption() -> void;
+  /** \brief Whether the response may begin a stream that can be resumed. */
+  [[nodiscard]] auto MayBeginStream() const -> bool;
+  [[nodiscard]] auto IdOfStream() const -> StreamId;
+  /** \brief Finds the version that began the stream whose rest the request asks
+   * for; returns the reply if the request is refused. */
+  auto FindVersion() -> Task<std::optional<LocalReply>>;
+  /** \brief Whether a stream may go on at the engine, or begin there so that
+   * all hosts can tell its version. */
+  auto FitsVersion(const EngineState& aEngine) -> bool;
+  /** \brief The same, or whether a stream may begin there at all. */
+  auto MayServe(const EngineState& aEngine, bool aIsAnyVersion) -> bool;
+  /** \brief Has the version of the engine stored while it works. */
+  auto PrepareStream(const EngineEntry& aEngine) -> void;
+  /** \brief Waits until all hosts can tell which version begins the stream, for
+   * a limited time; returns false if the request was aborted. */
+  auto AwaitStreamKnown(const EngineEntry& aEngine) -> Task<bool>;
+  /** \brief Counts the outcome of a request for the rest of a stream. */
+  auto CountTakeUp(const std::string& aOutcome) -> void;
+
   // Attempts.
   /** \brief Engines that may take the request. Sets how long it may wait for a
    * permit of an engine with a rate limit. */
   auto Candidates(std::vector<EngineEntry>& aEntries)
     -> std::vector<EngineCandidate>;
   /** \brief The healthy engines, or with aLastResort the suspended ones that
-   * may still serve, that accept requests within aMaxWait. */
+   * may still serve, that accept requests within aMaxWait; with aIsAnyVersion
+   * also those whose version another host could not tell. */
   auto FilterEngines(std::vector<EngineEntry>& aEntries, bool aLastResort,
-                     Duration aMaxWait) -> std::vector<EngineCandidate>;
+                     Duration aMaxWait, bool aIsAnyVersion)
+    -> std::vector<EngineCandidate>;
   /** \brief How long the request may wait if all engines have rate limits. */
   [[nodiscard]] auto MaxPermitWait() const -> Duration;
   auto ChooseEngine() -> std::shared_ptr<EngineState>;
@@ -279,6 +304,14 @@
   std::string failureBody_;
   EventRelay relay_;
   bool streamBegun_ = false;
+  /** Whether the request asks for the rest of a stream. */
+  bool resumesStream_ = false;
+  /** The attempt that brought the first event of that stream; empty if the
+   * request names none. */
+  std::string resumedAttempt_;
+  /** The software version that began the stream, and where that is known
+   * from; empty before that. */
+  StreamOrigin origin_;
   /** It was sent to an engine that may have run it without a response. */
   bool outcomeUnknown_ = false;
   std::string lastEngine_;
--- a/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
@@ -175,6 +175,9 @@
     if (!streamBegun_ &&
         (!events.empty() || (aExchange.IsComplete() && !brokeOff)) &&
         end == ReadOutcome::Done) {
+      if (!co_await AwaitStreamKnown(aExchange.Lease().engine_->entry_)) {
+        co_return AttemptOutcome::Abandoned;
+      }
       streamBegun_ = true;
       firstEventAt_ = traffic_.Now();
       http::response<http::empty_body> head(
--- a/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
@@ -199,6 +199,7 @@
   outcomeUnknown_ = true;
   lastEventAt_ = TimePoint::max();
   auto forwarded = BuildForwardedRequest(aLease.engine_->entry_);
+  PrepareStream(aLease.engine_->entry_);
   if (aLease.engine_->limit_) {
     traffic_.Metrics().Count("requests_to_limited_engines");
   }
--- a/goldcrestcroft/src/Gateway/RequestRunChoice.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunChoice.cpp
@@ -8,14 +8,21 @@
   -> std::vector<EngineCandidate>
 {
   // Prefers an engine that accepts the request now, then one with a wait, then
-  // a suspended one. Suspensions never empty a pool: engines that fail some
-  // requests serve the others, and a refusal would serve none.
+  // one whose version other hosts may not be able to tell, then a suspended
+  // one. Suspensions never empty a pool: engines that fail some requests serve
+  // the others, and a refusal would serve none.
   for (const auto lastResort : { false, true }) {
-    for (const auto maxWait : { Duration{}, MaxPermitWait() }) {
-      auto candidates = FilterEngines(aEntries, lastResort, maxWait);
-      if (!candidates.empty()) {
-        maxWait_ = maxWait;
-        return candidates;
+    for (const auto anyVersion : { false, true }) {
+      for (const auto maxWait : { Duration{}, MaxPermitWait() }) {
+        auto candidates =
+          FilterEngines(aEntries, lastResort, maxWait, anyVersion);
+        if (!candidates.empty()) {
+          maxWait_ = maxWait;
+          return candidates;
+        }
+      }
+      if (!MayBeginStream()) {
+        break;
       }
     }
   }
@@ -37,7 +44,8 @@
 }
 
 auto RequestRun::FilterEngines(std::vector<EngineEntry>& aEntries,
-                               bool aLastResort, Duration aMaxWait)
+                               bool aLastResort, Duration aMaxWait,
+                               bool aIsAnyVersion)
   -> std::vector<EngineCandidate>
 {
   auto& pool = traffic_.Pool();
@@ -55,7 +63,8 @@
     const auto fits =
       aLastResort ? health.IsLastResort() : health.IsUsable(now) && !onTrial;
     const auto wants = state->availability_.IsEligible(aMaxWait, now);
-    if (tried_.contains(entry.id_) || full || !fits || !wants) {
+    if (tried_.contains(entry.id_) || full || !fits || !wants ||
+        !MayServe(*state, aIsAnyVersion)) {
       continue;
     }
     aEntries.push_back(entry);
@@ -75,6 +84,9 @@
   const auto now = traffic_.Now();
   std::optional<Duration> least;
   for (const auto& entry : traffic_.Pool().Engines().EnginesOf(service_)) {
+    if (origin_.version_ && entry.version_ != *origin_.version_) {
+      continue;
+    }
     const auto& consent = traffic_.Pool().StateOf(entry)->availability_;
     if (consent.IsEligible({}, now)) {
       return {};
--- a/goldcrestcroft/src/Gateway/RequestRunExecute.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunExecute.cpp
@@ -33,6 +33,15 @@
 {
   traffic_.CountRequest(service_);
   const auto& codec = traffic_.Codec();
+  if (resumesStream_) {
+    auto unknown = co_await FindVersion();
+    if (aborted_ != Aborted::No) {
+      co_return co_await RespondWithFailure(AttemptOutcome::Unreachable);
+    }
+    if (unknown) {
+      co_return co_await SendLocalReply(std::move(*unknown));
+    }
+  }
   PlanHome();
   if (!route_->stages_.empty()) {
     const auto pieces =
--- a/goldcrestcroft/src/Gateway/RequestRunOutcome.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunOutcome.cpp
@@ -91,6 +91,7 @@
   const auto took = now - arrivedAt_;
   traffic_.Metrics().CountAnswer(service_.empty() ? "none" : service_, aOutcome,
                                  took);
+  CountTakeUp(aOutcome);
   const auto heldPart = quarantined_ ? QuarantinedPart() : 0;
   if (heldPart != 0) {
     traffic_.Metrics().Count("requests_held_for_prompt_part");
@@ -111,6 +112,9 @@
       { "workspace", workspace_ },
       { "rank", std::to_string(rank_) },
       { "engine", lastEngine_ },
+      { "resumes", resumedAttempt_ },
+      { "version", origin_.version_.value_or("") },
+      { "version_from", origin_.source_ },
       { "took_ms", since(now) },
       { "stages_ms", since(stagesDoneAt_) },
       { "first_event_ms", since(firstEventAt_) },
--- /dev/null
+++ b/goldcrestcroft/src/Gateway/StreamRecords.cpp
@@ -0,0 +1,186 @@
+#include "StreamRecords.h"
+
+#include "../Observability/Log.h"
+#include "BackgroundTask.h"
+
+#include <algorithm>
+
+namespace goldcrestcroft {
+
+auto StreamRecords::Pause(Duration aTime) -> Task<void>
+{
+  asio::steady_timer timer(context_, aTime);
+  co_await timer.async_wait(kAsTuple);
+}
+
+auto StreamRecords::Enqueue(const std::string& aKey, Row& aRow, bool aIsUrgent)
+  -> void
+{
+  if (!std::exchange(aRow.pending_, true)) {
+    pending_.insert(aIsUrgent ? pending_.begin() : pending_.end(), aKey);
+  }
+  if (!std::exchange(flushing_, true)) {
+    asio::co_spawn(context_, Flush(), LogFailure{ "write_stream_records" });
+  }
+}
+
+auto StreamRecords::Put(const std::string& aKey, const std::string& aVersion,
+                        TimePoint aKeepUntil, std::function<void()> aOnStored)
+  -> void
+{
+  if (!rows_.contains(aKey) && rows_.size() >= options_.maxRows_) {
+    metrics_.Count("stream_records_dropped");
+    return;
+  }
+  auto& row = rows_[aKey];
+  const auto isSame = row.version_ == aVersion && !row.removed_;
+  row.version_ = aVersion;
+  row.removed_ = false;
+  row.keepUntil_ = std::max(row.keepUntil_, aKeepUntil);
+  if (isSame && row.stored_ == aVersion && !row.pending_) {
+    return;
+  }
+  row.onStored_.push_back(std::move(aOnStored));
+  if (!isSame || !row.sending_) {
+    // Callers wait for it, unlike for rows that are written again.
+    Enqueue(aKey, row, true);
+  }
+}
+
+auto StreamRecords::IsStored(const std::string& aKey,
+                             const std::string& aVersion) const -> bool
+{
+  const auto found = rows_.find(aKey);
+  return found != rows_.end() && !found->second.pending_ &&
+         found->second.stored_ == aVersion;
+}
+
+auto StreamRecords::Read(std::string aKey) -> Task<StoreReply>
+{
+  co_return co_await store_.ReadRow(StoreTable::Streams, std::move(aKey));
+}
+
+auto StreamRecords::OnStoreRestored(std::uint64_t aEra) -> void
+{
+  era_ = std::max(era_, aEra);
+  for (auto& [key, row] : rows_) {
+    row.stored_.reset();
+    Enqueue(key, row);
+  }
+}
+
+auto StreamRecords::RemoveExpired(TimePoint aNow) -> void
+{
+  for (auto& [key, row] : rows_) {
+    if (!row.removed_ && aNow >= row.keepUntil_) {
+      row.removed_ = true;
+      Enqueue(key, row);
+    }
+  }
+}
+
+auto StreamRecords::TakeChanges() -> std::vector<RowChange>
+{
+  std::vector<RowChange> changes;
+  while (!pending_.empty() && changes.size() < MetadataStore::kMaxRowChanges) {
+    const auto key = std::move(pending_.front());
+    pending_.pop_front();
+    auto& row = rows_[key];
+    row.pending_ = false;
+    row.sending_ = true;
+    // Until the reply arrives, the store may contain either value.
+    row.stored_.reset();
+    changes.push_back(
+      { .key_ = key,
+        .value_ = row.removed_ ? std::nullopt : std::optional(row.version_) });
+  }
+  return changes;
+}
+
+auto StreamRecords::OnChanged(const std::vector<RowChange>& aChanges) -> void
+{
+  for (const auto& change : aChanges) {
+    auto& row = rows_[change.key_];
+    row.sending_ = false;
+    if (row.pending_) {
+      continue; // It has changed meanwhile.
+    }
+    if (!change.value_) {
+      rows_.erase(change.key_);
+      continue;
+    }
+    row.stored_ = change.value_;
+    for (const auto& onStored : std::exchange(row.onStored_, {})) {
+      onStored();
+    }
+  }
+}
+
+auto StreamRecords::Flush() -> Task<void>
+{
+  const ClearAtEnd flushing(flushing_);
+  auto pause = options_.minRetryDelay_;
+  while (!pending_.empty()) {
+    const auto changes = TakeChanges();
+    const auto began = clock_.Now();
+    const auto reply = co_await store_.Change(StoreTable::Streams, changes);
+    const auto isLost = reply.version_.era_ < era_;
+    if (reply.end_ == StoreOutcome::Done && !isLost) {
+      failing_ = false;
+      OnChanged(changes);
+      metrics_.Count("stream_record_calls");
+      pause = options_.minRetryDelay_;
+      const std::chrono::duration<double> interval(
+        static_cast<double>(options_.hosts_()) / options_.callsPerSecond_);
+      const auto left =
+        std::chrono::duration_cast<Duration>(interval) - (clock_.Now() - began);
+      // The first rows after a quiet time are not delayed.
+      co_await Pause(std::max<Duration>(left, {}));
+      continue;
+    }
+    failing_ = true;
+    for (const auto& change : changes) {
+      auto& row = rows_[change.key_];
+      row.sending_ = false;
+      Enqueue(change.key_, row);
+    }
+    Log::Write(LogLevel::Warning, "stream_records_not_written",
+               { { "rows", std::to_string(changes.size()) },
+                 { "reason", reply.end_ == StoreOutcome::Done
+                               ? "written in an earlier era of the store"
+                               : reply.detail_ } });
+    co_await Pause(pause);
+    pause = std::min(pause * 2, options_.maxRetryDelay_);
+  }
+}
+
+auto StreamRecords::RemoveOrphans() -> Task<bool>
+{
+  const auto reply = co_await store_.ReadAll(StoreTable::Streams);
+  if (reply.end_ != StoreOutcome::Done) {
+    co_return true;
+  }
+  const auto now = clock_.Now();
+  std::map<std::string, TimePoint> seen;
+  std::vector<RowChange> removals;
+  for (const auto& row : reply.rows_) {
+    if (rows_.contains(row.key_)) {
+      continue;
+    }
+    const auto known = orphans_.find(row.key_);
+    const auto since = known == orphans_.end() ? now : known->second;
+    if (now - since >= options_.orphanRetention_ &&
+        removals.size() < MetadataStore::kMaxRowChanges) {
+      removals.push_back({ .key_ = row.key_ });
+    } else {
+      seen.emplace(row.key_, since);
+    }
+  }
+  orphans_ = std::move(seen);
+  if (!removals.empty()) {
+    co_await store_.Change(StoreTable::Streams, std::move(removals));
+  }
+  co_return !reply.rows_.empty();
+}
+
+} // namespace goldcrestcroft
--- /dev/null
+++ b/goldcrestcroft/src/Gateway/StreamRecords.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "ClearAtEnd.h"
+#include "GatewayMetrics.h"
+#include "MetadataStore.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+
+namespace goldcrestcroft {
+
+/** \brief Rows of the platform's store that hold the software versions that
+ * began streams, by the key of the stream.
+ *
+ * Writes are collected while a call is under way, and the calls of all hosts
+ * together stay below a rate. One thread. */
+class StreamRecords
+{
+public:
+  struct Options
+  {
+    /** Returns the number of live hosts, this one included. */
+    std::function<std::size_t()> hosts_;
+    /** Calls a second of all hosts together: half of the 400 writes a second
+     * that the platform allows them. */
+    double callsPerSecond_ = 200.0;
+    /** Further rows are only remembered by this host. */
+    std::size_t maxRows_ = 20'000;
+    /** Bounds of the delay between attempts of a call. */
+    Duration minRetryDelay_ = std::chrono::milliseconds{ 50 };
+    Duration maxRetryDelay_ = std::chrono::milliseconds{ 1000 };
+    /** How long a row is known before it is removed as that of a host that is
+     * gone. */
+    Duration orphanRetention_ = std::chrono::minutes{ 5 };
+  };
+
+  StreamRecords(asio::io_context& aContext, Options aOptions,
+                MetadataStore& aStore, GatewayMetrics& aMetrics)
+    : context_(aContext)
+    , options_(std::move(aOptions))
+    , store_(aStore)
+    , metrics_(aMetrics)
+  {
+  }
+
+  /** \brief Writes the row, unless it has that value, and calls aOnStored once
+   * the store has confirmed it. The row is removed after aKeepUntil. */
+  auto Put(const std::string& aKey, const std::string& aVersion,
+           TimePoint aKeepUntil, std::function<void()> aOnStored) -> void;
+  /** \brief Whether this host has written a row with the key, or will. */
+  [[nodiscard]] auto Has(const std::string& aKey) const -> bool
+  {
+    return rows_.contains(aKey);
+  }
+  [[nodiscard]] auto IsStored(const std::string& aKey,
+                              const std::string& aVersion) const -> bool;
+  /** \brief Whether the last call failed. */
+  [[nodiscard]] auto IsFailing() const -> bool { return failing_; }
+  /** \brief Reads the version of a stream; the reply has no row if there is
+   * none. */
+  auto Read(std::string aKey) -> Task<StoreReply>;
+  /** \brief The store was restored from an older copy and is in this era: all
+   * rows are written again. */
+  auto OnStoreRestored(std::uint64_t aEra) -> void;
+  /** \brief Removes the rows whose time has passed. */
+  auto RemoveExpired(TimePoint aNow) -> void;
+  /** \brief Reads all rows, and removes those of hosts that are gone. Returns
+   * whether the store may have others. */
+  auto RemoveOrphans() -> Task<bool>;
+
+private:
+  struct Row
+  {
+    std::string version_;
+    /** What the store contains; unknown after a call without a reply. */
+    std::optional<std::string> stored_;
+    TimePoint keepUntil_;
+    bool removed_ = false;
+    /** Whether the row is in pending_. */
+    bool pending_ = false;
+    /** Whether a call that writes it is under way. */
+    bool sending_ = false;
+    std::vector<std::function<void()>> onStored_;
+  };
+
+  /** \brief Has the row written or removed, an urgent one before the others. */
+  auto Enqueue(const std::string& aKey, Row& aRow, bool aIsUrgent = false)
+    -> void;
+  /** \brief The changes of the next call; at most kMaxRowChanges. */
+  auto TakeChanges() -> std::vector<RowChange>;
+  auto OnChanged(const std::vector<RowChange>& aChanges) -> void;
+  auto Flush() -> Task<void>;
+  auto Pause(Duration aTime) -> Task<void>;
+
+  asio::io_context& context_;
+  Options options_;
+  MetadataStore& store_;
+  GatewayMetrics& metrics_;
+  SuspendAwareClock clock_;
+  std::map<std::string, Row> rows_;
+  /** Keys of the rows that have to be written or removed. */
+  std::deque<std::string> pending_;
+  bool flushing_ = false;
+  bool failing_ = false;
+  std::uint64_t era_ = 0;
+  /** When the rows of the store that this host did not write were first
+   * seen. */
+  std::map<std::string, TimePoint> orphans_;
+};
+
+} // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/Traffic.cpp
+++ b/goldcrestcroft/src/Gateway/Traffic.cpp
@@ -10,8 +10,8 @@
 namespace goldcrestcroft {
 
 Traffic::Traffic(asio::io_context& aContext, TrafficOptions aOptions,
-                 const PlatformCodec& aCodec, GatewayMetrics& aMetrics,
-                 PeerCallbacks aPeerCallbacks)
+                 const PlatformCodec& aCodec, MetadataStore& aStore,
+                 GatewayMetrics& aMetrics, PeerCallbacks aPeerCallbacks)
   : context_(aContext)
   , options_(std::move(aOptions))
   , codec_(aCodec)
@@ -35,6 +35,12 @@
           [this](const std::string& aEvent) { metrics_.Count(aEvent); } })
   , batcher_(aContext, {}, pool_, aCodec)
   , broker_(aContext, options_.settings_.StageAddress(), batcher_)
+  , versions_(aContext,
+              { .host_ = options_.settings_.host_,
+                .hosts_ = [this] { return fleet_->hosts_.size(); },
+                .removes_ = [this] { return IsFirstHost(); },
+                .isInformed_ = [this] { return fleet_->current_; } },
+              aStore, aMetrics)
 {
   Memory().SetOptions(options_.settings_.Memory());
 }
@@ -45,6 +51,7 @@
   BOOST_LEAF_AUTO(acceptor,
                   Listen(context_, options_.settings_.callers_, aRetry));
   acceptor_.emplace(std::move(acceptor));
+  versions_.Start();
   asio::co_spawn(context_,
                  KeepRunning("accept_callers", [this] { return Accept(); }),
                  LogFailure{ "accept_callers" });
@@ -169,6 +176,7 @@
   std::erase_if(answerTimes_, unknown);
   batcher_.SetRouting(routing_);
   pool_.SetWarmUpRates(routing_->WarmUpRates());
+  UpdateVersions();
   const auto& limits = routing_->Limits();
   Log::Write(
     LogLevel::Info, "configuration_in_force",
@@ -187,6 +195,34 @@
   ReportLostRuns(crashDetector_.OnEngines(pool_.Engines(), Now()),
                  "entry_ended");
   batcher_.OnEngines();
+  UpdateVersions();
+}
+
+auto Traffic::UpdateVersions() -> void
+{
+  std::set<std::string> services;
+  for (const auto& route : routing_->Routes()) {
+    if (route.kind_ == RouteKind::Streaming && route.resumable_) {
+      for (const auto& target : route.split_) {
+        services.insert(target.service_);
+      }
+    }
+  }
+  versions_.OnEngines(pool_.Engines(), services);
+}
+
+auto Traffic::IsFirstHost() const -> bool
+{
+  const std::string* first = nullptr;
+  std::uint64_t largest = 0;
+  for (const auto& host : fleet_->hosts_) {
+    const auto weight = RendezvousWeight("stream_versions", host.id_);
+    if (!host.leaving_ && (first == nullptr || weight > largest)) {
+      first = &host.id_;
+      largest = weight;
+    }
+  }
+  return first != nullptr && *first == fleet_->self_;
 }
 
 auto Traffic::SetFleet(std::shared_ptr<const FleetView> aFleet) -> void
--- a/goldcrestcroft/src/Gateway/Traffic.h
+++ b/goldcrestcroft/src/Gateway/Traffic.h
@@ -6,6 +6,7 @@
 #include "PeerFrames.h"
 #include "PlatformCodec.h"
 #include "StageBroker.h"
+#include "StreamVersions.h"
 
 #include <set>
 
@@ -58,8 +59,8 @@
   };
 
   Traffic(asio::io_context& aContext, TrafficOptions aOptions,
-          const PlatformCodec& aCodec, GatewayMetrics& aMetrics,
-          PeerCallbacks aPeerCallbacks);
+          const PlatformCodec& aCodec, MetadataStore& aStore,
+          GatewayMetrics& aMetrics, PeerCallbacks aPeerCallbacks);
 
   /** \brief Opens the ports. Fails with Unavailable. */
   auto Start(const BindRetry& aRetry) -> Result<void>;
@@ -72,6 +73,10 @@
   /** \brief An engine advertised its rate limit to another host. */
   auto OnLimit(const EngineLimit& aWord) -> void { pool_.OnLimit(aWord); }
   auto OnPermit(const PermitReply& aAnswer) -> void;
+  auto OnStoreRestored(std::uint64_t aEra) -> void
+  {
+    versions_.OnStoreRestored(aEra);
+  }
   /** \brief Applies changed settings, such as the retry budget. */
   auto SetSettings(const NodeSettings& aSettings) -> void;
   /** \brief Begins the planned stop: from now on, responses announce the close
@@ -135,6 +140,7 @@
   auto Memory() -> MemoryAccount& { return pool_.Memory(); }
   auto Throttle() -> LogThrottle& { return logThrottle_; }
   auto Broker() -> StageBroker& { return broker_; }
+  auto Versions() -> StreamVersions& { return versions_; }
   auto Metrics() -> GatewayMetrics& { return metrics_; }
 
   auto OnRequestBegin(RequestRun* aRun) -> void { runs_.insert(aRun); }
@@ -199,6 +205,11 @@
    * none. */
   auto CloseIncompleteRequest() -> bool;
   auto RetryWindowOf(const std::string& aService) -> RetryWindow&;
+  /** \brief Registers the versions of the engines that resumable streams may
+   * begin at. */
+  auto UpdateVersions() -> void;
+  /** \brief Whether this host does what one host does for all. */
+  [[nodiscard]] auto IsFirstHost() const -> bool;
 
   asio::io_context& context_;
   TrafficOptions options_;
@@ -216,6 +227,7 @@
   std::uint64_t lastPermit_ = 0;
   StageBatcher batcher_;
   StageBroker broker_;
+  StreamVersions versions_;
   SuspectTable suspects_;
   CrashDetector crashDetector_;
   /** Engines whose reachability is being checked. */
--- a/goldcrestcroft/src/Process/EntryCommand.cpp
+++ b/goldcrestcroft/src/Process/EntryCommand.cpp
@@ -4,6 +4,7 @@
 #include <platform/StoreClient.h>
 #include <platform/TableCodec.h>
 
+#include <algorithm>
 #include <cstdlib>
 
 namespace goldcrestcroft {
@@ -43,14 +44,19 @@
                        .standardOutput_ = true });
       LogWarnings(loaded);
       const platform::TableCodec codec;
+      const auto makeStore = [&](asio::io_context& aContext,
+                                 Duration aTimeout) {
+        constexpr Duration kMaxConnectTime = std::chrono::milliseconds{ 1000 };
+        return std::make_unique<platform::StoreClient>(
+          aContext, platform::StoreClient::Options{
+                      .address_ = settings.store_,
+                      .timeout_ = aTimeout,
+                      .connectTimeout_ = std::min(aTimeout, kMaxConnectTime) });
+      };
       EntryGateway gateway({ .settings_ = settings,
                              .settingsFile_ = file,
                              .incarnation_ = NewIncarnation() },
-                           codec, [&](asio::io_context& aContext) {
-                             return std::make_unique<platform::StoreClient>(
-                               aContext, platform::StoreClient::Options{
-                                           .address_ = settings.store_ });
-                           });
+                           codec, makeStore);
       BOOST_LEAF_CHECK(gateway.Run());
       return 0;
     },
--- a/goldcrestcroft/src/Routing/EngineEntry.h
+++ b/goldcrestcroft/src/Routing/EngineEntry.h
@@ -14,6 +14,8 @@
   /** "IP:PORT". */
   std::string address_;
   std::string zone_;
+  /** Version of the engine's software; empty if not reported. */
+  std::string version_;
   std::size_t slots_ = 1;
   bool draining_ = false;
   /** Start of this incarnation in Unix milliseconds; 0 if not reported. */
--- a/goldcrestcroft/src/Routing/EngineList.cpp
+++ b/goldcrestcroft/src/Routing/EngineList.cpp
@@ -10,6 +10,7 @@
   for (const auto& entry : aEntries) {
     listed_[entry.id_] = { .startedAt_ = entry.startedAt_,
                            .draining_ = entry.draining_ };
+    versions_[entry.service_].insert(entry.version_);
     if (entry.draining_) {
       continue;
     }
@@ -48,7 +49,17 @@
   const auto& engines = EnginesOf(aEngine.service_);
   return std::any_of(engines.begin(), engines.end(), [&](const auto& aOther) {
     return aOther.id_ == aEngine.id_ && aOther.address_ == aEngine.address_ &&
-           aOther.startedAt_ == aEngine.startedAt_;
+           aOther.startedAt_ == aEngine.startedAt_ &&
+           aOther.version_ == aEngine.version_;
+  });
+}
+
+auto EngineList::HasVersion(const std::string& aService,
+                            const std::string& aVersion) const -> bool
+{
+  const auto& engines = EnginesOf(aService);
+  return std::any_of(engines.begin(), engines.end(), [&](const auto& aEngine) {
+    return aEngine.version_ == aVersion;
   });
 }
 
--- a/goldcrestcroft/src/Routing/EngineList.h
+++ b/goldcrestcroft/src/Routing/EngineList.h
@@ -21,7 +21,7 @@
   [[nodiscard]] auto EnginesOf(const std::string& aService) const
     -> const std::vector<EngineEntry>&;
   /** \brief Whether this incarnation of the engine is registered at this
-   * address and not draining. */
+   * address, with this software version, and not draining. */
   [[nodiscard]] auto Contains(const EngineEntry& aEngine) const -> bool;
   /** \brief Whether this incarnation of the engine is registered, draining or
    * not. */
@@ -36,6 +36,17 @@
   {
     return evacuated_.contains(aService) && EnginesOf(aService).empty();
   }
+  /** \brief The software versions of the registered engines, by service,
+   * draining or not. */
+  [[nodiscard]] auto Versions() const
+    -> const std::map<std::string, std::set<std::string>>&
+  {
+    return versions_;
+  }
+  /** \brief Whether an engine of the service that is in its list has the
+   * software version. */
+  [[nodiscard]] auto HasVersion(const std::string& aService,
+                                const std::string& aVersion) const -> bool;
   [[nodiscard]] auto size() const -> std::size_t { return size_; }
 
 private:
@@ -47,6 +58,7 @@
     bool draining_ = false;
   };
   std::map<std::string, Listed> listed_;
+  std::map<std::string, std::set<std::string>> versions_;
   /** Services with engines in evacuated zones. */
   std::set<std::string> evacuated_;
   std::size_t size_ = 0;
--- a/test/platform/EngineStandin.cpp
+++ b/test/platform/EngineStandin.cpp
@@ -78,12 +78,14 @@
 {
   const std::lock_guard lock(mutex_);
   state_ = aState.empty() ? state_ : aState;
-  return json{
-    { "service", aService },    { "address", advertised_ },
-    { "zone", "z1" },           { "slots", 8 },
-    { "state", state_ },        { "born", incarnation_ },
-    { "sequence", ++sequence_ }
-  }.dump();
+  json entry{ { "service", aService },    { "address", advertised_ },
+              { "zone", "z1" },           { "slots", 8 },
+              { "state", state_ },        { "born", incarnation_ },
+              { "sequence", ++sequence_ } };
+  if (!version_.empty()) {
+    entry["version"] = version_;
+  }
+  return entry.dump();
 }
 
 auto EngineStandin::Runs() -> std::map<std::string, int>
@@ -268,7 +270,9 @@
   if (target.find("/stream/") != std::string::npos &&
       trouble != Trouble::Fails) {
     reaction.headers_.emplace_back("Content-Type", "text/event-stream");
-    reaction.chunks_ = Events(Header(aRequest, "Last-Event-Id"), id);
+    const auto lastId = Header(aRequest, "Last-Event-Id");
+    reaction.chunks_ = Events(lastId, version_.empty() ? id : version_);
+    reaction.truncates_ |= breaksNewStreams_ && lastId.empty();
     if (splitsEvents_ && reaction.chunks_.size() > 2) {
       auto& second = reaction.chunks_[1];
       auto& third = reaction.chunks_[2];
--- a/test/platform/EngineStandin.h
+++ b/test/platform/EngineStandin.h
@@ -82,6 +82,13 @@
     onStart_ = std::move(aOnStart);
   }
   [[nodiscard]] auto Id() const -> const std::string& { return id_; }
+  /** \brief Sets the software version, which the entry and the data of each
+   * event name from now on. */
+  auto SetVersion(const std::string& aVersion) -> void
+  {
+    const std::lock_guard lock(mutex_);
+    version_ = aVersion;
+  }
   /** \brief Makes another engine take over the address from now on. */
   auto Replace(const std::string& aId) -> void
   {
@@ -187,6 +194,8 @@
   /** Sends the first bytes of a stream's third event along with the second,
    * before the pause. */
   std::atomic<bool> splitsEvents_ = false;
+  /** Breaks off streams that begin, but none that resume. */
+  std::atomic<bool> breaksNewStreams_ = false;
   /** Pause before the third event of a stream; pauseMs_ if negative. */
   std::atomic<int> stallMs_ = -1;
   /** Bytes added to the body of each response that is not a stream. */
@@ -222,6 +231,7 @@
   std::string id_;
   std::mutex mutex_;
   std::string state_ = "ready";
+  std::string version_;
   std::uint64_t incarnation_ = 0;
   std::uint64_t sequence_ = 0;
   std::optional<EndlessBytes> endless_;
--- a/test/platform/StoreStandin.cpp
+++ b/test/platform/StoreStandin.cpp
@@ -33,6 +33,22 @@
   return aTarget.substr(from, aTarget.find('&', from) - from);
 }
 
+auto Unescape(const std::string& aText) -> std::string
+{
+  constexpr auto kHexadecimal = 16;
+  std::string text;
+  for (std::size_t i = 0; i < aText.size(); ++i) {
+    if (aText[i] == '%' && i + 2 < aText.size()) {
+      text += static_cast<char>(
+        std::stoi(aText.substr(i + 1, 2), nullptr, kHexadecimal));
+      i += 2;
+    } else {
+      text += aText[i];
+    }
+  }
+  return text;
+}
+
 } // namespace
 
 StoreStandin::StoreStandin(asio::io_context& aContext,
@@ -168,12 +184,14 @@
 }
 
 auto StoreStandin::RowsOf(Contents& aContents, const std::string& aTable,
-                          std::uint64_t aAfter, bool aRemoved) -> ResponsePlan
+                          std::uint64_t aAfter, bool aRemoved,
+                          const KeyRange& aRange) -> ResponsePlan
 {
   const std::lock_guard lock(mutex_);
   auto rows = json::array();
   for (const auto& [key, row] : aContents.tables_[aTable]) {
-    if (row.version_ > aAfter && (aRemoved || !row.removed_)) {
+    if (row.version_ > aAfter && (aRemoved || !row.removed_) &&
+        aRange.Contains(key)) {
       json item{ { "table", aTable },
                  { "part", "" },
                  { "key", key },
@@ -198,6 +216,17 @@
 {
   const auto call = json::parse(aBody);
   const std::lock_guard lock(mutex_);
+  for (const auto& row : call.at("expected_revision")) {
+    const auto& known = aContents.tables_[row.at("table")][row.at("key")];
+    const auto version = known.removed_ ? 0 : known.version_;
+    if (version != row.at("ver").get<std::uint64_t>()) {
+      auto conflict =
+        Respond(aContents,
+                json{ { "ver", aContents.version_ }, { "now_ms", 1 } }.dump());
+      conflict.status_ = 412;
+      return conflict;
+    }
+  }
   const auto version = ++aContents.version_;
   for (const auto& row : call.at("writes")) {
     aContents.tables_[row.at("table")][row.at("key")] = { .value_ =
@@ -246,7 +275,9 @@
   }
   const auto table = Query(target, "table");
   if (target.starts_with("/rows-get")) {
-    auto response = RowsOf(aContents, table, 0, false);
+    auto response = RowsOf(aContents, table, 0, false,
+                           { .from_ = Unescape(Query(target, "from")),
+                             .to_ = Unescape(Query(target, "to")) });
     response.delay_ =
       std::chrono::milliseconds{ table == "servers" ? enginesDelayMs_.load()
                                                     : 0 };
@@ -262,7 +293,7 @@
     if (historyLost_ || LacksVersion(aContents, after)) {
       co_return RespondStatus(aContents, 410);
     }
-    auto response = RowsOf(aContents, table, after, true);
+    auto response = RowsOf(aContents, table, after, true, {});
     if (left <= 0 || response.body_.find("\"key\"") != std::string::npos) {
       co_return response;
     }
--- a/test/platform/StoreStandin.h
+++ b/test/platform/StoreStandin.h
@@ -83,6 +83,17 @@
     bool removed_ = false;
   };
   using Table = std::map<std::string, Row>;
+  /** \brief Keys from from_ on and before to_, where these are not empty. */
+  struct KeyRange
+  {
+    std::string from_;
+    std::string to_;
+
+    [[nodiscard]] auto Contains(const std::string& aKey) const -> bool
+    {
+      return aKey >= from_ && (to_.empty() || aKey < to_);
+    }
+  };
   struct Contents
   {
     std::map<std::string, Table> tables_;
@@ -112,7 +123,8 @@
     -> goldcrestcroft::Task<ResponsePlan>;
   auto Transact(Contents& aContents, const std::string& aBody) -> ResponsePlan;
   auto RowsOf(Contents& aContents, const std::string& aTable,
-              std::uint64_t aAfter, bool aRemoved) -> ResponsePlan;
+              std::uint64_t aAfter, bool aRemoved, const KeyRange& aRange)
+    -> ResponsePlan;
   /** \brief Whether the contents lack the version. */
   auto LacksVersion(const Contents& aContents, std::uint64_t aVersion) -> bool;
   auto Write(const std::string& aTable, const std::string& aKey, Row aRow)
--- /dev/null
+++ b/test/property/StreamVersionsTest.cpp
@@ -0,0 +1,238 @@
+#include "VersionStore.h"
+
+#include <doctest/doctest.h>
+#include <goldcrestcroft/src/Gateway/EventLoop.h>
+#include <goldcrestcroft/src/Gateway/StreamVersions.h>
+
+#include <memory>
+
+namespace testing {
+
+namespace {
+
+using namespace goldcrestcroft;
+
+const std::string kService = "model";
+
+/** Hosts that begin streams and take up those of others, while versions come
+ * and go and hosts are replaced. */
+class StreamWorld
+{
+public:
+  struct Stream
+  {
+    StreamId id_;
+    std::string version_;
+  };
+
+  explicit StreamWorld(unsigned aSeed)
+    : store_(context_, aSeed)
+  {
+    for (auto i = 0U; i < kHosts; ++i) {
+      StartHost();
+    }
+  }
+  ~StreamWorld() { context_.DestroyHandlers(); }
+  StreamWorld(const StreamWorld&) = delete;
+  auto operator=(const StreamWorld&) -> StreamWorld& = delete;
+
+  auto Store() -> VersionStore& { return store_; }
+  auto Run(std::chrono::microseconds aTime) -> void
+  {
+    context_.restart();
+    context_.run_for(aTime);
+  }
+  auto SetVersions(const std::vector<std::string>& aVersions) -> void
+  {
+    versions_ = aVersions;
+    for (std::size_t host = 0; host < hosts_.size(); ++host) {
+      // Hosts learn of a change at different times.
+      Run(std::chrono::microseconds{ store_.Draw(2000) });
+      ShowEngines(host);
+    }
+  }
+  /** \brief A host is killed, and another one starts. */
+  auto ReplaceHost(std::size_t aHost) -> void
+  {
+    gone_.push_back(std::move(hosts_[aHost]));
+    hosts_.erase(hosts_.begin() + static_cast<std::ptrdiff_t>(aHost));
+    StartHost();
+  }
+  auto ReplaceAll() -> void
+  {
+    for (auto i = 0U; i < kHosts; ++i) {
+      ReplaceHost(0);
+    }
+  }
+  /** \brief Begins a stream at a random host and engine; none if the store does
+   * not confirm its version. */
+  auto Begin() -> std::optional<Stream>
+  {
+    auto& host = *hosts_[store_.Draw(kHosts)];
+    const auto version =
+      versions_[store_.Draw(static_cast<unsigned>(versions_.size()))];
+    const StreamId id{ .service_ = kService,
+                       .workspace_ = "w",
+                       .attempt_ = std::to_string(++streams_) };
+    host.Prepare(id, version, std::chrono::seconds{ 5 }, [] {});
+    for (auto i = 0; i < 40 && !host.IsKnownToAll(id, version); ++i) {
+      Run(std::chrono::milliseconds{ 5 });
+    }
+    if (!host.IsKnownToAll(id, version)) {
+      return std::nullopt;
+    }
+    host.OnBegun(id, version, std::chrono::seconds{ 5 });
+    return Stream{ .id_ = id, .version_ = version };
+  }
+  auto FindOrigin(const Stream& aStream) -> StreamOrigin
+  {
+    auto& host = *hosts_[store_.Draw(kHosts)];
+    std::optional<StreamOrigin> origin;
+    asio::co_spawn(
+      context_,
+      [&]() -> Task<void> { origin = co_await host.FindOrigin(aStream.id_); },
+      asio::detached);
+    while (!origin) {
+      Run(std::chrono::milliseconds{ 1 });
+    }
+    return *origin;
+  }
+
+private:
+  static constexpr unsigned kHosts = 3;
+
+  auto StartHost() -> void
+  {
+    const auto number = ++started_;
+    hosts_.push_back(std::make_unique<StreamVersions>(
+      context_,
+      StreamVersions::Options{ .host_ = "h" + std::to_string(number),
+                               .hosts_ = [] { return kHosts; },
+                               .removes_ = [] { return false; },
+                               .isInformed_ = [] { return true; } },
+      store_, metrics_));
+    ShowEngines(hosts_.size() - 1);
+  }
+  auto ShowEngines(std::size_t aHost) -> void
+  {
+    std::vector<EngineEntry> entries;
+    for (const auto& version : versions_) {
+      entries.push_back({ .id_ = "e" + version,
+                          .service_ = kService,
+                          .zone_ = "z",
+                          .version_ = version });
+    }
+    hosts_[aHost]->OnEngines(EngineList(entries), { kService });
+  }
+
+  EventLoop context_;
+  GatewayMetrics metrics_;
+  VersionStore store_;
+  std::vector<std::string> versions_{ "v1" };
+  std::vector<std::unique_ptr<StreamVersions>> hosts_;
+  /** Their calls end later. */
+  std::vector<std::unique_ptr<StreamVersions>> gone_;
+  unsigned started_ = 0;
+  unsigned streams_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("no host takes a stream for one of another version, and none is "
+          "refused while the store replies")
+{
+  constexpr auto kWorlds = 12U;
+  constexpr auto kSteps = 60;
+  std::size_t found = 0;
+  for (auto seed = 1U; seed <= kWorlds; ++seed) {
+    CAPTURE(seed);
+    StreamWorld world(seed);
+    auto& store = world.Store();
+    store.losesReplies_ = seed % 3 == 0;
+    std::vector<StreamWorld::Stream> streams;
+    auto next = 1;
+    std::vector<std::string> versions{ "v1" };
+    for (auto step = 0; step < kSteps; ++step) {
+      CAPTURE(step);
+      switch (store.Draw(8)) {
+        case 0:
+          versions.push_back("v" + std::to_string(++next));
+          world.SetVersions(versions);
+          break;
+        case 1:
+          if (versions.size() > 1) {
+            versions.erase(versions.begin());
+            world.SetVersions(versions);
+          }
+          break;
+        case 2:
+          world.ReplaceHost(store.Draw(3));
+          break;
+        case 3:
+          if (store.Draw(4) == 0) {
+            world.ReplaceAll();
+          }
+          break;
+        default:
+          if (auto stream = world.Begin()) {
+            streams.push_back(*stream);
+          }
+      }
+      if (streams.empty()) {
+        continue;
+      }
+      const auto& stream =
+        streams[store.Draw(static_cast<unsigned>(streams.size()))];
+      const auto origin = world.FindOrigin(stream);
+      CAPTURE(origin.source_);
+      if (origin.version_) {
+        ++found;
+        CHECK(*origin.version_ == stream.version_);
+      } else {
+        CHECK(store.losesReplies_);
+      }
+    }
+  }
+  CHECK(found > kWorlds * kSteps / 2);
+}
+
+TEST_CASE("streams of the only version make no calls")
+{
+  StreamWorld world(1);
+  world.Run(std::chrono::milliseconds{ 100 });
+  const auto before = world.Store().calls_;
+  for (auto i = 0; i < 50; ++i) {
+    CHECK(world.Begin());
+  }
+  CHECK(world.Store().calls_ == before);
+}
+
+TEST_CASE("a stream of the only version is found while the store is away")
+{
+  StreamWorld world(2);
+  world.Run(std::chrono::milliseconds{ 100 });
+  const auto stream = world.Begin();
+  REQUIRE(stream);
+  world.Store().away_ = true;
+  CHECK(world.FindOrigin(*stream).version_ == "v1");
+  world.SetVersions({ "v1", "v2" });
+  CHECK_FALSE(world
+                .FindOrigin({ .id_ = { .service_ = kService,
+                                       .workspace_ = "w",
+                                       .attempt_ = "other" } })
+                .version_);
+}
+
+TEST_CASE("the name of an attempt is of no use in another workspace")
+{
+  const StreamId id{ .service_ = "s", .workspace_ = "w", .attempt_ = "a" };
+  for (const auto& other :
+       { StreamId{ .service_ = "s", .workspace_ = "x", .attempt_ = "a" },
+         StreamId{ .service_ = "s", .workspace_ = "w1:", .attempt_ = "a" },
+         StreamId{ .service_ = "sw", .workspace_ = "", .attempt_ = "a" },
+         StreamId{ .service_ = "s", .workspace_ = "", .attempt_ = "wa" } }) {
+    CHECK(other.Key() != id.Key());
+  }
+}
+
+} // namespace testing
--- a/test/unit/HeldRequestRowsTest.cpp
+++ b/test/unit/HeldRequestRowsTest.cpp
@@ -34,6 +34,15 @@
     co_return Done();
   }
 
+  auto ReadRow(StoreTable, std::string) -> Task<StoreReply> override
+  {
+    co_return Done();
+  }
+  auto Change(StoreTable, std::vector<RowChange>) -> Task<StoreReply> override
+  {
+    co_return Done();
+  }
+
   std::vector<std::string> calls_;
   std::map<std::string, std::string> rows_;
   std::uint64_t era_ = 1;
--- a/test/unit/PlatformAdapterTest.cpp
+++ b/test/unit/PlatformAdapterTest.cpp
@@ -218,8 +218,8 @@
     for (std::size_t i = 0; i < size; ++i) {
       value[i] = static_cast<char>(i * 37);
     }
-    const auto call = nlohmann::json::parse(
-      platform::MakeTransaction(StoreTable::Hosts, "h", value));
+    const auto call = nlohmann::json::parse(platform::MakeTransaction(
+      StoreTable::Hosts, { { .key_ = "h", .value_ = value } }));
     const nlohmann::json response{ { "rows", call.at("writes") },
                                    { "ver", 1 } };
     StoreReply reply;
@@ -248,9 +248,30 @@
                                     .version_ = { .number_ = 4 } });
   CHECK(reply.rows_[1].removed_);
   CHECK_FALSE(platform::ReadRows("<html>", reply, truncated));
-  const auto body =
-    platform::MakeTransaction(StoreTable::Hosts, "h1", "node-1");
+  const auto body = platform::MakeTransaction(
+    StoreTable::Hosts, { { .key_ = "h1", .value_ = "node-1" } });
   CHECK(body.find("\"value\":\"bm9kZS0x\"") != std::string::npos);
 }
 
+TEST_CASE("a change states the version that its row must have")
+{
+  const auto call = nlohmann::json::parse(
+    platform::MakeTransaction(StoreTable::StreamVersions,
+                              { { .key_ = "a", .value_ = "x", .expected_ = 7 },
+                                { .key_ = "b", .expected_ = 0 },
+                                { .key_ = "c" } }));
+  REQUIRE(call.at("expected_revision").size() == 2);
+  CHECK(call.at("expected_revision")[0].at("ver") == 7);
+  CHECK(call.at("expected_revision")[1].at("ver") == 0);
+  REQUIRE(call.at("writes").size() == 1);
+  CHECK(call.at("writes")[0].at("key") == "a");
+  CHECK(call.at("remove").size() == 2);
+}
+
+TEST_CASE("a key with bytes that have a meaning in a query is written escaped")
+{
+  CHECK(platform::EncodeKey("model-1") == "model%2D1");
+  CHECK(platform::EncodeKey("a&to=%00 /") == "a%26to%3D%2500%20%2F");
+}
+
 } // namespace testing
--- a/test/unit/StallableLoop.cpp
+++ b/test/unit/StallableLoop.cpp
@@ -58,7 +58,7 @@
                                const PlatformCodec* aCodec)
   : loop_(aLoop)
   , traffic_(aLoop.Context(), {}, aCodec == nullptr ? ownCodec_ : *aCodec,
-             metrics_,
+             store_, metrics_,
              { .lost_ = [](const auto&) {},
                .suspect_ = [](const auto&) {},
                .leaving_ = [](const auto&) {} })
--- a/test/unit/StallableLoop.h
+++ b/test/unit/StallableLoop.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "SilentStore.h"
+
 #include <goldcrestcroft/src/Gateway/Traffic.h>
 #include <platform/TableCodec.h>
 
@@ -72,6 +74,7 @@
 private:
   StallableLoop& loop_;
   platform::TableCodec ownCodec_;
+  SilentStore store_;
   goldcrestcroft::GatewayMetrics metrics_;
   goldcrestcroft::Traffic traffic_;
   std::vector<std::shared_ptr<goldcrestcroft::CallerConnection>> connections_;
