Log for how long and why an engine is suspended

The log did not say when engines were suspended, so that refusals after an outage could not be told apart from engines that had not returned yet.

--- a/goldcrestcroft/src/Engines/EngineHealth.cpp
+++ b/goldcrestcroft/src/Engines/EngineHealth.cpp
@@ -4,17 +4,34 @@
 
 namespace goldcrestcroft {
 
+auto ToString(EngineFailure aFailure) -> std::string
+{
+  switch (aFailure) {
+    case EngineFailure::Unreachable:
+      return "unreachable";
+    case EngineFailure::Unanswered:
+      return "unanswered";
+    case EngineFailure::Failed:
+      break;
+  }
+  return "failed";
+}
+
 auto EngineHealth::OnSuccess() -> void
 {
   consecutiveFailures_ = 0;
   suspensions_ = 0;
-  unreachable_ = false;
+  lastFailure_ = EngineFailure::Failed;
   failureShare_ *= 1.0 - options_.smoothing_;
 }
 
-auto EngineHealth::OnFailure(TimePoint aNow) -> void
+auto EngineHealth::OnFailure(EngineFailure aFailure, TimePoint aNow) -> void
 {
-  unreachable_ = false;
+  lastFailure_ = aFailure;
+  if (aFailure == EngineFailure::Unreachable) {
+    Suspend(aNow);
+    return;
+  }
   failureShare_ += (1.0 - failureShare_) * options_.smoothing_;
   ++consecutiveFailures_;
   if (consecutiveFailures_ >= options_.failuresToSuspend_ || suspensions_ > 0) {
@@ -22,12 +39,6 @@
   }
 }
 
-auto EngineHealth::OnUnreachable(TimePoint aNow) -> void
-{
-  unreachable_ = true;
-  Suspend(aNow);
-}
-
 auto EngineHealth::Suspend(TimePoint aNow) -> void
 {
   suspendedUntil_ = aNow + Doubled(options_.firstSuspension_, suspensions_++,
--- a/goldcrestcroft/src/Engines/EngineHealth.h
+++ b/goldcrestcroft/src/Engines/EngineHealth.h
@@ -2,10 +2,25 @@
 
 #include "../../Core.h"
 
+#include <algorithm>
 #include <cstdint>
+#include <string>
 
 namespace goldcrestcroft {
 
+/** \brief How an attempt at an engine failed. */
+enum class EngineFailure
+{
+  /** A connection could not be established. */
+  Unreachable,
+  /** The engine did not respond to a request, or not completely. */
+  Unanswered,
+  /** The engine responded with an error or a refusal. */
+  Failed
+};
+
+auto ToString(EngineFailure aFailure) -> std::string;
+
 /** \brief Recent success and failure of one engine, as this host saw it.
  *
  * Consecutive failures suspend the engine for a time that doubles with each
@@ -36,21 +51,37 @@
   }
 
   auto OnSuccess() -> void;
-  /** \brief The engine responded with a failure, or did not respond. */
-  auto OnFailure(TimePoint aNow) -> void;
-  /** \brief A connection could not be established: suspends the engine at
-   * once. */
-  auto OnUnreachable(TimePoint aNow) -> void;
+  /** \brief An unreachable engine is suspended at once, others after several
+   * failures in a row. */
+  auto OnFailure(EngineFailure aFailure, TimePoint aNow) -> void;
+  /** \brief The engine responded to a call for its health: it is no longer
+   * suspended, but on trial. */
+  auto OnResponding(TimePoint aNow) -> void
+  {
+    lastFailure_ = EngineFailure::Failed;
+    suspendedUntil_ = std::min(suspendedUntil_, aNow);
+  }
 
   [[nodiscard]] auto IsUsable(TimePoint aNow) const -> bool
   {
     return aNow >= suspendedUntil_;
   }
+  [[nodiscard]] auto SuspensionLeft(TimePoint aNow) const -> Duration
+  {
+    return std::max<Duration>(suspendedUntil_ - aNow, {});
+  }
+  /** \brief Whether the engine was suspended since it did not respond, and has
+   * not responded since. */
+  [[nodiscard]] auto IsSilent() const -> bool
+  {
+    return suspensions_ > 0 && lastFailure_ != EngineFailure::Failed;
+  }
   /** \brief Whether the suspended engine may be tried if no other engine is
    * left: it can be reached and still serves some requests. */
   [[nodiscard]] auto IsLastResort() const -> bool
   {
-    return !unreachable_ && failureShare_ < options_.lastResortShare_;
+    return lastFailure_ != EngineFailure::Unreachable &&
+           failureShare_ < options_.lastResortShare_;
   }
   /** \brief Whether the next request would be the first one after a
    * suspension. */
@@ -65,7 +96,7 @@
   std::uint32_t consecutiveFailures_ = 0;
   std::uint32_t suspensions_ = 0;
   double failureShare_ = 0.0;
-  bool unreachable_ = false;
+  EngineFailure lastFailure_ = EngineFailure::Failed;
   TimePoint suspendedUntil_{};
 };
 
--- a/goldcrestcroft/src/Gateway/EnginePool.cpp
+++ b/goldcrestcroft/src/Gateway/EnginePool.cpp
@@ -183,7 +183,7 @@
       aEngine->refusedAt_ = clock_.Now();
     }
     if (!reset) {
-      aEngine->health_.OnUnreachable(clock_.Now());
+      OnFailure(*aEngine, EngineFailure::Unreachable);
     }
     Log::Write(LogLevel::Info,
                reset ? "engine_connection_reset" : "engine_unreachable",
--- a/goldcrestcroft/src/Gateway/EnginePool.h
+++ b/goldcrestcroft/src/Gateway/EnginePool.h
@@ -181,6 +181,8 @@
   {
     options_.count_("engine_responses_invalid_" + aDefect);
   }
+  /** \brief Records a failed attempt in the health of the engine. */
+  auto OnFailure(EngineState& aEngine, EngineFailure aFailure) -> void;
   /** \brief Stores the load that an engine reports. */
   auto OnLoad(EngineState& aEngine, const EngineLoadReport& aReport) -> void;
   /** \brief Whether engines of the service state how fast they are now: they
--- a/goldcrestcroft/src/Gateway/RequestRunExchange.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunExchange.cpp
@@ -187,7 +187,6 @@
 {
   const auto& lease = aExchange.Lease();
   auto& pool = traffic_.Pool();
-  auto& health = lease.engine_->health_;
   ReportExceededBound(lease, aExchange.ExceededLimit());
   lastEnd_ =
     aExchange.End(aExchange.BodyBytes() > 0 ? relay_.Partial().size() : 0);
@@ -211,22 +210,22 @@
   }
   switch (aResult) {
     case AttemptOutcome::Delivered:
-      health.OnSuccess();
+      lease.engine_->health_.OnSuccess();
       traffic_.OnRequestCompleted(fingerprint_);
       ReportSoundParts();
       break;
     case AttemptOutcome::ErrorResponse:
-      health.OnFailure(traffic_.Now());
+      pool.OnFailure(*lease.engine_, EngineFailure::Failed);
       break;
     case AttemptOutcome::Rejected:
       // An engine that asks for a backoff is healthy, and the backoff is
       // granted.
       if (lease.engine_->availability_.MayReceive(traffic_.Now())) {
-        health.OnFailure(traffic_.Now());
+        pool.OnFailure(*lease.engine_, EngineFailure::Failed);
       }
       break;
     case AttemptOutcome::Lost:
-      health.OnFailure(traffic_.Now());
+      pool.OnFailure(*lease.engine_, EngineFailure::Unanswered);
       ReportLostRun(aExchange, aBegan);
       break;
     case AttemptOutcome::Abandoned:
--- a/goldcrestcroft/src/Gateway/StageBatcherCalls.cpp
+++ b/goldcrestcroft/src/Gateway/StageBatcherCalls.cpp
@@ -181,21 +181,18 @@
                                        { .end_ = PieceOutcome::EngineFull });
   }
   aEngine.consecutiveFull_ = 0;
-  auto& health = aEngine.state_->health_;
   auto results = std::move(response.pieces_);
   if (results.empty()) {
-    health.OnFailure(clock_.Now());
     Log::Write(
       LogLevel::Info, "stage_call_failed",
       { { "engine", aEngine.state_->entry_.id_ },
         { "status", std::to_string(status) },
         { "timed_out", lease.connection_->TimedOut() ? "true" : "false" },
         { "pieces", std::to_string(aCall.pieces_.size()) } });
-    if (status == 0) {
-      health.OnUnreachable(clock_.Now());
-    }
+    pool_.OnFailure(*aEngine.state_, status == 0 ? EngineFailure::Unreachable
+                                                 : EngineFailure::Failed);
   } else {
-    health.OnSuccess();
+    aEngine.state_->health_.OnSuccess();
     aEngine.lastCallTime_ = clock_.Now() - startedAt;
     aEngine.exclusiveUse_.OnCall(aEngine.lastCallTime_, expected, clock_.Now());
   }
