Use engines again as soon as they return from a common outage

Cause: an engine that does not respond is suspended for 1 s, doubled up to 8 s, and nothing is sent to it meanwhile. When all engines of a service fall silent, their suspensions grow together and outlast the outage. How long depends on how it falls into the doubling: 4 s of silence cost 6.2 s, 20 s cost 2.1 to 3.1 s.

Change: once all engines of a service are silent, one at a time is asked for its health, at most each 200 ms by a host and each 10 ms by all hosts together. The first response, or the first request that is served, ends the outage: then each of the others is asked once without a pause. An engine that responds is on trial, so that one request at a time tries it. Engines that fail requests are not asked, nor those that want a pause, drain or have a rate limit.

Evidence: process.OutageRecovery fails without the change in 1 of 10 checks (7.0 s after the engines were killed for 8 s; the target is 3 s).

Why it works: an engine that stands still gets the call while it does and responds when it goes on; one that is gone refuses the connection, and is asked again 200 ms later. Neither time depends on the length of the outage.

--- a/goldcrestcroft/Engines.h
+++ b/goldcrestcroft/Engines.h
@@ -24,6 +24,7 @@
 #include "src/Engines/PromptPart.h"
 #include "src/Engines/RateLimits.h"
 #include "src/Engines/RetryWindow.h"
+#include "src/Engines/ServiceOutage.h"
 #include "src/Engines/StopAdmission.h"
 #include "src/Engines/StopTimes.h"
 #include "src/Engines/SuspectCounter.h"
--- a/goldcrestcroft/src/Gateway/EnginePool.h
+++ b/goldcrestcroft/src/Gateway/EnginePool.h
@@ -4,6 +4,7 @@
 #include "../../Resources.h"
 #include "EngineConnection.h"
 #include "EngineLoadReport.h"
+#include "HeaderNames.h"
 
 #include <deque>
 #include <functional>
@@ -104,6 +105,7 @@
     /** Draining incarnations of engines are remembered for this long, whatever
      * their entries say; far longer than an engine takes to drain. */
     Duration drainingRetention_ = std::chrono::minutes{ 10 };
+    HeaderNames headers_;
     /** Called once for each incarnation of an engine that reports draining. */
     std::function<void(const EngineEntry&)> onLeaving_ =
       [](const EngineEntry&) {};
@@ -120,6 +122,9 @@
      * that a request sent later than its permit was meant for does not exceed
      * the engine's rate limit. */
     Duration permitValidity_ = std::chrono::milliseconds{ 250 };
+    /** Called each time an engine is suspended since it did not respond. */
+    std::function<void(const EngineEntry&)> onSilent_ = [](const EngineEntry&) {
+    };
     /** Increments the counter of this name. */
     std::function<void(const std::string&)> count_ = [](const std::string&) {};
   };
@@ -183,6 +188,10 @@
   }
   /** \brief Records a failed attempt in the health of the engine. */
   auto OnFailure(EngineState& aEngine, EngineFailure aFailure) -> void;
+  /** \brief Whether the engine responds to a request for its health within
+   * aTimeout, on a new connection. */
+  auto IsResponding(std::shared_ptr<EngineState> aEngine,
+                    std::string aHealthPath, Duration aTimeout) -> Task<bool>;
   /** \brief Stores the load that an engine reports. */
   auto OnLoad(EngineState& aEngine, const EngineLoadReport& aReport) -> void;
   /** \brief Whether engines of the service state how fast they are now: they
--- a/goldcrestcroft/src/Gateway/EnginePoolHealth.cpp
+++ b/goldcrestcroft/src/Gateway/EnginePoolHealth.cpp
@@ -1,8 +1,18 @@
 #include "../Observability/Log.h"
+#include "EngineExchange.h"
 #include "EnginePool.h"
 
+#include <sstream>
+
 namespace goldcrestcroft {
 
+namespace {
+
+/** Status of a response of another engine than the intended one. */
+constexpr auto kMisdirectedRequest = 421;
+
+} // namespace
+
 auto EnginePool::OnFailure(EngineState& aEngine, EngineFailure aFailure) -> void
 {
   const auto now = clock_.Now();
@@ -16,6 +26,43 @@
                  { "for_ms", std::to_string(ToMilliseconds(
                                aEngine.health_.SuspensionLeft(now))) } });
   }
+  if (aEngine.health_.IsSilent()) {
+    options_.onSilent_(aEngine.entry_);
+  }
+}
+
+auto EnginePool::IsResponding(std::shared_ptr<EngineState> aEngine,
+                              std::string aHealthPath, Duration aTimeout)
+  -> Task<bool>
+{
+  const auto& entry = aEngine->entry_;
+  const auto& names = options_.headers_;
+  const auto connection = std::make_shared<EngineConnection>(context_);
+  const EngineLease lease{ .engine_ = aEngine, .connection_ = connection };
+  ++aEngine->openConnections_;
+  const auto error = co_await connection->Connect(
+    entry.address_, std::min(options_.connectTimeout_, aTimeout));
+  auto responds = false;
+  if (!error) {
+    connection->CloseAfter(aTimeout);
+    http::request<http::empty_body> request(http::verb::get, aHealthPath, 11);
+    request.set(http::field::host, entry.address_);
+    request.set(names.expectEngine_, entry.id_);
+    std::ostringstream bytes;
+    bytes << request;
+    auto text = std::move(bytes).str();
+    if (co_await connection->BeginWrite(std::move(text))) {
+      EngineExchange exchange(lease, names, memory_);
+      const auto end = co_await exchange.ReadHead("", false);
+      responds = end == ReadOutcome::Done &&
+                 exchange.Head().status_ != kMisdirectedRequest;
+      if (responds) {
+        UpdateAvailability(lease, exchange.Head());
+      }
+    }
+  }
+  Drop(lease);
+  co_return responds;
 }
 
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/Traffic.cpp
+++ b/goldcrestcroft/src/Gateway/Traffic.cpp
@@ -20,6 +20,7 @@
   , pool_(
       aContext,
       { .maxBackoff_ = options_.settings_.maxEngineBackoff_,
+        .headers_ = aCodec.Headers(),
         .onLeaving_ =
           [this](const EngineEntry& aEngine) {
             peerCallbacks_.leaving_(
@@ -31,8 +32,22 @@
           [this](RateLimits aLimits, Duration aMaxWait) {
             return RequestPermit(std::move(aLimits), aMaxWait);
           },
+        .onSilent_ =
+          [this](const EngineEntry& aEngine) {
+            outages_.OnSilent(aEngine.service_);
+          },
         .count_ =
           [this](const std::string& aEvent) { metrics_.Count(aEvent); } })
+  , outages_(aContext,
+             { .healthPath_ =
+                 [this](const std::string& aService) {
+                   const auto* profile = routing_->FindService(aService);
+                   return profile != nullptr && !profile->healthPath_.empty()
+                            ? profile->healthPath_
+                            : "/";
+                 },
+               .hosts_ = [this] { return fleet_->hosts_.size(); } },
+             pool_)
   , batcher_(aContext, {}, pool_, aCodec)
   , broker_(aContext, options_.settings_.StageAddress(), batcher_)
   , versions_(aContext,
--- a/goldcrestcroft/src/Gateway/Traffic.h
+++ b/goldcrestcroft/src/Gateway/Traffic.h
@@ -3,6 +3,7 @@
 #include "CallerConnection.h"
 #include "GatewayMetrics.h"
 #include "NodeSettings.h"
+#include "OutageMonitor.h"
 #include "PeerFrames.h"
 #include "PlatformCodec.h"
 #include "StageBroker.h"
@@ -222,6 +223,7 @@
   LimitHistory limits_;
   std::shared_ptr<const FleetView> fleet_ = std::make_shared<const FleetView>();
   EnginePool pool_;
+  OutageMonitor outages_;
   /** By number of the permit request. */
   std::map<std::uint64_t, std::shared_ptr<PendingPermit>> pendingPermits_;
   std::uint64_t lastPermit_ = 0;
