Wait for settings that are still being written at a start

What operators saw: a host whose settings file was missing, empty or half written at its start ended at once with code 78, which tells a supervisor that another start fails in the same way. The file was whole a moment later.

Cause: the start read the file once, and took a file that is being written for invalid settings. A platform writes the file at every start and at changes.

Change: a start reads the file each 50 ms for at most 30 s until it holds a whole JSON document, says so once on standard error, and stops in order on SIGTERM or SIGINT meanwhile. After that it ends with 78 as before.

The end of the 30 s was not run.

Why it works: a document that was cut off is not valid JSON, as it must end with the brace of its object. A whole document with an invalid identity is not waited for.

--- a/goldcrestcroft/src/Process/EntryCommand.cpp
+++ b/goldcrestcroft/src/Process/EntryCommand.cpp
@@ -1,11 +1,16 @@
 #include "../../Gateway.h"
+#include "../Core/Signals.h"
 #include "../Observability/Log.h"
 #include "ProcessMain.h"
 #include <platform/StoreClient.h>
 #include <platform/TableCodec.h>
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
+#include <cstdio>
 #include <cstdlib>
+#include <fstream>
 
 namespace goldcrestcroft {
 
@@ -21,6 +26,37 @@
                                       : "";
 }
 
+/** Whether the file holds a whole JSON document, valid settings or not. */
+auto HoldsDocument(const std::string& aFile) -> bool
+{
+  constexpr auto kIgnoreComments = true;
+  std::ifstream file(aFile);
+  return file && nlohmann::json::accept(file, kIgnoreComments);
+}
+
+/** Waits for a file that is still being written. Returns false if a signal
+ * asked the process to stop meanwhile. */
+auto AwaitDocument(const std::string& aFile) -> bool
+{
+  constexpr auto kMaxWait = std::chrono::seconds{ 30 };
+  constexpr auto kPause = std::chrono::milliseconds{ 50 };
+  const auto deadline = std::chrono::steady_clock::now() + kMaxWait;
+  auto logged = false;
+  while (!HoldsDocument(aFile) && std::chrono::steady_clock::now() < deadline) {
+    if (!std::exchange(logged, true)) {
+      // The log is configured by the settings.
+      std::fprintf(stderr,
+                   "goldcrestcroft: settings file '%s' is missing or "
+                   "incomplete; it is read again for %d s\n",
+                   aFile.c_str(), static_cast<int>(kMaxWait.count()));
+    }
+    if (AwaitStopSignal(kPause)) {
+      return false;
+    }
+  }
+  return true;
+}
+
 /** Increases with each start of this host. */
 auto NewIncarnation() -> Incarnation
 {
@@ -37,6 +73,12 @@
   return Handle(
     [&]() -> Result<int> {
       const auto file = SettingsFile(aArguments);
+      if (!file.empty() && !AwaitDocument(file)) {
+        std::fputs("goldcrestcroft: stopped by a signal before the settings "
+                   "were complete\n",
+                   stderr);
+        return 0;
+      }
       BOOST_LEAF_AUTO(loaded, LoadNodeSettings(file));
       const auto& settings = loaded.settings_;
       Log::Configure({ .level_ = settings.logLevel_,
