Ignore signals that mean nothing to a host

What operators saw: SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO or SIGPWR, such as one that is sent to every process, ended a serving host.

Cause: their default action ends a process, and nothing set another.

Change: the host ignores them, from before the initialisers of its shared libraries. Real-time signals are unchanged.

Why it works: an ignored signal is discarded whenever it arrives, and is not reset by anything that the host does later.

--- a/goldcrestcroft/src/Core/Signals.h
+++ b/goldcrestcroft/src/Core/Signals.h
@@ -58,4 +58,14 @@
   }
 }
 
+/** \brief Ignores signals that mean nothing to a server and whose default
+ * action would end it. */
+inline auto IgnoreUnusedSignals() -> void
+{
+  for (const auto signal :
+       { SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO, SIGPWR }) {
+    std::signal(signal, SIG_IGN);
+  }
+}
+
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Process/AbnormalEnd.cpp
+++ b/goldcrestcroft/src/Process/AbnormalEnd.cpp
@@ -13,8 +13,8 @@
 namespace {
 
 /** Signals of faults, and others whose default action ends a process. */
-constexpr int kReportedSignals[] = { SIGABRT, SIGBUS,  SIGFPE,  SIGILL, SIGSEGV,
-                                     SIGQUIT, SIGUSR1, SIGUSR2, SIGXCPU };
+constexpr int kReportedSignals[] = { SIGABRT, SIGBUS,  SIGFPE, SIGILL,
+                                     SIGSEGV, SIGQUIT, SIGXCPU };
 
 /** Only calls that are safe in a handler of a signal. */
 auto WriteText(const char* aText) -> void
--- a/goldcrestcroft/src/Process/EarlySignals.cpp
+++ b/goldcrestcroft/src/Process/EarlySignals.cpp
@@ -9,6 +9,7 @@
 auto BlockSignalsEarly(int, char**, char**) -> void
 {
   BlockSignals();
+  IgnoreUnusedSignals();
 }
 
 [[gnu::section(".preinit_array"), gnu::used]] auto* const kBeforeInitialisers =
--- a/goldcrestcroft/src/Process/ProcessMain.cpp
+++ b/goldcrestcroft/src/Process/ProcessMain.cpp
@@ -11,6 +11,7 @@
 {
   BlockSignals();
   IgnoreWriteSignals();
+  IgnoreUnusedSignals();
   ReportAbnormalEnds();
 }
 
--- a/goldcrestcroft/src/Process/ProcessMain.h
+++ b/goldcrestcroft/src/Process/ProcessMain.h
@@ -17,7 +17,8 @@
 
 /** \brief Sets what signals do to a process that runs until one stops it:
  * SIGTERM, SIGINT and SIGHUP stay pending until it handles them, those of
- * failed writes are ignored, and others end it with a line that names them. */
+ * failed writes and those that mean nothing to a server are ignored, and others
+ * end it with a line that names them. */
 auto PrepareServerSignals() -> void;
 
 /** \brief Prints the error to standard error and returns the exit code for it.
