Wait for an address that the machine does not have yet

What operators saw: a host whose address did not exist at its start, as on a machine whose network comes up later, ended with code 1 once a predecessor would have released its port. A supervisor that gives up after some quick ends does not start it again.

Cause: an address that the machine does not have was tried for as long as one that another process uses, although nothing limits how long that takes.

Change: such an address is tried again for five minutes, with a line each ten seconds. A port in use keeps its bound.

Why it works: the wait ends as soon as the address can be bound, and on a signal that stops the host.

--- a/goldcrestcroft/src/Gateway/EntryGateway.cpp
+++ b/goldcrestcroft/src/Gateway/EntryGateway.cpp
@@ -23,6 +23,8 @@
 /** A process that exceeds its grace period is killed; its ports are free soon
  * after. */
 constexpr auto kPortReleaseMargin = std::chrono::seconds{ 2 };
+/** The network of a machine may come up long after its processes. */
+constexpr auto kMaxAddressWait = std::chrono::minutes{ 5 };
 /** The store responds within a few milliseconds, or a few hundred while it is
  * slow. */
 constexpr auto kStoreTimeout = std::chrono::milliseconds{ 1500 };
@@ -163,7 +165,9 @@
   // A predecessor that was told to stop ends within its grace period.
   const auto time = options_.settings_.grace_ + kPortReleaseMargin;
   auto stopped = false;
-  const BindRetry retry{ .until_ = SuspendAwareClock{}.Now() + time,
+  const auto now = SuspendAwareClock{}.Now();
+  const BindRetry retry{ .until_ = now + time,
+                         .addressUntil_ = now + kMaxAddressWait,
                          .pause_ = [&](Duration aTime) {
                            stopped = AwaitStopSignal(aTime);
                            return !stopped;
--- a/goldcrestcroft/src/Gateway/Net.cpp
+++ b/goldcrestcroft/src/Gateway/Net.cpp
@@ -5,8 +5,10 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <charconv>
 #include <ctime>
+#include <optional>
 
 namespace goldcrestcroft {
 
@@ -27,23 +29,32 @@
                    Bind aBind) -> boost::system::error_code
 {
   constexpr auto kPause = std::chrono::milliseconds{ 100 };
+  constexpr auto kLogInterval = std::chrono::seconds{ 10 };
   const SuspendAwareClock clock;
-  auto logged = false;
+  std::optional<TimePoint> loggedAt;
   for (;;) {
     const auto error = aBind();
-    const auto mayPass = error == asio::error::address_in_use ||
-                         error == boost::system::errc::address_not_available;
-    const auto left = aRetry.until_ - clock.Now();
+    const auto isMissing = error == boost::system::errc::address_not_available;
+    const auto mayPass = isMissing || error == asio::error::address_in_use;
+    const auto until =
+      isMissing ? std::max(aRetry.until_, aRetry.addressUntil_) : aRetry.until_;
+    const auto now = clock.Now();
+    const auto left = until - now;
     if (!mayPass || left <= Duration{}) {
       return error;
     }
-    if (!std::exchange(logged, true)) {
-      Log::Write(LogLevel::Warning, "address_taken",
-                 { { "address", aAddress },
-                   { "reason", error.message() },
-                   { "left_ms", std::to_string(ToMilliseconds(left)) },
-                   { "remedy", "stop what uses the port; the host tries again "
-                               "until then" } });
+    if (!loggedAt || now - *loggedAt >= kLogInterval) {
+      loggedAt = now;
+      Log::Write(
+        LogLevel::Warning, isMissing ? "address_missing" : "address_taken",
+        { { "address", aAddress },
+          { "reason", error.message() },
+          { "left_ms", std::to_string(ToMilliseconds(left)) },
+          { "remedy",
+            isMissing ? "configure the address on this machine, or change the "
+                        "settings file; the host tries again until then"
+                      : "stop what uses the port; the host tries again until "
+                        "then" } });
     }
     if (!aRetry.pause_(kPause)) {
       return error;
--- a/goldcrestcroft/src/Gateway/Net.h
+++ b/goldcrestcroft/src/Gateway/Net.h
@@ -65,11 +65,13 @@
 /** \brief "IP:PORT"; never throws; the port is 0 if the text is malformed. */
 auto ParseTcpEndpoint(const std::string& aText) -> Tcp::endpoint;
 
-/** \brief Until when an address that another process uses, or that the machine
- * does not have yet, is tried again. */
+/** \brief Until when an address is tried again. */
 struct BindRetry
 {
+  /** While another process uses it. */
   TimePoint until_{};
+  /** While the machine does not have it; not before until_. */
+  TimePoint addressUntil_{};
   /** Waits; returns false if there shall be no further attempt. */
   std::function<bool(Duration)> pause_ = [](Duration) { return false; };
 };
