Add outages of the platform and of all hosts to the fault soak

What was missing: every fault of the soak's plan harms one host, one engine or the store.

Change: PlatformStands holds back all bytes between the hosts and the store and all engines, PlatformAway resets their connections and new ones, each for 1 to 30 s but at most a third of the run. AllHostsReturn kills all hosts at once and starts them at once, in half of the platform's outages while they last. The plan has a generator of its own for them and only one seed in five has any, as they excuse much; the plans of other seeds stay the same.

--- a/test/soak/FaultInjector.cpp
+++ b/test/soak/FaultInjector.cpp
@@ -89,6 +89,11 @@
       return RefuseHosts(aFault);
     case FaultKind::StoreRestored:
       return RestoreStore(aFault);
+    case FaultKind::PlatformStands:
+    case FaultKind::PlatformAway:
+      return InterruptPlatform(aFault);
+    case FaultKind::AllHostsReturn:
+      return RestartAllHosts(aFault);
     case FaultKind::NewRoute:
     case FaultKind::KeyRevoked:
     case FaultKind::IdleTimeChanged:
--- a/test/soak/FaultInjector.h
+++ b/test/soak/FaultInjector.h
@@ -40,6 +40,13 @@
   TimePoint endedAt_ = TimePoint::max();
 };
 
+/** \brief An outage of the platform or of all hosts that has ended. */
+struct OutageRecord
+{
+  std::string kind_;
+  TimePoint endedAt_;
+};
+
 /** \brief Injects the faults of a plan and records when each part of the
  * deployment was affected. */
 class FaultInjector
@@ -78,6 +85,10 @@
   {
     return stopRecords_;
   }
+  [[nodiscard]] auto Outages() const -> const std::vector<OutageRecord>&
+  {
+    return outages_;
+  }
   /** \brief Violations observed in the host processes. */
   [[nodiscard]] auto Problems() const -> const std::vector<std::string>&
   {
@@ -107,6 +118,9 @@
    * than the others. The operator and the engines then write their rows
    * again. */
   auto RestoreStore(Fault aFault) -> Task<void>;
+  /** \brief Makes the store and all engines stand still or refuse. */
+  auto InterruptPlatform(Fault aFault) -> Task<void>;
+  auto RestartAllHosts(Fault aFault) -> Task<void>;
   auto ChangeConfig(const Fault& aFault) -> void;
   auto RecordExit(std::size_t aHost, const HostExit& aEnd) -> void;
   auto AwaitExit(std::size_t aHost) -> Task<bool>;
@@ -119,6 +133,7 @@
   std::vector<DrainRecord> drains_;
   std::vector<LimitRecord> limits_;
   std::vector<StopRecord> stopRecords_;
+  std::vector<OutageRecord> outages_;
   std::vector<TimePoint> changes_;
   std::vector<std::string> problems_;
   /** Number of active faults by part; the part recovers when the last ends. */
--- a/test/soak/FaultInjectorPlatform.cpp
+++ b/test/soak/FaultInjectorPlatform.cpp
@@ -12,13 +12,6 @@
 
 constexpr auto kDrainLength = std::chrono::milliseconds{ 6000 };
 
-/** Key of the link to a part, whose faults are counted separately from those of
- * the part. */
-auto LinkOf(const std::string& aPart) -> std::string
-{
-  return "link to " + aPart;
-}
-
 auto LinkFaultOf(const Fault& aFault) -> LinkFault
 {
   constexpr std::array kFaults = {
--- a/test/soak/FaultLog.h
+++ b/test/soak/FaultLog.h
@@ -82,5 +82,11 @@
   return "break at " + aEngine;
 }
 inline constexpr auto kStorePart = "store";
+/** Key of the link to a part, whose faults are counted separately from those of
+ * the part. */
+inline auto LinkOf(const std::string& aPart) -> std::string
+{
+  return "link to " + aPart;
+}
 
 } // namespace soak
--- a/test/soak/SoakPlan.cpp
+++ b/test/soak/SoakPlan.cpp
@@ -21,6 +21,15 @@
 constexpr std::uint64_t kSeedsPerRestore = 4;
 constexpr Millis kUnframedGap{ 2000 };
 constexpr std::uint64_t kSeedsPerUnframed = 2;
+constexpr std::uint64_t kSeedsPerOutage = 5;
+constexpr Millis kOutageGap{ 2000 };
+constexpr Millis kMinOutage{ 1000 };
+constexpr Millis kMaxOutage{ 30'000 };
+/** The longest outage is this fraction of the run. */
+constexpr Millis::rep kOutagesPerRun = 3;
+/** No outage begins before the hosts had the time to return from the one
+ * before. */
+constexpr Millis kAfterOutage{ 4000 };
 constexpr Millis kMinLength{ 100 };
 constexpr Millis kMaxLength{ 4000 };
 constexpr std::size_t kVariants = 64;
@@ -79,6 +88,36 @@
       }
     }
   }
+  /** Adds outages of the platform or of all hosts, one after another; all hosts
+   * also return in half of the platform's outages. */
+  auto FillOutages(Millis aTo) -> void
+  {
+    constexpr std::array kKinds = { FaultKind::PlatformStands,
+                                    FaultKind::PlatformAway,
+                                    FaultKind::AllHostsReturn };
+    std::exponential_distribution<double> gap(
+      1.0 / static_cast<double>(kOutageGap.count()));
+    std::uniform_int_distribution<Millis::rep> length(
+      kMinOutage.count(),
+      std::clamp(aTo / kOutagesPerRun, kMinOutage, kMaxOutage).count());
+    for (Millis at{ 0 };;) {
+      at += Millis(static_cast<Millis::rep>(gap(random_)));
+      if (at + kMinOutage > aTo) {
+        return;
+      }
+      auto outage = Make(at, aTo, kKinds.at(Pick(kKinds.size())));
+      if (outage.kind_ != FaultKind::AllHostsReturn) {
+        outage.for_ = std::min(Millis(length(random_)), aTo - at);
+        const auto after = Pick(static_cast<std::size_t>(outage.for_.count()));
+        const Millis then(static_cast<Millis::rep>(after));
+        if (Pick(2) == 0) {
+          faults_.push_back(Make(at + then, aTo, FaultKind::AllHostsReturn));
+        }
+      }
+      faults_.push_back(outage);
+      at += outage.for_ + kAfterOutage;
+    }
+  }
   auto Pick(std::size_t aCount) -> std::size_t
   {
     return std::uniform_int_distribution<std::size_t>(0, aCount - 1)(random_);
@@ -123,7 +162,8 @@
     "store_busy",       "store_loses_answers", "store_forgets",
     "caller_link",      "engine_drain",        "new_route",
     "key_revoked",      "idle_time_changed",   "engine_limited",
-    "store_turns_away", "store_restored",      "engine_unframed"
+    "store_turns_away", "store_restored",      "engine_unframed",
+    "platform_stands",  "platform_away",       "all_hosts_return"
   };
   return kNames.at(static_cast<std::size_t>(aKind));
 }
@@ -162,8 +202,14 @@
     unframed.Fill(Millis{ 0 }, aLength, { FaultKind::EngineUnframed },
                   kUnframedGap);
   }
-  for (const auto& added : { more.Take(), limits.Take(), doors.Take(),
-                             restores.Take(), unframed.Take() }) {
+  // An outage excuses most of what callers see meanwhile.
+  Planner outages(aSeed ^ (aSeed << 8U), aHosts, aEngines);
+  if (aSeed % kSeedsPerOutage == 0) {
+    outages.FillOutages(aLength);
+  }
+  for (const auto& added :
+       { more.Take(), limits.Take(), doors.Take(), restores.Take(),
+         unframed.Take(), outages.Take() }) {
     faults.insert(faults.end(), added.begin(), added.end());
   }
   std::sort(faults.begin(), faults.end());
--- a/test/soak/SoakPlan.h
+++ b/test/soak/SoakPlan.h
@@ -39,7 +39,13 @@
   StoreRestored,
   /** Responses of the engine have no length and end with their connection;
    * some are broken off at any byte. */
-  EngineUnframed
+  EngineUnframed,
+  /** The store and all engines keep their connections and send nothing. */
+  PlatformStands,
+  /** The store and all engines reset their connections, and new ones too. */
+  PlatformAway,
+  /** All hosts are killed at once and later started at once. */
+  AllHostsReturn
 };
 
 auto ToString(FaultKind aKind) -> std::string;
@@ -67,7 +73,8 @@
  * gets SIGHUP and SIGTERM at the moment of a configuration change, and the
  * store at times refuses most hosts. With one seed in four, the store also
  * returns to older copies; with one in two, engines send responses without a
- * length. */
+ * length; with one in five, the platform stands still or is away, and all hosts
+ * are killed at once. */
 auto MakeSoakPlan(std::uint64_t aSeed, Millis aLength, std::size_t aHosts,
                   std::size_t aEngines) -> std::vector<Fault>;
 
