Check in the fault soak that hosts serve soon after an outage

What was missing: nothing in the soak said how soon service must be back after an outage of the platform or of all hosts.

Change: rule RETURN. After each such outage, each host that runs serves a sound request that was sent after the end, within 3 s of it, the stated target. The evidence is the callers' records. Excused are faults after the end of the host, its links, its store or all engines that serve callers; a host without a request gets no verdict.

Evidence: the 16 cases of the Soak*Test files pass.

Not run: the registered test under ctest, and the linter to its end.

--- a/test/soak/SoakChecker.cpp
+++ b/test/soak/SoakChecker.cpp
@@ -3,6 +3,7 @@
 #include "ChangeCheck.h"
 #include "LimitCheck.h"
 #include "PoisonCheck.h"
+#include "ReturnCheck.h"
 #include "StopCheck.h"
 
 #include <algorithm>
@@ -273,6 +274,9 @@
   for (auto& line : FindExceededLimits(aEvidence)) {
     violations.push_back(std::move(line));
   }
+  for (auto& line : FindLateReturns(aEvidence)) {
+    violations.push_back(std::move(line));
+  }
   return violations;
 }
 
--- a/test/soak/SoakEvidence.h
+++ b/test/soak/SoakEvidence.h
@@ -27,6 +27,7 @@
   std::vector<LimitRecord> limits_ = {};
   std::size_t hosts_ = 0;
   std::vector<StopRecord> stops_ = {};
+  std::vector<OutageRecord> outages_ = {};
 
   /** \brief Whether the host was in contact for the whole time span. */
   [[nodiscard]] auto WasInContact(std::size_t aHost, TimePoint aFrom,
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -1,5 +1,6 @@
 #include "../process/EntryFleet.h"
 #include "../process/TempFolder.h"
+#include "ReturnCheck.h"
 #include "SoakChecker.h"
 #include "StopCheck.h"
 
@@ -156,7 +157,8 @@
                          .changes_ = aInjector.Changes(),
                          .limits_ = aInjector.Limits(),
                          .hosts_ = aFleet.Hosts().size(),
-                         .stops_ = aInjector.Stops() };
+                         .stops_ = aInjector.Stops(),
+                         .outages_ = aInjector.Outages() };
   for (const auto& engine : aFleet.Engines()) {
     evidence.arrivals_[engine.standin_->Id()] = engine.standin_->Arrivals();
     evidence.crashes_[engine.standin_->Id()] = engine.standin_->Crashes();
@@ -246,7 +248,8 @@
     crashes += each.size();
   }
   Summarise(calls, shares, crashes);
-  std::cout << SummariseStops(evidence) << std::endl;
+  std::cout << SummariseStops(evidence) << std::endl
+            << SummariseReturns(evidence) << std::endl;
   auto violations = FindViolations(evidence);
   for (const auto& problem : injector.Problems()) {
     violations.push_back("process: " + problem);
