Refuse take-ups whose version the store does not confirm

Callers saw streams with events of two software versions during a release: they had begun at engines of the new version through other hosts, broke off, and went on at an engine of the old version through a host that was out of step.

Cause: when the read of the list of versions failed, a host went on with the only version that it knew if its configuration counted as confirmed. That holds for nine seconds after the last contact, says nothing about engines, and is older than it looks after the process was stopped. The class is absence of news taken for news.

Change: a take-up needs a reply to a read that was sent after the request arrived. Without one it is refused, unless this host began the stream; hosts now remember the streams that they begin also while there is one version.

Why it works: a version is in the list before a recorded stream of it passes its first event on, and a client takes a stream up only after that event. A read sent later has the version, however long the host is stopped before it handles the reply.

Two checks required the opposite: that a host goes on with the only version that it knows while the store is away. A host cannot tell that state from being cut off, so they required the fault. They are replaced by checks that the host that began the stream goes on, that all others refuse at once without running, and that these go on once the store is back.

Cost: while the store is away, take-ups at other hosts are refused also where only one version ever served. Not measured on a deployment.

--- a/goldcrestcroft/src/Gateway/StreamVersions.cpp
+++ b/goldcrestcroft/src/Gateway/StreamVersions.cpp
@@ -137,8 +137,7 @@
                              const std::string& aVersion, Duration aTimeLeft)
   -> void
 {
-  if (Known(aStream.service_).size() > 1 &&
-      begun_.size() < options_.maxRemembered_) {
+  if (begun_.size() < options_.maxRemembered_) {
     begun_[aStream.Key()] = { .version_ = aVersion,
                               .keepUntil_ = clock_.Now() + aTimeLeft +
                                             options_.retention_ };
@@ -149,15 +148,12 @@
   -> Task<std::optional<VersionList>>
 {
   const auto read = co_await registry_.Read(aService);
-  const auto known = Known(aService);
-  if (read) {
-    mayHaveRows_ |= read->size() > 1;
-    co_return read->Union(known);
+  if (!read) {
+    // What this host knows may be older than the stream.
+    co_return std::nullopt;
   }
-  // A host that has not yet read the list may not know of earlier versions.
-  const auto isOnly =
-    known.size() == 1 && registry_.Stored(aService) && options_.isInformed_();
-  co_return isOnly ? std::optional(known) : std::nullopt;
+  mayHaveRows_ |= read->size() > 1;
+  co_return read->Union(Known(aService));
 }
 
 auto StreamVersions::FindOrigin(StreamId aStream) -> Task<StreamOrigin>
--- a/goldcrestcroft/src/Gateway/StreamVersions.h
+++ b/goldcrestcroft/src/Gateway/StreamVersions.h
@@ -43,9 +43,6 @@
     /** Returns whether this host removes versions that are gone, and rows of
      * hosts that are gone. */
     std::function<bool()> removes_;
-    /** Returns whether this host would know of versions that have appeared,
-     * from the store or from other hosts. */
-    std::function<bool()> isInformed_;
     /** How long a stream is remembered after its deadline. */
     Duration retention_ = std::chrono::minutes{ 2 };
     /** Take-ups that wait for the store at a time; further ones are not known,
@@ -92,8 +89,9 @@
   auto OnBegun(const StreamId& aStream, const std::string& aVersion,
                Duration aTimeLeft) -> void;
 
-  /** \brief Finds out which version began the stream. If no attempt is named,
-   * it is known only while all streams have one version. */
+  /** \brief Finds out which version began the stream. Only the host that began
+   * it knows that without a reply of the store. If no attempt is named, it is
+   * known only while all streams have one version. */
   auto FindOrigin(StreamId aStream) -> Task<StreamOrigin>;
 
 private:
@@ -110,8 +108,7 @@
   /** \brief The versions that streams of the service may have begun at, as far
    * as this host knows. */
   [[nodiscard]] auto Known(const std::string& aService) const -> VersionList;
-  /** \brief The same after a call to the store; none if it does not reply and
-   * there may be others. */
+  /** \brief The same after a call to the store; none if it does not reply. */
   auto ReadVersions(std::string aService) -> Task<std::optional<VersionList>>;
   auto AskStore(StreamId aStream) -> Task<StreamOrigin>;
   /** \brief Learns the era of a reply; returns whether it is the latest. */
@@ -124,7 +121,7 @@
   SuspendAwareClock clock_;
   VersionRegistry registry_;
   StreamRecords records_;
-  /** The streams that this host began while there were several versions. */
+  /** The streams that this host began. */
   std::map<std::string, Begun> begun_;
   std::optional<std::uint64_t> era_;
   std::optional<TimePoint> restoredAt_;
--- a/goldcrestcroft/src/Gateway/Traffic.cpp
+++ b/goldcrestcroft/src/Gateway/Traffic.cpp
@@ -54,8 +54,7 @@
   , versions_(aContext,
               { .host_ = options_.settings_.host_,
                 .hosts_ = [this] { return fleet_->hosts_.size(); },
-                .removes_ = [this] { return IsFirstHost(); },
-                .isInformed_ = [this] { return fleet_->current_; } },
+                .removes_ = [this] { return IsFirstHost(); } },
               aStore, aMetrics)
 {
   Memory().SetOptions(options_.settings_.Memory());
--- a/test/process/StreamTakeUpTest.cpp
+++ b/test/process/StreamTakeUpTest.cpp
@@ -121,12 +121,19 @@
   CheckGoOn(fleet, 1, streams);
 }
 
-TEST_CASE("a stream of the only version is taken up while the store is away")
+TEST_CASE("while the store is away, a stream of the only version goes on at "
+          "the host that began it and at no other")
 {
   VersionedFleet fleet(2, { "1", "1" });
   REQUIRE(fleet.AwaitReady());
   const auto streams = fleet.BeginBroken(0, 2);
   fleet.Store().busy_ = true;
+  CheckGoOn(fleet, 0, streams);
+  for (const auto& stream : streams) {
+    CheckRefused(fleet, 1, stream, "stream_version_unknown");
+  }
+  CheckRefused(fleet, 0, streams[0], "stream_version_unknown", false);
+  fleet.Store().busy_ = false;
   CheckGoOn(fleet, 1, streams);
   auto unnamed = streams[0];
   CHECK(fleet.TakeUp(0, unnamed, false).status_ == 200);
--- a/test/property/StreamVersionsTest.cpp
+++ b/test/property/StreamVersionsTest.cpp
@@ -23,6 +23,8 @@
   {
     StreamId id_;
     std::string version_;
+    /** The host that began it, until hosts are replaced. */
+    std::size_t host_ = 0;
   };
 
   explicit StreamWorld(unsigned aSeed)
@@ -68,7 +70,8 @@
    * not confirm its version. */
   auto Begin() -> std::optional<Stream>
   {
-    auto& host = *hosts_[store_.Draw(kHosts)];
+    const std::size_t number = store_.Draw(kHosts);
+    auto& host = *hosts_[number];
     const auto version =
       versions_[store_.Draw(static_cast<unsigned>(versions_.size()))];
     const StreamId id{ .service_ = kService,
@@ -82,11 +85,15 @@
       return std::nullopt;
     }
     host.OnBegun(id, version, std::chrono::seconds{ 5 });
-    return Stream{ .id_ = id, .version_ = version };
+    return Stream{ .id_ = id, .version_ = version, .host_ = number };
   }
   auto FindOrigin(const Stream& aStream) -> StreamOrigin
   {
-    auto& host = *hosts_[store_.Draw(kHosts)];
+    return FindOriginAt(store_.Draw(kHosts), aStream);
+  }
+  auto FindOriginAt(std::size_t aHost, const Stream& aStream) -> StreamOrigin
+  {
+    auto& host = *hosts_[aHost];
     std::optional<StreamOrigin> origin;
     asio::co_spawn(
       context_,
@@ -98,9 +105,9 @@
     return *origin;
   }
 
-private:
   static constexpr unsigned kHosts = 3;
 
+private:
   auto StartHost() -> void
   {
     const auto number = ++started_;
@@ -108,8 +115,7 @@
       context_,
       StreamVersions::Options{ .host_ = "h" + std::to_string(number),
                                .hosts_ = [] { return kHosts; },
-                               .removes_ = [] { return false; },
-                               .isInformed_ = [] { return true; } },
+                               .removes_ = [] { return false; } },
       store_, metrics_));
     ShowEngines(hosts_.size() - 1);
   }
@@ -207,20 +213,34 @@
   CHECK(world.Store().calls_ == before);
 }
 
-TEST_CASE("a stream of the only version is found while the store is away")
+TEST_CASE("while the store is away, no host but the one that began a stream "
+          "takes the version that it knows for the stream's")
 {
   StreamWorld world(2);
   world.Run(std::chrono::milliseconds{ 100 });
   const auto stream = world.Begin();
   REQUIRE(stream);
+  const auto check = [&] {
+    for (std::size_t host = 0; host < StreamWorld::kHosts; ++host) {
+      CAPTURE(host);
+      const auto version = world.FindOriginAt(host, *stream).version_;
+      CHECK(version == (host == stream->host_ ? std::optional(stream->version_)
+                                              : std::nullopt));
+      CHECK_FALSE(world
+                    .FindOriginAt(host, { .id_ = { .service_ = kService,
+                                                   .workspace_ = "w",
+                                                   .attempt_ = "other" } })
+                    .version_);
+    }
+  };
   world.Store().away_ = true;
-  CHECK(world.FindOrigin(*stream).version_ == "v1");
+  check();
   world.SetVersions({ "v1", "v2" });
-  CHECK_FALSE(world
-                .FindOrigin({ .id_ = { .service_ = kService,
-                                       .workspace_ = "w",
-                                       .attempt_ = "other" } })
-                .version_);
+  check();
+  world.Store().away_ = false;
+  for (std::size_t host = 0; host < StreamWorld::kHosts; ++host) {
+    CHECK(world.FindOriginAt(host, *stream).version_ == stream->version_);
+  }
 }
 
 TEST_CASE("the name of an attempt is of no use in another workspace")
