Call engines for their health only at the path that is known for it

They were the calls that find out whether engines have returned.

Cause: without a health path in the configuration the calls went to "/", which an engine executes as a request.

Change: without a path only a connection is tried. The stand-in's services have a path, at which its engines execute nothing, as the platform describes.

--- a/goldcrestcroft/src/Gateway/EnginePool.h
+++ b/goldcrestcroft/src/Gateway/EnginePool.h
@@ -191,7 +191,8 @@
   auto OnFailure(EngineState& aEngine, EngineFailure aFailure, TimePoint aBegan)
     -> void;
   /** \brief Whether the engine responds to a request for its health within
-   * aTimeout, on a new connection. */
+   * aTimeout, on a new connection. If the path is empty, the connection alone
+   * is tested, since any other request could be executed. */
   auto IsResponding(std::shared_ptr<EngineState> aEngine,
                     std::string aHealthPath, Duration aTimeout) -> Task<bool>;
   /** \brief Stores the load that an engine reports. */
--- a/goldcrestcroft/src/Gateway/EnginePoolHealth.cpp
+++ b/goldcrestcroft/src/Gateway/EnginePoolHealth.cpp
@@ -44,8 +44,8 @@
   ++aEngine->openConnections_;
   const auto error = co_await connection->Connect(
     entry.address_, std::min(options_.connectTimeout_, aTimeout));
-  auto responds = false;
-  if (!error) {
+  auto responds = !error && aHealthPath.empty();
+  if (!error && !responds) {
     connection->CloseAfter(aTimeout);
     http::request<http::empty_body> request(http::verb::get, aHealthPath, 11);
     request.set(http::field::host, entry.address_);
--- a/goldcrestcroft/src/Gateway/OutageMonitor.h
+++ b/goldcrestcroft/src/Gateway/OutageMonitor.h
@@ -23,7 +23,7 @@
     std::string host_;
     /** Path of the request for the health of the service's engines. */
     std::function<std::string(const std::string& aService)> healthPath_ =
-      [](const std::string&) { return "/"; };
+      [](const std::string&) { return ""; };
     /** Number of entry hosts. */
     std::function<std::size_t()> hosts_ = [] { return std::size_t{ 1 }; };
   };
--- a/goldcrestcroft/src/Gateway/Traffic.cpp
+++ b/goldcrestcroft/src/Gateway/Traffic.cpp
@@ -43,9 +43,7 @@
                .healthPath_ =
                  [this](const std::string& aService) {
                    const auto* profile = routing_->FindService(aService);
-                   return profile != nullptr && !profile->healthPath_.empty()
-                            ? profile->healthPath_
-                            : "/";
+                   return profile != nullptr ? profile->healthPath_ : "";
                  },
                .hosts_ = [this] { return fleet_->hosts_.size(); } },
              pool_)
--- a/test/platform/EngineStandin.cpp
+++ b/test/platform/EngineStandin.cpp
@@ -175,7 +175,7 @@
     receivedAt_.push_back(SuspendAwareClock{}.Now());
   }
   auto reaction = PlanResponse(aRequest);
-  if (reaction.status_ == 200) {
+  if (reaction.status_ == 200 && aRequest.target() != kHealthPath) {
     const std::lock_guard lock(mutex_);
     reaction.endless_ = endless_;
     if (unframed_ && !reaction.truncates_ &&
@@ -216,6 +216,10 @@
                            { kRequestId, Header(aRequest, kRequestId) } } };
   }
   const std::string target(aRequest.target());
+  if (target == kHealthPath) {
+    return { .headers_ = { { "Goldcrestcroft-Instance-Id", id_ } },
+             .drops_ = trouble_ == Trouble::Drops };
+  }
   if (target == "/stage-run") {
     return RunPieces(aRequest);
   }
--- a/test/platform/EngineStandin.h
+++ b/test/platform/EngineStandin.h
@@ -35,6 +35,9 @@
     Unsigned
   };
 
+  /** Path of calls for the health of an engine, which executes nothing. */
+  static constexpr auto kHealthPath = "/healthz";
+
   /** \brief A request, other than a stage call, that the engine received. */
   struct Arrival
   {
