--- a/test/process/OutOfStepHostTest.cpp
+++ b/test/process/OutOfStepHostTest.cpp
@@ -74,6 +74,7 @@
   auto TakeUpDuring(std::vector<Stream>& aStreams, Meanwhile aMeanwhile) -> void
   {
     std::vector<std::future<void>> calls;
+    calls.reserve(aStreams.size());
     for (auto& stream : aStreams) {
       calls.push_back(std::async(std::launch::async, [this, &stream] {
         fleet_.TakeUp(kBehind, stream);
