Log the ids of a stream's events and ends that are not confirmed

What callers saw: streams whose events came out of order or whose number went back. Change: request_ended names the event after which a client takes a stream up and the ids of the first and the last event that engines sent, so that events which come again show within one response and over the tries of a client. response_end_not_confirmed, with a counter, says that a response ended with its connection while its engine drained, for which nobody asks whether the engine still listens. Evidence: read in the log of a process; no rule is changed.

--- a/goldcrestcroft/src/Gateway/EventRelay.cpp
+++ b/goldcrestcroft/src/Gateway/EventRelay.cpp
@@ -37,6 +37,7 @@
       hasLongId_ = true;
     } else {
       lastId_ = std::string(line);
+      firstId_ = firstId_ ? firstId_ : lastId_;
     }
   }
   if (hasData) {
--- a/goldcrestcroft/src/Gateway/EventRelay.h
+++ b/goldcrestcroft/src/Gateway/EventRelay.h
@@ -28,6 +28,11 @@
   {
     return lastId_;
   }
+  /** \brief Id of the first complete event that had one. */
+  [[nodiscard]] auto FirstId() const -> const std::optional<std::string>&
+  {
+    return firstId_;
+  }
   [[nodiscard]] auto Events() const -> std::size_t { return events_; }
   /** \brief Events with data; others only keep a connection open. */
   [[nodiscard]] auto EventsWithData() const -> std::size_t
@@ -53,6 +58,7 @@
   std::size_t lineStart_ = 0;
   std::size_t bytesWithoutData_ = 0;
   bool hasLongId_ = false;
+  std::optional<std::string> firstId_;
   std::optional<std::string> lastId_;
   std::size_t events_ = 0;
   std::size_t eventsWithData_ = 0;
--- a/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
@@ -1,3 +1,4 @@
+#include "../Observability/Log.h"
 #include "HopHeaders.h"
 #include "RequestRun.h"
 
@@ -106,7 +107,13 @@
   // A draining engine may exit right after its last response.
   const auto drains = engine->availability_.IsLeaving() ||
                       pool.Engines().IsDraining(entry.id_, entry.startedAt_);
-  if (aExchange.Head().framing_ != ResponseFraming::Connection || drains) {
+  if (aExchange.Head().framing_ != ResponseFraming::Connection) {
+    co_return std::nullopt;
+  }
+  if (drains) {
+    traffic_.Metrics().Count("engine_responses_ended_while_draining");
+    Log::Write(LogLevel::Info, "response_end_not_confirmed",
+               { { "request", requestId_ }, { "engine", entry.id_ } });
     co_return std::nullopt;
   }
   const auto listens = co_await pool.IsListening(engine);
--- a/goldcrestcroft/src/Gateway/RequestRunOutcome.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunOutcome.cpp
@@ -5,6 +5,17 @@
 
 namespace goldcrestcroft {
 
+namespace {
+
+/** The id of an event, which is any text, as a log line may have it. */
+auto IdForLog(const std::string& aId) -> std::string
+{
+  constexpr std::size_t kMaxIdLength = 32;
+  return aId.substr(0, kMaxIdLength);
+}
+
+} // namespace
+
 auto RequestRun::BrokenOutcome() const -> std::string
 {
   return aborted_ == Aborted::DeadlineExpired ? "timeout"
@@ -113,6 +124,12 @@
       { "rank", std::to_string(rank_) },
       { "engine", lastEngine_ },
       { "resumes", resumedAttempt_ },
+      { "resumes_after",
+        resumesStream_
+          ? IdForLog(Field(traffic_.Codec().Headers().lastEventId_))
+          : "" },
+      { "first_id", IdForLog(relay_.FirstId().value_or("")) },
+      { "last_id", IdForLog(relay_.LastId().value_or("")) },
       { "version", origin_.version_.value_or("") },
       { "version_from", origin_.source_ },
       { "took_ms", since(now) },
