Do not apply calls at endpoints of the store's stand-in that refuse them

What tests saw: rows were stored although the host had been told that nothing was done, or had no reply at all. A stream whose host could not record its version was thus recorded, and a take-up at another host found its row. Cause: an endpoint served the call first and then replaced the response by 503, 429 or silence. By the platform's page a call that is refused with 503 has no effect. Change: an endpoint that is not open does not serve the call; one that stops being open while a call waits for changes refuses it then, as before.

--- a/test/platform/StoreStandin.h
+++ b/test/platform/StoreStandin.h
@@ -121,6 +121,9 @@
   auto RespondStatus(const Contents& aContents, int aStatus) -> ResponsePlan;
   auto HandleAt(Endpoint& aEndpoint, Request aRequest)
     -> goldcrestcroft::Task<ResponsePlan>;
+  /** \brief Handles a call while the endpoint is not open. */
+  auto Refuse(const Endpoint& aEndpoint, const Contents& aContents)
+    -> goldcrestcroft::Task<ResponsePlan>;
   auto Transact(Contents& aContents, const std::string& aBody) -> ResponsePlan;
   auto RowsOf(Contents& aContents, const std::string& aTable,
               std::uint64_t aAfter, bool aRemoved, const KeyRange& aRange)
