Resume streams whose draining engine exits before their last event

Cause: a process that exits closes its connections in order, which is also how such a stream ends. The question whether the engine still listens was not asked of draining engines, since they may exit right after their last response. Change: for a stream that may be resumed the question is always asked. If the engine has gone, the attempt is lost and the stream resumes at another engine; if there was no further event, that ends at once. What may not be resumed is handled as before: a whole response cannot be told from one that was cut off, and only the engine's exit speaks for the latter. Why it works: the second engine knows what follows the last event; the host does not.

--- a/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
@@ -110,7 +110,10 @@
   if (aExchange.Head().framing_ != ResponseFraming::Connection) {
     co_return std::nullopt;
   }
-  if (drains) {
+  // For a stream that may be resumed the doubt costs one more attempt, which
+  // ends at once if there was no further event.
+  if (drains &&
+      !(route_->kind_ == RouteKind::Streaming && route_->resumable_)) {
     traffic_.Metrics().Count("engine_responses_ended_while_draining");
     Log::Write(LogLevel::Info, "response_end_not_confirmed",
                { { "request", requestId_ }, { "engine", entry.id_ } });
--- a/test/process/RawFleet.h
+++ b/test/process/RawFleet.h
@@ -12,6 +12,7 @@
 /** \brief Beginning of the head of a signed response with status 200. */
 inline const std::string kHead = "HTTP/1.1 200 OK\r\n" + kSignedFields;
 inline const std::string kEvent = "id: 1\ndata: @ID\n\n";
+inline const std::string kSecondEvent = "id: 2\ndata: @ID\n\n";
 
 inline auto IsComplete(const CallerResponse& aResponse) -> bool
 {
--- a/test/process/UnframedResponseTest.cpp
+++ b/test/process/UnframedResponseTest.cpp
@@ -78,7 +78,8 @@
       RawFleet fleet;
       // Connections to the engines that stay idle.
       REQUIRE(IsComplete(fleet.Fleet().Get(0, target)));
-      fleet.RespondWith(kHead + "\r\n" + kEvent + kEvent, RawEnd::Exits, pause);
+      fleet.RespondWith(kHead + "\r\n" + kEvent + kSecondEvent, RawEnd::Exits,
+                        pause);
       CHECK_FALSE(IsComplete(fleet.Fleet().Get(0, target)));
     }
     RawFleet fleet;
@@ -103,12 +104,44 @@
           .status_ == 502);
 }
 
-TEST_CASE("the last response of a draining engine is not taken for broken off")
+TEST_CASE("a stream without a length whose draining engine exits between two "
+          "events is not delivered as complete")
 {
-  for (const auto* target : { "/stream/x", "/once/stream/x", "/safe/x" }) {
+  for (const auto pause : { 0ms, 40ms }) {
+    RawFleet fleet;
+    fleet.ForEachEngine([](auto& aEngine) {
+      aEngine.SetRawResumption(kHead + "\r\n" + kSecondEvent);
+    });
+    fleet.RespondWith(kHead + "Server-Leaving: 1\r\n\r\n" + kEvent,
+                      RawEnd::Exits, pause);
+    const auto stream = fleet.Fleet().Get(0, "/stream/x");
+    CHECK(IsComplete(stream));
+    CHECK(CountOf(stream.body_, "data: ") == 2);
+  }
+}
+
+TEST_CASE("a stream of a draining engine that exits after its last event is "
+          "delivered as complete")
+{
+  RawFleet fleet;
+  fleet.ForEachEngine([](auto& aEngine) {
+    aEngine.SetRawResumption(kHead + "Content-Length: 0\r\n\r\n");
+  });
+  fleet.RespondWith(kHead + "Server-Leaving: 1\r\n\r\n" + kEvent + kSecondEvent,
+                    RawEnd::Exits);
+  const auto stream = fleet.Fleet().Get(0, "/stream/x");
+  CHECK(IsComplete(stream));
+  CHECK(CountOf(stream.body_, "data: ") == 2);
+}
+
+TEST_CASE("the last response of a draining engine, which cannot be resumed, is "
+          "not taken for broken off")
+{
+  for (const auto* target : { "/once/stream/x", "/safe/x" }) {
     CAPTURE(target);
     RawFleet fleet;
-    fleet.RespondWith(kHead + "Server-Leaving: 1\r\n\r\n" + kEvent + kEvent,
+    fleet.RespondWith(kHead + "Server-Leaving: 1\r\n\r\n" + kEvent +
+                        kSecondEvent,
                       RawEnd::Exits);
     const auto response = fleet.Fleet().Get(0, target);
     CHECK(IsComplete(response));
@@ -123,7 +156,8 @@
   for (const auto* target : { "/stream/x", "/once/stream/x", "/safe/x" }) {
     CAPTURE(target);
     RawFleet fleet;
-    fleet.RespondWith(kHead + "\r\n" + kEvent + kEvent, RawEnd::Closes, 100ms);
+    fleet.RespondWith(kHead + "\r\n" + kEvent + kSecondEvent, RawEnd::Closes,
+                      100ms);
     for (const auto* service : { "desk", "model" }) {
       for (const auto& engine : fleet.Fleet().Platform().Engines(service)) {
         engine->SetMaxConnections(1);
