Resume a stream elsewhere when its engine repeats events

What callers saw: the number of an event went back. An engine that ignores Last-Event-Id, sends a part of a stream again, or answers a take-up with events that the client has, made a stream that looked sound. Cause: EventRelay kept the id of the last event as text for the next request and forwarded whatever came. Change: ids that are decimal numbers have to increase, from the event after which a client takes the stream up. An attempt ends before the first event whose id does not (out_of_order): the stream resumes at another engine if it may, and is cut off otherwise. Events that were read but not forwarded count neither for the order nor for Last-Event-Id. Ids that are no numbers are not compared, and an event without data may repeat the last id.

--- a/goldcrestcroft/src/Gateway/EventRelay.cpp
+++ b/goldcrestcroft/src/Gateway/EventRelay.cpp
@@ -1,5 +1,8 @@
 #include "EventRelay.h"
 
+#include <algorithm>
+#include <compare>
+
 namespace goldcrestcroft {
 
 namespace {
@@ -9,13 +12,38 @@
 /** The id is sent to an engine in a header; engines use numbers as ids. */
 constexpr std::size_t kMaxIdBytes = 1024;
 
+/** The digits of a decimal number without leading zeros; none if the text is no
+ * such number. */
+auto SignificantDigits(std::string_view aText)
+  -> std::optional<std::string_view>
+{
+  if (aText.empty() ||
+      aText.find_first_not_of("0123456789") != std::string_view::npos) {
+    return std::nullopt;
+  }
+  return aText.substr(std::min(aText.find_first_not_of('0'), aText.size()));
+}
+
+/** Compares numbers of any length; unordered if either is none. */
+auto CompareNumbers(std::string_view aLeft, std::string_view aRight)
+  -> std::partial_ordering
+{
+  const auto left = SignificantDigits(aLeft);
+  const auto right = SignificantDigits(aRight);
+  if (!left || !right) {
+    return std::partial_ordering::unordered;
+  }
+  return left->size() == right->size() ? *left <=> *right
+                                       : left->size() <=> right->size();
+}
+
 } // namespace
 
-auto EventRelay::ProcessEvent(std::string_view aEvent) -> void
+auto EventRelay::ProcessEvent(std::string_view aEvent) -> bool
 {
-  ++events_;
-  bytesWithoutData_ += aEvent.size();
+  const auto bytes = aEvent.size();
   auto hasData = false;
+  std::optional<std::string> id;
   while (!aEvent.empty()) {
     const auto end = aEvent.find('\n');
     auto line = aEvent.substr(0, end);
@@ -36,21 +64,35 @@
     if (line.size() > kMaxIdBytes) {
       hasLongId_ = true;
     } else {
-      lastId_ = std::string(line);
-      firstId_ = firstId_ ? firstId_ : lastId_;
+      id = std::string(line);
     }
   }
+  if (id && lastId_) {
+    const auto order = CompareNumbers(*id, *lastId_);
+    // An event without data repeats the last id to keep a connection open.
+    if (order == std::partial_ordering::less ||
+        (hasData && order == std::partial_ordering::equivalent)) {
+      return false;
+    }
+  }
+  if (id) {
+    firstId_ = firstId_ ? firstId_ : id;
+    lastId_ = std::move(id);
+  }
+  ++events_;
+  bytesWithoutData_ += bytes;
   if (hasData) {
     ++eventsWithData_;
     bytesWithoutData_ = 0;
   }
+  return true;
 }
 
 auto EventRelay::Feed(std::string_view aBytes) -> std::string
 {
   partial_ += aBytes;
   std::size_t consumed = 0;
-  for (; scanned_ < partial_.size(); ++scanned_) {
+  for (; scanned_ < partial_.size() && !isOutOfOrder_; ++scanned_) {
     if (partial_[scanned_] != '\n') {
       continue;
     }
@@ -59,9 +101,9 @@
       length == 0 || (length == 1 && partial_[lineStart_] == '\r');
     lineStart_ = scanned_ + 1;
     if (blank) {
-      ProcessEvent(
+      isOutOfOrder_ = !ProcessEvent(
         std::string_view(partial_).substr(consumed, lineStart_ - consumed));
-      consumed = lineStart_;
+      consumed = isOutOfOrder_ ? consumed : lineStart_;
     }
   }
   auto complete = partial_.substr(0, consumed);
--- a/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
@@ -181,6 +181,9 @@
       aExchange.MarkBrokenOff(
         CheckStreamEnd(aExchange.End(relay_.Partial().size())));
     }
+    if (relay_.IsOutOfOrder()) {
+      aExchange.MarkBrokenOff(BrokenOff::OutOfOrder);
+    }
     const auto brokeOff = aExchange.IsBrokenOff();
     if (!streamBegun_ &&
         (!events.empty() || (aExchange.IsComplete() && !brokeOff)) &&
@@ -210,6 +213,7 @@
       if (!sent) {
         co_return AttemptOutcome::Abandoned;
       }
+      relay_.MarkForwarded();
     }
     if (relay_.EventsWithData() != eventsSeen) {
       lastEventAt_ = traffic_.Now();
--- a/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
@@ -170,8 +170,8 @@
   if (!workspace_.empty()) {
     forwarded.set(names.workspace_, workspace_);
   }
-  if (relay_.LastId()) {
-    forwarded.set(names.lastEventId_, *relay_.LastId());
+  if (relay_.ForwardedId()) {
+    forwarded.set(names.lastEventId_, *relay_.ForwardedId());
   }
   if (graph_) {
     const auto inputs = graph_->FinalInputs();
--- a/goldcrestcroft/src/Gateway/RequestRunOutcome.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunOutcome.cpp
@@ -129,7 +129,7 @@
           ? IdForLog(Field(traffic_.Codec().Headers().lastEventId_))
           : "" },
       { "first_id", IdForLog(relay_.FirstId().value_or("")) },
-      { "last_id", IdForLog(relay_.LastId().value_or("")) },
+      { "last_id", IdForLog(relay_.ForwardedId().value_or("")) },
       { "version", origin_.version_.value_or("") },
       { "version_from", origin_.source_ },
       { "took_ms", since(now) },
--- a/goldcrestcroft/src/Gateway/RequestRunVersions.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunVersions.cpp
@@ -20,6 +20,9 @@
   const auto& names = traffic_.Codec().Headers();
   resumesStream_ = route_->kind_ == RouteKind::Streaming &&
                    route_->resumable_ && !Field(names.lastEventId_).empty();
+  if (resumesStream_) {
+    relay_.BeginAfter(Field(names.lastEventId_));
+  }
   if (resumesStream_ && request_.count(names.resumes_) == 1) {
     resumedAttempt_ = Field(names.resumes_);
   }
--- a/goldcrestcroft/src/Gateway/ResponseEnd.cpp
+++ b/goldcrestcroft/src/Gateway/ResponseEnd.cpp
@@ -45,6 +45,8 @@
       return "engine_gone";
     case BrokenOff::Reset:
       return "reset";
+    case BrokenOff::OutOfOrder:
+      return "out_of_order";
     case BrokenOff::No:
       break;
   }
--- a/goldcrestcroft/src/Gateway/ResponseEnd.h
+++ b/goldcrestcroft/src/Gateway/ResponseEnd.h
@@ -42,7 +42,9 @@
   EngineGone,
   /** The response ends with its connection, which the engine then reset, since
    * it has not read the whole request. */
-  Reset
+  Reset,
+  /** The id of an event is not larger than that of the event before it. */
+  OutOfOrder
 };
 
 /** \brief Why the bytes of a response form no valid response. */
