Begin no stream whose software version the store has not recorded

Cause: a stream of another version than the base waited 400 ms for its row and then began without one. Its host ended before the store was back, and another host read the missing row as "the base version": an absence was taken for a statement that nobody had made. Change: the first event is held until the store has confirmed the row. While the store does not reply, new streams begin at the base version, or run elsewhere and are held as long as the outage has been shorter than the time left to their first event; after that they are refused without running. An attempt that is held leaves its engine for one of the base version if the store certainly lacks the row; a row whose write got no reply binds the stream to its version, since it may be applied later. A store that is away is asked at least every 200 ms by few hosts, so that held streams begin soon after its return. Why it works: no row now means the base version whenever a row could have been needed, whatever ends a host, and when.

--- a/goldcrestcroft/src/Engines/AttemptPolicy.cpp
+++ b/goldcrestcroft/src/Engines/AttemptPolicy.cpp
@@ -19,6 +19,8 @@
       return "failure_answer";
     case AttemptOutcome::Lost:
       return "lost";
+    case AttemptOutcome::Unrecorded:
+      return "unrecorded";
     case AttemptOutcome::Parked:
       return "parked";
     case AttemptOutcome::Abandoned:
@@ -44,6 +46,7 @@
       break;
     case AttemptOutcome::ErrorResponse:
     case AttemptOutcome::Lost:
+    case AttemptOutcome::Unrecorded:
     case AttemptOutcome::Delivered:
       ++aRecord.ran_;
       break;
@@ -74,6 +77,7 @@
                : NextStep::Stop;
     case AttemptOutcome::ErrorResponse:
     case AttemptOutcome::Lost:
+    case AttemptOutcome::Unrecorded:
       return retryIf(aRoute.IsIdempotent() &&
                      aRecord.ran_ < aRoute.maxAttempts_);
     case AttemptOutcome::Delivered:
--- a/goldcrestcroft/src/Engines/AttemptPolicy.h
+++ b/goldcrestcroft/src/Engines/AttemptPolicy.h
@@ -25,6 +25,9 @@
   ErrorResponse,
   /** No complete response: the engine may have run the request. */
   Lost,
+  /** The engine ran the request, but the store did not record in time which
+   * software version would begin the stream. The caller has no event of it. */
+  Unrecorded,
   /** The caller disconnected, or the deadline passed. */
   Abandoned,
   /** The engine stalled: the attempt is kept while another engine is tried. */
--- a/goldcrestcroft/src/Gateway/RequestRun.h
+++ b/goldcrestcroft/src/Gateway/RequestRun.h
@@ -131,16 +131,30 @@
   /** \brief Finds the version that began the stream whose rest the request asks
    * for; returns the reply if the request is refused. */
   auto FindVersion() -> Task<std::optional<LocalReply>>;
+  /** \brief Whether the engine has another version than the only one at which
+   * the stream may go on or begin. */
+  [[nodiscard]] auto IsOtherVersion(const EngineState& aEngine) const -> bool;
   /** \brief Whether a stream may go on at the engine, or begin there so that
    * all hosts can tell its version. */
   auto FitsVersion(const EngineState& aEngine) -> bool;
-  /** \brief The same, or whether a stream may begin there at all. */
+  /** \brief The same, or with aIsAnyVersion whether a stream may begin there
+   * once the store has recorded its version. */
   auto MayServe(const EngineState& aEngine, bool aIsAnyVersion) -> bool;
+  /** \brief Time until the caller gives a stream up that has not begun. */
+  [[nodiscard]] auto TimeUntilFirstEventDue() const -> Duration;
+  /** \brief Whether engines have the service, but none may begin the stream, as
+   * the store does not record their versions. */
+  [[nodiscard]] auto IsUnrecordable() const -> bool;
   /** \brief Has the version of the engine stored while it works. */
   auto PrepareStream(const EngineEntry& aEngine) -> void;
-  /** \brief Waits until all hosts can tell which version begins the stream, for
-   * a limited time; returns false if the request was aborted. */
-  auto AwaitStreamKnown(const EngineEntry& aEngine) -> Task<bool>;
+  /** \brief Holds the first event until all hosts can tell which version begins
+   * the stream. Returns the outcome of the attempt if they cannot: it then has
+   * been given up for another engine or for good. */
+  auto AwaitStreamKnown(const EngineEntry& aEngine)
+    -> Task<std::optional<AttemptOutcome>>;
+  /** \brief Whether the stream, whose version is not recorded, begins sooner at
+   * another engine; if so, reserves the retry. */
+  auto TryLeaveUnrecorded() -> bool;
   /** \brief Counts the outcome of a request for the rest of a stream. */
   auto CountTakeUp(const std::string& aOutcome) -> void;
 
@@ -151,7 +165,7 @@
     -> std::vector<EngineCandidate>;
   /** \brief The healthy engines, or with aLastResort the suspended ones that
    * may still serve, that accept requests within aMaxWait; with aIsAnyVersion
-   * also those whose version another host could not tell. */
+   * also those whose version the store has yet to record. */
   auto FilterEngines(std::vector<EngineEntry>& aEntries, bool aLastResort,
                      Duration aMaxWait, bool aIsAnyVersion)
     -> std::vector<EngineCandidate>;
@@ -312,6 +326,11 @@
   /** The software version that began the stream, and where that is known
    * from; empty before that. */
   StreamOrigin origin_;
+  /** The only version at which the stream may begin, as of the last choice of
+   * an engine. */
+  std::optional<std::string> onlyVersion_;
+  /** The last attempt ended since the version of the stream is not recorded. */
+  bool unrecorded_ = false;
   /** It was sent to an engine that may have run it without a response. */
   bool outcomeUnknown_ = false;
   std::string lastEngine_;
--- a/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
@@ -188,8 +188,10 @@
     if (!streamBegun_ &&
         (!events.empty() || (aExchange.IsComplete() && !brokeOff)) &&
         end == ReadOutcome::Done) {
-      if (!co_await AwaitStreamKnown(aExchange.Lease().engine_->entry_)) {
-        co_return AttemptOutcome::Abandoned;
+      const auto& entry = aExchange.Lease().engine_->entry_;
+      const auto unknown = co_await AwaitStreamKnown(entry);
+      if (unknown) {
+        co_return *unknown;
       }
       streamBegun_ = true;
       firstEventAt_ = traffic_.Now();
--- a/goldcrestcroft/src/Gateway/RequestRunChoice.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunChoice.cpp
@@ -8,9 +8,9 @@
   -> std::vector<EngineCandidate>
 {
   // Prefers an engine that accepts the request now, then one with a wait, then
-  // one whose version other hosts may not be able to tell, then a suspended
-  // one. Suspensions never empty a pool: engines that fail some requests serve
-  // the others, and a refusal would serve none.
+  // one whose version the store has yet to record, then a suspended one.
+  // Suspensions never empty a pool: engines that fail some requests serve the
+  // others, and a refusal would serve none.
   for (const auto lastResort : { false, true }) {
     for (const auto anyVersion : { false, true }) {
       for (const auto maxWait : { Duration{}, MaxPermitWait() }) {
@@ -54,6 +54,9 @@
   const auto hosts = std::max<std::size_t>(traffic_.Fleet().hosts_.size(), 1);
   const auto share = std::max<std::size_t>(
     (profile != nullptr ? profile->maxConnections_ : 64) / hosts, 2);
+  if (MayBeginStream()) {
+    onlyVersion_ = traffic_.Versions().OnlyVersion(IdOfStream());
+  }
   std::vector<EngineCandidate> candidates;
   for (const auto& entry : pool.Engines().EnginesOf(service_)) {
     const auto state = pool.StateOf(entry);
--- a/goldcrestcroft/src/Gateway/RequestRunExecute.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunExecute.cpp
@@ -72,6 +72,7 @@
       co_return co_await RespondWithFailure(end);
     }
     const auto end = *tried;
+    unrecorded_ = end == AttemptOutcome::Unrecorded;
     traffic_.Metrics().CountAttempt(service_, ToString(end));
     attempts_ = Count(attempts_, end);
     if (end == AttemptOutcome::Delivered) {
@@ -79,7 +80,10 @@
       RecordOutcome("ok");
       co_return true;
     }
-    const auto next = aborted_ == Aborted::No
+    // While the row of a stream is being written, it may not begin elsewhere.
+    const auto isHeld = end == AttemptOutcome::Unrecorded &&
+                        traffic_.Versions().HasRecord(IdOfStream());
+    const auto next = aborted_ == Aborted::No && !isHeld
                         ? DecideNext(*route_, attempts_, end)
                         : NextStep::Stop;
     if (next == NextStep::ReproduceInputs && graph_) {
@@ -89,8 +93,9 @@
       }
     }
     if (next == NextStep::Stop) {
-      stopReason_ =
-        aborted_ != Aborted::No ? "aborted" : WhyStopped(*route_, end);
+      stopReason_ = aborted_ != Aborted::No ? "aborted"
+                    : isHeld                ? "stream_not_recorded"
+                                            : WhyStopped(*route_, end);
       co_return co_await RespondWithFailure(end);
     }
     const auto reserved = std::exchange(retryReserved_, false);
--- a/goldcrestcroft/src/Gateway/RequestRunOutcome.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunOutcome.cpp
@@ -77,6 +77,12 @@
                            .retryAfter_ = traffic_.Options().minRetryAfter_,
                            .closes_ = true };
   }
+  if (mayHaveRun && unrecorded_) {
+    return { .status_ = 502,
+             .reason_ = "stream_not_recorded",
+             .message_ = "the store did not record in time which software "
+                         "version began the stream; the request may have run" };
+  }
   if (mayHaveRun) {
     return { .status_ = 502,
              .reason_ = "engine_lost",
@@ -88,6 +94,12 @@
   if (stageProblem_) {
     return *stageProblem_;
   }
+  if (IsUnrecordable()) {
+    return { .reason_ = "stream_not_recorded",
+             .message_ = "the store does not record the software version of a "
+                         "new stream",
+             .retryAfter_ = soon };
+  }
   return { .reason_ = attempts_.denied_ > 0                 ? "engines_limited"
                       : aEnd == AttemptOutcome::Unreachable ? "no_engine"
                                                             : "engines_full",
--- a/goldcrestcroft/src/Gateway/RequestRunVersions.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunVersions.cpp
@@ -1,12 +1,15 @@
 #include "../Observability/Log.h"
 #include "RequestRun.h"
 
+#include <algorithm>
+
 namespace goldcrestcroft {
 
 namespace {
 
-/** The first event of a stream waits this long at most for the store. */
-constexpr Duration kMaxRecordWait = std::chrono::milliseconds{ 400 };
+/** The first event of a stream waits this long for the store before another
+ * engine is tried, whose version needs no record. */
+constexpr Duration kMinRecordWait = std::chrono::milliseconds{ 400 };
 /** How often a waiting stream checks whether its version is registered. */
 constexpr Duration kRecordCheckInterval = std::chrono::milliseconds{ 20 };
 /** An engine that has started again writes its entry, and one that has not
@@ -61,6 +64,12 @@
   co_return std::nullopt;
 }
 
+auto RequestRun::IsOtherVersion(const EngineState& aEngine) const -> bool
+{
+  const auto& only = origin_.version_ ? origin_.version_ : onlyVersion_;
+  return only && aEngine.entry_.version_ != *only;
+}
+
 auto RequestRun::FitsVersion(const EngineState& aEngine) -> bool
 {
   const auto& entry = aEngine.entry_;
@@ -72,16 +81,36 @@
   const auto isReplaced =
     entry.startedAt_ != 0 && aEngine.refusedAt_ &&
     traffic_.Now() - *aEngine.refusedAt_ < kMaxReplacementTime;
-  return !isReplaced &&
-         (origin_.version_
-            ? entry.version_ == *origin_.version_
-            : traffic_.Versions().CanBeKnown(service_, entry.version_));
+  return !isReplaced && !IsOtherVersion(aEngine) &&
+         (origin_.version_ ||
+          traffic_.Versions().CanBeKnown(service_, entry.version_));
+}
+
+auto RequestRun::TimeUntilFirstEventDue() const -> Duration
+{
+  const auto due = arrivedAt_ + CallerTimeout{}.FirstEventTimeout(*route_);
+  return std::min(due, deadline_) - traffic_.Now();
 }
 
 auto RequestRun::MayServe(const EngineState& aEngine, bool aIsAnyVersion)
   -> bool
 {
-  return (aIsAnyVersion && !origin_.version_) || FitsVersion(aEngine);
+  return FitsVersion(aEngine) ||
+         (aIsAnyVersion && !origin_.version_ && !IsOtherVersion(aEngine) &&
+          traffic_.Versions().MayBecomeKnown(service_, aEngine.entry_.version_,
+                                             TimeUntilFirstEventDue()));
+}
+
+auto RequestRun::IsUnrecordable() const -> bool
+{
+  const auto& engines = traffic_.Pool().Engines().EnginesOf(service_);
+  return MayBeginStream() && !engines.empty() &&
+         std::none_of(engines.begin(), engines.end(), [&](const auto& aEntry) {
+           const auto& versions = traffic_.Versions();
+           return versions.CanBeKnown(service_, aEntry.version_) ||
+                  versions.MayBecomeKnown(service_, aEntry.version_,
+                                          TimeUntilFirstEventDue());
+         });
 }
 
 auto RequestRun::PrepareStream(const EngineEntry& aEngine) -> void
@@ -96,10 +125,22 @@
   }
 }
 
-auto RequestRun::AwaitStreamKnown(const EngineEntry& aEngine) -> Task<bool>
+auto RequestRun::TryLeaveUnrecorded() -> bool
+{
+  std::vector<EngineEntry> entries;
+  if (!HasAttemptsLeft() || IsQuarantined() ||
+      FilterEngines(entries, false, {}, false).empty()) {
+    return false;
+  }
+  retryReserved_ = retryReserved_ || traffic_.TryTakeRetry(service_);
+  return retryReserved_ && traffic_.Versions().Withdraw(IdOfStream());
+}
+
+auto RequestRun::AwaitStreamKnown(const EngineEntry& aEngine)
+  -> Task<std::optional<AttemptOutcome>>
 {
   if (!MayBeginStream()) {
-    co_return true;
+    co_return std::nullopt;
   }
   const auto self = shared_from_this();
   const auto stream = IdOfStream();
@@ -107,27 +148,43 @@
   auto& versions = traffic_.Versions();
   // The last attempt may have been at an engine of another version.
   PrepareStream(aEngine);
-  const auto maxWait = versions.HasWaited(service_, version)
-                         ? Duration{}
-                         : std::min(kMaxRecordWait, TimeLeft());
-  const auto latest = traffic_.Now() + maxWait;
-  while (aborted_ == Aborted::No && !versions.IsKnownToAll(stream, version) &&
-         traffic_.Now() < latest) {
-    co_await WaitUntil(std::min(latest, traffic_.Now() + kRecordCheckInterval));
+  const auto heldSince = traffic_.Now();
+  auto outcome = std::optional<AttemptOutcome>();
+  while (aborted_ == Aborted::No && !outcome &&
+         !versions.IsKnownToAll(stream, version) &&
+         !versions.HasWaited(service_, version)) {
+    const auto now = traffic_.Now();
+    if (now - heldSince >= kMinRecordWait && TryLeaveUnrecorded()) {
+      outcome = AttemptOutcome::Unrecorded;
+    } else if (!versions.MayBecomeKnown(service_, version,
+                                        TimeUntilFirstEventDue())) {
+      versions.Withdraw(stream);
+      outcome = AttemptOutcome::Unrecorded;
+    } else {
+      co_await WaitUntil(now + kRecordCheckInterval);
+    }
   }
   if (aborted_ != Aborted::No) {
-    co_return false;
+    co_return AttemptOutcome::Abandoned;
   }
-  if (!versions.IsKnownToAll(stream, version)) {
-    traffic_.Metrics().Count("streams_not_recorded");
-    Log::Write(LogLevel::Warning, "stream_not_recorded",
+  const auto isRecorded = versions.IsKnownToAll(stream, version);
+  if (!isRecorded) {
+    traffic_.Metrics().Count(outcome ? "streams_given_up_unrecorded"
+                                     : "streams_not_recorded");
+    Log::Write(LogLevel::Warning,
+               outcome ? "stream_given_up_unrecorded" : "stream_not_recorded",
                { { "request", requestId_ },
                  { "service", service_ },
-                 { "version", version } });
+                 { "version", version },
+                 { "held_ms", std::to_string(ToMilliseconds(traffic_.Now() -
+                                                            heldSince)) } });
+  }
+  if (outcome) {
+    co_return outcome;
   }
   origin_ = { .version_ = version, .source_ = "own" };
   versions.OnBegun(stream, version, TimeLeft());
-  co_return true;
+  co_return std::nullopt;
 }
 
 auto RequestRun::CountTakeUp(const std::string& aOutcome) -> void
--- a/goldcrestcroft/src/Gateway/StreamRecords.cpp
+++ b/goldcrestcroft/src/Gateway/StreamRecords.cpp
@@ -7,6 +7,13 @@
 
 namespace goldcrestcroft {
 
+namespace {
+
+/** A key that no stream has. */
+constexpr auto kProbeKey = "-";
+
+} // namespace
+
 auto StreamRecords::Pause(Duration aTime) -> Task<void>
 {
   asio::steady_timer timer(context_, aTime);
@@ -55,6 +62,29 @@
          found->second.stored_ == aVersion;
 }
 
+auto StreamRecords::Uncertain(const std::string& aKey) const
+  -> std::optional<std::string>
+{
+  const auto found = rows_.find(aKey);
+  return found != rows_.end() && found->second.uncertain_
+           ? std::optional(found->second.version_)
+           : std::nullopt;
+}
+
+auto StreamRecords::Withdraw(const std::string& aKey) -> bool
+{
+  const auto found = rows_.find(aKey);
+  if (found == rows_.end()) {
+    return true;
+  }
+  if (found->second.sending_ || found->second.mayExist_) {
+    return false;
+  }
+  std::erase(pending_, aKey);
+  rows_.erase(found);
+  return true;
+}
+
 auto StreamRecords::Read(std::string aKey) -> Task<StoreReply>
 {
   co_return co_await store_.ReadRow(StoreTable::Streams, std::move(aKey));
@@ -110,47 +140,84 @@
       continue;
     }
     row.stored_ = change.value_;
+    row.mayExist_ = true;
     for (const auto& onStored : std::exchange(row.onStored_, {})) {
       onStored();
     }
   }
 }
 
+auto StreamRecords::OnFailed(const std::vector<RowChange>& aChanges,
+                             const StoreReply& aReply) -> void
+{
+  for (const auto& change : aChanges) {
+    auto& row = rows_[change.key_];
+    row.sending_ = false;
+    if (aReply.end_ != StoreOutcome::Refused) {
+      row.mayExist_ = true;
+      row.uncertain_ =
+        row.uncertain_ ||
+        (change.value_ && aReply.end_ == StoreOutcome::Unanswered);
+    }
+    Enqueue(change.key_, row);
+  }
+  Log::Write(LogLevel::Warning, "stream_records_not_written",
+             { { "rows", std::to_string(aChanges.size()) },
+               { "reason", aReply.end_ == StoreOutcome::Done
+                             ? "written in an earlier era of the store"
+                             : aReply.detail_ } });
+}
+
+auto StreamRecords::MakeCall() -> Task<bool>
+{
+  const auto changes = TakeChanges();
+  const auto began = clock_.Now();
+  if (changes.empty()) {
+    // All rows were withdrawn; only a call shows that the store is back.
+    const auto reply = co_await Read(kProbeKey);
+    co_return reply.end_ == StoreOutcome::Done;
+  }
+  const auto reply = co_await store_.Change(StoreTable::Streams, changes);
+  const auto isLost = reply.version_.era_ < era_;
+  if (reply.end_ != StoreOutcome::Done || isLost) {
+    OnFailed(changes, reply);
+    co_return false;
+  }
+  OnChanged(changes);
+  metrics_.Count("stream_record_calls");
+  const std::chrono::duration<double> interval(
+    static_cast<double>(options_.hosts_()) / options_.callsPerSecond_);
+  const auto left =
+    std::chrono::duration_cast<Duration>(interval) - (clock_.Now() - began);
+  failingSince_.reset();
+  // The first rows after a quiet time are not delayed.
+  co_await Pause(std::max<Duration>(left, {}));
+  co_return true;
+}
+
+auto StreamRecords::MaxRetryDelay() const -> Duration
+{
+  const std::chrono::duration<double> share(
+    static_cast<double>(options_.hosts_()) / options_.callsPerSecond_);
+  return std::clamp(std::chrono::duration_cast<Duration>(share),
+                    options_.fewHostsRetryDelay_, options_.maxRetryDelay_);
+}
+
 auto StreamRecords::Flush() -> Task<void>
 {
   const ClearAtEnd flushing(flushing_);
   auto pause = options_.minRetryDelay_;
-  while (!pending_.empty()) {
-    const auto changes = TakeChanges();
+  while (!pending_.empty() || failingSince_) {
     const auto began = clock_.Now();
-    const auto reply = co_await store_.Change(StoreTable::Streams, changes);
-    const auto isLost = reply.version_.era_ < era_;
-    if (reply.end_ == StoreOutcome::Done && !isLost) {
-      failing_ = false;
-      OnChanged(changes);
-      metrics_.Count("stream_record_calls");
+    const auto succeeded = co_await MakeCall();
+    if (succeeded) {
+      failingSince_.reset();
       pause = options_.minRetryDelay_;
-      const std::chrono::duration<double> interval(
-        static_cast<double>(options_.hosts_()) / options_.callsPerSecond_);
-      const auto left =
-        std::chrono::duration_cast<Duration>(interval) - (clock_.Now() - began);
-      // The first rows after a quiet time are not delayed.
-      co_await Pause(std::max<Duration>(left, {}));
       continue;
     }
-    failing_ = true;
-    for (const auto& change : changes) {
-      auto& row = rows_[change.key_];
-      row.sending_ = false;
-      Enqueue(change.key_, row);
-    }
-    Log::Write(LogLevel::Warning, "stream_records_not_written",
-               { { "rows", std::to_string(changes.size()) },
-                 { "reason", reply.end_ == StoreOutcome::Done
-                               ? "written in an earlier era of the store"
-                               : reply.detail_ } });
+    failingSince_ = failingSince_.value_or(began);
     co_await Pause(pause);
-    pause = std::min(pause * 2, options_.maxRetryDelay_);
+    pause = std::min(pause * 2, MaxRetryDelay());
   }
 }
 
--- a/goldcrestcroft/src/Gateway/StreamRecords.h
+++ b/goldcrestcroft/src/Gateway/StreamRecords.h
@@ -27,8 +27,10 @@
     double callsPerSecond_ = 200.0;
     /** Further rows are only remembered by this host. */
     std::size_t maxRows_ = 20'000;
-    /** Bounds of the delay between attempts of a call. */
+    /** Bounds of the delay between attempts of a call. The longest one grows
+     * with the number of hosts up to maxRetryDelay_: streams wait for it. */
     Duration minRetryDelay_ = std::chrono::milliseconds{ 50 };
+    Duration fewHostsRetryDelay_ = std::chrono::milliseconds{ 200 };
     Duration maxRetryDelay_ = std::chrono::milliseconds{ 1000 };
     /** How long a row is known before it is removed as that of a host that is
      * gone. */
@@ -53,10 +55,27 @@
   {
     return rows_.contains(aKey);
   }
+  [[nodiscard]] auto IsEmpty() const -> bool { return rows_.empty(); }
+  /** \brief The version of a row whose write got no reply, so that it may still
+   * be applied; none if there is no such row. */
+  [[nodiscard]] auto Uncertain(const std::string& aKey) const
+    -> std::optional<std::string>;
+  /** \brief Cancels the write of a row that the store certainly does not have.
+   * Returns whether the store has no row with the key, and will have none. */
+  auto Withdraw(const std::string& aKey) -> bool;
   [[nodiscard]] auto IsStored(const std::string& aKey,
                               const std::string& aVersion) const -> bool;
   /** \brief Whether the last call failed. */
-  [[nodiscard]] auto IsFailing() const -> bool { return failing_; }
+  [[nodiscard]] auto IsFailing() const -> bool
+  {
+    return failingSince_.has_value();
+  }
+  /** \brief For how long all calls have failed; zero if the last one did not.
+   */
+  [[nodiscard]] auto FailingFor() const -> Duration
+  {
+    return failingSince_ ? clock_.Now() - *failingSince_ : Duration{};
+  }
   /** \brief Reads the version of a stream; the reply has no row if there is
    * none. */
   auto Read(std::string aKey) -> Task<StoreReply>;
@@ -81,6 +100,10 @@
     bool pending_ = false;
     /** Whether a call that writes it is under way. */
     bool sending_ = false;
+    /** A call that wrote it was not refused, so that the store may have it. */
+    bool mayExist_ = false;
+    /** A call that wrote it got no reply, so that it may be applied later. */
+    bool uncertain_ = false;
     std::vector<std::function<void()>> onStored_;
   };
 
@@ -90,6 +113,13 @@
   /** \brief The changes of the next call; at most kMaxRowChanges. */
   auto TakeChanges() -> std::vector<RowChange>;
   auto OnChanged(const std::vector<RowChange>& aChanges) -> void;
+  /** \brief Makes a call, and returns whether the store replied to it: writes
+   * what is pending, or reads if there is nothing. */
+  auto MakeCall() -> Task<bool>;
+  auto OnFailed(const std::vector<RowChange>& aChanges,
+                const StoreReply& aReply) -> void;
+  [[nodiscard]] auto MaxRetryDelay() const -> Duration;
+  /** \brief Makes calls until nothing is pending and the last one succeeded. */
   auto Flush() -> Task<void>;
   auto Pause(Duration aTime) -> Task<void>;
 
@@ -102,7 +132,9 @@
   /** Keys of the rows that have to be written or removed. */
   std::deque<std::string> pending_;
   bool flushing_ = false;
-  bool failing_ = false;
+  /** When the first of the calls began that have failed without a success
+   * since. */
+  std::optional<TimePoint> failingSince_;
   std::uint64_t era_ = 0;
   /** When the rows of the store that this host did not write were first
    * seen. */
--- a/goldcrestcroft/src/Gateway/StreamVersions.cpp
+++ b/goldcrestcroft/src/Gateway/StreamVersions.cpp
@@ -105,6 +105,26 @@
          (registry_.IsStored(aService, aVersion) && !records_.IsFailing());
 }
 
+auto StreamVersions::MayBecomeKnown(const std::string& aService,
+                                    const std::string& aVersion,
+                                    Duration aTimeLeft) const -> bool
+{
+  const auto outage =
+    std::max(records_.FailingFor(), registry_.UpdatingFor(aService));
+  return HasWaited(aService, aVersion) || outage < aTimeLeft;
+}
+
+auto StreamVersions::OnlyVersion(const StreamId& aStream) const
+  -> std::optional<std::string>
+{
+  return records_.IsEmpty() ? std::nullopt : records_.Uncertain(aStream.Key());
+}
+
+auto StreamVersions::Withdraw(const StreamId& aStream) -> bool
+{
+  return records_.Withdraw(aStream.Key());
+}
+
 auto StreamVersions::Prepare(const StreamId& aStream,
                              const std::string& aVersion, Duration aTimeLeft,
                              std::function<void()> aOnStored) -> void
--- a/goldcrestcroft/src/Gateway/StreamVersions.h
+++ b/goldcrestcroft/src/Gateway/StreamVersions.h
@@ -74,10 +74,28 @@
    * began at the version. */
   [[nodiscard]] auto CanBeKnown(const std::string& aService,
                                 const std::string& aVersion) const -> bool;
+  /** \brief Whether it is likely that within aTimeLeft all hosts can tell that
+   * a new stream of the service began at the version: a store that does not
+   * reply is expected to be away for as long again as it has been. */
+  [[nodiscard]] auto MayBecomeKnown(const std::string& aService,
+                                    const std::string& aVersion,
+                                    Duration aTimeLeft) const -> bool;
+  /** \brief The only version at which the stream may begin, since the store may
+   * still record it; none if there is no such version. */
+  [[nodiscard]] auto OnlyVersion(const StreamId& aStream) const
+    -> std::optional<std::string>;
   /** \brief Stores that the stream begins at the version, where other hosts
    * could not tell otherwise; calls aOnStored once it is stored. */
   auto Prepare(const StreamId& aStream, const std::string& aVersion,
                Duration aTimeLeft, std::function<void()> aOnStored) -> void;
+  /** \brief Whether a row of the stream is stored or being written. */
+  [[nodiscard]] auto HasRecord(const StreamId& aStream) const -> bool
+  {
+    return records_.Has(aStream.Key());
+  }
+  /** \brief The stream does not begin at the version of the last Prepare.
+   * Returns whether it may begin at another one at once. */
+  auto Withdraw(const StreamId& aStream) -> bool;
   /** \brief Whether all hosts can tell that the stream began at the version. */
   [[nodiscard]] auto IsKnownToAll(const StreamId& aStream,
                                   const std::string& aVersion) const -> bool;
--- a/goldcrestcroft/src/Gateway/VersionRegistry.cpp
+++ b/goldcrestcroft/src/Gateway/VersionRegistry.cpp
@@ -96,6 +96,14 @@
            options_.maxRegistration_;
 }
 
+auto VersionRegistry::UpdatingFor(const std::string& aService) const -> Duration
+{
+  const auto found = services_.find(aService);
+  return found != services_.end() && found->second.updating_
+           ? clock_.Now() - found->second.updateBeganAt_
+           : Duration{};
+}
+
 auto VersionRegistry::Wanted(const Service& aService) const -> VersionList
 {
   std::vector<std::string> inUse;
@@ -181,7 +189,9 @@
 
 auto VersionRegistry::StartUpdate(const std::string& aService) -> void
 {
-  if (!std::exchange(services_[aService].updating_, true)) {
+  auto& service = services_[aService];
+  if (!std::exchange(service.updating_, true)) {
+    service.updateBeganAt_ = clock_.Now();
     asio::co_spawn(context_, Update(aService),
                    LogFailure{ "update_stream_versions" });
   }
--- a/goldcrestcroft/src/Gateway/VersionRegistry.h
+++ b/goldcrestcroft/src/Gateway/VersionRegistry.h
@@ -76,6 +76,9 @@
    * takes while the store replies. */
   [[nodiscard]] auto HasWaited(const std::string& aService,
                                const std::string& aVersion) const -> bool;
+  /** \brief For how long the store lacks something that this host knows of the
+   * service; zero if it does not. */
+  [[nodiscard]] auto UpdatingFor(const std::string& aService) const -> Duration;
   /** \brief Removes versions that are no longer used, if this host does. */
   auto Maintain() -> Task<void>;
 
@@ -95,6 +98,7 @@
     std::uint64_t revision_ = 0;
     std::map<std::string, Version> versions_;
     bool updating_ = false;
+    TimePoint updateBeganAt_;
     /** The row may lack versions that were in it. */
     bool restored_ = false;
     /** A version that was gone for a while is in use again, and may have been
--- a/test/process/VersionedFleet.h
+++ b/test/process/VersionedFleet.h
@@ -2,6 +2,8 @@
 
 #include "EntryFleet.h"
 
+#include <future>
+
 namespace testing {
 
 /** \brief Entry hosts in front of model engines of several software versions;
@@ -84,6 +86,10 @@
       const auto begin = body_.find("data: ") + 6;
       return body_.substr(begin, body_.find('\n', begin) - begin);
     }
+    [[nodiscard]] auto HasEvents() const -> bool
+    {
+      return body_.find("data: ") != std::string::npos;
+    }
     [[nodiscard]] auto HasOneVersion() const -> bool
     {
       return CountOf(body_, "data: ") == CountOf(body_, "data: " + Version());
@@ -107,6 +113,23 @@
     stream.body_ = stream.last_.body_;
     return stream;
   }
+  /** \brief Begins streams at the same time. */
+  auto BeginAtOnce(std::size_t aHost, std::size_t aCount)
+    -> std::vector<std::future<Stream>>
+  {
+    std::vector<std::future<Stream>> streams;
+    for (; aCount > 0; --aCount) {
+      streams.push_back(std::async(
+        std::launch::async, [this, aHost, call = fleet_.MakeCall("/stream/x")] {
+          Stream stream;
+          stream.attempt_ = call.headers_.at("Goldcrestcroft-Request-Id");
+          stream.last_ = SendCall(fleet_.CallerAddress(aHost), call);
+          stream.body_ = stream.last_.body_;
+          return stream;
+        }));
+    }
+    return streams;
+  }
   /** \brief Begins streams whose engines break off each attempt. */
   auto BeginBroken(std::size_t aHost, std::size_t aCount) -> std::vector<Stream>
   {
--- a/test/property/StreamVersionsTest.cpp
+++ b/test/property/StreamVersionsTest.cpp
@@ -39,6 +39,7 @@
   auto operator=(const StreamWorld&) -> StreamWorld& = delete;
 
   auto Store() -> VersionStore& { return store_; }
+  auto Host(std::size_t aHost) -> StreamVersions& { return *hosts_[aHost]; }
   auto Run(std::chrono::microseconds aTime) -> void
   {
     context_.restart();
@@ -142,6 +143,18 @@
   unsigned streams_ = 0;
 };
 
+/** Whether the row is withdrawn between two attempts to write it. */
+auto EventuallyWithdraws(StreamWorld& aWorld, const StreamId& aId) -> bool
+{
+  for (auto i = 0; i < 40; ++i) {
+    if (aWorld.Host(0).Withdraw(aId)) {
+      return true;
+    }
+    aWorld.Run(std::chrono::milliseconds{ 1 });
+  }
+  return false;
+}
+
 } // namespace
 
 TEST_CASE("no host takes a stream for one of another version, and none is "
@@ -243,6 +256,68 @@
   }
 }
 
+TEST_CASE("a stream begins at another version only if no late write can name "
+          "the first one")
+{
+  StreamWorld world(3);
+  world.SetVersions({ "v1", "v2" });
+  world.Run(std::chrono::milliseconds{ 100 });
+  auto& host = world.Host(0);
+  const auto prepare = [&](const std::string& aAttempt) {
+    StreamId id{ .service_ = kService,
+                 .workspace_ = "w",
+                 .attempt_ = aAttempt };
+    host.Prepare(id, "v2", std::chrono::seconds{ 5 }, [] {});
+    world.Run(std::chrono::milliseconds{ 20 });
+    return id;
+  };
+  world.Store().away_ = true;
+  const auto refused = prepare("refused");
+  CHECK_FALSE(host.IsKnownToAll(refused, "v2"));
+  CHECK_FALSE(host.OnlyVersion(refused));
+  CHECK(EventuallyWithdraws(world, refused));
+  CHECK_FALSE(host.HasRecord(refused));
+  CHECK(host.IsKnownToAll(refused, "v1"));
+  world.Store().away_ = false;
+  world.Run(std::chrono::seconds{ 1 });
+  world.Store().isMute_ = true;
+  const auto uncertain = prepare("uncertain");
+  CHECK_FALSE(host.IsKnownToAll(uncertain, "v2"));
+  CHECK(host.OnlyVersion(uncertain) == "v2");
+  CHECK_FALSE(host.Withdraw(uncertain));
+  CHECK_FALSE(host.IsKnownToAll(uncertain, "v1"));
+  world.Store().isMute_ = false;
+  world.Run(std::chrono::seconds{ 1 });
+  CHECK(host.IsKnownToAll(uncertain, "v2"));
+}
+
+TEST_CASE("streams wait for a store that is away for as long again as it has "
+          "been, and use it once it is back")
+{
+  StreamWorld world(4);
+  world.SetVersions({ "v1", "v2" });
+  world.Run(std::chrono::milliseconds{ 100 });
+  auto& host = world.Host(0);
+  const auto mayBegin = [&](std::chrono::milliseconds aTimeLeft) {
+    return host.MayBecomeKnown(kService, "v2", aTimeLeft);
+  };
+  world.Store().away_ = true;
+  const StreamId id{ .service_ = kService,
+                     .workspace_ = "w",
+                     .attempt_ = "first" };
+  host.Prepare(id, "v2", std::chrono::seconds{ 5 }, [] {});
+  world.Run(std::chrono::milliseconds{ 300 });
+  // Nothing is left to be written.
+  CHECK(EventuallyWithdraws(world, id));
+  CHECK(host.CanBeKnown(kService, "v1"));
+  CHECK_FALSE(host.CanBeKnown(kService, "v2"));
+  CHECK(mayBegin(std::chrono::seconds{ 5 }));
+  CHECK_FALSE(mayBegin(std::chrono::milliseconds{ 200 }));
+  world.Store().away_ = false;
+  world.Run(std::chrono::seconds{ 1 });
+  CHECK(host.CanBeKnown(kService, "v2"));
+}
+
 TEST_CASE("the name of an attempt is of no use in another workspace")
 {
   const StreamId id{ .service_ = "s", .workspace_ = "w", .attempt_ = "a" };
--- a/test/property/VersionStore.h
+++ b/test/property/VersionStore.h
@@ -91,7 +91,7 @@
     }
     auto reply = Done();
     co_await Pause();
-    if (losesReplies_ && Draw(4) == 0) {
+    if (isMute_ || (losesReplies_ && Draw(4) == 0)) {
       co_return goldcrestcroft::StoreReply{};
     }
     co_return reply;
@@ -101,6 +101,8 @@
 
   bool away_ = false;
   bool losesReplies_ = false;
+  /** Changes are made without a reply. */
+  bool isMute_ = false;
   std::size_t calls_ = 0;
 
 private:
--- a/test/unit/EnginesTest.cpp
+++ b/test/unit/EnginesTest.cpp
@@ -26,8 +26,8 @@
   const Route resumable{ .kind_ = RouteKind::Streaming,
                          .maxAttempts_ = 2,
                          .resumable_ = true };
-  for (const auto outcome :
-       { AttemptOutcome::Lost, AttemptOutcome::ErrorResponse }) {
+  for (const auto outcome : { AttemptOutcome::Lost, AttemptOutcome::Unrecorded,
+                              AttemptOutcome::ErrorResponse }) {
     CHECK(DecideNext(unsafe, After(outcome), outcome) == NextStep::Stop);
     CHECK(DecideNext(stream, After(outcome), outcome) == NextStep::Stop);
     CHECK(DecideNext(safe, After(outcome), outcome) == NextStep::TryAnother);
