Follow streams over outages of the store in the fault soak

What callers saw: streams that went on at another software version, a fault that the soak could not see: its streams were six events sent at once, no caller took one up, and all engines were of one version. Change: with one seed in ten, model engines of two versions serve, twelve callers follow streams of 0.6 to 2.4 s and take them up at any host, some of them reading slowly, and all or half of the hosts are killed while the store is silent, resets connections or loses its replies. Each event has to come once, in order, and at the version of the first one. The plans of other seeds stay the same. Hosts may run another build of the program first (--first_program).

--- a/test/platform/EngineStandin.cpp
+++ b/test/platform/EngineStandin.cpp
@@ -275,7 +275,8 @@
       trouble != Trouble::Fails) {
     reaction.headers_.emplace_back("Content-Type", "text/event-stream");
     const auto lastId = Header(aRequest, "Last-Event-Id");
-    reaction.chunks_ = Events(lastId, version_.empty() ? id : version_);
+    reaction.chunks_ =
+      Events(lastId, version_.empty() ? id : version_ + " " + id);
     reaction.truncates_ |= breaksNewStreams_ && lastId.empty();
     if (splitsEvents_ && reaction.chunks_.size() > 2) {
       auto& second = reaction.chunks_[1];
--- a/test/platform/EngineStandin.h
+++ b/test/platform/EngineStandin.h
@@ -85,8 +85,8 @@
     onStart_ = std::move(aOnStart);
   }
   [[nodiscard]] auto Id() const -> const std::string& { return id_; }
-  /** \brief Sets the software version, which the entry and the data of each
-   * event name from now on. */
+  /** \brief Sets the software version, which the entry and, before the id of
+   * the request, the data of each event name from now on. */
   auto SetVersion(const std::string& aVersion) -> void
   {
     const std::lock_guard lock(mutex_);
--- a/test/process/VersionedFleet.h
+++ b/test/process/VersionedFleet.h
@@ -7,7 +7,7 @@
 namespace testing {
 
 /** \brief Entry hosts in front of model engines of several software versions;
- * the data of each event is the version of the engine that sent it. */
+ * the data of each event begins with the version of the engine that sent it. */
 class VersionedFleet
 {
 public:
@@ -84,7 +84,7 @@
     [[nodiscard]] auto Version() const -> std::string
     {
       const auto begin = body_.find("data: ") + 6;
-      return body_.substr(begin, body_.find('\n', begin) - begin);
+      return body_.substr(begin, body_.find(' ', begin) - begin);
     }
     [[nodiscard]] auto HasEvents() const -> bool
     {
@@ -92,7 +92,8 @@
     }
     [[nodiscard]] auto HasOneVersion() const -> bool
     {
-      return CountOf(body_, "data: ") == CountOf(body_, "data: " + Version());
+      return CountOf(body_, "data: ") ==
+             CountOf(body_, "data: " + Version() + " ");
     }
     /** \brief Whether it has each of its events once. */
     [[nodiscard]] auto IsWhole() const -> bool
--- a/test/soak/CallRecord.h
+++ b/test/soak/CallRecord.h
@@ -18,7 +18,9 @@
   /** Crashes each engine that starts to run it. */
   Poison,
   /** Has a part in its prompt that crashes each engine. */
-  CrashingPart
+  CrashingPart,
+  /** Begins a stream or takes one up, see FollowedStream. */
+  Followed
 };
 
 /** The timeout that most callers send. */
--- a/test/soak/FaultInjector.cpp
+++ b/test/soak/FaultInjector.cpp
@@ -42,15 +42,20 @@
     std::cout << "at " << fault.at_.count() << " ms for " << fault.for_.count()
               << " ms: " << ToString(fault.kind_) << " " << fault.target_ << "/"
               << fault.variant_ << std::endl;
-    ++running_;
-    asio::co_spawn(context_, Apply(fault),
-                   [this](const std::exception_ptr&) { --running_; });
+    Spawn(fault);
   }
   while (running_ > 0) {
     co_await Sleep(context_, kPollInterval);
   }
 }
 
+auto FaultInjector::Spawn(Fault aFault) -> void
+{
+  ++running_;
+  asio::co_spawn(context_, Apply(aFault),
+                 [this](const std::exception_ptr&) { --running_; });
+}
+
 auto FaultInjector::Apply(Fault aFault) -> Task<void>
 {
   switch (aFault.kind_) {
@@ -94,6 +99,8 @@
       return InterruptPlatform(aFault);
     case FaultKind::AllHostsReturn:
       return RestartAllHosts(aFault);
+    case FaultKind::HostsLostInOutage:
+      return LoseHostsInOutage(aFault);
     case FaultKind::NewRoute:
     case FaultKind::KeyRevoked:
     case FaultKind::IdleTimeChanged:
--- a/test/soak/FaultInjector.h
+++ b/test/soak/FaultInjector.h
@@ -121,6 +121,9 @@
   /** \brief Makes the store and all engines stand still or refuse. */
   auto InterruptPlatform(Fault aFault) -> Task<void>;
   auto RestartAllHosts(Fault aFault) -> Task<void>;
+  auto LoseHostsInOutage(Fault aFault) -> Task<void>;
+  /** \brief Applies the fault beside others. */
+  auto Spawn(Fault aFault) -> void;
   auto ChangeConfig(const Fault& aFault) -> void;
   auto RecordExit(std::size_t aHost, const HostExit& aEnd) -> void;
   auto AwaitExit(std::size_t aHost) -> Task<bool>;
--- a/test/soak/FaultInjectorOutages.cpp
+++ b/test/soak/FaultInjectorOutages.cpp
@@ -1,5 +1,7 @@
 #include "FaultInjector.h"
 
+#include <array>
+
 namespace soak {
 
 using namespace goldcrestcroft;
@@ -60,4 +62,44 @@
   outages_.push_back({ .kind_ = ToString(aFault.kind_), .endedAt_ = end });
 }
 
+auto FaultInjector::LoseHostsInOutage(Fault aFault) -> Task<void>
+{
+  constexpr std::array kForms = { LinkFault::Paused, LinkFault::Reset,
+                                  LinkFault::NoResponses };
+  constexpr std::size_t kMoments = 8;
+  constexpr std::size_t kDowntimes = 4;
+  constexpr Millis kDowntime{ 500 };
+  auto variant = aFault.variant_;
+  const auto draw = [&variant](std::size_t aCount) {
+    const auto drawn = variant % aCount;
+    variant /= aCount;
+    return drawn;
+  };
+  const auto form = kForms.at(draw(kForms.size()));
+  const auto killsAll = draw(2) == 0;
+  const auto killAfter =
+    aFault.for_ * static_cast<Millis::rep>(draw(kMoments)) / kMoments;
+  const auto downFor =
+    kDowntime * static_cast<Millis::rep>(1 + aFault.target_ % kDowntimes);
+  std::vector<std::size_t> intervals;
+  for (std::size_t i = 0; i < fleet_.Hosts().size(); ++i) {
+    intervals.push_back(faultLog_.Begin(StoreLinkPart(i), Now()));
+    ++active_[LinkOf(StoreLinkPart(i))];
+    fleet_.StoreLink(i).SetFault(form);
+  }
+  co_await Sleep(context_, killAfter);
+  for (std::size_t i = 0; i < fleet_.Hosts().size(); ++i) {
+    if (killsAll || (i + aFault.target_) % 2 == 0) {
+      Spawn({ .for_ = downFor, .kind_ = FaultKind::HostKill, .target_ = i });
+    }
+  }
+  co_await Sleep(context_, aFault.for_ - killAfter);
+  for (std::size_t i = 0; i < fleet_.Hosts().size(); ++i) {
+    if (--active_[LinkOf(StoreLinkPart(i))] == 0) {
+      fleet_.StoreLink(i).SetFault(LinkFault::None);
+    }
+    faultLog_.End(intervals[i], Now());
+  }
+}
+
 } // namespace soak
--- a/test/soak/SoakCaller.cpp
+++ b/test/soak/SoakCaller.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace soak {
@@ -37,15 +38,29 @@
 /** Maximum number of requests on one connection of a saturating caller. */
 constexpr int kMaxSaturatingCalls = 8;
 
-auto IsCompleteStream(const std::string& aBody, const std::string& aId) -> bool
+auto IsCompleteStream(const std::string& aBody, const std::string& aData)
+  -> bool
 {
   std::string expected;
   for (auto i = 1; i <= kEvents; ++i) {
-    expected += "id: " + std::to_string(i) + "\ndata: " + aId + "\n\n";
+    expected += "id: " + std::to_string(i) + "\ndata: " + aData + "\n\n";
   }
   return aBody == expected;
 }
 
+/** Whether it is a complete stream, of engines without a version or with one.
+ */
+auto IsCompleteStreamOf(const std::string& aBody, const std::string& aId)
+  -> bool
+{
+  const auto& versions = SoakFleet::kVersions;
+  return IsCompleteStream(aBody, aId) ||
+         std::any_of(versions.begin(), versions.end(),
+                     [&](const std::string& aVersion) {
+                       return IsCompleteStream(aBody, aVersion + " " + aId);
+                     });
+}
+
 } // namespace
 
 SoakCaller::SoakCaller(asio::io_context& aContext, SoakFleet& aFleet,
@@ -212,7 +227,7 @@
   const auto expected = "answer to " + aRecord.id_ + " " + aCall.body();
   const auto same =
     aRecord.kind_ == CallKind::Stream || aRecord.kind_ == CallKind::CrashingPart
-      ? IsCompleteStream(aAnswer.body(), aRecord.id_)
+      ? IsCompleteStreamOf(aAnswer.body(), aRecord.id_)
       : aAnswer.body() == expected;
   if (!isSigned) {
     aRecord.violation_ = "a success without the engine's signature";
--- a/test/soak/SoakFleet.cpp
+++ b/test/soak/SoakFleet.cpp
@@ -53,6 +53,10 @@
           .part_ = kCrashingPart,
           .downFor_ = kEngineDowntime,
           .silent_ = engine == platform_.Engines(service)[0] });
+      if (options_.hasSeveralVersions_ && service == std::string("model")) {
+        engine->SetVersion(kVersions.at(engines_.size() % kVersions.size()));
+        platform_.Store().Put("servers", engine->Id(), engine->Entry(service));
+      }
       engines_.push_back({ .standin_ = engine.get(), .service_ = service });
       engineLinks_.push_back(std::make_unique<LoopbackProxy>(
         aContext, LocalAddress(port + kPublishedOffset), LocalAddress(port)));
@@ -142,8 +146,11 @@
 {
   auto& host = hosts_[aHost];
   host.logAtStart_ = FileSize(LogFile(aHost));
-  host.process_ = testing::Process(options_.program_, { SettingsFile(aHost) },
-                                   LogFile(aHost));
+  const auto isFirst =
+    host.incarnation_ == 0 && !options_.firstProgram_.empty();
+  host.process_ =
+    testing::Process(isFirst ? options_.firstProgram_ : options_.program_,
+                     { SettingsFile(aHost) }, LogFile(aHost));
   host.down_ = false;
   ++host.incarnation_;
   host.startedAt_ = goldcrestcroft::SuspendAwareClock{}.Now();
--- a/test/soak/SoakFleet.h
+++ b/test/soak/SoakFleet.h
@@ -5,6 +5,8 @@
 #include "FaultLog.h"
 #include "LoopbackProxy.h"
 
+#include <array>
+
 namespace soak {
 
 /** \brief Entry hosts as processes, their platform, and proxies on all
@@ -20,11 +22,16 @@
   struct Options
   {
     std::string program_;
+    /** Each host's first process runs this program, if it is set: another build
+     * of the same one. */
+    std::string firstProgram_;
     std::string folder_;
     /** Concurrent runs use different addresses of 127.0.0.0/8. */
     std::string ip_ = "127.0.0.1";
     std::size_t hosts_ = 4;
     std::size_t enginesPerService_ = 3;
+    /** Whether the model engines are of the software versions kVersions. */
+    bool hasSeveralVersions_ = false;
   };
   struct Host
   {
@@ -82,6 +89,7 @@
    * share with it. */
   static constexpr auto kCrashingPart = "ad9947ddf4d8";
   static constexpr auto kFirstPart = "426388085c79";
+  static constexpr std::array kVersions = { "1", "2" };
   static constexpr auto kRetryRatio = 0.2;
   static constexpr auto kRetrySlack = 30.0;
   static constexpr auto kRetryWindow = std::chrono::seconds{ 10 };
--- a/test/soak/SoakPlan.cpp
+++ b/test/soak/SoakPlan.cpp
@@ -30,6 +30,9 @@
 /** No outage begins before the hosts had the time to return from the one
  * before. */
 constexpr Millis kAfterOutage{ 4000 };
+constexpr std::uint64_t kSeedsPerVersions = 10;
+constexpr std::uint64_t kFirstOfVersions = 9;
+constexpr Millis kLossGap{ 3000 };
 constexpr Millis kMinLength{ 100 };
 constexpr Millis kMaxLength{ 4000 };
 constexpr std::size_t kVariants = 64;
@@ -156,14 +159,15 @@
 auto ToString(FaultKind aKind) -> std::string
 {
   constexpr std::array kNames = {
-    "host_pause",       "host_kill",           "host_stop",
-    "host_reload",      "engine_link",         "engine_trouble",
-    "engine_slow",      "engine_restart",      "store_link",
-    "store_busy",       "store_loses_answers", "store_forgets",
-    "caller_link",      "engine_drain",        "new_route",
-    "key_revoked",      "idle_time_changed",   "engine_limited",
-    "store_turns_away", "store_restored",      "engine_unframed",
-    "platform_stands",  "platform_away",       "all_hosts_return"
+    "host_pause",          "host_kill",           "host_stop",
+    "host_reload",         "engine_link",         "engine_trouble",
+    "engine_slow",         "engine_restart",      "store_link",
+    "store_busy",          "store_loses_answers", "store_forgets",
+    "caller_link",         "engine_drain",        "new_route",
+    "key_revoked",         "idle_time_changed",   "engine_limited",
+    "store_turns_away",    "store_restored",      "engine_unframed",
+    "platform_stands",     "platform_away",       "all_hosts_return",
+    "hosts_lost_in_outage"
   };
   return kNames.at(static_cast<std::size_t>(aKind));
 }
@@ -207,15 +211,25 @@
   if (aSeed % kSeedsPerOutage == 0) {
     outages.FillOutages(aLength);
   }
+  Planner losses(aSeed ^ (aSeed << 24U), aHosts, aEngines);
+  if (HasSeveralVersions(aSeed)) {
+    losses.Fill(Millis{ 0 }, aLength, { FaultKind::HostsLostInOutage },
+                kLossGap);
+  }
   for (const auto& added :
        { more.Take(), limits.Take(), doors.Take(), restores.Take(),
-         unframed.Take(), outages.Take() }) {
+         unframed.Take(), outages.Take(), losses.Take() }) {
     faults.insert(faults.end(), added.begin(), added.end());
   }
   std::sort(faults.begin(), faults.end());
   return faults;
 }
 
+auto HasSeveralVersions(std::uint64_t aSeed) -> bool
+{
+  return aSeed % kSeedsPerVersions == kFirstOfVersions;
+}
+
 auto MakeUndisturbedStop(std::uint64_t aSeed, std::size_t aHosts) -> Fault
 {
   // SIGTERM is sent twice in a third of the seeds; the host is never killed.
--- a/test/soak/SoakPlan.h
+++ b/test/soak/SoakPlan.h
@@ -45,7 +45,10 @@
   /** The store and all engines reset their connections, and new ones too. */
   PlatformAway,
   /** All hosts are killed at once and later started at once. */
-  AllHostsReturn
+  AllHostsReturn,
+  /** The store is silent, resets connections or loses its replies for all
+   * hosts, and all or half of them are killed meanwhile. */
+  HostsLostInOutage
 };
 
 auto ToString(FaultKind aKind) -> std::string;
@@ -74,10 +77,14 @@
  * store at times refuses most hosts. With one seed in four, the store also
  * returns to older copies; with one in two, engines send responses without a
  * length; with one in five, the platform stands still or is away, and all hosts
- * are killed at once. */
+ * are killed at once; with one in ten, model engines of two software versions
+ * serve, and hosts are lost while the store is away. */
 auto MakeSoakPlan(std::uint64_t aSeed, Millis aLength, std::size_t aHosts,
                   std::size_t aEngines) -> std::vector<Fault>;
 
+/** \brief Whether model engines of two software versions serve in the run. */
+auto HasSeveralVersions(std::uint64_t aSeed) -> bool;
+
 /** \brief Returns the stop of one host that follows all faults, when no earlier
  * fault excuses a violation any more and nothing else happens. */
 auto MakeUndisturbedStop(std::uint64_t aSeed, std::size_t aHosts) -> Fault;
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -3,6 +3,7 @@
 #include "ReturnCheck.h"
 #include "SoakChecker.h"
 #include "StopCheck.h"
+#include "StreamFollower.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -14,6 +15,8 @@
 ABSL_FLAG(double, seconds, 20.0, "how long faults are brought about");
 ABSL_FLAG(std::string, ip, "127.0.0.1",
           "loopback address of the run; another for each run at a time");
+ABSL_FLAG(std::string, first_program, "",
+          "program of the first process of each host: an older build");
 ABSL_FLAG(std::size_t, hosts, 4, "entry hosts");
 ABSL_FLAG(std::size_t, callers, 24, "callers, with one request each at a time");
 
@@ -31,6 +34,7 @@
 constexpr Duration kFinalResponses = 2s;
 constexpr std::size_t kPoisonCallers = 3;
 constexpr std::size_t kCrashingPartCallers = 1;
+constexpr std::size_t kFollowers = 12;
 constexpr std::size_t kSaturatingCallers = 12;
 /** Delay of the saturating callers, short enough that the host has learned the
  * latency of their requests when it stops. */
@@ -202,11 +206,14 @@
   testing::TempFolder folder;
   std::cout << "seed " << seed << ", logs in " << folder.Path() << std::endl;
   asio::io_context context;
-  SoakFleet fleet(context, { .program_ = std::string(BUILD_FOLDER) +
-                                         "/goldcrestcroft/goldcrestcroft-entry",
-                             .folder_ = folder.Path(),
-                             .ip_ = absl::GetFlag(FLAGS_ip),
-                             .hosts_ = absl::GetFlag(FLAGS_hosts) });
+  SoakFleet fleet(context,
+                  { .program_ = std::string(BUILD_FOLDER) +
+                                "/goldcrestcroft/goldcrestcroft-entry",
+                    .firstProgram_ = absl::GetFlag(FLAGS_first_program),
+                    .folder_ = folder.Path(),
+                    .ip_ = absl::GetFlag(FLAGS_ip),
+                    .hosts_ = absl::GetFlag(FLAGS_hosts),
+                    .hasSeveralVersions_ = HasSeveralVersions(seed) });
   FaultInjector injector(context, fleet);
   std::vector<CallRecord> calls;
   std::vector<std::unique_ptr<SoakCaller>> callers;
@@ -216,6 +223,13 @@
       std::make_unique<SoakCaller>(context, fleet, injector.Operator(), calls,
                                    seed * 1000 + i, ProfileOf(i)));
   }
+  std::vector<std::unique_ptr<StreamFollower>> followers;
+  if (HasSeveralVersions(seed)) {
+    for (std::size_t i = 0; i < kFollowers; ++i) {
+      followers.push_back(std::make_unique<StreamFollower>(
+        context, fleet, calls, seed * 1000 + i));
+    }
+  }
   const Millis length(
     static_cast<Millis::rep>(absl::GetFlag(FLAGS_seconds) * 1000.0));
   auto plan =
@@ -234,6 +248,9 @@
         caller->Run(caller->CrashesEngines() ? kQuietPeriod : Duration{}),
         asio::detached);
     }
+    for (const auto& follower : followers) {
+      asio::co_spawn(context, follower->Run(), asio::detached);
+    }
     asio::co_spawn(context, injector.Watch(), asio::detached);
     co_await RunPhases(context, fleet, injector, std::move(plan), callers,
                        calls, shares);
@@ -250,7 +267,16 @@
   Summarise(calls, shares, crashes);
   std::cout << SummariseStops(evidence) << std::endl
             << SummariseReturns(evidence) << std::endl;
+  std::vector<FollowedStream> streams;
+  for (const auto& follower : followers) {
+    streams.insert(streams.end(), follower->Streams().begin(),
+                   follower->Streams().end());
+  }
+  std::cout << SummariseStreams(streams) << std::endl;
   auto violations = FindViolations(evidence);
+  for (auto& violation : FindOrderViolations(streams)) {
+    violations.push_back(std::move(violation));
+  }
   for (const auto& problem : injector.Problems()) {
     violations.push_back("process: " + problem);
   }
