Do not take an engine that repeats events for one that has crashed

What callers would see: a request whose engines repeat events, or that names a Last-Event-Id far ahead, counted as one that ends engines, and after three of them it was refused as crashes_engines. Cause: an attempt that ended at an event out of order was lost, as if its connection had broken. Change: it ends as an error response of the engine: it counts against the engine and is retried as before, but is no evidence of a crash. Evidence: found in the review, by reading; process.EventOrder passes before and after.

--- a/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAnswer.cpp
@@ -229,6 +229,10 @@
     if (aborted_ != Aborted::No) {
       co_return AttemptOutcome::Abandoned;
     }
+    if (relay_.IsOutOfOrder()) {
+      // The engine has failed, but not ended.
+      co_return AttemptOutcome::ErrorResponse;
+    }
     if (end != ReadOutcome::Done || brokeOff) {
       co_return AttemptOutcome::Lost;
     }
