Bind a stream to the version whose write may still be applied

What callers would see: a stream that changed its version before its first event, as its first engine was full, could go on at the first version at another host. Cause: found in the review. A row was known to exist only if it had not changed while its write was under way, so that a confirmed row could be withdrawn; and a write without a reply was taken for one of the value that was wanted last. Change: a confirmed write makes the row exist in any case. Each value whose write got no reply is remembered: no other version is known to all hosts, as the store may apply the write after the confirmed one. A call that could not connect was not sent, so it leaves nothing uncertain; a failure of the store other than 503 does. Rows that have waited for longest are written first again after a failure, and the delay between attempts grows with the number of hosts. Why it works: what is certain of the store is derived from the calls that were made, not from what is wanted.

--- a/goldcrestcroft/src/Gateway/MetadataStore.h
+++ b/goldcrestcroft/src/Gateway/MetadataStore.h
@@ -50,6 +50,8 @@
   /** Newest version of the store at the time of its reply. Its number is set
    * if the call is done, its era with any reply. */
   StoreVersion version_;
+  /** Whether the call may have reached the store. */
+  bool wasSent_ = true;
   /** Description of the failure, for logs. */
   std::string detail_;
 };
--- a/goldcrestcroft/src/Gateway/StreamRecords.cpp
+++ b/goldcrestcroft/src/Gateway/StreamRecords.cpp
@@ -58,30 +58,39 @@
                              const std::string& aVersion) const -> bool
 {
   const auto found = rows_.find(aKey);
-  return found != rows_.end() && !found->second.pending_ &&
-         found->second.stored_ == aVersion;
+  if (found == rows_.end()) {
+    return false;
+  }
+  const auto& row = found->second;
+  const auto mayChange =
+    std::any_of(row.uncertain_.begin(), row.uncertain_.end(),
+                [&](const auto& aLate) { return aLate != aVersion; });
+  return !row.pending_ && row.stored_ == aVersion && !mayChange;
 }
 
 auto StreamRecords::Uncertain(const std::string& aKey) const
   -> std::optional<std::string>
 {
   const auto found = rows_.find(aKey);
-  return found != rows_.end() && found->second.uncertain_
-           ? std::optional(found->second.version_)
+  return found != rows_.end() && !found->second.uncertain_.empty()
+           ? std::optional(*found->second.uncertain_.begin())
            : std::nullopt;
 }
 
-auto StreamRecords::Withdraw(const std::string& aKey) -> bool
+auto StreamRecords::CanWithdraw(const std::string& aKey) const -> bool
 {
   const auto found = rows_.find(aKey);
-  if (found == rows_.end()) {
-    return true;
-  }
-  if (found->second.sending_ || found->second.mayExist_) {
+  return found == rows_.end() ||
+         (!found->second.sending_ && !found->second.mayExist_);
+}
+
+auto StreamRecords::Withdraw(const std::string& aKey) -> bool
+{
+  if (!CanWithdraw(aKey)) {
     return false;
   }
   std::erase(pending_, aKey);
-  rows_.erase(found);
+  rows_.erase(aKey);
   return true;
 }
 
@@ -132,6 +141,7 @@
   for (const auto& change : aChanges) {
     auto& row = rows_[change.key_];
     row.sending_ = false;
+    row.mayExist_ = row.mayExist_ || change.value_;
     if (row.pending_) {
       continue; // It has changed meanwhile.
     }
@@ -140,7 +150,6 @@
       continue;
     }
     row.stored_ = change.value_;
-    row.mayExist_ = true;
     for (const auto& onStored : std::exchange(row.onStored_, {})) {
       onStored();
     }
@@ -150,16 +159,18 @@
 auto StreamRecords::OnFailed(const std::vector<RowChange>& aChanges,
                              const StoreReply& aReply) -> void
 {
-  for (const auto& change : aChanges) {
-    auto& row = rows_[change.key_];
+  // From the last one on, so that those that have waited for longest are first
+  // again.
+  for (auto change = aChanges.rbegin(); change != aChanges.rend(); ++change) {
+    auto& row = rows_[change->key_];
     row.sending_ = false;
-    if (aReply.end_ != StoreOutcome::Refused) {
-      row.mayExist_ = true;
-      row.uncertain_ =
-        row.uncertain_ ||
-        (change.value_ && aReply.end_ == StoreOutcome::Unanswered);
+    row.mayExist_ = row.mayExist_ ||
+                    (aReply.end_ != StoreOutcome::Refused && aReply.wasSent_);
+    if (change->value_ && aReply.end_ == StoreOutcome::Unanswered &&
+        aReply.wasSent_) {
+      row.uncertain_.insert(*change->value_);
     }
-    Enqueue(change.key_, row);
+    Enqueue(change->key_, row, change->value_.has_value());
   }
   Log::Write(LogLevel::Warning, "stream_records_not_written",
              { { "rows", std::to_string(aChanges.size()) },
@@ -199,8 +210,8 @@
 {
   const std::chrono::duration<double> share(
     static_cast<double>(options_.hosts_()) / options_.callsPerSecond_);
-  return std::clamp(std::chrono::duration_cast<Duration>(share),
-                    options_.fewHostsRetryDelay_, options_.maxRetryDelay_);
+  return std::max(std::chrono::duration_cast<Duration>(share),
+                  options_.minMaxRetryDelay_);
 }
 
 auto StreamRecords::Flush() -> Task<void>
--- a/goldcrestcroft/src/Gateway/StreamRecords.h
+++ b/goldcrestcroft/src/Gateway/StreamRecords.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 
 namespace goldcrestcroft {
 
@@ -27,11 +28,10 @@
     double callsPerSecond_ = 200.0;
     /** Further rows are only remembered by this host. */
     std::size_t maxRows_ = 20'000;
-    /** Bounds of the delay between attempts of a call. The longest one grows
-     * with the number of hosts up to maxRetryDelay_: streams wait for it. */
+    /** First delay between attempts of a call, and the least value of the
+     * longest one, which keeps the calls of all hosts below their rate. */
     Duration minRetryDelay_ = std::chrono::milliseconds{ 50 };
-    Duration fewHostsRetryDelay_ = std::chrono::milliseconds{ 200 };
-    Duration maxRetryDelay_ = std::chrono::milliseconds{ 1000 };
+    Duration minMaxRetryDelay_ = std::chrono::milliseconds{ 200 };
     /** How long a row is known before it is removed as that of a host that is
      * gone. */
     Duration orphanRetention_ = std::chrono::minutes{ 5 };
@@ -56,12 +56,20 @@
     return rows_.contains(aKey);
   }
   [[nodiscard]] auto IsEmpty() const -> bool { return rows_.empty(); }
-  /** \brief The version of a row whose write got no reply, so that it may still
-   * be applied; none if there is no such row. */
+  /** \brief Whether no further row can be written. */
+  [[nodiscard]] auto IsFull() const -> bool
+  {
+    return rows_.size() >= options_.maxRows_;
+  }
+  /** \brief A version of the row whose write got no reply, so that it may still
+   * be applied; none if there is no such version. */
   [[nodiscard]] auto Uncertain(const std::string& aKey) const
     -> std::optional<std::string>;
-  /** \brief Cancels the write of a row that the store certainly does not have.
-   * Returns whether the store has no row with the key, and will have none. */
+  /** \brief Whether the store certainly has no row with the key, and will have
+   * none unless a call is made. */
+  [[nodiscard]] auto CanWithdraw(const std::string& aKey) const -> bool;
+  /** \brief Cancels the write of a row if CanWithdraw; returns whether it is.
+   */
   auto Withdraw(const std::string& aKey) -> bool;
   [[nodiscard]] auto IsStored(const std::string& aKey,
                               const std::string& aVersion) const -> bool;
@@ -100,10 +108,10 @@
     bool pending_ = false;
     /** Whether a call that writes it is under way. */
     bool sending_ = false;
-    /** A call that wrote it was not refused, so that the store may have it. */
+    /** A call that wrote it was not refused, so that the store may have one. */
     bool mayExist_ = false;
-    /** A call that wrote it got no reply, so that it may be applied later. */
-    bool uncertain_ = false;
+    /** Versions whose write got no reply, so that it may be applied later. */
+    std::set<std::string> uncertain_;
     std::vector<std::function<void()>> onStored_;
   };
 
--- a/test/property/StreamVersionsTest.cpp
+++ b/test/property/StreamVersionsTest.cpp
@@ -291,6 +291,80 @@
   CHECK(host.IsKnownToAll(uncertain, "v2"));
 }
 
+TEST_CASE(
+  "a row that was confirmed while its stream changed the version is not "
+  "withdrawn")
+{
+  StreamWorld world(5);
+  world.SetVersions({ "v1", "v2" });
+  world.Run(std::chrono::milliseconds{ 100 });
+  auto& host = world.Host(0);
+  const StreamId id{ .service_ = kService,
+                     .workspace_ = "w",
+                     .attempt_ = "changed" };
+  host.Prepare(id, "v2", std::chrono::seconds{ 5 }, [] {});
+  world.Run(std::chrono::microseconds{ 100 });
+  host.Prepare(id, "v1", std::chrono::seconds{ 5 }, [] {});
+  // The first call is confirmed, and the second one is not made yet.
+  world.Run(std::chrono::milliseconds{ 4 });
+  world.Store().away_ = true;
+  for (auto i = 0; i < 100; ++i) {
+    CHECK_FALSE(host.Withdraw(id));
+    world.Run(std::chrono::milliseconds{ 1 });
+  }
+  CHECK_FALSE(host.IsKnownToAll(id, "v1"));
+  world.Store().away_ = false;
+  world.Run(std::chrono::seconds{ 1 });
+  CHECK(host.IsKnownToAll(id, "v1"));
+}
+
+TEST_CASE(
+  "a write that got no reply before its stream changed the version keeps "
+  "the stream from beginning at the other one")
+{
+  StreamWorld world(6);
+  world.SetVersions({ "v1", "v2", "v3" });
+  world.Run(std::chrono::milliseconds{ 100 });
+  auto& host = world.Host(0);
+  const StreamId id{ .service_ = kService,
+                     .workspace_ = "w",
+                     .attempt_ = "late" };
+  world.Store().isMute_ = true;
+  host.Prepare(id, "v2", std::chrono::seconds{ 5 }, [] {});
+  world.Run(std::chrono::microseconds{ 100 });
+  host.Prepare(id, "v3", std::chrono::seconds{ 5 }, [] {});
+  world.Run(std::chrono::milliseconds{ 10 });
+  world.Store().isMute_ = false;
+  world.Run(std::chrono::seconds{ 1 });
+  // The store may apply the first write after all others.
+  CHECK_FALSE(host.IsKnownToAll(id, "v3"));
+  CHECK(host.OnlyVersion(id) == "v2");
+  host.Prepare(id, "v2", std::chrono::seconds{ 5 }, [] {});
+  world.Run(std::chrono::seconds{ 1 });
+  CHECK(host.IsKnownToAll(id, "v2"));
+}
+
+TEST_CASE("a stream that changes to the base version needs no row if the store "
+          "has none")
+{
+  StreamWorld world(7);
+  world.SetVersions({ "v1", "v2" });
+  world.Run(std::chrono::milliseconds{ 100 });
+  auto& host = world.Host(0);
+  const StreamId id{ .service_ = kService,
+                     .workspace_ = "w",
+                     .attempt_ = "base" };
+  world.Store().away_ = true;
+  host.Prepare(id, "v2", std::chrono::seconds{ 5 }, [] {});
+  auto isKnown = false;
+  for (auto i = 0; i < 40 && !isKnown; ++i) {
+    world.Run(std::chrono::milliseconds{ 1 });
+    host.Prepare(id, "v1", std::chrono::seconds{ 5 }, [] {});
+    isKnown = host.IsKnownToAll(id, "v1");
+  }
+  CHECK(isKnown);
+}
+
 TEST_CASE("streams wait for a store that is away for as long again as it has "
           "been, and use it once it is back")
 {
