Leave an engine of another version only while the store fails

What callers would see: with many hosts, whose writes are paced, a held stream gave its engine up after 400 ms for another one of a version that needs a row as well, in calm; each held stream took a retry out of the shared budget even if it could not leave; and a stream at an engine of the base version waited for a row that it did not need. While writes succeed, every listed version counts as one that can be known, and the retry was reserved before it was clear that the row can be withdrawn. Change: a held stream leaves only while writes fail and its row can be withdrawn. An attempt at the base version withdraws a row that an earlier attempt has left. A version that is listed does not wait for one that is not, and no stream begins at a version that needs a row when no further row is kept. Evidence: property.StreamVersions, "a stream that changes to the base version", red before; the rest by reading. process.UnrecordedStream and process.StreamTakeUp pass before and after.

--- a/goldcrestcroft/src/Gateway/RequestRunVersions.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunVersions.cpp
@@ -127,13 +127,18 @@
 
 auto RequestRun::TryLeaveUnrecorded() -> bool
 {
+  const auto stream = IdOfStream();
+  if (!traffic_.Versions().CanLeaveForBase(stream) || !HasAttemptsLeft() ||
+      IsQuarantined()) {
+    return false;
+  }
+  // While writes fail, only the base version needs no record.
   std::vector<EngineEntry> entries;
-  if (!HasAttemptsLeft() || IsQuarantined() ||
-      FilterEngines(entries, false, {}, false).empty()) {
+  if (FilterEngines(entries, false, {}, false).empty()) {
     return false;
   }
   retryReserved_ = retryReserved_ || traffic_.TryTakeRetry(service_);
-  return retryReserved_ && traffic_.Versions().Withdraw(IdOfStream());
+  return retryReserved_ && traffic_.Versions().Withdraw(stream);
 }
 
 auto RequestRun::AwaitStreamKnown(const EngineEntry& aEngine)
@@ -159,7 +164,10 @@
     } else if (!versions.MayBecomeKnown(service_, version,
                                         TimeUntilFirstEventDue())) {
       versions.Withdraw(stream);
-      outcome = AttemptOutcome::Unrecorded;
+      // At the base version, that was all that kept the stream from beginning.
+      if (!versions.IsKnownToAll(stream, version)) {
+        outcome = AttemptOutcome::Unrecorded;
+      }
     } else {
       co_await WaitUntil(now + kRecordCheckInterval);
     }
--- a/goldcrestcroft/src/Gateway/StreamVersions.cpp
+++ b/goldcrestcroft/src/Gateway/StreamVersions.cpp
@@ -102,7 +102,8 @@
                                 const std::string& aVersion) const -> bool
 {
   return IsBase(aService, aVersion) ||
-         (registry_.IsStored(aService, aVersion) && !records_.IsFailing());
+         (registry_.IsStored(aService, aVersion) && !records_.IsFailing() &&
+          !records_.IsFull());
 }
 
 auto StreamVersions::MayBecomeKnown(const std::string& aService,
@@ -110,8 +111,11 @@
                                     Duration aTimeLeft) const -> bool
 {
   const auto outage =
-    std::max(records_.FailingFor(), registry_.UpdatingFor(aService));
-  return HasWaited(aService, aVersion) || outage < aTimeLeft;
+    registry_.IsStored(aService, aVersion)
+      ? records_.FailingFor()
+      : std::max(records_.FailingFor(), registry_.UpdatingFor(aService));
+  return HasWaited(aService, aVersion) ||
+         (outage < aTimeLeft && !records_.IsFull());
 }
 
 auto StreamVersions::OnlyVersion(const StreamId& aStream) const
@@ -130,7 +134,8 @@
                              std::function<void()> aOnStored) -> void
 {
   const auto key = aStream.Key();
-  if (!records_.Has(key) && IsBase(aStream.service_, aVersion)) {
+  // A row of an attempt at another version may be left.
+  if (IsBase(aStream.service_, aVersion) && records_.Withdraw(key)) {
     return;
   }
   mayHaveRows_ = true;
--- a/goldcrestcroft/src/Gateway/StreamVersions.h
+++ b/goldcrestcroft/src/Gateway/StreamVersions.h
@@ -93,8 +93,14 @@
   {
     return records_.Has(aStream.Key());
   }
+  /** \brief Whether the stream, which is held, may begin at the base version at
+   * once. */
+  [[nodiscard]] auto CanLeaveForBase(const StreamId& aStream) const -> bool
+  {
+    return records_.IsFailing() && records_.CanWithdraw(aStream.Key());
+  }
   /** \brief The stream does not begin at the version of the last Prepare.
-   * Returns whether it may begin at another one at once. */
+   * Returns whether it may begin at the base version at once. */
   auto Withdraw(const StreamId& aStream) -> bool;
   /** \brief Whether all hosts can tell that the stream began at the version. */
   [[nodiscard]] auto IsKnownToAll(const StreamId& aStream,
