--- a/test/process/UnrecordedStreamTest.cpp
+++ b/test/process/UnrecordedStreamTest.cpp
@@ -30,6 +30,7 @@
 auto Collect(std::vector<std::future<Stream>> aStreams) -> std::vector<Stream>
 {
   std::vector<Stream> streams;
+  streams.reserve(aStreams.size());
   for (auto& stream : aStreams) {
     streams.push_back(stream.get());
   }
