Test the stream of a draining engine that no other engine can go on with

What callers see: a stream without a length whose draining engine exits, while no other engine of the service is left, is cut off although it may have been complete. Change: a test with a single engine that demands both events and no complete end, so that the host never vouches for a stream that it cannot know to be whole.

--- a/test/process/UnframedResponseTest.cpp
+++ b/test/process/UnframedResponseTest.cpp
@@ -134,6 +134,24 @@
   CHECK(CountOf(stream.body_, "data: ") == 2);
 }
 
+TEST_CASE(
+  "a stream without a length whose draining engine exits is cut off, not "
+  "ended, if no other engine can tell what follows")
+{
+  RawFleet fleet;
+  auto& platform = fleet.Fleet().Platform();
+  for (std::size_t i = 1; i < platform.Engines("model").size(); ++i) {
+    platform.Store().Remove("servers", platform.Engines("model")[i]->Id());
+  }
+  fleet.RespondWith(kHead + "Server-Leaving: 1\r\n\r\n" + kEvent + kSecondEvent,
+                    RawEnd::Exits);
+  CHECK(EntryFleet::Await([&] {
+    const auto stream = fleet.Fleet().Get(0, "/stream/x");
+    CHECK_FALSE(IsComplete(stream));
+    return CountOf(stream.body_, "data: ") == 2;
+  }));
+}
+
 TEST_CASE("the last response of a draining engine, which cannot be resumed, is "
           "not taken for broken off")
 {
