--- a/goldcrestcroft/src/Gateway/ControlPlane.h
+++ b/goldcrestcroft/src/Gateway/ControlPlane.h
@@ -120,6 +120,8 @@
   /** \brief Calls the store for changes and waits as aStep says, or reads all
    * rows where they are not known. */
   auto Read(StoreTable aTable, TableWatch::Step aStep) -> Task<StoreReply>;
+  static auto LogRead(StoreTable aTable, const StoreReply& aReply,
+                      Duration aTime) -> void;
   /** \brief Returns whether the reply contained anything new. */
   auto OnStoreReply(StoreTable aTable, const StoreReply& aReply) -> bool;
   /** \brief Adopts the rows; returns whether any is new. */
--- a/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
@@ -115,6 +115,9 @@
     } else {
       followed.watch_.OnFailed(now);
     }
+    if (readsAll && reply.end_ == StoreOutcome::Done) {
+      LogRead(aTable, reply, now - sentAt);
+    }
     const auto adopted = OnStoreReply(aTable, reply);
     // The reports of a few readers keep the views of all other hosts current.
     const auto reportsView = reply.end_ == StoreOutcome::Done && !readsAll &&
@@ -134,6 +137,20 @@
   }
 }
 
+auto ControlPlane::LogRead(StoreTable aTable, const StoreReply& aReply,
+                           Duration aTime) -> void
+{
+  std::size_t bytes = 0;
+  for (const auto& row : aReply.rows_) {
+    bytes += row.key_.size() + row.value_.size();
+  }
+  Log::Write(LogLevel::Info, "table_read",
+             { { "table", ToString(aTable) },
+               { "rows", std::to_string(aReply.rows_.size()) },
+               { "bytes", std::to_string(bytes) },
+               { "took_ms", std::to_string(ToMilliseconds(aTime)) } });
+}
+
 auto ControlPlane::OnStoreReply(StoreTable aTable, const StoreReply& aReply)
   -> bool
 {
--- a/test/unit/StoreClientTest.cpp
+++ b/test/unit/StoreClientTest.cpp
@@ -171,6 +171,19 @@
   CHECK(fixture.Calls() < 60);
 }
 
+TEST_CASE("the reason of a failed read names the page and what the store says")
+{
+  StoreFixture fixture([](int aCall) {
+    return aCall == 1 ? Page("k7", 4)
+                      : ResponsePlan{ .status_ = 400,
+                                      .body_ = "invalid range" };
+  });
+  const auto reason = fixture.ReadAll().detail_;
+  CAPTURE(reason);
+  CHECK(reason.find("status 400: invalid range") != std::string::npos);
+  CHECK(reason.find("from key 'k7', after 1 rows") != std::string::npos);
+}
+
 TEST_CASE("the era of a response applies to all its rows, and a response with "
           "an unreadable era is not accepted")
 {
