Test hosts that start while the store has rows of another writer

In the users' record hosts that start lose the table of engines with 'status 400' after another writer has put rows with the keys a14%, a28+ and a29+ into a table.

The store's stand-in did not show this: it read a plus sign as itself and an invalid percent sign as a number, never ended a page, and took keys of any length and parameters of any name. It now pages by rows and bytes, decodes targets as the page says, answers what the page does not document with 400 and writes to the tables of others with 403, and sends changes in the order of their versions.

The stand-in adds no call that the code before makes and that the page allows.

--- a/test/platform/StoreStandin.cpp
+++ b/test/platform/StoreStandin.cpp
@@ -1,6 +1,5 @@
 #include "StoreStandin.h"
 
-#include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 
 #include <algorithm>
@@ -8,7 +7,6 @@
 namespace standins {
 
 using namespace goldcrestcroft;
-using nlohmann::json;
 
 namespace {
 
@@ -23,32 +21,6 @@
   return text;
 }
 
-auto Query(const std::string& aTarget, const std::string& aName) -> std::string
-{
-  const auto at = aTarget.find(aName + "=");
-  if (at == std::string::npos) {
-    return "";
-  }
-  const auto from = at + aName.size() + 1;
-  return aTarget.substr(from, aTarget.find('&', from) - from);
-}
-
-auto Unescape(const std::string& aText) -> std::string
-{
-  constexpr auto kHexadecimal = 16;
-  std::string text;
-  for (std::size_t i = 0; i < aText.size(); ++i) {
-    if (aText[i] == '%' && i + 2 < aText.size()) {
-      text += static_cast<char>(
-        std::stoi(aText.substr(i + 1, 2), nullptr, kHexadecimal));
-      i += 2;
-    } else {
-      text += aText[i];
-    }
-  }
-  return text;
-}
-
 } // namespace
 
 StoreStandin::StoreStandin(asio::io_context& aContext,
@@ -128,6 +100,32 @@
   Write(aTable, aKey, { .value_ = Encode(aValue) });
 }
 
+auto StoreStandin::PutAll(const std::string& aTable,
+                          const std::map<std::string, std::string>& aRows)
+  -> void
+{
+  const std::lock_guard lock(mutex_);
+  const auto version = ++contents_.version_;
+  for (const auto& [key, value] : aRows) {
+    contents_.tables_[aTable][key] = { .value_ = Encode(value),
+                                       .version_ = version };
+  }
+  CopyContents();
+}
+
+auto StoreStandin::RemoveAll(const std::string& aTable,
+                             const std::string& aPrefix) -> void
+{
+  const std::lock_guard lock(mutex_);
+  const auto version = ++contents_.version_;
+  for (auto& [key, row] : contents_.tables_[aTable]) {
+    if (key.starts_with(aPrefix)) {
+      row = { .version_ = version, .removed_ = true };
+    }
+  }
+  CopyContents();
+}
+
 auto StoreStandin::Remove(const std::string& aTable, const std::string& aKey)
   -> void
 {
@@ -159,69 +157,6 @@
   return aVersion > aContents.version_;
 }
 
-auto StoreStandin::RowsOf(Contents& aContents, const std::string& aTable,
-                          std::uint64_t aAfter, bool aRemoved,
-                          const KeyRange& aRange) -> ResponsePlan
-{
-  const std::lock_guard lock(mutex_);
-  auto rows = json::array();
-  for (const auto& [key, row] : aContents.tables_[aTable]) {
-    if (row.version_ > aAfter && (aRemoved || !row.removed_) &&
-        aRange.Contains(key)) {
-      json item{ { "table", aTable },
-                 { "part", "" },
-                 { "key", key },
-                 { "ver", row.version_ } };
-      if (row.removed_) {
-        item["deleted"] = true;
-      } else {
-        item["value"] = row.value_;
-      }
-      rows.push_back(std::move(item));
-    }
-  }
-  return Respond(aContents, json{ { "rows", std::move(rows) },
-                                  { "truncated", false },
-                                  { "ver", aContents.version_ },
-                                  { "now_ms", 1 } }
-                              .dump());
-}
-
-auto StoreStandin::Transact(Contents& aContents, const std::string& aBody)
-  -> ResponsePlan
-{
-  const auto call = json::parse(aBody);
-  const std::lock_guard lock(mutex_);
-  for (const auto& row : call.at("expected_revision")) {
-    const auto& known = aContents.tables_[row.at("table")][row.at("key")];
-    const auto version = known.removed_ ? 0 : known.version_;
-    if (version != row.at("ver").get<std::uint64_t>()) {
-      auto conflict =
-        Respond(aContents,
-                json{ { "ver", aContents.version_ }, { "now_ms", 1 } }.dump());
-      conflict.status_ = 412;
-      return conflict;
-    }
-  }
-  const auto version = ++aContents.version_;
-  for (const auto& row : call.at("writes")) {
-    aContents.tables_[row.at("table")][row.at("key")] = { .value_ =
-                                                            row.at("value"),
-                                                          .version_ = version };
-  }
-  for (const auto& row : call.at("remove")) {
-    aContents.tables_[row.at("table")][row.at("key")] = { .version_ = version,
-                                                          .removed_ = true };
-  }
-  if (&aContents == &contents_) {
-    CopyContents();
-  }
-  auto response =
-    Respond(aContents, json{ { "ver", version }, { "now_ms", 1 } }.dump());
-  response.drops_ = losesAnswers_;
-  return response;
-}
-
 auto StoreStandin::Respond(const Contents& aContents, std::string aBody)
   -> ResponsePlan
 {
@@ -238,6 +173,13 @@
   return response;
 }
 
+auto StoreStandin::Reject(const Contents& aContents, int aStatus)
+  -> ResponsePlan
+{
+  ++invalidCalls_;
+  return RespondStatus(aContents, aStatus);
+}
+
 auto StoreStandin::Serve(Contents& aContents, Request aRequest)
   -> Task<ResponsePlan>
 {
@@ -246,37 +188,23 @@
   if (busy_) {
     co_return RespondStatus(aContents, 503);
   }
-  if (target.starts_with("/rows-tx")) {
+  const auto path = StoreCall::PathOf(target);
+  const auto isRead = aRequest.method() == http::verb::get;
+  if (path == "/rows-tx" && aRequest.method() == http::verb::post) {
     co_return Transact(aContents, aRequest.body());
   }
-  const auto table = Query(target, "table");
-  if (target.starts_with("/rows-get")) {
-    auto response = RowsOf(aContents, table, 0, false,
-                           { .from_ = Unescape(Query(target, "from")),
-                             .to_ = Unescape(Query(target, "to")) });
-    response.delay_ =
-      std::chrono::milliseconds{ table == "servers" ? enginesDelayMs_.load()
-                                                    : 0 };
-    co_return response;
+  if (path == "/rows-get" && isRead) {
+    const auto call =
+      StoreCall::Parse(target, { "table", "part", "from", "to", "limit" });
+    co_return call ? ReadPage(aContents, *call) : Reject(aContents, 400);
   }
-  const auto after = std::stoull(Query(target, "after"));
-  auto left = std::stoi(Query(target, "wait_ms"));
-  constexpr auto kPollInterval = 5;
-  for (;; left -= kPollInterval) {
-    if (busy_) {
-      co_return RespondStatus(aContents, 503);
-    }
-    if (historyLost_ || LacksVersion(aContents, after)) {
-      co_return RespondStatus(aContents, 410);
-    }
-    auto response = RowsOf(aContents, table, after, true, {});
-    if (left <= 0 || response.body_.find("\"key\"") != std::string::npos) {
-      co_return response;
+  if (path == "/rows-feed" && isRead) {
+    auto call = StoreCall::Parse(target, { "table", "after", "wait_ms" });
+    if (call) {
+      co_return co_await FollowChanges(aContents, std::move(*call));
     }
-    asio::steady_timer timer(context_,
-                             std::chrono::milliseconds{ kPollInterval });
-    co_await timer.async_wait(kAsTuple);
   }
+  co_return Reject(aContents, 400);
 }
 
 } // namespace standins
--- a/test/platform/StoreStandin.h
+++ b/test/platform/StoreStandin.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "HttpServer.h"
+#include "StoreCall.h"
 
 #include <atomic>
 #include <deque>
@@ -12,7 +13,8 @@
 namespace standins {
 
 /** \brief The platform's store in memory, with rows, reads, changes and
- * transactions. It can inject the faults that the platform documents. */
+ * transactions. It can inject the faults that the platform documents. Calls
+ * that the platform does not document are answered with 400. */
 class StoreStandin
 {
 public:
@@ -59,7 +61,12 @@
   /** \brief Writes a row, as the operator or an engine would. */
   auto Put(const std::string& aTable, const std::string& aKey,
            const std::string& aValue) -> void;
+  /** \brief Writes the rows in one transaction. */
+  auto PutAll(const std::string& aTable,
+              const std::map<std::string, std::string>& aRows) -> void;
   auto Remove(const std::string& aTable, const std::string& aKey) -> void;
+  /** \brief Removes all rows of the table whose keys begin with the prefix. */
+  auto RemoveAll(const std::string& aTable, const std::string& aPrefix) -> void;
   [[nodiscard]] auto Has(const std::string& aTable, const std::string& aKey)
     -> bool;
   /** \brief Number of rows of the table that are not removed. */
@@ -74,6 +81,10 @@
   /** While set, reads of changes are answered with 410. */
   std::atomic<bool> historyLost_ = false;
   std::atomic<std::uint64_t> calls_ = 0;
+  /** Number of pages of the table of engines that were asked for, and of calls
+   * that were answered with 400 or 403. */
+  std::atomic<std::uint64_t> enginePages_ = 0;
+  std::atomic<std::uint64_t> invalidCalls_ = 0;
 
 private:
   struct Row
@@ -87,11 +98,11 @@
   struct KeyRange
   {
     std::string from_;
-    std::string to_;
+    std::optional<std::string> to_;
 
     [[nodiscard]] auto Contains(const std::string& aKey) const -> bool
     {
-      return aKey >= from_ && (to_.empty() || aKey < to_);
+      return aKey >= from_ && (!to_ || aKey < *to_);
     }
   };
   struct Contents
@@ -125,9 +136,15 @@
   auto Refuse(const Endpoint& aEndpoint, const Contents& aContents)
     -> goldcrestcroft::Task<ResponsePlan>;
   auto Transact(Contents& aContents, const std::string& aBody) -> ResponsePlan;
-  auto RowsOf(Contents& aContents, const std::string& aTable,
-              std::uint64_t aAfter, bool aRemoved, const KeyRange& aRange)
-    -> ResponsePlan;
+  /** \brief Responds to a call that the platform does not document or allow.
+   */
+  auto Reject(const Contents& aContents, int aStatus) -> ResponsePlan;
+  auto ReadPage(Contents& aContents, const StoreCall& aCall) -> ResponsePlan;
+  auto FollowChanges(Contents& aContents, StoreCall aCall)
+    -> goldcrestcroft::Task<ResponsePlan>;
+  /** \brief Rows changed after the version, in the order of their versions. */
+  auto ChangedRows(Contents& aContents, const std::string& aTable,
+                   std::uint64_t aAfter) -> ResponsePlan;
   /** \brief Whether the contents lack the version. */
   auto LacksVersion(const Contents& aContents, std::uint64_t aVersion) -> bool;
   auto Write(const std::string& aTable, const std::string& aKey, Row aRow)
