Encode all parameters of calls to the store in one place

Callers: hosts that started never became ready, and none of their requests was served (FAULT, RECOVER), once another writer had put rows into the table of engines whose keys have a meaning in the target of a call.

Cause: ReadAll wrote the last key of a page into the target of the next call as it was. A percent sign made the call invalid (400), a space or a line break broke the request line, '&' and '#' cut the key off or added a parameter of the row's writer, and bytes above 0x7f were sent raw. The class: text from outside in a line of a protocol without that protocol's encoding. Besides, the key after one of 200 bytes is longer than the store allows.

Change: StoreTarget is the only type of a call's target, and encodes every value.

The checks of EncodeKey in unit.PlatformAdapter are now those of StoreTarget, with one more key.

--- a/test/unit/PlatformAdapterTest.cpp
+++ b/test/unit/PlatformAdapterTest.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 #include <platform/StoreRows.h>
+#include <platform/StoreTarget.h>
 #include <platform/TableCodec.h>
 
 namespace testing {
@@ -270,8 +271,12 @@
 
 TEST_CASE("a key with bytes that have a meaning in a query is written escaped")
 {
-  CHECK(platform::EncodeKey("model-1") == "model%2D1");
-  CHECK(platform::EncodeKey("a&to=%00 /") == "a%26to%3D%2500%20%2F");
+  const auto encoded = [](const std::string& aKey) {
+    return platform::StoreTarget("/p").With("k", aKey).With("n", 7).Text();
+  };
+  CHECK(encoded("model-1") == "/p?k=model%2D1&n=7");
+  CHECK(encoded("a&to=%00 /") == "/p?k=a%26to%3D%2500%20%2F&n=7");
+  CHECK(encoded("a+\r\nX: y\xff") == "/p?k=a%2B%0D%0AX%3A%20y%FF&n=7");
 }
 
 } // namespace testing
