Do not skip changes that are made while a table is read

Callers: could be sent to an engine that has drained or is gone (DRAIN), if a host reads the table of engines in more than one page; found in review, not seen by the users.

Cause: ApplyAll took the newest row of the table as the version up to which all changes are known. A row of a later page may be newer than a change to an earlier page that was made after that page was read; the next call for changes then asked for those after the newest row and skipped the other one.

Change: a complete table is known up to the version of its first page, whatever its rows say.

Evidence: the case 'a row of a later page hides changes to earlier pages' of unit.EngineRegistry is red without the bound on the version, green with it.

--- a/goldcrestcroft/src/Gateway/EngineRegistry.cpp
+++ b/goldcrestcroft/src/Gateway/EngineRegistry.cpp
@@ -123,7 +123,13 @@
       changed = true;
     }
   }
-  return Apply(aRows, aNow) || changed;
+  for (const auto& row : aRows) {
+    changed |= Adopt(row, aNow);
+    // A row of a later page may be newer than changes to earlier pages that are
+    // not known yet.
+    version_ = std::max(version_, std::min(row.version_, aVersion));
+  }
+  return changed;
 }
 
 auto EngineRegistry::Tick(TimePoint aNow) -> bool
--- a/test/unit/EngineRegistryTest.cpp
+++ b/test/unit/EngineRegistryTest.cpp
@@ -154,6 +154,18 @@
   CHECK(r.registry_.UnreadableEntries() == 1);
 }
 
+TEST_CASE("a row of a later page hides changes to earlier pages")
+{
+  Registry r;
+  r.registry_.ApplyAll({ Row("a", 5), Row("z", 12) }, { .number_ = 10 },
+                       r.now_);
+  // The next call for changes asks for those after this version.
+  CHECK(r.registry_.Version() == StoreVersion{ .number_ = 10 });
+  r.registry_.Apply({ Removal("a", 11), Row("z", 12) }, r.now_);
+  CHECK(r.Names() == "z");
+  CHECK(r.registry_.Version() == StoreVersion{ .number_ = 12 });
+}
+
 TEST_CASE("a peer receives the rows that it lacks, including removals")
 {
   Registry r;
