Hold no rows that describe no engine

Callers: hosts outgrow their machine, and hosts that fetch the engines from a peer do not get them, after another writer has put much into the table of engines.

Cause: EngineRegistry kept every row with its value, whether or not it describes an engine, and sent all of them to peers, whose frames are bounded.

Change: a row that describes no engine is the removal of its key. It leaves a key and a version for as long as removals do, so that peers learn that it has replaced an engine; a complete table leaves nothing of it. A row of a peer that is older than the complete table is not adopted for a key that the table no longer lists, as nothing else is kept that would tell.

--- a/goldcrestcroft/src/Gateway/EngineRegistry.cpp
+++ b/goldcrestcroft/src/Gateway/EngineRegistry.cpp
@@ -62,24 +62,58 @@
   return false;
 }
 
+auto EngineRegistry::VersionOf(const std::string& aKey) const -> StoreVersion
+{
+  if (const auto entry = entries_.find(aKey); entry != entries_.end()) {
+    return entry->second.row_.version_;
+  }
+  const auto removal = removals_.find(aKey);
+  return removal == removals_.end() ? StoreVersion{} : removal->second.version_;
+}
+
+auto EngineRegistry::Retain(StoreRow& aRow, TimePoint aNow) -> bool
+{
+  if (DecodeRow(aRow, aNow)) {
+    return true;
+  }
+  aRow.value_.clear();
+  return entries_.contains(aRow.key_);
+}
+
+auto EngineRegistry::AdoptRemoval(const StoreRow& aRow, TimePoint aNow) -> bool
+{
+  removals_[aRow.key_] = { .version_ = aRow.version_, .removedAt_ = aNow };
+  return true;
+}
+
 auto EngineRegistry::Adopt(const StoreRow& aRow, TimePoint aNow) -> bool
 {
-  auto& entry = entries_[aRow.key_];
-  if (aRow.version_ <= entry.row_.version_) {
+  if (aRow.version_ <= VersionOf(aRow.key_)) {
     return false;
   }
+  const auto isKnown = entries_.contains(aRow.key_);
   if (aRow.removed_) {
-    entry.row_.key_ = aRow.key_;
-    Remove(entry, aRow.version_, aNow);
+    if (!isKnown) {
+      return AdoptRemoval(aRow, aNow);
+    }
+    Remove(entries_[aRow.key_], aRow.version_, aNow);
     return true;
   }
   auto engine = DecodeRow(aRow, aNow);
+  if (!engine && !isKnown) {
+    return AdoptRemoval(aRow, aNow);
+  }
+  removals_.erase(aRow.key_);
+  auto& entry = entries_[aRow.key_];
   const auto isOtherEra = aRow.version_.era_ != entry.row_.version_.era_;
   if (isOtherEra && engine && entry.last_ &&
       AdoptRestored(entry, aRow, *engine, aNow)) {
     return true;
   }
   entry.row_ = aRow;
+  if (!engine) {
+    entry.row_.value_.clear();
+  }
   entry.last_ = engine;
   entry.lastNumber_ = aRow.version_.number_;
   entry.heldUntil_.reset();
@@ -92,8 +126,12 @@
   -> bool
 {
   auto changed = false;
+  const auto knownTo = std::max(version_, completeTo_);
   for (const auto& row : aRows) {
-    if (row.version_.era_ <= version_.era_) {
+    // A peer that lags behind may list an engine whose removal is forgotten.
+    const auto isObsolete =
+      row.version_ <= knownTo && VersionOf(row.key_) == StoreVersion{};
+    if (row.version_.era_ <= version_.era_ && !isObsolete) {
       changed |= Adopt(row, aNow);
       version_ = std::max(version_, row.version_);
     }
@@ -129,6 +167,7 @@
     // not known yet.
     version_ = std::max(version_, std::min(row.version_, aVersion));
   }
+  completeTo_ = aVersion;
   return changed;
 }
 
@@ -153,6 +192,9 @@
     return entry.row_.removed_ && !entry.heldUntil_ &&
            aNow - entry.removedAt_ >= options_.removalRetention_;
   });
+  std::erase_if(removals_, [&](const auto& aItem) {
+    return aNow - aItem.second.removedAt_ >= options_.removalRetention_;
+  });
   return changed;
 }
 
@@ -165,6 +207,12 @@
       rows.push_back(entry.row_);
     }
   }
+  for (const auto& [key, removal] : removals_) {
+    if (removal.version_ > aVersion) {
+      rows.push_back(
+        { .key_ = key, .version_ = removal.version_, .removed_ = true });
+    }
+  }
   return rows;
 }
 
--- a/goldcrestcroft/src/Gateway/EngineRegistry.h
+++ b/goldcrestcroft/src/Gateway/EngineRegistry.h
@@ -18,7 +18,10 @@
  * A store that was restored from an older copy lists engines as they were when
  * the copy was made. An engine that is known to drain, to be gone or to have
  * restarted since then stays so. All rows of an era are known once the complete
- * table was read in it, from the store or from a peer. */
+ * table was read in it, from the store or from a peer.
+ *
+ * A row that describes no engine comes from another writer. It is treated as
+ * the removal of its key, whatever it contains. */
 class EngineRegistry
 {
 public:
@@ -51,6 +54,10 @@
    * it are removed. Returns whether anything changed. */
   auto ApplyAll(const std::vector<StoreRow>& aRows,
                 const StoreVersion& aVersion, TimePoint aNow) -> bool;
+  /** \brief Whether the row of a complete table is needed by ApplyAll: it
+   * describes an engine, or replaces the entry of one, and then its value is
+   * cleared. */
+  [[nodiscard]] auto Retain(StoreRow& aRow, TimePoint aNow) -> bool;
   /** \brief A call to the store failed at this time. */
   auto OnStoreFailure(TimePoint aNow) -> void { storeFailedAt_ = aNow; }
   /** \brief Removes held entries, and uses restored ones, whose time has
@@ -94,7 +101,17 @@
     }
   };
 
+  /** \brief A key that was removed without having had an entry. */
+  struct Removal
+  {
+    StoreVersion version_;
+    TimePoint removedAt_;
+  };
+
   auto Adopt(const StoreRow& aRow, TimePoint aNow) -> bool;
+  /** \brief Handles the removal of a key that has no entry. */
+  auto AdoptRemoval(const StoreRow& aRow, TimePoint aNow) -> bool;
+  [[nodiscard]] auto VersionOf(const std::string& aKey) const -> StoreVersion;
   auto Remove(Entry& aEntry, const StoreVersion& aVersion, TimePoint aNow)
     -> void;
   auto DecodeRow(const StoreRow& aRow, TimePoint aNow)
@@ -106,8 +123,12 @@
     -> bool;
 
   Options options_;
+  /** Keys that have described an engine. */
   std::map<std::string, Entry> entries_;
+  std::map<std::string, Removal> removals_;
   StoreVersion version_;
+  /** Version of the last complete table that was applied. */
+  StoreVersion completeTo_;
   std::size_t unreadable_ = 0;
   std::optional<TimePoint> storeFailedAt_;
 };
