Read tables of the store page by page

Callers: hosts that start never serve when the table of engines has more than 16 MB, and hold all of it below that; all hosts that start repeat all pages of a table when one call fails.

Cause: ReadAll collected every row of a table before anything looked at it, gave up for good above 16 MB, and dropped all pages when one failed. The same call was then made again, though a call that the store rejects as invalid is rejected again.

Change: the store is read by page, and TableScan collects the rows of interest: those that describe an engine, a host with an address, a suspect, or the configuration. A view that took several tries is as old as its first page.

The cases of unit.StoreClient read through TableScan, with the same checks.

--- a/goldcrestcroft/src/Gateway/ControlPlane.h
+++ b/goldcrestcroft/src/Gateway/ControlPlane.h
@@ -120,8 +120,13 @@
   /** \brief Calls the store for changes and waits as aStep says, or reads all
    * rows where they are not known. */
   auto Read(StoreTable aTable, TableWatch::Step aStep) -> Task<StoreReply>;
-  static auto LogRead(StoreTable aTable, const StoreReply& aReply,
-                      Duration aTime) -> void;
+  /** \brief Reads what is still unknown of the whole table. */
+  auto ReadRest(StoreTable aTable) -> Task<StoreReply>;
+  /** \brief Whether this host needs the row of a table that it reads as a
+   * whole; clears the values of rows of which only the key matters. */
+  auto IsOfInterest(StoreTable aTable, StoreRow& aRow) -> bool;
+  static auto LogRead(StoreTable aTable, const TableScan& aScan, Duration aTime)
+    -> void;
   /** \brief Returns whether the reply contained anything new. */
   auto OnStoreReply(StoreTable aTable, const StoreReply& aReply) -> bool;
   /** \brief Adopts the rows; returns whether any is new. */
@@ -161,6 +166,8 @@
    * any is new. */
   auto AdoptEvacuations(const StoreReply& aReply, bool aIsWholeTable) -> bool;
   auto PublishEvacuations(const std::string& aSource) -> void;
+  /** \brief The address in a host's row; empty if it has none. */
+  [[nodiscard]] auto PeerAddressOf(const StoreRow& aRow) const -> std::string;
   auto AdoptHosts(const std::vector<StoreRow>& aRows) -> void;
   auto PublishEngines() -> void;
   auto PublishFleet() -> void;
--- a/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
@@ -6,6 +6,13 @@
 
 namespace goldcrestcroft {
 
+namespace {
+
+/** Key of the operator's latest configuration. */
+constexpr std::string_view kConfigurationKey = "config";
+
+} // namespace
+
 auto ControlPlane::Pause(Duration aTime) -> Task<void>
 {
   asio::steady_timer timer(context_, aTime);
@@ -74,7 +81,7 @@
 {
   auto& followed = FollowedOf(aTable);
   if (!followed.known_) {
-    co_return co_await store_.ReadAll(aTable);
+    co_return co_await ReadRest(aTable);
   }
   // Changes received from peers meanwhile are not requested again.
   followed.version_ = std::max(followed.version_, NewestRow(aTable));
@@ -92,6 +99,7 @@
 {
   auto& followed = FollowedOf(aTable);
   followed.known_ = false;
+  followed.scan_.reset();
   followed.sentAt_.reset();
   auto pause = options_.minRetryDelay_;
   for (;;) {
@@ -108,16 +116,14 @@
     const auto now = clock_.Now();
     auto renewed = false;
     if (reply.end_ == StoreOutcome::Done) {
-      renewed = followed.watch_.OnAnswered(
-        sentAt, readsAll ? Duration{} : step.time_, now);
+      renewed =
+        followed.watch_.OnAnswered(readsAll ? followed.scanBeganAt_ : sentAt,
+                                   readsAll ? Duration{} : step.time_, now);
     } else if (reply.end_ == StoreOutcome::HistoryDropped) {
       followed.watch_.Forget();
     } else {
       followed.watch_.OnFailed(now);
     }
-    if (readsAll && reply.end_ == StoreOutcome::Done) {
-      LogRead(aTable, reply, now - sentAt);
-    }
     const auto adopted = OnStoreReply(aTable, reply);
     // The reports of a few readers keep the views of all other hosts current.
     const auto reportsView = reply.end_ == StoreOutcome::Done && !readsAll &&
@@ -137,17 +143,53 @@
   }
 }
 
-auto ControlPlane::LogRead(StoreTable aTable, const StoreReply& aReply,
-                           Duration aTime) -> void
+auto ControlPlane::IsOfInterest(StoreTable aTable, StoreRow& aRow) -> bool
+{
+  switch (aTable) {
+    case StoreTable::Configuration:
+      return aRow.key_ == kConfigurationKey ||
+             codec_.EvacuatedZone(aRow.key_).has_value();
+    case StoreTable::Engines:
+      return engines_.Retain(aRow, clock_.Now());
+    case StoreTable::Hosts:
+      return !PeerAddressOf(aRow).empty();
+    case StoreTable::HeldRequests:
+    case StoreTable::StreamVersions:
+    case StoreTable::Streams:
+      break;
+  }
+  return true;
+}
+
+auto ControlPlane::ReadRest(StoreTable aTable) -> Task<StoreReply>
 {
-  std::size_t bytes = 0;
-  for (const auto& row : aReply.rows_) {
-    bytes += row.key_.size() + row.value_.size();
+  auto& followed = FollowedOf(aTable);
+  if (!followed.scan_ || followed.scan_->PagesRead() == 0) {
+    followed.scan_.emplace(
+      TableScan::Options{ .keep_ = [this, aTable](StoreRow& aRow) {
+        return IsOfInterest(aTable, aRow);
+      } });
+    followed.scanBeganAt_ = clock_.Now();
+  }
+  auto reply = co_await ReadTable(store_, aTable, *followed.scan_);
+  if (reply.end_ == StoreOutcome::Done) {
+    LogRead(aTable, *followed.scan_, clock_.Now() - followed.scanBeganAt_);
+  }
+  if (reply.end_ == StoreOutcome::Done ||
+      reply.end_ == StoreOutcome::HistoryDropped) {
+    followed.scan_.reset();
   }
+  co_return reply;
+}
+
+auto ControlPlane::LogRead(StoreTable aTable, const TableScan& aScan,
+                           Duration aTime) -> void
+{
   Log::Write(LogLevel::Info, "table_read",
              { { "table", ToString(aTable) },
-               { "rows", std::to_string(aReply.rows_.size()) },
-               { "bytes", std::to_string(bytes) },
+               { "pages", std::to_string(aScan.PagesRead()) },
+               { "rows", std::to_string(aScan.RowsRead()) },
+               { "of_interest", std::to_string(aScan.RowsKept()) },
                { "took_ms", std::to_string(ToMilliseconds(aTime)) } });
 }
 
@@ -218,7 +260,8 @@
                                       const std::optional<std::string>& aPacked)
   -> bool
 {
-  if (aRow.key_ != "config" || (!aPacked && !configuration_.MayBeNew(aRow))) {
+  if (aRow.key_ != kConfigurationKey ||
+      (!aPacked && !configuration_.MayBeNew(aRow))) {
     return false;
   }
   return Handle(
@@ -260,6 +303,20 @@
     });
 }
 
+auto ControlPlane::PeerAddressOf(const StoreRow& aRow) const -> std::string
+{
+  return Handle(
+    [&]() -> Result<std::string> {
+      BOOST_LEAF_AUTO(card, codec_.DecodeHost(aRow.key_, aRow.value_));
+      return card.peerAddress_;
+    },
+    [&](const Error& aError) {
+      Log::Write(LogLevel::Warning, "host_row_unreadable",
+                 { { "reason", aError.message_ } });
+      return std::string();
+    });
+}
+
 auto ControlPlane::AdoptHosts(const std::vector<StoreRow>& aRows) -> void
 {
   for (const auto& row : aRows) {
@@ -270,18 +327,8 @@
       hostRows_.erase(row.key_);
       continue;
     }
-    const auto address = Handle(
-      [&]() -> Result<std::string> {
-        BOOST_LEAF_AUTO(card, codec_.DecodeHost(row.key_, row.value_));
-        return card.peerAddress_;
-      },
-      [&](const Error& aError) {
-        Log::Write(LogLevel::Warning, "host_row_unreadable",
-                   { { "reason", aError.message_ } });
-        return std::string();
-      });
-    if (!address.empty()) {
-      hostRows_[row.key_] = address;
+    if (auto address = PeerAddressOf(row); !address.empty()) {
+      hostRows_[row.key_] = std::move(address);
     }
   }
   hostsRead_ = true;
--- a/goldcrestcroft/src/Gateway/FollowedTable.h
+++ b/goldcrestcroft/src/Gateway/FollowedTable.h
@@ -2,6 +2,7 @@
 
 #include "../../Core.h"
 #include "../../Membership.h"
+#include "TableScan.h"
 
 #include <optional>
 
@@ -20,6 +21,10 @@
   /** Whether it was read completely. */
   bool known_ = false;
   bool answering_ = true;
+  /** The read of the whole table that is under way, and when it began. It is
+   * kept over failed calls. */
+  std::optional<TableScan> scan_;
+  TimePoint scanBeganAt_;
   /** When the pending call for changes was sent. */
   std::optional<TimePoint> sentAt_;
   std::optional<TableWatch::Role> role_;
--- a/goldcrestcroft/src/Gateway/HeldRequestRows.cpp
+++ b/goldcrestcroft/src/Gateway/HeldRequestRows.cpp
@@ -2,6 +2,7 @@
 
 #include "../Observability/Log.h"
 #include "BackgroundTask.h"
+#include "TableScan.h"
 
 #include <algorithm>
 #include <tuple>
@@ -191,29 +192,45 @@
 
 auto HeldRequestRows::ReadAll() -> Task<std::vector<SuspectNotice>>
 {
-  auto reply = co_await store_.ReadAll(StoreTable::HeldRequests);
+  const auto newScan = [this] {
+    return TableScan(
+      { .keep_ = [this](StoreRow& aRow) { return Decode(aRow).has_value(); } });
+  };
+  auto scan = newScan();
+  auto reply = co_await ReadTable(store_, StoreTable::HeldRequests, scan);
   while (reply.end_ != StoreOutcome::Done || reply.version_.era_ < era_) {
+    if (reply.end_ == StoreOutcome::Done) {
+      scan = newScan();
+    }
     asio::steady_timer timer(context_, options_.checkInterval_);
     co_await timer.async_wait(kAsTuple);
-    reply = co_await store_.ReadAll(StoreTable::HeldRequests);
+    reply = co_await ReadTable(store_, StoreTable::HeldRequests, scan);
   }
   std::vector<SuspectNotice> notices;
   for (const auto& row : reply.rows_) {
-    Handle(
-      [&]() -> Result<void> {
-        BOOST_LEAF_AUTO(notice,
-                        codec_.DecodeSuspectNotice(row.key_, row.value_));
-        notice.left_ = options_.holdFor_;
-        notices.push_back(notice);
-        return {};
-      },
-      [&](const Error& aError) {
-        Log::Write(
-          LogLevel::Warning, "held_request_unreadable",
-          { { "reason", aError.message_ }, { "remedy", aError.remedy_ } });
-      });
+    if (auto notice = Decode(row)) {
+      notice->left_ = options_.holdFor_;
+      notices.push_back(*notice);
+    }
   }
   co_return notices;
 }
 
+auto HeldRequestRows::Decode(const StoreRow& aRow) const
+  -> std::optional<SuspectNotice>
+{
+  return Handle(
+    [&]() -> Result<std::optional<SuspectNotice>> {
+      BOOST_LEAF_AUTO(notice,
+                      codec_.DecodeSuspectNotice(aRow.key_, aRow.value_));
+      return std::optional(notice);
+    },
+    [&](const Error& aError) -> std::optional<SuspectNotice> {
+      Log::Write(
+        LogLevel::Warning, "held_request_unreadable",
+        { { "reason", aError.message_ }, { "remedy", aError.remedy_ } });
+      return std::nullopt;
+    });
+}
+
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/HeldRequestRows.h
+++ b/goldcrestcroft/src/Gateway/HeldRequestRows.h
@@ -108,6 +108,9 @@
   /** \brief Writes or removes a row; returns whether the store confirmed it. */
   auto Put(std::string aKey, std::optional<std::string> aValue) -> Task<bool>;
   auto Pause() -> Task<void>;
+  /** \brief The verdict in a row; none if it is unreadable. */
+  [[nodiscard]] auto Decode(const StoreRow& aRow) const
+    -> std::optional<SuspectNotice>;
 
   asio::io_context& context_;
   Options options_;
--- a/goldcrestcroft/src/Gateway/MetadataStore.h
+++ b/goldcrestcroft/src/Gateway/MetadataStore.h
@@ -43,6 +43,16 @@
   Unanswered
 };
 
+/** \brief A part of a table: rows in ascending order of their keys. */
+struct PageRange
+{
+  /** First key of the page. */
+  std::string from_;
+  std::size_t maxRows_ = 500;
+
+  auto operator<=>(const PageRange&) const = default;
+};
+
 struct StoreReply
 {
   StoreOutcome end_ = StoreOutcome::Unanswered;
@@ -50,6 +60,11 @@
   /** Newest version of the store at the time of its reply. Its number is set
    * if the call is done, its era with any reply. */
   StoreVersion version_;
+  /** Whether further rows follow those of this page. */
+  bool truncated_ = false;
+  /** Whether the store rejected the call as invalid, so that the same call
+   * would be rejected again. */
+  bool isInvalidCall_ = false;
   /** Whether the call may have reached the store. */
   bool wasSent_ = true;
   /** Description of the failure, for logs. */
@@ -77,8 +92,9 @@
   auto operator=(const MetadataStore&) -> MetadataStore& = delete;
   virtual ~MetadataStore() = default;
 
-  /** \brief Reads all rows of a table, as of one era. */
-  virtual auto ReadAll(StoreTable aTable) -> Task<StoreReply> = 0;
+  /** \brief Reads a page of a table; TableScan reads all of them. */
+  virtual auto ReadPage(StoreTable aTable, PageRange aRange)
+    -> Task<StoreReply> = 0;
   /** \brief Waits up to aWait for rows that changed after aVersion. */
   virtual auto Follow(StoreTable aTable, const StoreVersion& aVersion,
                       Duration aWait) -> Task<StoreReply> = 0;
--- a/goldcrestcroft/src/Gateway/StreamRecords.cpp
+++ b/goldcrestcroft/src/Gateway/StreamRecords.cpp
@@ -2,6 +2,7 @@
 
 #include "../Observability/Log.h"
 #include "BackgroundTask.h"
+#include "TableScan.h"
 
 #include <algorithm>
 
@@ -234,7 +235,11 @@
 
 auto StreamRecords::RemoveOrphans() -> Task<bool>
 {
-  const auto reply = co_await store_.ReadAll(StoreTable::Streams);
+  TableScan scan({ .keep_ = [](StoreRow& aRow) {
+    aRow.value_.clear();
+    return true;
+  } });
+  const auto reply = co_await ReadTable(store_, StoreTable::Streams, scan);
   if (reply.end_ != StoreOutcome::Done) {
     co_return true;
   }
--- a/test/property/HostileInputTest.cpp
+++ b/test/property/HostileInputTest.cpp
@@ -98,11 +98,10 @@
       Corrupt(R"({"items":[{"handle":"h"},{"reason":"gone"}]})", choices);
     RunIgnoringError([&] { return codec.DecodeStageResponse(answer, 2); });
     StoreReply reply;
-    auto truncated = false;
     platform::ReadRows(
       Corrupt(R"({"rows":[{"key":"k","value":"AAAA","ver":1}],"ver":2})",
               choices),
-      reply, truncated);
+      reply);
   });
 }
 
--- a/test/property/VersionStore.h
+++ b/test/property/VersionStore.h
@@ -21,7 +21,7 @@
   {
   }
 
-  auto ReadAll(Table aTable) -> Reply override
+  auto ReadPage(Table aTable, goldcrestcroft::PageRange) -> Reply override
   {
     if (co_await Fails()) {
       co_return Refused();
--- a/test/unit/HeldRequestRowsTest.cpp
+++ b/test/unit/HeldRequestRowsTest.cpp
@@ -15,7 +15,10 @@
 class RecordingStore : public MetadataStore
 {
 public:
-  auto ReadAll(StoreTable) -> Task<StoreReply> override { co_return Done(); }
+  auto ReadPage(StoreTable, PageRange) -> Task<StoreReply> override
+  {
+    co_return Done();
+  }
   auto Follow(StoreTable, const StoreVersion&, Duration)
     -> Task<StoreReply> override
   {
--- a/test/unit/PlatformAdapterTest.cpp
+++ b/test/unit/PlatformAdapterTest.cpp
@@ -224,8 +224,7 @@
     const nlohmann::json response{ { "rows", call.at("writes") },
                                    { "ver", 1 } };
     StoreReply reply;
-    auto truncated = false;
-    REQUIRE(platform::ReadRows(response.dump(), reply, truncated));
+    REQUIRE(platform::ReadRows(response.dump(), reply));
     REQUIRE(reply.rows_.size() == 1);
     CHECK(reply.rows_[0].value_ == value);
   }
@@ -234,21 +233,20 @@
 TEST_CASE("rows of the store are decoded and encoded")
 {
   StoreReply reply;
-  auto truncated = false;
   CHECK(platform::ReadRows(
     R"({"rows":[{"table":"t","part":"","key":"k","value":"bm9kZS0x","ver":4},
                 {"table":"t","part":"","key":"x","ver":5,"deleted":true},
                 {"table":"t","part":"p","key":"y","value":"","ver":6}, 7],
         "truncated":true,"ver":9,"now_ms":1})",
-    reply, truncated));
-  CHECK(truncated);
+    reply));
+  CHECK(reply.truncated_);
   CHECK(reply.version_.number_ == 9);
   REQUIRE(reply.rows_.size() >= 2);
   CHECK(reply.rows_[0] == StoreRow{ .key_ = "k",
                                     .value_ = "node-1",
                                     .version_ = { .number_ = 4 } });
   CHECK(reply.rows_[1].removed_);
-  CHECK_FALSE(platform::ReadRows("<html>", reply, truncated));
+  CHECK_FALSE(platform::ReadRows("<html>", reply));
   const auto body = platform::MakeTransaction(
     StoreTable::Hosts, { { .key_ = "h1", .value_ = "node-1" } });
   CHECK(body.find("\"value\":\"bm9kZS0x\"") != std::string::npos);
--- a/test/unit/SilentStore.h
+++ b/test/unit/SilentStore.h
@@ -10,7 +10,8 @@
 public:
   using Reply = goldcrestcroft::Task<goldcrestcroft::StoreReply>;
 
-  auto ReadAll(goldcrestcroft::StoreTable) -> Reply override
+  auto ReadPage(goldcrestcroft::StoreTable, goldcrestcroft::PageRange)
+    -> Reply override
   {
     co_return goldcrestcroft::StoreReply{};
   }
--- a/test/unit/StoreClientTest.cpp
+++ b/test/unit/StoreClientTest.cpp
@@ -1,6 +1,7 @@
 #include "../platform/HttpServer.h"
 
 #include <doctest/doctest.h>
+#include <goldcrestcroft/src/Gateway/TableScan.h>
 #include <platform/StoreClient.h>
 
 namespace testing {
@@ -34,7 +35,8 @@
     asio::co_spawn(
       context_,
       [&]() -> Task<void> {
-        reply = co_await client_.ReadAll(StoreTable::Engines);
+        TableScan scan({});
+        reply = co_await ReadTable(client_, StoreTable::Engines, scan);
       },
       [&](const auto&) { context_.stop(); });
     context_.restart();
@@ -174,9 +176,9 @@
 TEST_CASE("the reason of a failed read names the page and what the store says")
 {
   StoreFixture fixture([](int aCall) {
-    return aCall == 1 ? Page("k7", 4)
-                      : ResponsePlan{ .status_ = 400,
-                                      .body_ = "invalid range" };
+    return aCall == 1
+             ? Page("k7", 4)
+             : ResponsePlan{ .status_ = 400, .body_ = "invalid range" };
   });
   const auto reason = fixture.ReadAll().detail_;
   CAPTURE(reason);
