Read a table again whose changes do not fit into a reply

Callers: are sent to engines that have drained, and not to new ones, after another writer has put more than 8 MB into the table of engines at once (DRAIN).

Cause: a reply with changes has no limit at the store. One that is larger than the host accepts failed the call, which was made again with the same version, without end.

--- a/goldcrestcroft/src/Gateway/MetadataStore.h
+++ b/goldcrestcroft/src/Gateway/MetadataStore.h
@@ -95,7 +95,8 @@
   /** \brief Reads a page of a table; TableScan reads all of them. */
   virtual auto ReadPage(StoreTable aTable, PageRange aRange)
     -> Task<StoreReply> = 0;
-  /** \brief Waits up to aWait for rows that changed after aVersion. */
+  /** \brief Waits up to aWait for rows that changed after aVersion. Ends as
+   * HistoryDropped too if there are more than one reply can hold. */
   virtual auto Follow(StoreTable aTable, const StoreVersion& aVersion,
                       Duration aWait) -> Task<StoreReply> = 0;
   /** \brief Ends the pending read of the table, as unanswered, and closes the
