Let no text from outside end a header field

An entry whose key has a line break made every request to its address carry a field of the entry's writer, such as the workspace that the engine trusts; a stage's handle did the same to the requests that name it, and with a comma it named inputs of others.

Cause: the key of an entry, the handles in a stage's response and the name of a workspace were written into a head without a check.

The name of a workspace, which the operator chooses, gets spaces for characters that a value must not have.

--- a/goldcrestcroft/src/Core/HttpSyntax.cpp
+++ b/goldcrestcroft/src/Core/HttpSyntax.cpp
@@ -57,4 +57,19 @@
          std::all_of(value.begin(), value.end(), IsValueCharacter);
 }
 
+auto IsFieldValue(std::string_view aText) -> bool
+{
+  const auto isSpace = [](char aByte) { return aByte == ' ' || aByte == '\t'; };
+  return !aText.empty() && !isSpace(aText.front()) && !isSpace(aText.back()) &&
+         std::all_of(aText.begin(), aText.end(), IsValueCharacter);
+}
+
+auto ToFieldValue(std::string aText) -> std::string
+{
+  std::replace_if(
+    aText.begin(), aText.end(),
+    [](char aByte) { return !IsValueCharacter(aByte); }, ' ');
+  return aText;
+}
+
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Core/HttpSyntax.h
+++ b/goldcrestcroft/src/Core/HttpSyntax.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <string>
 #include <string_view>
 
 namespace goldcrestcroft {
@@ -18,4 +19,13 @@
  * or the empty line at the end. A folded line is neither. */
 auto IsFieldLine(std::string_view aLine) -> bool;
 
+/** \brief Whether the text, as it is, can be the value of a field that every
+ * recipient reads as this text: not empty, no control characters, and no white
+ * space at its ends. */
+auto IsFieldValue(std::string_view aText) -> bool;
+
+/** \brief The text with spaces in place of characters that end a field or that
+ * its value must not have. */
+auto ToFieldValue(std::string aText) -> std::string;
+
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
+++ b/goldcrestcroft/src/Gateway/RequestRunAttempts.cpp
@@ -1,3 +1,4 @@
+#include "../Core/HttpSyntax.h"
 #include "../Observability/Log.h"
 #include "HopHeaders.h"
 #include "RequestRun.h"
@@ -168,7 +169,7 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(left).count()));
   forwarded.set(names.expectEngine_, aEngine.id_);
   if (!workspace_.empty()) {
-    forwarded.set(names.workspace_, workspace_);
+    forwarded.set(names.workspace_, ToFieldValue(workspace_));
   }
   if (relay_.ForwardedId()) {
     forwarded.set(names.lastEventId_, *relay_.ForwardedId());
--- a/test/unit/HttpSyntaxTest.cpp
+++ b/test/unit/HttpSyntaxTest.cpp
@@ -38,4 +38,21 @@
   CHECK_FALSE(IsFieldLine(std::string("X: \0\r\n", 6)));
 }
 
+TEST_CASE("a text from outside becomes a field of its own in a head")
+{
+  for (const std::string text : { "i-1", "a b", "a%0d", "\xc3\xa4", "a\tb" }) {
+    CAPTURE(text);
+    CHECK(IsFieldValue(text));
+    CHECK(ToFieldValue(text) == text);
+  }
+  for (const std::string text :
+       { "", " a", "a ", "\ta", "a\r\nX: y", "a\nb", "a\x7f", "\x01" }) {
+    CAPTURE(text);
+    CHECK_FALSE(IsFieldValue(text));
+    CHECK(IsFieldLine("X: " + ToFieldValue(text)));
+  }
+  CHECK_FALSE(IsFieldValue(std::string_view("a\0b", 3)));
+  CHECK(ToFieldValue("a\r\nX: y") == "a  X: y");
+}
+
 } // namespace testing
--- a/test/unit/PlatformAdapterTest.cpp
+++ b/test/unit/PlatformAdapterTest.cpp
@@ -152,6 +152,44 @@
   }
 }
 
+TEST_CASE("the key of an entry adds a field to requests to its engine")
+{
+  const platform::TableCodec codec;
+  const std::string entry = R"({"service": "s", "address": "1.2.3.4:5",)"
+                            R"( "zone": "z", "slots": 6, "state": "ready"})";
+  for (const std::string key :
+       { "", " i-1", "i-1 ", "i-1\r\nGoldcrestcroft-Tenant: w2", "i-1\n",
+         "i\x01" }) {
+    CAPTURE(key);
+    CHECK(FailureOfResult([&] {
+            return codec.DecodeEngine(key, entry);
+          }).kind_ == ErrorKind::Protocol);
+  }
+  CHECK(Handle([&] { return codec.DecodeEngine("i-1", entry); },
+               [](const Error&) { return EngineEntry{}; })
+          .id_ == "i-1");
+}
+
+TEST_CASE(
+  "a handle adds a field, or another handle, to the inputs of a request")
+{
+  const platform::TableCodec codec;
+  for (const std::string handle :
+       { "1.2.3.4:5/a\\r\\nX: y", "1.2.3.4:5/a,1.2.3.4:5/b", " 1.2.3.4:5/a",
+         "1.2.3.4:5/a\\u0000" }) {
+    CAPTURE(handle);
+    const auto results = Handle(
+      [&] {
+        return codec.DecodeStageResponse(
+          R"({"items":[{"handle":")" + handle + R"("}]})", 1);
+      },
+      [](const Error&) { return std::vector<PieceResult>{}; });
+    REQUIRE(results.size() == 1);
+    CHECK(results[0].end_ == PieceOutcome::Failed);
+    CHECK(results[0].handle_.empty());
+  }
+}
+
 TEST_CASE("a stage call is encoded and its response decoded")
 {
   const platform::TableCodec codec;
