Bound the lines that unreadable rows write

Operators: 3,000 rows of another writer gave 3,000 warnings at each start of a host, of the 1,000 lines that may be logged at once, so that the lines that explain a failed request were dropped.

Cause: each unreadable row was logged, those of engines once for each problem, with up to 1,024 of these remembered; those of hosts and held requests each time.

--- a/goldcrestcroft/src/Gateway/ControlPlane.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlane.cpp
@@ -55,23 +55,14 @@
 auto ControlPlane::DecodeEngine(const std::string& aId,
                                 const std::string& aText) -> Result<EngineEntry>
 {
-  return ChangeError([&] { return codec_.DecodeEngine(aId, aText); },
-                     [&](const Error& aError) {
-                       // Another writer may write the entry again and again.
-                       constexpr std::size_t kMaxKnownProblems = 1024;
-                       if (entryProblems_.size() >= kMaxKnownProblems) {
-                         entryProblems_.clear();
-                       }
-                       if (std::exchange(entryProblems_[aId],
-                                         aError.message_) != aError.message_) {
-                         metrics_.Count("engine_entries_unreadable");
-                         Log::Write(LogLevel::Warning,
-                                    "engine_entry_unreadable",
-                                    { { "reason", aError.message_ },
-                                      { "remedy", aError.remedy_ } });
-                       }
-                       return aError;
-                     });
+  return ChangeError(
+    [&] { return codec_.DecodeEngine(aId, aText); },
+    [&](const Error& aError) {
+      if (unreadableEngines_.Report(aId, aError, clock_.Now())) {
+        metrics_.Count("engine_entries_unreadable");
+      }
+      return aError;
+    });
 }
 
 auto ControlPlane::Start(const BindRetry& aRetry) -> Result<void>
--- a/goldcrestcroft/src/Gateway/ControlPlane.h
+++ b/goldcrestcroft/src/Gateway/ControlPlane.h
@@ -13,6 +13,7 @@
 #include "PendingCalls.h"
 #include "PlatformCodec.h"
 #include "RepeatedUpdates.h"
+#include "UnreadableRows.h"
 
 #include <functional>
 #include <memory>
@@ -167,7 +168,7 @@
   auto AdoptEvacuations(const StoreReply& aReply, bool aIsWholeTable) -> bool;
   auto PublishEvacuations(const std::string& aSource) -> void;
   /** \brief The address in a host's row; empty if it has none. */
-  [[nodiscard]] auto PeerAddressOf(const StoreRow& aRow) const -> std::string;
+  auto PeerAddressOf(const StoreRow& aRow) -> std::string;
   auto AdoptHosts(const std::vector<StoreRow>& aRows) -> void;
   auto PublishEngines() -> void;
   auto PublishFleet() -> void;
@@ -260,8 +261,8 @@
   std::map<StoreTable, FollowedTable> tables_;
   std::shared_ptr<const EngineList> engineList_ =
     std::make_shared<const EngineList>();
-  /** The last logged problem of each entry that could not be decoded. */
-  std::map<std::string, std::string> entryProblems_;
+  UnreadableRows unreadableEngines_{ { .event_ = "engine_entry_unreadable" } };
+  UnreadableRows unreadableHosts_{ { .event_ = "host_row_unreadable" } };
   /** The last logged state of each engine. */
   std::map<std::string, std::string> engineStates_;
   ConfigurationView configuration_;
--- a/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlanePeers.cpp
@@ -84,6 +84,8 @@
     }
     lastTick_ = now;
     leavingEngines_.Expire(now);
+    unreadableEngines_.Summarize(now);
+    unreadableHosts_.Summarize(now);
     if (engines_.Tick(now)) {
       PublishEngines();
     }
--- a/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
@@ -303,7 +303,7 @@
     });
 }
 
-auto ControlPlane::PeerAddressOf(const StoreRow& aRow) const -> std::string
+auto ControlPlane::PeerAddressOf(const StoreRow& aRow) -> std::string
 {
   return Handle(
     [&]() -> Result<std::string> {
@@ -311,8 +311,7 @@
       return card.peerAddress_;
     },
     [&](const Error& aError) {
-      Log::Write(LogLevel::Warning, "host_row_unreadable",
-                 { { "reason", aError.message_ } });
+      unreadableHosts_.Report(aRow.key_, aError, clock_.Now());
       return std::string();
     });
 }
--- a/goldcrestcroft/src/Gateway/HeldRequestRows.cpp
+++ b/goldcrestcroft/src/Gateway/HeldRequestRows.cpp
@@ -213,10 +213,11 @@
       notices.push_back(*notice);
     }
   }
+  unreadable_.Summarize(TimePoint::max());
   co_return notices;
 }
 
-auto HeldRequestRows::Decode(const StoreRow& aRow) const
+auto HeldRequestRows::Decode(const StoreRow& aRow)
   -> std::optional<SuspectNotice>
 {
   return Handle(
@@ -226,9 +227,7 @@
       return std::optional(notice);
     },
     [&](const Error& aError) -> std::optional<SuspectNotice> {
-      Log::Write(
-        LogLevel::Warning, "held_request_unreadable",
-        { { "reason", aError.message_ }, { "remedy", aError.remedy_ } });
+      unreadable_.Report(aRow.key_, aError, clock_.Now());
       return std::nullopt;
     });
 }
--- a/goldcrestcroft/src/Gateway/HeldRequestRows.h
+++ b/goldcrestcroft/src/Gateway/HeldRequestRows.h
@@ -2,6 +2,7 @@
 
 #include "MetadataStore.h"
 #include "PlatformCodec.h"
+#include "UnreadableRows.h"
 
 #include <functional>
 #include <map>
@@ -109,8 +110,7 @@
   auto Put(std::string aKey, std::optional<std::string> aValue) -> Task<bool>;
   auto Pause() -> Task<void>;
   /** \brief The verdict in a row; none if it is unreadable. */
-  [[nodiscard]] auto Decode(const StoreRow& aRow) const
-    -> std::optional<SuspectNotice>;
+  auto Decode(const StoreRow& aRow) -> std::optional<SuspectNotice>;
 
   asio::io_context& context_;
   Options options_;
@@ -124,6 +124,7 @@
   /** No call for a new suspicion is made before this time. */
   TimePoint nextNewWriteAt_;
   bool maintaining_ = false;
+  UnreadableRows unreadable_{ { .event_ = "held_request_unreadable" } };
   /** The latest known era of the store. */
   std::uint64_t era_ = 0;
 };
