Write rows of another writer in the fault soak

Seeds with 4 at the end have another writer to the six tables that hosts read: more rows than a page, with keys that have a meaning in a target, changed four times a second. A call that the store does not allow breaks the run.

--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -1,5 +1,6 @@
 #include "../process/EntryFleet.h"
 #include "../process/TempFolder.h"
+#include "ForeignWriter.h"
 #include "ReturnCheck.h"
 #include "SoakChecker.h"
 #include "StopCheck.h"
@@ -215,6 +216,10 @@
                     .hosts_ = absl::GetFlag(FLAGS_hosts),
                     .hasSeveralVersions_ = HasSeveralVersions(seed) });
   FaultInjector injector(context, fleet);
+  ForeignWriter writer(context, fleet, seed);
+  if (HasForeignWriter(seed)) {
+    asio::co_spawn(context, writer.Run(), asio::detached);
+  }
   std::vector<CallRecord> calls;
   std::vector<std::unique_ptr<SoakCaller>> callers;
   for (std::size_t i = 0;
@@ -283,6 +288,10 @@
   if (!shares.allReady_ || shares.after_ < kMinShareOfBefore * shares.before_) {
     violations.emplace_back("recover: the fleet does not serve as before");
   }
+  if (const auto rejected = fleet.Platform().Store().invalidCalls_.load()) {
+    violations.push_back("store: " + std::to_string(rejected) +
+                         " calls that it does not allow");
+  }
   for (const auto& host : fleet.Hosts()) {
     const auto used = MegabytesOf(host.process_.Pid());
     if (used > kMaxMegabytes) {
