--- a/test/unit/PlatformAdapterTest.cpp
+++ b/test/unit/PlatformAdapterTest.cpp
@@ -170,6 +170,27 @@
           .id_ == "i-1");
 }
 
+TEST_CASE("a row of another writer is held as the address of a host")
+{
+  const platform::TableCodec codec;
+  const auto row = [](const std::string& aAddress) {
+    return nlohmann::json{ { "zone", "z" }, { "peers", aAddress } }.dump();
+  };
+  for (const std::string& address :
+       { std::string(), std::string("x"), std::string("1.2.3.4"),
+         std::string("1.2.3.4:"), std::string("1.2.3.4:0"),
+         std::string("1.2.3.4:99999"), std::string("1.2.3.4:5 "),
+         std::string("1.2.3.4:5\r\n"), std::string(60'000, '1') }) {
+    CAPTURE(address.substr(0, 20));
+    CHECK(FailureOfResult([&] {
+            return codec.DecodeHost("h", row(address));
+          }).kind_ == ErrorKind::Protocol);
+  }
+  CHECK(Handle([&] { return codec.DecodeHost("h", row("1.2.3.4:5")); },
+               [](const Error&) { return HostRecord{}; })
+          .peerAddress_ == "1.2.3.4:5");
+}
+
 TEST_CASE(
   "a handle adds a field, or another handle, to the inputs of a request")
 {
