Do not publish engines for rows that describe none

Callers: none saw it; found in review. Each change of another writer's row had the list of engines built and published again, and heartbeats pushed to all hosts.

Change: Apply reports such a row as nothing new. Values of rows of the operator's table other than the configuration are not held either.

Evidence: unit.EngineRegistry, one more check; true before.

--- a/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
+++ b/goldcrestcroft/src/Gateway/ControlPlaneStore.cpp
@@ -147,8 +147,11 @@
 {
   switch (aTable) {
     case StoreTable::Configuration:
-      return aRow.key_ == kConfigurationKey ||
-             codec_.EvacuatedZone(aRow.key_).has_value();
+      if (aRow.key_ == kConfigurationKey) {
+        return true;
+      }
+      aRow.value_.clear();
+      return codec_.EvacuatedZone(aRow.key_).has_value();
     case StoreTable::Engines:
       return engines_.Retain(aRow, clock_.Now());
     case StoreTable::Hosts:
--- a/goldcrestcroft/src/Gateway/EngineRegistry.cpp
+++ b/goldcrestcroft/src/Gateway/EngineRegistry.cpp
@@ -80,28 +80,20 @@
   return entries_.contains(aRow.key_);
 }
 
-auto EngineRegistry::AdoptRemoval(const StoreRow& aRow, TimePoint aNow) -> bool
-{
-  removals_[aRow.key_] = { .version_ = aRow.version_, .removedAt_ = aNow };
-  return true;
-}
-
 auto EngineRegistry::Adopt(const StoreRow& aRow, TimePoint aNow) -> bool
 {
   if (aRow.version_ <= VersionOf(aRow.key_)) {
     return false;
   }
-  const auto isKnown = entries_.contains(aRow.key_);
-  if (aRow.removed_) {
-    if (!isKnown) {
-      return AdoptRemoval(aRow, aNow);
-    }
-    Remove(entries_[aRow.key_], aRow.version_, aNow);
+  const auto known = entries_.find(aRow.key_);
+  if (aRow.removed_ && known != entries_.end()) {
+    Remove(known->second, aRow.version_, aNow);
     return true;
   }
-  auto engine = DecodeRow(aRow, aNow);
-  if (!engine && !isKnown) {
-    return AdoptRemoval(aRow, aNow);
+  auto engine = aRow.removed_ ? std::nullopt : DecodeRow(aRow, aNow);
+  if (!engine && known == entries_.end()) {
+    removals_[aRow.key_] = { .version_ = aRow.version_, .removedAt_ = aNow };
+    return aRow.removed_;
   }
   removals_.erase(aRow.key_);
   auto& entry = entries_[aRow.key_];
--- a/goldcrestcroft/src/Gateway/EngineRegistry.h
+++ b/goldcrestcroft/src/Gateway/EngineRegistry.h
@@ -48,7 +48,8 @@
   }
 
   /** \brief Applies changes, in order, except those of an era whose complete
-   * table is not known. Returns whether any was new. */
+   * table is not known. Returns whether any was new and may concern an engine.
+   */
   auto Apply(const std::vector<StoreRow>& aRows, TimePoint aNow) -> bool;
   /** \brief Applies the complete table as of aVersion: entries that are not in
    * it are removed. Returns whether anything changed. */
@@ -109,8 +110,6 @@
   };
 
   auto Adopt(const StoreRow& aRow, TimePoint aNow) -> bool;
-  /** \brief Handles the removal of a key that has no entry. */
-  auto AdoptRemoval(const StoreRow& aRow, TimePoint aNow) -> bool;
   [[nodiscard]] auto VersionOf(const std::string& aKey) const -> StoreVersion;
   auto Remove(Entry& aEntry, const StoreVersion& aVersion, TimePoint aNow)
     -> void;
@@ -125,6 +124,7 @@
   Options options_;
   /** Keys that have described an engine. */
   std::map<std::string, Entry> entries_;
+  /** Other keys, as long as peers may lag behind their removal. */
   std::map<std::string, Removal> removals_;
   StoreVersion version_;
   /** Version of the last complete table that was applied. */
--- a/test/unit/EngineRegistryTest.cpp
+++ b/test/unit/EngineRegistryTest.cpp
@@ -173,7 +173,8 @@
   foreign.value_ = "bad";
   CHECK_FALSE(r.registry_.Retain(foreign, r.now_));
   foreign.value_ = "bad";
-  r.registry_.Apply({ Row("a", 5), foreign }, r.now_);
+  r.registry_.Apply({ Row("a", 5) }, r.now_);
+  CHECK_FALSE(r.registry_.Apply({ foreign }, r.now_));
   const auto rows = r.registry_.RowsAfter({ .number_ = 5 });
   REQUIRE(rows.size() == 1);
   CHECK(rows[0].key_ == "x");
