Do not count health checks as requests of refused take-ups

Cause: the count has health checks. The streams of the test begin at engines that break each of them off, so that the other host finds the service out and asks its four engines for their health, one each 50 ms; when the count began after the first check, three more followed. Its log has service_out and the four engine_returned at these times.

Change: VersionedFleet counts requests without health checks. The check is as strict for what it is about: no request of a refused take-up reaches an engine.

--- a/test/platform/EngineStandin.cpp
+++ b/test/platform/EngineStandin.cpp
@@ -170,6 +170,7 @@
 auto EngineStandin::Handle(const Request& aRequest) -> ResponsePlan
 {
   ++receivedCount_;
+  healthCheckCount_ += aRequest.target() == kHealthPath ? 1 : 0;
   {
     const std::lock_guard lock(mutex_);
     receivedAt_.push_back(SuspendAwareClock{}.Now());
--- a/test/platform/EngineStandin.h
+++ b/test/platform/EngineStandin.h
@@ -180,6 +180,11 @@
   {
     return receivedCount_;
   }
+  /** \brief Number of health checks among these requests. */
+  [[nodiscard]] auto HealthCheckCount() const -> std::size_t
+  {
+    return healthCheckCount_;
+  }
   /** \brief When these requests were received. */
   [[nodiscard]] auto ReceivedAt() -> std::vector<goldcrestcroft::TimePoint>;
 
@@ -256,6 +261,7 @@
   std::atomic<bool> isUnavailable_ = false;
   std::function<void()> onStart_;
   std::atomic<std::size_t> receivedCount_ = 0;
+  std::atomic<std::size_t> healthCheckCount_ = 0;
   std::vector<goldcrestcroft::TimePoint> receivedAt_;
   std::size_t pieces_ = 0;
   std::size_t calls_ = 0;
--- a/test/process/VersionedFleet.h
+++ b/test/process/VersionedFleet.h
@@ -159,12 +159,13 @@
     }
     return aStream.last_;
   }
-  /** \brief Number of requests that engines have received. */
+  /** \brief Number of requests that engines have received, without health
+   * checks, which hosts send on their own after engines have failed. */
   auto Received() -> std::size_t
   {
     std::size_t received = 0;
     for (const auto& engine : Engines()) {
-      received += engine->ReceivedCount();
+      received += engine->ReceivedCount() - engine->HealthCheckCount();
     }
     return received;
   }
