Split the reads of tables and the tests of foreign rows into files of their own

Callers: see nothing of it; functions and cases are moved, none is changed.

Change: ControlPlaneReads.cpp has when and how a host reads a table; ControlPlaneStore.cpp has what it does with the rows. The codec of the store's rows, and the entries of other writers in the registry of engines, have tests of their own, the latter with a fixture that both share.

--- a/test/unit/EngineRegistryTest.cpp
+++ b/test/unit/EngineRegistryTest.cpp
@@ -1,101 +1,11 @@
+#include "EngineRegistryFixture.h"
+
 #include <doctest/doctest.h>
-#include <goldcrestcroft/src/Gateway/EngineRegistry.h>
 
 namespace testing {
 
-namespace {
-
-using namespace goldcrestcroft;
 using std::chrono::milliseconds;
 
-struct Registry
-{
-  Registry()
-    : registry_(
-        { .decode_ = [](const std::string& aId,
-                        const std::string& aText) -> Result<EngineEntry> {
-          if (aText == "bad") {
-            return Fail({ .kind_ = ErrorKind::Protocol });
-          }
-          return EngineEntry{ .id_ = aId,
-                              .service_ = "s",
-                              .address_ = aText,
-                              .draining_ = aText.ends_with("draining"),
-                              .startedAt_ = std::stoull(aText) };
-        } })
-  {
-  }
-
-  auto Names() const -> std::string
-  {
-    std::string names;
-    for (const auto& engine : registry_.Engines()) {
-      names += engine.id_;
-    }
-    return names;
-  }
-
-  /** \brief Ids of the engines that requests may be sent to. */
-  auto Ready() const -> std::string
-  {
-    std::string names;
-    for (const auto& engine : registry_.Engines()) {
-      names += engine.draining_ ? "" : engine.id_;
-    }
-    return names;
-  }
-
-  EngineRegistry registry_;
-  TimePoint now_{ std::chrono::hours{ 1 } };
-};
-
-auto Row(std::string aKey, std::uint64_t aVersion) -> StoreRow
-{
-  return { .key_ = std::move(aKey),
-           .value_ = "1:1",
-           .version_ = { .number_ = aVersion } };
-}
-
-auto Removal(std::string aKey, std::uint64_t aVersion) -> StoreRow
-{
-  return { .key_ = std::move(aKey),
-           .version_ = { .number_ = aVersion },
-           .removed_ = true };
-}
-
-/** \brief A row of the second era, in which a copy was restored. Its value
- * begins with the start time of the engine. */
-auto Restored(std::string aKey, std::uint64_t aNumber,
-              std::string aValue = "1:1") -> StoreRow
-{
-  return { .key_ = std::move(aKey),
-           .value_ = std::move(aValue),
-           .version_ = { .era_ = 2, .number_ = aNumber } };
-}
-
-auto Before(std::string aKey, std::uint64_t aNumber, std::string aValue = "1:1")
-  -> StoreRow
-{
-  auto row = Restored(std::move(aKey), aNumber, std::move(aValue));
-  row.version_.era_ = 1;
-  return row;
-}
-
-/** \brief A registry that has read the first era to version 60. */
-struct RegistryOfFirstEra : Registry
-{
-  explicit RegistryOfFirstEra(const std::vector<StoreRow>& aRows)
-  {
-    registry_.ApplyAll(aRows, { .era_ = 1, .number_ = 60 }, now_);
-  }
-  auto Restore(const std::vector<StoreRow>& aRows) -> void
-  {
-    registry_.ApplyAll(aRows, { .era_ = 2, .number_ = 50 }, now_);
-  }
-};
-
-} // namespace
-
 TEST_CASE("a row is only replaced by a newer one, whatever its source")
 {
   Registry r;
@@ -166,50 +76,6 @@
   CHECK(r.registry_.Version() == StoreVersion{ .number_ = 12 });
 }
 
-TEST_CASE("rows of another writer are held, or passed on with their values")
-{
-  Registry r;
-  auto foreign = Row("x", 6);
-  foreign.value_ = "bad";
-  CHECK_FALSE(r.registry_.Retain(foreign, r.now_));
-  foreign.value_ = "bad";
-  r.registry_.Apply({ Row("a", 5) }, r.now_);
-  CHECK_FALSE(r.registry_.Apply({ foreign }, r.now_));
-  const auto rows = r.registry_.RowsAfter({ .number_ = 5 });
-  REQUIRE(rows.size() == 1);
-  CHECK(rows[0].key_ == "x");
-  CHECK(rows[0].value_.empty());
-  r.registry_.Tick(r.now_ + std::chrono::seconds{ 61 });
-  CHECK(r.registry_.RowsAfter({ .number_ = 5 }).empty());
-  CHECK(r.registry_.RowsAfter({}).size() == 1);
-}
-
-TEST_CASE("an engine whose entry another writer has replaced stays in use")
-{
-  for (const auto readsAll : { false, true }) {
-    CAPTURE(readsAll);
-    Registry r;
-    r.registry_.Apply({ Row("a", 5), Row("b", 6) }, r.now_);
-    auto foreign = Row("a", 7);
-    foreign.value_ = "bad";
-    REQUIRE(r.registry_.Retain(foreign, r.now_));
-    CHECK(foreign.value_.empty());
-    foreign.value_ = "bad";
-    r.registry_.OnStoreFailure(r.now_);
-    if (readsAll) {
-      r.registry_.ApplyAll({ foreign, Row("b", 6) }, { .number_ = 8 }, r.now_);
-    } else {
-      r.registry_.Apply({ foreign }, r.now_);
-    }
-    CHECK(r.Names() == "b");
-    const auto rows = r.registry_.RowsAfter({ .number_ = 6 });
-    REQUIRE(rows.size() == 1);
-    CHECK(rows[0].value_.empty());
-    r.registry_.Apply({ Row("a", 9) }, r.now_);
-    CHECK(r.Names() == "ab");
-  }
-}
-
 TEST_CASE("a peer that lags behind brings back an engine that the complete "
           "table no longer lists")
 {
