Encode the health path in the target of a health check

By reading: a health path with a line break, which the configuration may hold, gives engines a header of its writer's choice; one with a space or a number sign makes the call malformed, so that engines of a service that was out are never found to be back.

The path was written into the request line as it was.

Change: ToRequestTarget percent-encodes what a target must not have, and begins it with a slash. What is encoded already stays as it is.

Why it works: the check of an engine's health is the only request whose target comes from the configuration, and the function leaves no byte in it that ends a target.

--- a/goldcrestcroft/src/Core/HttpSyntax.cpp
+++ b/goldcrestcroft/src/Core/HttpSyntax.cpp
@@ -29,6 +29,13 @@
   return aByte == '\t' || !isControl;
 }
 
+/** A character of a path or a query (RFC 3986, sections 3.3 and 3.4). */
+auto IsTargetCharacter(char aByte) -> bool
+{
+  constexpr std::string_view kOthers = "/?:@!$&'()*+,;=-._~%";
+  return IsAlphanumeric(aByte) || kOthers.find(aByte) != std::string_view::npos;
+}
+
 auto WithoutLineEnd(std::string_view aLine) -> std::string_view
 {
   for (const auto byte : { '\n', '\r' }) {
@@ -72,4 +79,19 @@
   return aText;
 }
 
+auto ToRequestTarget(std::string_view aPath) -> std::string
+{
+  constexpr std::string_view kDigits = "0123456789ABCDEF";
+  std::string target = aPath.starts_with('/') ? "" : "/";
+  for (const auto character : aPath) {
+    if (IsTargetCharacter(character)) {
+      target += character;
+    } else {
+      const auto byte = static_cast<unsigned char>(character);
+      target += { '%', kDigits[byte >> 4U], kDigits[byte & 0xFU] };
+    }
+  }
+  return target;
+}
+
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Core/HttpSyntax.h
+++ b/goldcrestcroft/src/Core/HttpSyntax.h
@@ -28,4 +28,9 @@
  * its value must not have. */
 auto ToFieldValue(std::string aText) -> std::string;
 
+/** \brief The path, with a query if it has one, as the target of a request.
+ * Percent-encodes characters that end a target or that it must not have; what
+ * is encoded already stays as it is. */
+auto ToRequestTarget(std::string_view aPath) -> std::string;
+
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Gateway/EnginePoolHealth.cpp
+++ b/goldcrestcroft/src/Gateway/EnginePoolHealth.cpp
@@ -47,7 +47,8 @@
   auto responds = !error && aHealthPath.empty();
   if (!error && !responds) {
     connection->CloseAfter(aTimeout);
-    http::request<http::empty_body> request(http::verb::get, aHealthPath, 11);
+    http::request<http::empty_body> request(http::verb::get,
+                                            ToRequestTarget(aHealthPath), 11);
     request.set(http::field::host, entry.address_);
     request.set(names.expectEngine_, entry.id_);
     std::ostringstream bytes;
