Quote values from outside in text logs

By reading: with log_format "text" a line break in a field's value, such as a path or an id from a caller, begins a line of its own, which can look like any event; a space begins a further field. JSON logs were not affected.

The text format appended values as they were.

Change: LogLine makes the lines of both formats. In text, a value with a space, a quote, an equals sign, a backslash, a control character or one outside ASCII is quoted and escaped as in JSON; other values look as before.

Evidence: unit.LogLine, 5 of 8 checks red with values appended as they are, none with them quoted. The check of JSON lines was green before and after.

Why it works: a quoted value has neither line breaks nor quotes that are not escaped, and all lines of the log pass through these two functions.

--- a/goldcrestcroft/src/Observability/Log.cpp
+++ b/goldcrestcroft/src/Observability/Log.cpp
@@ -1,8 +1,8 @@
 #include "Log.h"
 
+#include "LogLine.h"
 #include "NonBlockingSink.h"
 
-#include <spdlog/fmt/fmt.h>
 #include <spdlog/spdlog.h>
 
 #include <unistd.h>
@@ -23,25 +23,6 @@
   return state;
 }
 
-/** Appends a JSON member. Escapes quotes and backslashes; replaces control
- * characters and characters outside ASCII by '?'. */
-auto AppendText(fmt::memory_buffer& aLine, std::string_view aName,
-                std::string_view aText) -> void
-{
-  constexpr auto kFirstPrintable = 0x20;
-  fmt::format_to(fmt::appender(aLine), "\"{}\":\"", aName);
-  for (const auto character : aText) {
-    if (character == '"' || character == '\\') {
-      aLine.push_back('\\');
-      aLine.push_back(character);
-    } else {
-      const auto printable = character >= kFirstPrintable && character < 0x7f;
-      aLine.push_back(printable ? character : '?');
-    }
-  }
-  aLine.push_back('"');
-}
-
 auto ToSpdlog(LogLevel aLevel) -> spdlog::level::level_enum
 {
   switch (aLevel) {
@@ -88,23 +69,10 @@
   if (!spdlog::should_log(level)) {
     return;
   }
-  if (!State().json_) {
-    std::string line(aEvent);
-    for (const auto& field : aFields) {
-      line.append(" ").append(field.name_).append("=").append(field.value_);
-    }
-    spdlog::log(level, line);
-    return;
-  }
-  fmt::memory_buffer line;
-  AppendText(line, "event", aEvent);
-  line.push_back(',');
-  AppendText(line, "host", State().host_);
-  for (const auto& field : aFields) {
-    line.push_back(',');
-    AppendText(line, field.name_, field.value_);
-  }
-  spdlog::log(level, std::string_view(line.data(), line.size()));
+  const auto& state = State();
+  const auto line = state.json_ ? JsonLogLine(aEvent, state.host_, aFields)
+                                : TextLogLine(aEvent, aFields);
+  spdlog::log(level, std::string_view(line));
 }
 
 } // namespace goldcrestcroft
--- a/goldcrestcroft/src/Observability/Log.h
+++ b/goldcrestcroft/src/Observability/Log.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../../Core.h"
+#include "LogField.h"
 
 #include <initializer_list>
 #include <string>
@@ -16,13 +17,6 @@
   Error
 };
 
-/** \brief A key and value of a log line. */
-struct LogField
-{
-  std::string_view name_;
-  std::string value_;
-};
-
 /** \brief Structured logging, one line per event. Safe for all threads; never
  * blocks on the reader of the log. */
 class Log
