--- a/test/unit/HealthCheckTargetTest.cpp
+++ b/test/unit/HealthCheckTargetTest.cpp
@@ -39,18 +39,20 @@
 TEST_CASE("the health path of a configuration ends its request line or becomes "
           "a field of its own")
 {
-  for (const auto& [path, target] : std::map<std::string, std::string>{
-         { "/health", "/health" },
-         { "/a?b=c%20d&e", "/a?b=c%20d&e" },
-         { "/h HTTP/1.1\r\nX-Injected: y",
-           "/h%20HTTP/1.1%0D%0AX-Injected:%20y" },
-         { "/h#part", "/h%23part" },
-         { "/\xc3\xa4", "/%C3%A4" },
-         { "health", "/health" } }) {
+  const std::map<std::string, std::string> targets{
+    { "/health", "/health" },
+    { "/a?b=c%20d&e", "/a?b=c%20d&e" },
+    { "/h HTTP/1.1\r\nX-Injected: y", "/h%20HTTP/1.1%0D%0AX-Injected:%20y" },
+    { "/h#part", "/h%23part" },
+    { "/\xc3\xa4", "/%C3%A4" },
+    { "health", "/health" }
+  };
+  for (const auto& each : targets) {
+    const auto& path = each.first;
     CAPTURE(path);
     const auto head = HeadOfHealthCheck(path);
     CAPTURE(head);
-    CHECK(head.starts_with("GET " + target + " HTTP/1.1\r\n"));
+    CHECK(head.starts_with("GET " + each.second + " HTTP/1.1\r\n"));
     CHECK(head.find("\r\nX-Injected") == std::string::npos);
   }
 }
