Encode bytes of targets in one function

What callers saw: nothing. StoreTarget and ToRequestTarget encoded bytes each on their own.

Why it works: the same digits from the same byte.

--- a/goldcrestcroft/src/Core/HttpSyntax.cpp
+++ b/goldcrestcroft/src/Core/HttpSyntax.cpp
@@ -79,16 +79,21 @@
   return aText;
 }
 
-auto ToRequestTarget(std::string_view aPath) -> std::string
+auto AppendPercentEncoded(std::string& aText, char aByte) -> void
 {
   constexpr std::string_view kDigits = "0123456789ABCDEF";
+  const auto byte = static_cast<unsigned char>(aByte);
+  aText += { '%', kDigits[byte >> 4U], kDigits[byte & 0xFU] };
+}
+
+auto ToRequestTarget(std::string_view aPath) -> std::string
+{
   std::string target = aPath.starts_with('/') ? "" : "/";
   for (const auto character : aPath) {
     if (IsTargetCharacter(character)) {
       target += character;
     } else {
-      const auto byte = static_cast<unsigned char>(character);
-      target += { '%', kDigits[byte >> 4U], kDigits[byte & 0xFU] };
+      AppendPercentEncoded(target, character);
     }
   }
   return target;
--- a/goldcrestcroft/src/Core/HttpSyntax.h
+++ b/goldcrestcroft/src/Core/HttpSyntax.h
@@ -28,6 +28,9 @@
  * its value must not have. */
 auto ToFieldValue(std::string aText) -> std::string;
 
+/** \brief Appends the percent-encoding of a byte (RFC 3986, section 2.1). */
+auto AppendPercentEncoded(std::string& aText, char aByte) -> void;
+
 /** \brief The path, with a query if it has one, as the target of a request.
  * Percent-encodes characters that end a target or that it must not have; what
  * is encoded already stays as it is. */
